refactor: give each slice its own peer service, operator routes and wire conversions

Cause: one protocol file, one conversions file and one operator server stood between all slices, so that a change of any slice touched them. Now each slice brings its service, routes and conversions; replays, measurements and proofs have their frames, and the experiments are a package of their own.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -31,7 +31,7 @@
       'no-restricted-imports': ['error', {
         paths: ['node:child_process', 'node:cluster', 'node:worker_threads']
           .map(name => ({ name, message: 'A process starts no other process and keeps to one thread.' })),
-        patterns: [{ group: ['@wasabihead/standins', '@wasabihead/tests'], message: 'Stand-ins are for tests only.' }]
+        patterns: [{ group: ['@wasabihead/standins', '@wasabihead/experiments', '@wasabihead/tests'], message: 'Stand-ins are for tests only.' }]
       }]
     }
   },
--- a/packages/daemon/src/peers/conversions.ts
+++ b/packages/daemon/src/claims/claimConversions.ts
@@ -1,60 +1,21 @@
-/** Conversions between the library's types and the peers' protocol. */
+/** Conversions between the claim slice's types and the peers' protocol. */
 import { create } from '@bufbuild/protobuf'
-import type { ClaimReply, ClaimReport, ClaimRequest, InstanceIdentity, Member } from '@wasabihead/coordination'
+import type { ClaimReply, ClaimReport, ClaimRequest } from '@wasabihead/coordination'
+import { instanceFromWire, instanceToWire } from '../peers/index.js'
 import {
-  ClaimCallRequestSchema, ClaimCallResponseSchema, InstanceSchema, MemberEntrySchema, MemberState, ReportClaimRequestSchema,
-  ReportedState, Treatment,
-  type ClaimCallRequest, type ClaimCallResponse, type Instance, type MemberEntry, type ReportClaimRequest
-} from './gen/wasabihead/v1/peer_pb.js'
+  ClaimCallRequestSchema, ClaimCallResponseSchema, ReportClaimRequestSchema, ReportedState, Treatment,
+  type ClaimCallRequest, type ClaimCallResponse, type ReportClaimRequest
+} from '../peers/gen/wasabihead/v1/claims_pb.js'
 
-const STATE_TO_WIRE = {
-  alive: MemberState.ALIVE, suspect: MemberState.SUSPECT, leaving: MemberState.LEAVING, dead: MemberState.DEAD
-} as const
-const STATE_FROM_WIRE: Record<MemberState, Member['state']> = {
-  [MemberState.UNSPECIFIED]: 'suspect',
-  [MemberState.ALIVE]: 'alive',
-  [MemberState.SUSPECT]: 'suspect',
-  [MemberState.LEAVING]: 'leaving',
-  [MemberState.DEAD]: 'dead'
-}
+const RETRY_AFTER_MILLISECONDS = 1_000
 const REPORTED_TO_WIRE = {
   released: ReportedState.RELEASED, done: ReportedState.DONE, unknown: ReportedState.UNKNOWN
 } as const
-
-/** An instance on the wire. */
-export function instanceToWire (identity: InstanceIdentity): Instance {
-  return create(InstanceSchema, { host: identity.host, incarnation: BigInt(identity.incarnation) })
-}
-
-/** An instance from the wire. */
-export function instanceFromWire (instance: Instance | undefined): InstanceIdentity {
-  return { host: instance?.host ?? '', incarnation: Number(instance?.incarnation ?? 0) }
-}
-
-/** A member on the wire. */
-export function memberToWire (member: Member): MemberEntry {
-  return create(MemberEntrySchema, {
-    instance: instanceToWire(member),
-    version: BigInt(member.version),
-    dataCentre: member.dataCentre,
-    peerAddress: member.peerAddress,
-    callerAddress: member.callerAddress,
-    state: STATE_TO_WIRE[member.state],
-    configurationRevision: BigInt(member.configurationRevision)
-  })
-}
-
-/** A member from the wire. */
-export function memberFromWire (entry: MemberEntry): Member {
-  return {
-    ...instanceFromWire(entry.instance),
-    version: Number(entry.version),
-    dataCentre: entry.dataCentre,
-    peerAddress: entry.peerAddress,
-    callerAddress: entry.callerAddress,
-    state: STATE_FROM_WIRE[entry.state],
-    configurationRevision: Number(entry.configurationRevision)
-  }
+const REPORTED_FROM_WIRE: Record<ReportedState, ClaimReport['state']> = {
+  [ReportedState.UNSPECIFIED]: 'unknown',
+  [ReportedState.RELEASED]: 'released',
+  [ReportedState.DONE]: 'done',
+  [ReportedState.UNKNOWN]: 'unknown'
 }
 
 /** A claim request on the wire. */
@@ -63,7 +24,7 @@
     ...request,
     treatment: request.treatment === 'durable' ? Treatment.DURABLE : Treatment.AT_MOST_ONCE,
     executor: instanceToWire(request.executor),
-    recordedAt: BigInt(request.recordedAt)
+    recordedAt: BigInt(Math.round(request.recordedAt))
   })
 }
 
@@ -89,12 +50,11 @@
 
 /** A claim report from the wire; a state that is not known counts as an unknown outcome. */
 export function claimReportFromWire (report: ReportClaimRequest): ClaimReport {
-  const state = report.state === ReportedState.RELEASED ? 'released' : report.state === ReportedState.DONE ? 'done' : 'unknown'
   return {
     workspace: report.workspace,
     idempotencyKey: report.idempotencyKey,
     attemptToken: report.attemptToken,
-    state,
+    state: REPORTED_FROM_WIRE[report.state] ?? 'unknown',
     ...(report.answer === undefined ? {} : { answer: { status: report.answer.status, body: report.answer.body } })
   }
 }
@@ -129,6 +89,6 @@
     case 'conflict': return { kind: 'conflict' }
     case 'notOwner': return { kind: 'not-owner' }
     case 'unavailable': return { kind: 'unavailable', retryAfter: reply.value.retryAfterMilliseconds }
-    default: return { kind: 'unavailable', retryAfter: 1_000 }
+    default: return { kind: 'unavailable', retryAfter: RETRY_AFTER_MILLISECONDS }
   }
 }
--- a/packages/daemon/src/claims/claimCoordinator.ts
+++ b/packages/daemon/src/claims/claimCoordinator.ts
@@ -6,8 +6,8 @@
   type MemberTable, type ShardHead
 } from '@wasabihead/coordination'
 import type { Clock } from '../instance/clock.js'
-import type { PeerClient } from '../peers/index.js'
 import type { Logger } from '../telemetry/index.js'
+import type { ClaimPeerClient } from './claimPeers.js'
 
 const RETRY_AFTER_MILLISECONDS = 1_000
 
@@ -21,7 +21,7 @@
     private readonly _environment: string,
     private readonly _keyValue: KeyValueService,
     private readonly _members: MemberTable,
-    private readonly _peers: PeerClient,
+    private readonly _peers: ClaimPeerClient,
     private readonly _clock: Clock,
     private readonly _logger: Logger
   ) {
@@ -39,7 +39,7 @@
   async report (report: ClaimReport): Promise<ClaimReply> {
     const owner = this._ownerOf(claimShardOf(report.workspace, report.idempotencyKey))
     if (owner === undefined) return await this.reportHere(report)
-    return unavailableOnError(await this._peers.reportClaim(owner, report))
+    return unavailableOnError(await this._peers.report(owner, report))
   }
 
   /** Records a claim as the owner of its shard. */
--- /dev/null
+++ b/packages/daemon/src/claims/claimPeers.ts
@@ -0,0 +1,43 @@
+/** The claim slice between instances: calls to a shard's owner, and serving them. */
+import type { ConnectRouter } from '@connectrpc/connect'
+import type { Result } from 'true-myth'
+import type { ClaimReply, ClaimReport, ClaimRequest, Milliseconds } from '@wasabihead/coordination'
+import { PeerRoutes, type PeerConnections, type PeerUnreachableError } from '../peers/index.js'
+import { ClaimService } from '../peers/gen/wasabihead/v1/claims_pb.js'
+import type { ClaimCoordinator } from './claimCoordinator.js'
+import {
+  claimReplyFromWire, claimReplyToWire, claimReportFromWire, claimReportToWire, claimRequestFromWire, claimRequestToWire
+} from './claimConversions.js'
+
+const CALL_TIMEOUT: Milliseconds = 5_000
+
+/** Calls the owners of claim shards. */
+export class ClaimPeerClient {
+  constructor (private readonly _connections: PeerConnections) {}
+
+  /** Asks a shard's owner to record a claim. */
+  async claim (address: string, request: ClaimRequest): Promise<Result<ClaimReply, PeerUnreachableError>> {
+    return await this._connections.call(ClaimService, address, async client =>
+      claimReplyFromWire(await client.claim(claimRequestToWire(request), { timeoutMs: CALL_TIMEOUT })))
+  }
+
+  /** Reports a claim's outcome to its shard's owner. */
+  async report (address: string, report: ClaimReport): Promise<Result<ClaimReply, PeerUnreachableError>> {
+    return await this._connections.call(ClaimService, address, async client =>
+      claimReplyFromWire(await client.reportClaim(claimReportToWire(report), { timeoutMs: CALL_TIMEOUT })))
+  }
+}
+
+/** Serves the claim calls of other instances. */
+export class ClaimPeerRoutes extends PeerRoutes {
+  constructor (private readonly _coordinator: ClaimCoordinator) {
+    super()
+  }
+
+  override register (router: ConnectRouter): void {
+    router.service(ClaimService, {
+      claim: async request => claimReplyToWire(await this._coordinator.claimHere(claimRequestFromWire(request))),
+      reportClaim: async request => claimReplyToWire(await this._coordinator.reportHere(claimReportFromWire(request)))
+    })
+  }
+}
--- a/packages/daemon/src/claims/index.ts
+++ b/packages/daemon/src/claims/index.ts
@@ -1,1 +1,2 @@
 export { ClaimCoordinator } from './claimCoordinator.js'
+export { ClaimPeerClient, ClaimPeerRoutes } from './claimPeers.js'
--- /dev/null
+++ b/packages/daemon/src/configuration/configurationPeers.ts
@@ -0,0 +1,39 @@
+/** The configuration slice between instances. */
+import type { ConnectRouter } from '@connectrpc/connect'
+import type { Result } from 'true-myth'
+import type { Milliseconds } from '@wasabihead/coordination'
+import { PeerRoutes, type PeerConnections, type PeerUnreachableError } from '../peers/index.js'
+import { ConfigurationService } from '../peers/gen/wasabihead/v1/configuration_pb.js'
+import type { ConfigurationKeeper } from './configurationKeeper.js'
+
+const CALL_TIMEOUT: Milliseconds = 2_000
+
+/** Fetches configurations from other instances. */
+export class ConfigurationPeerClient {
+  constructor (private readonly _connections: PeerConnections) {}
+
+  /** The peer's stored configuration as JSON; empty where it has none newer. */
+  async fetch (address: string, knownRevision: number): Promise<Result<string, PeerUnreachableError>> {
+    return await this._connections.call(ConfigurationService, address, async client => {
+      const request = { knownRevision: BigInt(knownRevision) }
+      return (await client.fetchConfiguration(request, { timeoutMs: CALL_TIMEOUT })).storedConfiguration
+    })
+  }
+}
+
+/** Serves the configuration to other instances. */
+export class ConfigurationPeerRoutes extends PeerRoutes {
+  constructor (private readonly _keeper: ConfigurationKeeper) {
+    super()
+  }
+
+  override register (router: ConnectRouter): void {
+    router.service(ConfigurationService, {
+      fetchConfiguration: request => {
+        const current = this._keeper.state.current
+        const isNewer = current !== undefined && current.revision > Number(request.knownRevision)
+        return { storedConfiguration: isNewer ? JSON.stringify(current) : '' }
+      }
+    })
+  }
+}
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -1,20 +1,21 @@
 /** One instance of the daemon: its parts, started and stopped in order. */
 import {
   ConcurrencyLimit, MemberTable, SeededRandom,
-  type ClaimReply, type ClaimReport, type ClaimRequest, type InstanceIdentity, type Member, type Milliseconds
+  type Member, type Milliseconds
 } from '@wasabihead/coordination'
 import { EtcdKeyValueService } from '../adapters/index.js'
 import { BackendFleet } from '../backends/index.js'
 import { CallerServer, RequestReader } from '../callers/index.js'
-import { ClaimCoordinator } from '../claims/index.js'
-import { ConfigurationKeeper } from '../configuration/index.js'
-import { MembershipLoop } from '../membership/index.js'
+import { ClaimCoordinator, ClaimPeerClient, ClaimPeerRoutes } from '../claims/index.js'
+import {
+  ConfigurationKeeper, ConfigurationPeerClient, ConfigurationPeerRoutes, ConfigurationRoutes
+} from '../configuration/index.js'
+import { MemberRoutes, MembershipLoop, MembershipPeerClient, MembershipPeerRoutes } from '../membership/index.js'
 import { OperatorServer } from '../operators/index.js'
-import { PeerClient, PeerHandlers, PeerServer } from '../peers/index.js'
-import { ClaimedRunner, ModelRunner, ServiceRunner } from '../serving/index.js'
+import { PeerConnections, PeerServer } from '../peers/index.js'
+import { ClaimedRunner, ModelRunner, PromptPlacer, ServiceRunner, waitFor } from '../serving/index.js'
 import type { Settings } from '../settings/index.js'
-import { Logger, Metrics } from '../telemetry/index.js'
-import { waitFor } from '../serving/waiting.js'
+import { Logger, Metrics, MetricsRoutes } from '../telemetry/index.js'
 import { SystemClock, type Clock } from './clock.js'
 
 const DRAIN_POLL: Milliseconds = 50
@@ -31,7 +32,8 @@
   private readonly _clock: Clock = new SystemClock()
   private readonly _logger: Logger
   private readonly _metrics = new Metrics()
-  private readonly _peers = new PeerClient()
+  private readonly _connections = new PeerConnections()
+  private readonly _configurationPeers = new ConfigurationPeerClient(this._connections)
   private readonly _fleet: BackendFleet
   private readonly _limit: ConcurrencyLimit
   private _parts: RunningParts | undefined
@@ -89,12 +91,14 @@
       this._fleet.configure(stored.document)
       members.updateSelf({ configurationRevision: stored.revision }, clock.monotonic())
     })
-    const claims = new ClaimCoordinator(settings.environment, keyValue, members, this._peers, clock, this._logger)
-    const models = new ModelRunner(
-      this._fleet, configuration, settings.workspaceSecret, clock, random, this._metrics, this._logger)
+    const claims = new ClaimCoordinator(
+      settings.environment, keyValue, members, new ClaimPeerClient(this._connections), clock, this._logger)
+    const placer = new PromptPlacer(this._fleet, settings.workspaceSecret, this._metrics)
+    const models = new ModelRunner(placer, configuration, clock, random, this._metrics, this._logger)
     const services = new ServiceRunner(this._fleet)
     const claimed = new ClaimedRunner(members.identity, claims, models, services, clock, this._logger)
-    const membership = new MembershipLoop(settings.environment, members, keyValue, this._peers, clock, random, () => {
+    const membershipPeers = new MembershipPeerClient(this._connections)
+    const membership = new MembershipLoop(settings.environment, members, keyValue, membershipPeers, clock, random, () => {
       this._learnConfiguration(members, configuration).catch(() => {})
     })
     const reader = new RequestReader(() => configuration.document)
@@ -106,10 +110,16 @@
       callerServer: new CallerServer({
         reader, models, services, claimed, members, limit: this._limit, clock, metrics: this._metrics, logger: this._logger
       }),
-      operatorServer: new OperatorServer({
-        configuration, members, metrics: this._metrics, operatorTokenDigest: settings.operatorTokenDigest
-      }),
-      peerServer: new PeerServer(new InstancePeerHandlers(settings.environment, members, configuration, claims, clock))
+      operatorServer: new OperatorServer(settings.operatorTokenDigest, [
+        new ConfigurationRoutes(configuration),
+        new MemberRoutes(members),
+        new MetricsRoutes(this._metrics)
+      ]),
+      peerServer: new PeerServer([
+        new MembershipPeerRoutes(settings.environment, members, clock),
+        new ConfigurationPeerRoutes(configuration),
+        new ClaimPeerRoutes(claims)
+      ])
     }
   }
 
@@ -131,7 +141,7 @@
     const { revision } = configuration.state.version
     const ahead = members.live.find(member => member.configurationRevision > revision)
     if (ahead === undefined) return
-    const fetched = await this._peers.fetchConfiguration(ahead.peerAddress, revision)
+    const fetched = await this._configurationPeers.fetch(ahead.peerAddress, revision)
     if (fetched.isOk && fetched.value !== '') configuration.learn(fetched.value)
   }
 }
@@ -145,38 +155,3 @@
   operatorServer: OperatorServer
   peerServer: PeerServer
 }
-
-class InstancePeerHandlers extends PeerHandlers {
-  constructor (
-    private readonly _environment: string,
-    private readonly _members: MemberTable,
-    private readonly _configuration: ConfigurationKeeper,
-    private readonly _claims: ClaimCoordinator,
-    private readonly _clock: Clock
-  ) {
-    super()
-  }
-
-  override identity (): InstanceIdentity {
-    return this._members.identity
-  }
-
-  override gossip (environment: string, members: readonly Member[]): Member[] {
-    if (environment !== this._environment) return []
-    for (const member of members) this._members.merge(member, this._clock.monotonic())
-    return [...this._members.members]
-  }
-
-  override configurationAfter (knownRevision: number): string {
-    const current = this._configuration.state.current
-    return current !== undefined && current.revision > knownRevision ? JSON.stringify(current) : ''
-  }
-
-  override async claim (request: ClaimRequest): Promise<ClaimReply> {
-    return await this._claims.claimHere(request)
-  }
-
-  override async reportClaim (report: ClaimReport): Promise<ClaimReply> {
-    return await this._claims.reportHere(report)
-  }
-}
--- a/packages/daemon/src/membership/index.ts
+++ b/packages/daemon/src/membership/index.ts
@@ -1,1 +1,3 @@
+export { MemberRoutes } from './memberRoutes.js'
 export { MembershipLoop } from './membershipLoop.js'
+export { MembershipPeerClient, MembershipPeerRoutes } from './membershipPeers.js'
--- /dev/null
+++ b/packages/daemon/src/membership/memberRoutes.ts
@@ -0,0 +1,17 @@
+/** The membership slice for operators. */
+import type Router from '@koa/router'
+import type { MemberTable } from '@wasabihead/coordination'
+import { OperatorRoutes } from '../operators/operatorRoutes.js'
+
+/** Shows the members to operators. */
+export class MemberRoutes extends OperatorRoutes {
+  constructor (private readonly _members: MemberTable) {
+    super()
+  }
+
+  override register (router: Router): void {
+    router.get('/v1/members', context => {
+      context.body = { self: this._members.self.host, members: this._members.members }
+    })
+  }
+}
--- a/packages/daemon/src/membership/membershipLoop.ts
+++ b/packages/daemon/src/membership/membershipLoop.ts
@@ -4,7 +4,7 @@
   type KeyValueService, type Member, type Milliseconds
 } from '@wasabihead/coordination'
 import type { Clock } from '../instance/clock.js'
-import type { PeerClient } from '../peers/index.js'
+import type { MembershipPeerClient } from './membershipPeers.js'
 
 const ROUND_INTERVAL: Milliseconds = 500
 const LEASE_TIME_TO_LIVE: Milliseconds = 10_000
@@ -21,7 +21,7 @@
     private readonly _environment: string,
     private readonly _members: MemberTable,
     private readonly _keyValue: KeyValueService,
-    private readonly _peers: PeerClient,
+    private readonly _peers: MembershipPeerClient,
     private readonly _clock: Clock,
     private readonly _random: SeededRandom,
     private readonly _onNews: () => void
--- a/packages/daemon/src/operators/index.ts
+++ b/packages/daemon/src/operators/index.ts
@@ -1,1 +1,2 @@
-export { OperatorServer, type OperatorServerParts } from './operatorServer.js'
+export { answerError, OperatorRoutes, type OperatorError } from './operatorRoutes.js'
+export { OperatorServer } from './operatorServer.js'
--- a/packages/daemon/src/peers/index.ts
+++ b/packages/daemon/src/peers/index.ts
@@ -1,2 +1,3 @@
-export { PeerClient, PeerUnreachableError } from './peerClient.js'
-export { PeerHandlers, PeerServer } from './peerServer.js'
+export { instanceFromWire, instanceToWire } from './instanceConversions.js'
+export { PeerConnections, PeerUnreachableError } from './peerConnections.js'
+export { PeerRoutes, PeerServer } from './peerServer.js'
--- a/packages/daemon/src/peers/peerServer.ts
+++ b/packages/daemon/src/peers/peerServer.ts
@@ -3,24 +3,11 @@
 import type { AddressInfo } from 'node:net'
 import type { ConnectRouter } from '@connectrpc/connect'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
-import type { ClaimReply, ClaimReport, ClaimRequest, InstanceIdentity, Member } from '@wasabihead/coordination'
-import {
-  claimReplyToWire, claimReportFromWire, claimRequestFromWire, instanceToWire, memberFromWire, memberToWire
-} from './conversions.js'
-import { PeerService } from './gen/wasabihead/v1/peer_pb.js'
 
-/** What an instance does for its peers. */
-export abstract class PeerHandlers {
-  /** This instance's identity. */
-  abstract identity (): InstanceIdentity
-  /** Merges a peer's entries and answers its own; entries of another environment are ignored. */
-  abstract gossip (environment: string, members: readonly Member[]): Member[]
-  /** The stored configuration as JSON if newer than the known revision, else empty. */
-  abstract configurationAfter (knownRevision: number): string
-  /** Records a claim if this instance owns its shard. */
-  abstract claim (request: ClaimRequest): Promise<ClaimReply>
-  /** Records a claim's outcome if this instance owns its shard. */
-  abstract reportClaim (report: ClaimReport): Promise<ClaimReply>
+/** A slice's service for peers. */
+export abstract class PeerRoutes {
+  /** Adds the slice's service to the router. */
+  abstract register (router: ConnectRouter): void
 }
 
 /** Listens for peers. */
@@ -28,9 +15,10 @@
   private readonly _server: http2.Http2Server
   private readonly _sessions = new Set<http2.ServerHttp2Session>()
 
-  /** @param handlers what to do for peers */
-  constructor (handlers: PeerHandlers) {
-    this._server = http2.createServer(connectNodeAdapter({ routes: router => { addRoutes(router, handlers) } }))
+  /** @param routes the services of the slices */
+  constructor (routes: readonly PeerRoutes[]) {
+    const register = (router: ConnectRouter) => { for (const slice of routes) slice.register(router) }
+    this._server = http2.createServer(connectNodeAdapter({ routes: register }))
     this._server.on('session', session => {
       this._sessions.add(session)
       session.on('close', () => this._sessions.delete(session))
@@ -53,15 +41,3 @@
     await new Promise<void>(resolve => { this._server.close(() => { resolve() }) })
   }
 }
-
-function addRoutes (router: ConnectRouter, handlers: PeerHandlers): void {
-  router.service(PeerService, {
-    gossip: request => ({
-      members: handlers.gossip(request.environment, request.members.map(memberFromWire)).map(memberToWire)
-    }),
-    probe: () => ({ instance: instanceToWire(handlers.identity()) }),
-    fetchConfiguration: request => ({ storedConfiguration: handlers.configurationAfter(Number(request.knownRevision)) }),
-    claim: async request => claimReplyToWire(await handlers.claim(claimRequestFromWire(request))),
-    reportClaim: async request => claimReplyToWire(await handlers.reportClaim(claimReportFromWire(request)))
-  })
-}
--- a/packages/daemon/src/serving/index.ts
+++ b/packages/daemon/src/serving/index.ts
@@ -1,4 +1,6 @@
 export { type AcceptedRequest, type ModelInput } from './acceptedRequest.js'
 export { ClaimedRunner } from './claimedRunner.js'
 export { ModelRunner, type ModelAnswer } from './modelRunner.js'
+export { PromptPlacer, type PlacedPrompt, type PreparedReplica } from './promptPlacer.js'
 export { ServiceRunner } from './serviceRunner.js'
+export { waitFor } from './waiting.js'
--- /dev/null
+++ b/packages/daemon/src/telemetry/metricsRoutes.ts
@@ -0,0 +1,17 @@
+/** The measures for operators. */
+import type Router from '@koa/router'
+import { OperatorRoutes } from '../operators/operatorRoutes.js'
+import type { Metrics } from './metrics.js'
+
+/** Shows the measures to operators. */
+export class MetricsRoutes extends OperatorRoutes {
+  constructor (private readonly _metrics: Metrics) {
+    super()
+  }
+
+  override register (router: Router): void {
+    router.get('/v1/metrics', context => {
+      context.body = { histograms: this._metrics.readHistograms(), counters: this._metrics.readCounters() }
+    })
+  }
+}
--- a/tests/demonstration/demonstration.ts
+++ b/packages/experiments/src/demonstration/demonstration.ts
@@ -4,7 +4,7 @@
 import { join } from 'node:path'
 import { randomUUID } from 'node:crypto'
 import { answerTokens } from '@wasabihead/standins'
-import { Caller, Fleet, HARROWGATE_TOKEN, type RunningInstance } from '../fixtures/index.js'
+import { Caller, Fleet, HARROWGATE_TOKEN, type RunningInstance } from '../processes/index.js'
 
 const ANSWER_TOKENS = 12
 const EVICTING_PROMPTS = 6
--- /dev/null
+++ b/packages/experiments/src/demonstration/index.ts
@@ -0,0 +1,1 @@
+export { applyDocument, serveRequests, type DemonstrationStep } from './demonstration.js'
--- a/tests/demonstration/main.ts
+++ b/packages/experiments/src/demonstration/main.ts
@@ -1,5 +1,5 @@
 /** The demonstration: `npm start` runs until interrupted; with `-- --once` it exits, 0 only if every answer was whole. */
-import { Fleet } from '../fixtures/index.js'
+import { Fleet } from '../processes/index.js'
 import { applyDocument, serveRequests, type DemonstrationStep } from './demonstration.js'
 
 const isOnce = process.argv.includes('--once')
--- /dev/null
+++ b/packages/experiments/src/index.ts
@@ -0,0 +1,5 @@
+/** Developers' tools, for the tests. */
+export * from './coordination/index.js'
+export * from './demonstration/index.js'
+export * from './processes/index.js'
+export * from './simulation/index.js'
--- /dev/null
+++ b/packages/experiments/src/simulation/simulatedKeyValue.ts
@@ -0,0 +1,128 @@
+/** The platform's key-value service in virtual time, with delays, outages, lost answers and writes that land late. */
+import {
+  ABSENT_REVISION,
+  type CompareAndSwap, type CompareAndSwapOutcome, type Milliseconds, type SeededRandom, type VersionedValue
+} from '@wasabihead/coordination'
+import type { VirtualTime } from './virtualTime.js'
+
+/** Faults of the service. Shares are probabilities from 0 to 1. */
+export interface KeyValueFaults {
+  isDown: boolean
+  /** Longest one-way delay of a call. */
+  maximumDelay: Milliseconds
+  /** Share of calls that take effect without an answer. */
+  lostAnswerShare: number
+  /** Share of calls that are lost before they take effect. */
+  lostCallShare: number
+  /** Share of writes that land only after their caller has given up. */
+  lateWriteShare: number
+}
+
+/** What a caller learns of a call: its result, a refusal that had no effect, or nothing in time. */
+export type SimulatedAnswer<Value> = { kind: 'answered', value: Value } | { kind: 'refused' } | { kind: 'no-answer' }
+
+/** A service without faults. */
+export const FAULTLESS: KeyValueFaults = {
+  isDown: false, maximumDelay: 5, lostAnswerShare: 0, lostCallShare: 0, lateWriteShare: 0
+}
+
+/** Time after which a caller gives a call up. */
+export const CALL_TIMEOUT: Milliseconds = 2_000
+
+const LATEST_LANDING: Milliseconds = 20_000
+
+/** The simulated service. Calls answer through callbacks in virtual time. */
+export class SimulatedKeyValue {
+  faults: KeyValueFaults = FAULTLESS
+  private _revision = ABSENT_REVISION
+  private readonly _entries = new Map<string, VersionedValue>()
+  private _reads = 0
+  private _writes = 0
+  private _bytesWritten = 0
+
+  constructor (private readonly _time: VirtualTime, private readonly _random: SeededRandom) {}
+
+  /** Calls and bytes so far. */
+  get counts (): { reads: number, writes: number, bytesWritten: number } {
+    return { reads: this._reads, writes: this._writes, bytesWritten: this._bytesWritten }
+  }
+
+  /** What is stored now, for the checks of a history. */
+  peek (key: string): VersionedValue | undefined {
+    return this._entries.get(key)
+  }
+
+  /** All keys stored now. */
+  keys (): string[] {
+    return [...this._entries.keys()]
+  }
+
+  /** Reads one key. */
+  read (key: string, answered: (answer: SimulatedAnswer<VersionedValue | undefined>) => void): void {
+    this._reads += 1
+    this._call(() => this._entries.get(key), false, answered)
+  }
+
+  /** Reads all keys under a prefix, in key order. */
+  list (prefix: string, answered: (answer: SimulatedAnswer<VersionedValue[]>) => void): void {
+    this._reads += 1
+    const read = (): VersionedValue[] => [...this._entries.values()]
+      .filter(entry => entry.key.startsWith(prefix))
+      .sort((left, right) => left.key < right.key ? -1 : 1)
+    this._call(read, false, answered)
+  }
+
+  /** Writes one key by compare-and-swap. */
+  compareAndSwap (write: CompareAndSwap, answered: (answer: SimulatedAnswer<CompareAndSwapOutcome>) => void): void {
+    this._writes += 1
+    this._bytesWritten += write.value.length
+    this._call(() => this._swap(write), true, answered)
+  }
+
+  /** Removes one key by compare-and-swap. */
+  remove (key: string, expectedRevision: number, answered: (answer: SimulatedAnswer<CompareAndSwapOutcome>) => void): void {
+    this._writes += 1
+    this._call((): CompareAndSwapOutcome => {
+      if (this._entries.get(key)?.revision !== expectedRevision) return { kind: 'lost' }
+      this._entries.delete(key)
+      this._revision += 1
+      return { kind: 'won', revision: this._revision }
+    }, true, answered)
+  }
+
+  private _swap (write: CompareAndSwap): CompareAndSwapOutcome {
+    const current = this._entries.get(write.key)?.revision ?? ABSENT_REVISION
+    if (current !== write.expectedRevision) return { kind: 'lost' }
+    this._revision += 1
+    this._entries.set(write.key, { key: write.key, value: write.value, revision: this._revision })
+    return { kind: 'won', revision: this._revision }
+  }
+
+  private _call<Value> (perform: () => Value, isWrite: boolean, answered: (answer: SimulatedAnswer<Value>) => void): void {
+    const { faults } = this
+    if (faults.isDown) return this._time.after(this._delay(), () => { answered({ kind: 'refused' }) })
+    if (this._happens(faults.lostCallShare)) return this._giveUp(answered)
+    if (isWrite && this._happens(faults.lateWriteShare)) {
+      this._time.after(CALL_TIMEOUT + this._random.next() * LATEST_LANDING, () => { perform() })
+      return this._giveUp(answered)
+    }
+    const isAnswerLost = this._happens(faults.lostAnswerShare)
+    this._time.after(this._delay(), () => {
+      const value = perform()
+      if (!isAnswerLost) this._time.after(this._delay(), () => { answered({ kind: 'answered', value }) })
+    })
+    if (isAnswerLost) this._giveUp(answered)
+  }
+
+  private _giveUp<Value> (answered: (answer: SimulatedAnswer<Value>) => void): void {
+    this._time.after(CALL_TIMEOUT, () => { answered({ kind: 'no-answer' }) })
+  }
+
+  private _delay (): Milliseconds {
+    return this._random.next() * this.faults.maximumDelay
+  }
+
+  private _happens (share: number): boolean {
+    return this._random.next() < share
+  }
+}
--- /dev/null
+++ b/tests/promises/index.ts
@@ -0,0 +1,6 @@
+import type { Proof } from './proof.js'
+
+/** Every proof, in the order of the users' list of what must always hold. */
+export const proofs: readonly Proof[] = []
+
+export { Proof, type ProofRun, type Violation } from './proof.js'
--- a/tests/wholeProcess/wholePath.spec.ts
+++ b/tests/wholeProcess/wholePath.spec.ts
@@ -1,8 +1,7 @@
 /** The whole path over separate processes. */
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { applyDocument, serveRequests } from '../demonstration/demonstration.js'
-import { Fleet } from '../fixtures/index.js'
+import { applyDocument, Fleet, serveRequests } from '@wasabihead/experiments'
 
 const fleet = new Fleet()
 test.before(async () => {
