--- /dev/null
+++ b/packages/coordination/src/leaving/index.ts
@@ -0,0 +1,1 @@
+export { LEAVING_HOLD, LEAVING_REFRESH, LeavingServers, type LeavingNews } from './leavingServers.js'
--- /dev/null
+++ b/packages/coordination/src/leaving/leavingServers.spec.ts
@@ -0,0 +1,30 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { LEAVING_HOLD, LEAVING_REFRESH, LeavingServers } from './leavingServers.js'
+
+const leaving = [{ name: 'engine-0', address: 'http://127.0.0.1:1', state: 'leaving' as const }]
+
+test('should give no work to a server from the first word of its leaving', () => {
+  const servers = new LeavingServers()
+  assert.equal(servers.onListed(leaving, 10), { servers: ['engine-0'] })
+  assert.ok(servers.isLeaving('engine-0', 10))
+  assert.not(servers.isLeaving('engine-1', 10))
+})
+
+test('should keep a word of leaving against a list that lags behind it', () => {
+  const servers = new LeavingServers()
+  servers.onHeard(['engine-0'], 0)
+  servers.onListed([{ ...leaving[0]!, state: 'live' }], 1)
+  assert.ok(servers.isLeaving('engine-0', LEAVING_HOLD - 1))
+  assert.not(servers.isLeaving('engine-0', LEAVING_HOLD))
+  assert.equal(servers.leaving(LEAVING_HOLD), [])
+})
+
+test('should tell a word of leaving on once in each refresh, so that no echo goes on for ever', () => {
+  const servers = new LeavingServers()
+  const told = [0, 1, LEAVING_REFRESH - 1, LEAVING_REFRESH, LEAVING_REFRESH + 1]
+    .filter(now => servers.onHeard(['engine-0'], now).servers.length > 0)
+  assert.equal(told, [0, LEAVING_REFRESH])
+})
+
+test.run()
