--- a/packages/experiments/src/index.ts
+++ b/packages/experiments/src/index.ts
@@ -1,5 +1,6 @@
 /** Developers' tools, for the tests. */
 export * from './coordination/index.js'
 export * from './demonstration/index.js'
+export * from './load/index.js'
 export * from './processes/index.js'
 export * from './simulation/index.js'
