fix(orders): never give a fencing number twice within an epoch

Cause: a lease that lapses and is won back without another holder keeps its epoch, and the holder began its sequence anew, so that two different orders could carry one number. Ruled out: a new epoch on each win, since the role record keeps it by design.

--- a/packages/coordination/src/orders/ordersHolder.spec.ts
+++ b/packages/coordination/src/orders/ordersHolder.spec.ts
@@ -69,6 +69,18 @@
   assert.is(holder.epoch, undefined)
 })
 
+test('should not give a number again when it wins its own epoch back', () => {
+  const desired = desire(2)
+  const holder = createHolder(desired)
+  const first = readAll(holder, desired, 1)
+  holder.handle({ kind: 'tick' }, HELD_UNTIL)
+  holder.handle({ kind: 'role-acquired', epoch: 1, heldUntil: 2 * HELD_UNTIL }, HELD_UNTIL)
+  const second = readAll(holder, desired, HELD_UNTIL + 1)
+  const numbers = [...first, ...second].flatMap(effect => effect.kind === 'order' ? [effect.order.fencingNumber] : [])
+  assert.is(numbers.length, 2)
+  assert.is(new Set(numbers).size, 2)
+})
+
 test('should give numbers that rise within a term and across terms', () => {
   const numbers = [1, 2].flatMap(epoch => {
     const desired = desire(8)
--- a/packages/coordination/src/orders/ordersHolder.ts
+++ b/packages/coordination/src/orders/ordersHolder.ts
@@ -26,7 +26,6 @@
   epoch: number
   acquiredAt: Milliseconds
   heldUntil: Milliseconds
-  nextSequence: number
 }
 
 interface Progress {
@@ -50,6 +49,8 @@
 /** Decides the orders of one environment. */
 export class OrdersHolder {
   private _term: Term | undefined
+  private _lastEpoch = 0
+  private _nextSequence = 1
   private _progress = new Map<string, Progress>()
 
   /** The epoch held, or undefined. */
@@ -96,7 +97,10 @@
   }
 
   private _acquire (epoch: number, heldUntil: Milliseconds, now: Milliseconds): OrdersEffect[] {
-    this._term = { epoch, acquiredAt: now, heldUntil, nextSequence: 1 }
+    // A lease that lapsed and was won back without another holder keeps its epoch; its numbers must not come again.
+    if (epoch !== this._lastEpoch) this._nextSequence = 1
+    this._lastEpoch = epoch
+    this._term = { epoch, acquiredAt: now, heldUntil }
     for (const [server, progress] of this._progress) this._progress.set(server, fresh(progress.desired, now))
     return this._act(now)
   }
@@ -178,7 +182,7 @@
   }
 
   private _mayOrder (progress: Progress, term: Term, now: Milliseconds): boolean {
-    if (term.nextSequence >= ORDERS_PER_EPOCH) return false
+    if (this._nextSequence >= ORDERS_PER_EPOCH) return false
     if (!progress.desired.checksFencing && now < term.acquiredAt + FORMER_HOLDER_WAIT) return false
     return this._hasLoadSlot(progress.desired.model, now)
   }
@@ -200,7 +204,7 @@
     progress.phase = 'loading'
     progress.loadEndsAt = now + LOAD_WAIT
     progress.nextReadAt = now + UNSETTLED_READ_INTERVAL
-    const fencingNumber = fencingNumberOf(term.epoch, term.nextSequence++)
+    const fencingNumber = fencingNumberOf(term.epoch, this._nextSequence++)
     return { kind: 'order', server, order: { fencingNumber, model, weightVersion, adapters, role } }
   }
 }
