--- /dev/null
+++ b/packages/experiments/src/capacity/index.ts
@@ -0,0 +1,12 @@
+import type { CapacityRole } from './capacityRole.js'
+import { OrdersRole } from './ordersRole.js'
+import { PeerCallRole } from './peerCallRole.js'
+
+/** Every role that is measured. */
+export const capacityRoles: readonly CapacityRole[] = [
+  new PeerCallRole(),
+  new OrdersRole()
+]
+
+export { CAPACITY_FIGURES, CapacityRole, type CapacityFigure, type CapacitySample } from './capacityRole.js'
+export { fitLine, valueAt, type Line, type Point } from './linearFit.js'
