feat(settings): tell every faulty setting at once, and read texts as texts

Cause: the first fault hid the others, the command-line library turned a digest or secret of digits into a number, an empty port counted as 0, and a bind address for every interface was told to others as if they could connect to it. Ruled out: the library's array types, which convert only after the digits are lost.

--- a/packages/daemon/src/settings/index.ts
+++ b/packages/daemon/src/settings/index.ts
@@ -1,3 +1,3 @@
-export {
-  environmentVariableOf, InvalidSettingError, readSettings, settingsSchema, type CommandLine, type Settings
-} from './settings.js'
+export { InvalidSettingError, type SettingFault } from './errors.js'
+export { readSettings, type CommandLine } from './readSettings.js'
+export { describeSettings, environmentVariableOf, settingsSchema, type SettingDescription, type Settings } from './settingsSchema.js'
