feat(configuration): refuse aliases, repeated keys and dangling names with the path of the field

Cause: unknown fields were told with the path of their parent, a target of the wrong shape as "Invalid input", an over-long text only after it was parsed, and aliases could stand for far more than the text held. New: workspaces may be held to some kinds, models to a longest prompt; an annotated example that a spec checks.

--- a/packages/coordination/src/configuration/document.ts
+++ b/packages/coordination/src/configuration/document.ts
@@ -4,6 +4,12 @@
 /** Longest document in bytes; the platform's service holds values up to a megabyte. */
 export const MAXIMUM_DOCUMENT_BYTES = 900_000
 
+/**
+ * Options for the YAML parser, the same wherever a document is read. Aliases are refused, since a few of them can stand
+ * for more than memory holds; so are repeated keys, of which one would be lost without a word.
+ */
+export const DOCUMENT_PARSER_OPTIONS = { maxAliasCount: 0, uniqueKeys: true, logLevel: 'error' } as const
+
 const nameSchema = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'use 1 to 63 lower-case letters, digits and hyphens')
 const addressSchema = z.url({ protocol: /^https?$/ })
 const positiveInteger = z.number().int().positive()
@@ -18,6 +24,8 @@
   maximumConcurrent: positiveInteger.default(64),
   /** Most accepted durable requests that wait at once on one claim shard. */
   maximumBacklog: positiveInteger.default(1_000),
+  /** Kinds that the workspace may use; all kinds where absent. */
+  kinds: z.array(nameSchema).optional(),
   /** 0 weighs only time to first token, 1 weighs only the share of recomputed prompt work. */
   recomputeWeight: z.number().min(0).max(1).default(0)
 })
@@ -32,7 +40,9 @@
   /** Bytes of KV cache for one block. */
   blockBytes: positiveInteger.default(64_000_000),
   /** Prompt tokens that one replica computes in a second. */
-  prefillTokensPerSecond: z.number().positive().default(8_000)
+  prefillTokensPerSecond: z.number().positive().default(8_000),
+  /** Longest prompt that is accepted, in bytes of UTF-8. */
+  maximumPromptBytes: positiveInteger.default(2_000_000)
 })
 
 const targetSchema = z.union([
--- a/packages/coordination/src/configuration/errors.ts
+++ b/packages/coordination/src/configuration/errors.ts
@@ -7,14 +7,22 @@
   problem: string
 }
 
+const MAXIMUM_FAULTS_IN_MESSAGE = 20
+
 /** The document was refused whole; nothing of it is in force. */
 export class InvalidDocumentError extends RemediedError {
   readonly kind = 'invalid-document'
 
   constructor (readonly faults: readonly DocumentFault[]) {
     super(
-      `The document was refused: ${faults.map(fault => `${fault.path}: ${fault.problem}`).join('; ')}`,
+      `The document was refused: ${listFaults(faults)}`,
       'Correct the fields named and apply the document again; nothing of it is in force'
     )
   }
 }
+
+function listFaults (faults: readonly DocumentFault[]): string {
+  const listed = faults.slice(0, MAXIMUM_FAULTS_IN_MESSAGE).map(fault => `${fault.path}: ${fault.problem}`)
+  const left = faults.length - listed.length
+  return [...listed, ...(left > 0 ? [`and ${left} more`] : [])].join('; ')
+}
--- a/packages/coordination/src/configuration/index.ts
+++ b/packages/coordination/src/configuration/index.ts
@@ -1,9 +1,9 @@
-export { checkDocument } from './checkDocument.js'
+export { checkDocument, checkDocumentSource } from './checkDocument.js'
 export {
   ConfigurationState, storedConfigurationSchema, type ConfigurationVersion, type StoredConfiguration
 } from './configurationState.js'
 export {
-  configurationDocumentSchema, MAXIMUM_DOCUMENT_BYTES,
+  configurationDocumentSchema, DOCUMENT_PARSER_OPTIONS, MAXIMUM_DOCUMENT_BYTES,
   type BackendServerConfiguration, type ConfigurationDocument, type KindConfiguration, type ModelConfiguration,
   type ServiceConfiguration, type StoreConfiguration, type WorkspaceConfiguration
 } from './document.js'
--- a/packages/daemon/src/configuration/configurationKeeper.ts
+++ b/packages/daemon/src/configuration/configurationKeeper.ts
@@ -3,10 +3,10 @@
 import { v4 as createToken } from 'uuid'
 import { parse as parseYaml } from 'yaml'
 import {
-  ABSENT_REVISION, checkDocument, ConfigurationState, contentDigest, InvalidDocumentError, PlatformRefusedError,
+  ABSENT_REVISION, checkDocumentSource, ConfigurationState, contentDigest, DOCUMENT_PARSER_OPTIONS, PlatformRefusedError,
   RemediedError, storedConfigurationSchema,
-  type ConfigurationDocument, type KeyValueService, type PlatformError, type StoredConfiguration, type VersionedValue,
-  type Watch
+  type ConfigurationDocument, type InvalidDocumentError, type KeyValueService, type PlatformError, type StoredConfiguration,
+  type VersionedValue, type Watch
 } from '@wasabihead/coordination'
 import type { Clock } from '../instance/clock.js'
 import type { Logger } from '../telemetry/index.js'
@@ -137,11 +137,7 @@
 
 /** Parses and checks a document's source text, YAML or JSON. */
 export function checkSource (source: string): Result<ConfigurationDocument, InvalidDocumentError> {
-  try {
-    return checkDocument(parseYaml(source), Buffer.byteLength(source))
-  } catch (error) {
-    return Result.err(new InvalidDocumentError([{ path: '(document)', problem: `it is neither YAML nor JSON: ${String(error)}` }]))
-  }
+  return checkDocumentSource(source, text => parseYaml(text, DOCUMENT_PARSER_OPTIONS))
 }
 
 function toStored (change: ConfigurationChange, document: ConfigurationDocument, wall: number): StoredConfiguration {
