--- a/packages/cli/src/client/operatorClient.ts
+++ b/packages/cli/src/client/operatorClient.ts
@@ -1,13 +1,20 @@
-/** Calls the operators' address of an instance. */
+/** Calls the operators' addresses of instances. */
 import got, { RequestError } from 'got'
 import { Result } from 'true-myth'
+import type { z } from 'zod'
 import { RemediedError } from '@wasabihead/coordination'
 
 const CALL_TIMEOUT_MILLISECONDS = 10_000
+const NEVER_SENT_CODES = new Set(['ECONNREFUSED', 'ENOTFOUND', 'EHOSTUNREACH', 'ENETUNREACH', 'EAI_AGAIN'])
 
-/** The instance could not be reached. */
+/** No instance could be reached. */
 export class InstanceUnreachableError extends RemediedError {
   readonly kind = 'instance-unreachable'
+
+  /** @param wasNeverSent whether it is certain that no instance got the call */
+  constructor (problem: string, remedy: string, readonly wasNeverSent: boolean) {
+    super(problem, remedy)
+  }
 }
 
 /** The instance refused. */
@@ -21,31 +28,60 @@
 /** Why a call gave no result. */
 export type OperatorCallError = InstanceUnreachableError | InstanceRefusedError
 
-/** How to reach an instance as an operator. */
+/** How to reach instances as an operator. */
 export interface OperatorTarget {
-  address: string
+  /** Tried in order. */
+  addresses: readonly string[]
   token: string
 }
 
-/** Calls one instance. */
+/** How a call may be sent again: any number of times, or only where it is certain that nobody got it. */
+export type Repetition = 'any' | 'if-never-sent'
+
+type Method = 'GET' | 'PUT' | 'POST' | 'DELETE'
+
+/** Calls one of several instances. */
 export class OperatorClient {
   constructor (private readonly _target: OperatorTarget) {}
 
+  /** The addresses that are tried. */
+  get addresses (): readonly string[] {
+    return this._target.addresses
+  }
+
   /** Reads a resource. */
-  async read (path: string): Promise<Result<unknown, OperatorCallError>> {
-    return await this._call('GET', path)
+  async read<Schema extends z.ZodType> (path: string, schema: Schema): Promise<Result<z.output<Schema>, OperatorCallError>> {
+    return await this._callInOrder('GET', path, schema, 'any')
   }
 
   /** Writes a resource. */
-  async write (method: 'PUT' | 'POST' | 'DELETE', path: string, body: object): Promise<Result<unknown, OperatorCallError>> {
-    return await this._call(method, path, body)
+  async write<Schema extends z.ZodType> (
+    method: 'PUT' | 'POST' | 'DELETE', path: string, body: object | undefined, schema: Schema, repetition: Repetition
+  ): Promise<Result<z.output<Schema>, OperatorCallError>> {
+    return await this._callInOrder(method, path, schema, repetition, body)
   }
 
-  private async _call (
-    method: 'GET' | 'PUT' | 'POST' | 'DELETE', path: string, body?: object
-  ): Promise<Result<unknown, OperatorCallError>> {
+  private async _callInOrder<Schema extends z.ZodType> (
+    method: Method, path: string, schema: Schema, repetition: Repetition, body?: object
+  ): Promise<Result<z.output<Schema>, OperatorCallError>> {
+    let wasNeverSent = true
+    let lastError: OperatorCallError | undefined
+    for (const address of this._target.addresses) {
+      const answer = await this._call(method, address, path, schema, body)
+      if (answer.isOk || answer.error instanceof InstanceRefusedError) return answer
+      wasNeverSent &&= answer.error.wasNeverSent
+      lastError = answer.error
+      if (repetition === 'if-never-sent' && !wasNeverSent) break
+    }
+    const problem = lastError?.problem ?? 'There is no address to call'
+    return Result.err(new InstanceUnreachableError(problem, remedyOf(wasNeverSent), wasNeverSent))
+  }
+
+  private async _call<Schema extends z.ZodType> (
+    method: Method, address: string, path: string, schema: Schema, body?: object
+  ): Promise<Result<z.output<Schema>, OperatorCallError>> {
     try {
-      const response = await got(this._target.address + path, {
+      const response = await got(address + path, {
         method,
         ...(body === undefined ? {} : { json: body }),
         headers: { authorization: `Bearer ${this._target.token}` },
@@ -53,18 +89,42 @@
         retry: { limit: 0 },
         throwHttpErrors: false
       })
-      const parsed: unknown = JSON.parse(response.body)
-      return response.statusCode < 300 ? Result.ok(parsed) : Result.err(toRefused(response.statusCode, parsed))
+      return readAnswer(address, response.statusCode, response.body, schema)
     } catch (error) {
       const code = error instanceof RequestError ? error.code : String(error)
-      return Result.err(new InstanceUnreachableError(
-        `No answer from ${this._target.address} (${code})`, 'Check --address, or use the operators\' address of another host'))
+      const wasNeverSent = NEVER_SENT_CODES.has(code)
+      return Result.err(new InstanceUnreachableError(`No answer from ${address} (${code})`, remedyOf(wasNeverSent), wasNeverSent))
     }
   }
 }
 
-function toRefused (status: number, body: unknown): InstanceRefusedError {
-  const error = (body as { error?: { type?: string, message?: string, remedy?: string } }).error
-  return new InstanceRefusedError(
-    error?.type ?? 'refused', status, error?.message ?? `Status ${status}`, error?.remedy ?? 'Look at the instance\'s log', body)
+function remedyOf (wasNeverSent: boolean): string {
+  return wasNeverSent
+    ? 'Check --address, or use the operators\' address of another host'
+    : 'It may have taken effect: look at the state before you repeat it'
+}
+
+function readAnswer<Schema extends z.ZodType> (
+  address: string, status: number, text: string, schema: Schema
+): Result<z.output<Schema>, OperatorCallError> {
+  const body = parseJson(text)
+  if (status >= 300) return Result.err(toRefused(address, status, body))
+  const parsed = schema.safeParse(body)
+  if (parsed.success) return Result.ok(parsed.data)
+  return Result.err(new InstanceRefusedError('answer-not-understood', status,
+    `${address} answered with something else than an instance does`, 'Check that --address is the operators\' address of an instance', body))
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
+
+function toRefused (address: string, status: number, body: unknown): InstanceRefusedError {
+  const error = (body as { error?: { type?: string, message?: string, remedy?: string } } | undefined)?.error
+  return new InstanceRefusedError(error?.type ?? 'refused', status,
+    error?.message ?? `${address} answered with status ${status}`, error?.remedy ?? 'Look at the instance\'s log', body)
 }
--- /dev/null
+++ b/packages/cli/src/program/table.ts
@@ -0,0 +1,24 @@
+/** Plain text tables for people. */
+
+/** One row: a value for each column name; values that are no plain text are shown as JSON. */
+export interface TableRow {
+  [column: string]: unknown
+}
+
+const GAP = '  '
+
+/** The rows under a heading of column names; a note where there are none. */
+export function formatTable (columns: readonly string[], rows: readonly TableRow[]): string {
+  if (rows.length === 0) return '(none)\n'
+  const lines = [columns.map(column => column.toUpperCase()), ...rows.map(row => columns.map(column => toCell(row[column])))]
+  const widths = columns.map((_, index) => Math.max(...lines.map(line => (line[index] as string).length)))
+  return lines.map(line => `${line.map((cell, index) => cell.padEnd(widths[index] as number)).join(GAP).trimEnd()}\n`).join('')
+}
+
+/** Control characters are taken out, since a name from elsewhere must not steer the reader's terminal. */
+function toCell (value: unknown): string {
+  if (value === undefined || value === null) return '-'
+  const text = typeof value === 'object' ? JSON.stringify(value) : String(value)
+  // eslint-disable-next-line no-control-regex
+  return text.replaceAll(/[\u0000-\u001f\u007f-\u009f]/g, '?')
+}
--- a/packages/daemon/src/configuration/configurationKeeper.ts
+++ b/packages/daemon/src/configuration/configurationKeeper.ts
@@ -34,6 +34,8 @@
   /** The revision that the operator saw, or 0 for none. */
   expectedRevision: number
   author: string
+  /** The same over all tries of one change, so that a try whose answer was lost is recognised. */
+  changeToken?: string | undefined
 }
 
 /** Keeps one instance's configuration. */
@@ -82,6 +84,7 @@
     const read = await this._keyValue.read(this._key)
     if (read.isErr) return Result.err(read.error)
     const current = read.value === undefined ? undefined : storedConfigurationSchema.parse(JSON.parse(read.value.value))
+    if (current !== undefined && current.changeToken === change.changeToken) return this._accept(current)
     if ((current?.revision ?? 0) !== change.expectedRevision) return Result.err(new ConfigurationConflictError(current))
     return await this._write(toStored(change, document.value, this._clock.wall()), read.value?.revision ?? ABSENT_REVISION)
   }
@@ -143,7 +146,7 @@
 function toStored (change: ConfigurationChange, document: ConfigurationDocument, wall: number): StoredConfiguration {
   return {
     revision: change.expectedRevision + 1,
-    changeToken: createToken(),
+    changeToken: change.changeToken ?? createToken(),
     digest: contentDigest(change.source),
     source: change.source,
     document,
--- a/packages/daemon/src/configuration/configurationRoutes.ts
+++ b/packages/daemon/src/configuration/configurationRoutes.ts
@@ -5,10 +5,16 @@
 import { answerError, OperatorRoutes } from '../operators/operatorRoutes.js'
 import { ConfigurationConflictError, type ApplyError, type ConfigurationKeeper } from './configurationKeeper.js'
 
+const MAXIMUM_TOKEN_CHARACTERS = 100
+
 const changeSchema = z.strictObject({
   source: z.string(),
   expectedRevision: z.number().int().nonnegative(),
-  author: z.string().min(1)
+  author: z.string().min(1),
+  changeToken: z.string().min(1).max(MAXIMUM_TOKEN_CHARACTERS).optional(),
+  promotedFrom: z.strictObject({
+    environment: z.string(), revision: z.number().int().positive(), digest: z.string()
+  }).optional()
 })
 const STATUS_OF_ERROR: Record<ApplyError['kind'], number> = {
   'configuration-conflict': 409,
