feat(operators): one status read-out, drain, and a second signal that ends at once

An unawaited rejection or a broken connection is logged by kind and place and survived, since decisions are synchronous and none is half done; any other exception ends the process, and others take over from the platform's service.

--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -11,12 +11,13 @@
   ConfigurationKeeper, ConfigurationPeerClient, ConfigurationPeerRoutes, ConfigurationRoutes
 } from '../configuration/index.js'
 import { MemberRoutes, MembershipLoop, MembershipPeerClient, MembershipPeerRoutes } from '../membership/index.js'
-import { OperatorServer } from '../operators/index.js'
+import { DrainRoutes, OperatorServer, StatusRoutes } from '../operators/index.js'
 import { PeerConnections, PeerServer } from '../peers/index.js'
 import { ClaimedRunner, ModelRunner, PromptPlacer, ServiceRunner, waitFor } from '../serving/index.js'
 import type { Settings } from '../settings/index.js'
 import { Logger, Metrics, MetricsRoutes } from '../telemetry/index.js'
 import { SystemClock, type Clock } from './clock.js'
+import { surviveStrayFailures } from './strayFailures.js'
 
 const DRAIN_POLL: Milliseconds = 50
 
@@ -37,14 +38,23 @@
   private readonly _fleet: BackendFleet
   private readonly _limit: ConcurrencyLimit
   private _parts: RunningParts | undefined
+  private _stopping: Promise<void> | undefined
 
-  /** @param _settings checked settings */
-  constructor (private readonly _settings: Settings) {
+  /**
+   * @param _settings checked settings
+   * @param _onDrained called once an operator's drain has stopped the instance
+   */
+  constructor (private readonly _settings: Settings, private readonly _onDrained: () => void = () => {}) {
     this._logger = new Logger(_settings.host, _settings.logLevel)
     this._fleet = new BackendFleet(this._clock)
     this._limit = new ConcurrencyLimit(_settings.maximumRunning)
   }
 
+  /** Keeps the process alive through failures that nobody awaits and that leave no decision half done. */
+  surviveStrayFailures (): void {
+    surviveStrayFailures(this._logger)
+  }
+
   /** Starts every part; resolves when callers can be served. */
   async start (): Promise<InstanceAddresses> {
     const parts = this._assemble()
@@ -66,6 +76,11 @@
 
   /** Leaves without cutting a request short: tells the others, refuses new work, waits for what runs. */
   async stop (): Promise<void> {
+    this._stopping ??= this._leave()
+    await this._stopping
+  }
+
+  private async _leave (): Promise<void> {
     const parts = this._parts
     if (parts === undefined) return
     parts.members.updateSelf({ state: 'leaving' }, this._clock.monotonic())
@@ -81,6 +96,10 @@
     this._logger.info('stopped')
   }
 
+  private _drain (): void {
+    this.stop().then(this._onDrained, error => { this._logger.error('the drain failed', { problem: String(error) }) })
+  }
+
   private _assemble (): RunningParts {
     const settings = this._settings
     const clock = this._clock
@@ -113,7 +132,15 @@
       operatorServer: new OperatorServer(settings.operatorTokenDigest, [
         new ConfigurationRoutes(configuration),
         new MemberRoutes(members),
-        new MetricsRoutes(this._metrics)
+        new MetricsRoutes(this._metrics),
+        new StatusRoutes({
+          environment: settings.environment,
+          members,
+          metrics: this._metrics,
+          configurationVersion: () => configuration.state.version,
+          running: () => Math.max(this._limit.running, claimed.running)
+        }),
+        new DrainRoutes(settings.host, () => { this._drain() })
       ]),
       peerServer: new PeerServer([
         new MembershipPeerRoutes(settings.environment, members, clock),
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,8 +1,9 @@
 #!/usr/bin/env node
-/** Entry of the daemon. Exit codes: 0 stopped as asked, 1 failed, 2 a setting is missing or wrong. */
+/** Entry of the daemon. Exit codes: 0 stopped as asked, 1 failed or ended at once, 2 a setting is missing or wrong. */
 import { Instance } from './instance/index.js'
-import { readSettings } from './settings/index.js'
+import { readSettings, type Settings } from './settings/index.js'
 
+const EXIT_STOPPED = 0
 const EXIT_FAILED = 1
 const EXIT_BAD_SETTING = 2
 
@@ -10,11 +11,12 @@
 if (commandLine.isErr) {
   process.stderr.write(`${commandLine.error.message}\n`)
   process.exitCode = EXIT_BAD_SETTING
-} else if (commandLine.value.kind === 'run') {
-  const instance = new Instance(commandLine.value.settings)
-  const stop = (): void => { instance.stop().then(() => process.exit(0), () => process.exit(EXIT_FAILED)) }
-  process.once('SIGTERM', stop)
-  process.once('SIGINT', stop)
+} else if (commandLine.value.kind === 'run') run(commandLine.value.settings)
+
+function run (settings: Settings): void {
+  const instance = new Instance(settings, () => process.exit(EXIT_STOPPED))
+  stopOnSignals(instance)
+  instance.surviveStrayFailures()
   instance.start().then(
     addresses => process.stdout.write(`listening ${JSON.stringify(addresses)}\n`),
     (error: unknown) => {
@@ -23,3 +25,15 @@
     }
   )
 }
+
+/** The first signal stops gracefully; a second ends the process at once, whatever still runs. */
+function stopOnSignals (instance: Instance): void {
+  let isStopping = false
+  const stop = (): void => {
+    if (isStopping) process.exit(EXIT_FAILED)
+    isStopping = true
+    instance.stop().then(() => process.exit(EXIT_STOPPED), () => process.exit(EXIT_FAILED))
+  }
+  process.on('SIGTERM', stop)
+  process.on('SIGINT', stop)
+}
