feat(hosts): rank the hosts for callers in the library, suspect ones last

Cause: the ranking stood in the HTTP handler, left suspect hosts out and could not be told the caller's data centre.

--- /dev/null
+++ b/packages/coordination/src/hosts/index.ts
@@ -0,0 +1,1 @@
+export { rankHosts, type HostsAnswer, type HostsQuestion } from './rankHosts.js'
