feat(callers): bound what a caller may cost and answer every malformed input with a typed refusal

Both servers now share the limits on headers, slow requests and bodies. Chat messages are served too. The server of callers is split into modules by duty. A stop waits again for requests that were still arriving when it began.

--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -1,31 +1,28 @@
 /** HTTP for callers: which hosts to use, completions and calls. */
-import http from 'node:http'
-import type { AddressInfo } from 'node:net'
-import { PassThrough } from 'node:stream'
-import { bodyParser } from '@koa/bodyparser'
 import Router from '@koa/router'
 import Koa, { type Context } from 'koa'
-import {
-  ConcurrencyLimit, rankByRendezvous, RefusalError,
-  type MemberTable, type OrderedPart
-} from '@wasabihead/coordination'
+import { rankHosts, RefusalError, type ConcurrencyLimit, type MemberTable } from '@wasabihead/coordination'
+import { GuardedServer, jsonBody, type ServerTimeouts } from '../http/index.js'
 import type { Clock } from '../instance/clock.js'
-import type { AcceptedRequest, ClaimedRunner, ModelAnswer, ModelRunner, ServiceRunner } from '../serving/index.js'
+import type { AcceptedRequest, ClaimedRunner, ModelRunner, ServiceRunner } from '../serving/index.js'
 import type { Logger, Metrics } from '../telemetry/index.js'
-import type { RequestReader } from './requestReader.js'
+import { readChatBody, readTextBody, type CompletionBody } from './completionBody.js'
+import { ChatCompletionShape, TextCompletionShape, type CompletionShape } from './completionShapes.js'
+import { abortWithCaller, EventStream } from './eventStream.js'
+import {
+  answerRefusal, leavingRefusal, notFoundRefusal, refusalBody, toRefusal, transportRefusalBody, unwrap
+} from './refusals.js'
+import type { AuthenticatedCaller, RequestReader } from './requestReader.js'
 
 const BODY_LIMIT = '4mb'
-const HOSTS_KEEP_SECONDS = 10
 const OVERLOAD_RETRY_AFTER = 500
-const SHUTDOWN_RETRY_AFTER = 100
-const MILLISECONDS_PER_SECOND = 1_000
 
 /** What the caller server works with. */
 export interface CallerServerParts {
   reader: RequestReader
-  models: ModelRunner
-  services: ServiceRunner
-  claimed: ClaimedRunner
+  models: Pick<ModelRunner, 'run'>
+  services: Pick<ServiceRunner, 'callWithRetries'>
+  claimed: Pick<ClaimedRunner, 'run'>
   members: MemberTable
   limit: ConcurrencyLimit
   clock: Clock
@@ -33,28 +30,28 @@
   logger: Logger
 }
 
+interface CallerState {
+  caller: AuthenticatedCaller
+}
+
 /** Listens for callers. */
 export class CallerServer {
-  private readonly _server: http.Server
+  private readonly _server: GuardedServer
   private _isLeaving = false
 
   /** @param _parts collaborators */
-  constructor (private readonly _parts: CallerServerParts) {
+  constructor (private readonly _parts: CallerServerParts, timeouts?: ServerTimeouts) {
     const application = new Koa()
     application.silent = true
     application.use(async (context, next) => { await this._answerRefusals(context, next) })
-    application.use(bodyParser({ enableTypes: ['json'], jsonLimit: BODY_LIMIT }))
     application.use(this._routes())
-    this._server = http.createServer(application.callback())
+    application.use(() => { throw notFoundRefusal() })
+    this._server = new GuardedServer(application.callback(), transportRefusalBody, timeouts)
   }
 
   /** Starts listening; gives the port. */
   async start (bindAddress: string, port: number): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this._server.once('error', reject)
-      this._server.listen(port, bindAddress, resolve)
-    })
-    return (this._server.address() as AddressInfo).port
+    return await this._server.start(bindAddress, port)
   }
 
   /** Refuses new work from now on. */
@@ -64,47 +61,58 @@
 
   /** Closes once what runs has ended. */
   async stop (): Promise<void> {
-    await new Promise<void>(resolve => {
-      this._server.close(() => { resolve() })
-      this._server.closeIdleConnections()
-    })
+    await this._server.finish()
   }
 
   private _routes (): Koa.Middleware {
     const router = new Router()
+    // A stranger's body is never read.
+    const authenticate = async (context: Context, next: Koa.Next): Promise<void> => {
+      if (this._isLeaving) throw leavingRefusal(this._otherAddresses())
+      context.state = { caller: unwrap(this._parts.reader.authenticate(context)) } satisfies CallerState
+      await next()
+    }
+    const readBody = jsonBody(BODY_LIMIT)
     router.get('/v1/hosts', context => { this._answerHosts(context) })
-    router.post('/v1/completions', async context => { await this._complete(context) })
-    router.post('/v1/calls/:kind', async context => { await this._call(context) })
+    router.post('/v1/completions', authenticate, readBody, async context => {
+      await this._complete(context, unwrap(readTextBody(context.request.body)), new TextCompletionShape())
+    })
+    router.post('/v1/chat/completions', authenticate, readBody, async context => {
+      await this._complete(context, unwrap(readChatBody(context.request.body)), new ChatCompletionShape())
+    })
+    router.post('/v1/calls/:kind', authenticate, readBody, async context => {
+      await this._call(context, String(context.params.kind))
+    })
     return router.routes() as unknown as Koa.Middleware
   }
 
   private _answerHosts (context: Context): void {
-    const self = this._parts.members.self
-    const live = this._parts.members.members.filter(member => member.state === 'alive')
-    const affinity = typeof context.query.affinity === 'string' ? context.query.affinity : ''
-    const near = live.filter(member => member.dataCentre === self.dataCentre).map(member => member.callerAddress)
-    const far = live.filter(member => member.dataCentre !== self.dataCentre).map(member => member.callerAddress)
-    context.body = {
-      hosts: [...rankByRendezvous(affinity, near), ...rankByRendezvous(affinity, far)],
-      keepSeconds: HOSTS_KEEP_SECONDS
-    }
+    const { members } = this._parts
+    context.body = rankHosts(members.members, {
+      affinity: textOf(context.query.affinity) ?? '',
+      model: textOf(context.query.model) ?? '',
+      dataCentre: textOf(context.query.dataCentre) ?? members.self.dataCentre
+    })
   }
 
-  private async _complete (context: Context): Promise<void> {
-    const request = unwrap(this._parts.reader.readCompletion(context, this._parts.clock.monotonic()))
-    await this._admitted(request.accepted, async () => {
-      if (request.accepted.kind.treatment !== 'idempotent') await this._answerClaimed(context, request.accepted)
-      else if (request.isStreamed) await this._answerStreamed(context, request.accepted)
-      else await this._answerWhole(context, request.accepted)
+  private async _complete (context: Context, body: CompletionBody, shape: CompletionShape): Promise<void> {
+    const { reader, clock } = this._parts
+    const { caller } = context.state as CallerState
+    const request = unwrap(reader.readCompletion(context, caller, body, clock.monotonic()))
+    await this._admitted(request, async () => {
+      if (request.kind.treatment !== 'idempotent') await this._answerClaimed(context, request)
+      else if (body.isStreamed) await this._answerStreamed(context, request, shape)
+      else context.body = shape.whole(request, unwrap(await this._parts.models.run(request, () => {}, abortWithCaller(context))))
     })
   }
 
-  private async _call (context: Context): Promise<void> {
-    const request = unwrap(this._parts.reader.readCall(context, String(context.params.kind), this._parts.clock.monotonic()))
+  private async _call (context: Context, kindName: string): Promise<void> {
+    const { reader, clock, services } = this._parts
+    const { caller } = context.state as CallerState
+    const request = unwrap(reader.readCall(context, caller, kindName, clock.monotonic()))
     await this._admitted(request, async () => {
-      if (request.kind.treatment !== 'idempotent') return await this._answerClaimed(context, request)
-      const answer = unwrap(await this._parts.services.callWithRetries(request, new AbortController().signal))
-      answerKept(context, answer)
+      if (request.kind.treatment !== 'idempotent') await this._answerClaimed(context, request)
+      else answerKept(context, unwrap(await services.callWithRetries(request, abortWithCaller(context))))
     })
   }
 
@@ -112,7 +120,6 @@
     const { limit, metrics, clock } = this._parts
     const workspace = request.workspace.name
     metrics.count('requests', workspace, request.kind.name)
-    if (this._isLeaving) throw this._leavingRefusal()
     if (!limit.tryAcquire(workspace, request.workspace.maximumConcurrent)) {
       metrics.count('refusals', workspace, request.kind.name)
       throw new RefusalError('overloaded', 429, true,
@@ -121,37 +128,40 @@
     try {
       await perform()
       metrics.time('whole-answer', workspace, request.kind.name, clock.monotonic() - request.receivedAt)
+    } catch (error) {
+      this._noteRefusal(request, toRefusal(error))
+      throw error
     } finally {
       limit.release(workspace)
     }
   }
 
-  private async _answerClaimed (context: Context, request: AcceptedRequest): Promise<void> {
-    answerKept(context, unwrap(await this._parts.claimed.run(request)))
+  private _noteRefusal (request: AcceptedRequest, refusal: RefusalError): void {
+    this._parts.metrics.count('refusals', request.workspace.name, request.kind.name)
+    this._parts.logger.info('refused', {
+      requestId: request.requestId,
+      workspace: request.workspace.name,
+      requestKind: request.kind.name,
+      refusal: refusal.kind,
+      status: refusal.status
+    })
   }
 
-  private async _answerWhole (context: Context, request: AcceptedRequest): Promise<void> {
-    const answer = unwrap(await this._parts.models.run(request, () => {}, abortWithCaller(context)))
-    context.body = completionBody(request, answer)
+  /** Claimed work goes on when its caller goes away: the caller comes back for the answer with its key. */
+  private async _answerClaimed (context: Context, request: AcceptedRequest): Promise<void> {
+    answerKept(context, unwrap(await this._parts.claimed.run(request)))
   }
 
-  /** The stream starts with the first token; until then a refusal is still an ordinary answer. */
-  private async _answerStreamed (context: Context, request: AcceptedRequest): Promise<void> {
-    const stream = new PassThrough()
-    let isStarted = false
-    const deliver = (part: OrderedPart) => {
-      if (!isStarted) startStream(context, stream)
-      isStarted = true
-      writeEvent(stream, { id: request.requestId, object: 'text_completion', choices: [{ index: 0, text: part.text }] })
-    }
+  private async _answerStreamed (context: Context, request: AcceptedRequest, shape: CompletionShape): Promise<void> {
+    const stream = new EventStream(context)
+    const deliver = (part: { text: string }): void => { stream.send(shape.part(request, part.text)) }
     const answer = await this._parts.models.run(request, deliver, abortWithCaller(context))
-    if (answer.isErr && !isStarted) throw answer.error
-    if (answer.isErr) writeEvent(stream, { error: refusalBody(answer.error) })
-    else {
-      if (!isStarted) startStream(context, stream)
-      writeEvent(stream, { ...completionBody(request, answer.value), choices: [{ index: 0, text: '', finish_reason: 'stop' }] })
-    }
-    stream.end('data: [DONE]\n\n')
+    if (answer.isErr && !stream.hasBegun) throw answer.error
+    if (answer.isErr) {
+      this._noteRefusal(request, answer.error)
+      stream.send({ error: refusalBody(answer.error) })
+    } else stream.send(shape.end(request, answer.value))
+    stream.end()
   }
 
   private async _answerRefusals (context: Context, next: Koa.Next): Promise<void> {
@@ -159,63 +169,17 @@
       await next()
     } catch (error) {
       const refusal = toRefusal(error)
-      if (refusal.status >= 500) this._parts.logger.warn('refused', { refusal: refusal.kind, problem: refusal.problem })
-      context.status = refusal.status
-      if (refusal.retryAfter !== undefined) {
-        context.set('Retry-After', String(Math.ceil(refusal.retryAfter / MILLISECONDS_PER_SECOND)))
+      // An unexpected error's message may carry a caller's text, so only its name is logged.
+      if (refusal.status >= 500 && refusal !== error) {
+        this._parts.logger.error('a request failed unexpectedly', { problem: error instanceof Error ? error.name : typeof error })
       }
-      context.body = { error: refusalBody(refusal) }
+      answerRefusal(context, refusal)
     }
   }
 
-  private _leavingRefusal (): RefusalError {
-    const others = this._parts.members.live
-      .filter(member => member.host !== this._parts.members.self.host)
-      .map(member => member.callerAddress)
-    return new RefusalError('shutting-down', 503, true,
-      'This host is leaving', `Use another host: ${others.join(', ')}`, SHUTDOWN_RETRY_AFTER)
-  }
-}
-
-function unwrap<Value> (result: { isOk: true, value: Value } | { isOk: false, error: RefusalError }): Value {
-  if (result.isOk) return result.value
-  throw result.error
-}
-
-function toRefusal (error: unknown): RefusalError {
-  if (error instanceof RefusalError) return error
-  const status = (error as { status?: number }).status ?? 500
-  if (status === 413) {
-    return new RefusalError('body-too-large', 413, true, 'The body is too large', `Send at most ${BODY_LIMIT}`)
-  }
-  if (status >= 400 && status < 500) {
-    return new RefusalError('invalid-request', status, true, 'The request is malformed', 'Send a JSON object with its content type')
-  }
-  return new RefusalError('service-unavailable', 500, 'unknown', 'The instance failed on this request', 'Tell your operator the time and the request')
-}
-
-function refusalBody (refusal: RefusalError): object {
-  return {
-    type: refusal.kind,
-    message: refusal.problem,
-    remedy: refusal.remedy,
-    notRun: refusal.notRun,
-    ...(refusal.retryAfter === undefined ? {} : { retryAfterMilliseconds: refusal.retryAfter })
-  }
-}
-
-function completionBody (request: AcceptedRequest, answer: ModelAnswer): object {
-  return {
-    id: request.requestId,
-    object: 'text_completion',
-    choices: [{ index: 0, text: answer.text, finish_reason: 'stop' }],
-    weight_version: answer.weightVersion,
-    usage: {
-      prompt_tokens: answer.promptTokens,
-      completion_tokens: answer.tokenCount,
-      cached_tokens: answer.cachedTokens,
-      imported_blocks: answer.importedBlocks
-    }
+  private _otherAddresses (): string[] {
+    const { members } = this._parts
+    return members.live.filter(member => member.host !== members.self.host).map(member => member.callerAddress)
   }
 }
 
@@ -225,18 +189,6 @@
   context.body = answer.body
 }
 
-function startStream (context: Context, stream: PassThrough): void {
-  context.respond = false
-  context.res.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' })
-  stream.pipe(context.res)
-}
-
-function writeEvent (stream: PassThrough, event: object): void {
-  stream.write(`data: ${JSON.stringify(event)}\n\n`)
-}
-
-function abortWithCaller (context: Context): AbortSignal {
-  const controller = new AbortController()
-  context.res.on('close', () => { if (!context.res.writableFinished) controller.abort() })
-  return controller.signal
+function textOf (value: string | string[] | undefined): string | undefined {
+  return Array.isArray(value) ? value[0] : value
 }
--- a/packages/daemon/src/callers/index.ts
+++ b/packages/daemon/src/callers/index.ts
@@ -1,2 +1,2 @@
 export { CallerServer, type CallerServerParts } from './callerServer.js'
-export { RequestReader } from './requestReader.js'
+export { RequestReader, type AuthenticatedCaller } from './requestReader.js'
--- a/packages/daemon/src/callers/requestReader.ts
+++ b/packages/daemon/src/callers/requestReader.ts
@@ -3,97 +3,106 @@
 import type { Context } from 'koa'
 import { Result } from 'true-myth'
 import { v4 as createRequestId } from 'uuid'
-import { z } from 'zod'
 import {
   RefusalError,
   type ConfigurationDocument, type KindConfiguration, type Milliseconds, type WorkspaceConfiguration
 } from '@wasabihead/coordination'
 import type { AcceptedRequest, ModelInput } from '../serving/index.js'
+import type { CompletionBody } from './completionBody.js'
+import { DocumentIndex } from './documentIndex.js'
 
-const MAXIMUM_ANSWER_TOKENS = 4_096
-const DEFAULT_ANSWER_TOKENS = 16
+const NOT_CONFIGURED_RETRY_AFTER: Milliseconds = 1_000
+const IDEMPOTENCY_KEY = /^[\x21-\x7e]{1,255}$/
 
-const completionSchema = z.strictObject({
-  kind: z.string(),
-  model: z.string().optional(),
-  prompt: z.string().min(1),
-  max_tokens: z.number().int().min(1).max(MAXIMUM_ANSWER_TOKENS).default(DEFAULT_ANSWER_TOKENS),
-  stream: z.boolean().default(false)
-})
-
-/** A completion request with how its answer is wanted. */
-export interface CompletionRequest {
-  accepted: AcceptedRequest
-  isStreamed: boolean
+/** A caller whose token belongs to a workspace. */
+export interface AuthenticatedCaller {
+  workspace: WorkspaceConfiguration
+  /** The document that was in force when the caller came; used for the whole request. */
+  index: DocumentIndex
 }
 
 /** Reads callers' requests. */
 export class RequestReader {
+  private _index: DocumentIndex | undefined
+
+  /** @param _document the document in force, if any */
   constructor (private readonly _document: () => ConfigurationDocument | undefined) {}
 
   /** The workspace whose token the caller holds. */
-  authenticate (context: Context): Result<WorkspaceConfiguration, RefusalError> {
-    const document = this._document()
-    if (document === undefined) {
+  authenticate (context: Context): Result<AuthenticatedCaller, RefusalError> {
+    const index = this._currentIndex()
+    if (index === undefined) {
       return Result.err(new RefusalError('not-configured', 503, true,
-        'No configuration is in force yet', 'Apply a document, then send the request again', 1_000))
+        'No configuration is in force yet', 'Come back after the time given', NOT_CONFIGURED_RETRY_AFTER))
     }
     const token = /^Bearer (.+)$/.exec(context.get('authorization'))?.[1]
-    const digest = token === undefined ? '' : createHash('sha256').update(token).digest('hex')
-    const workspace = document.workspaces.find(candidate => candidate.tokenDigests.includes(digest))
-    if (workspace !== undefined) return Result.ok(workspace)
+    // Digests are compared, never tokens: how long the look-up takes tells nothing that helps to guess a token.
+    const digest = token === undefined ? undefined : createHash('sha256').update(token).digest('hex')
+    const workspace = digest === undefined ? undefined : index.findWorkspace(digest)
+    if (workspace !== undefined) return Result.ok({ workspace, index })
     return Result.err(new RefusalError('unauthorized', 401, true,
       'The bearer token belongs to no workspace', 'Send the header Authorization: Bearer with a token of your workspace'))
   }
 
   /** Reads a completion request. */
-  readCompletion (context: Context, now: Milliseconds): Result<CompletionRequest, RefusalError> {
-    return this.authenticate(context).andThen(workspace => {
-      const body = completionSchema.safeParse(context.request.body)
-      if (!body.success) return Result.err<CompletionRequest, RefusalError>(invalidBody(body.error))
-      const modelInput = { prompt: body.data.prompt, maximumTokens: body.data.max_tokens }
-      return this._accept(context, workspace, body.data.kind, body.data, now, modelInput)
-        .map(accepted => ({ accepted, isStreamed: body.data.stream }))
-    })
+  readCompletion (
+    context: Context, caller: AuthenticatedCaller, body: CompletionBody, now: Milliseconds
+  ): Result<AcceptedRequest, RefusalError> {
+    const kind = caller.index.findKind(caller.workspace, body.kind)
+    const model = kind === undefined ? undefined : caller.index.findModel(kind)
+    if (kind === undefined || model === undefined) return Result.err(unknownKind())
+    if (body.model !== undefined && body.model !== model.name) {
+      return Result.err(new RefusalError('invalid-request', 400, true,
+        'The field "model" is not the model of this kind', 'Leave the field out, or use a kind of that model'))
+    }
+    const promptBytes = Buffer.byteLength(body.prompt)
+    if (promptBytes > model.maximumPromptBytes) {
+      return Result.err(new RefusalError('body-too-large', 413, true,
+        `The prompt has ${promptBytes} bytes, more than the model takes`, `Send at most ${model.maximumPromptBytes} bytes of prompt`))
+    }
+    const modelInput = { prompt: body.prompt, maximumTokens: body.maximumTokens }
+    return accept(context, caller, kind, context.request.body, now, modelInput)
   }
 
   /** Reads a call of a plain service. */
-  readCall (context: Context, kindName: string, now: Milliseconds): Result<AcceptedRequest, RefusalError> {
-    return this.authenticate(context)
-      .andThen(workspace => this._accept(context, workspace, kindName, context.request.body, now))
+  readCall (
+    context: Context, caller: AuthenticatedCaller, kindName: string, now: Milliseconds
+  ): Result<AcceptedRequest, RefusalError> {
+    const kind = caller.index.findKind(caller.workspace, kindName)
+    if (kind === undefined || !('service' in kind.target)) return Result.err(unknownKind())
+    return accept(context, caller, kind, context.request.body, now)
   }
 
-  private _accept (
-    context: Context, workspace: WorkspaceConfiguration, kindName: string, body: unknown, now: Milliseconds,
-    modelInput?: ModelInput
-  ): Result<AcceptedRequest, RefusalError> {
-    const kind = this._document()?.kinds.find(candidate => candidate.name === kindName)
-    if (kind === undefined || !matchesRoute(kind, modelInput)) return Result.err(unknownKind(kindName))
-    const idempotencyKey = context.get('idempotency-key')
-    return Result.ok({
-      requestId: createRequestId(),
-      workspace,
-      kind,
-      body: JSON.stringify(body ?? {}),
-      ...(modelInput === undefined ? {} : { modelInput }),
-      ...(idempotencyKey === '' ? {} : { idempotencyKey }),
-      receivedAt: now,
-      deadline: now + kind.deadlineMilliseconds
-    })
+  private _currentIndex (): DocumentIndex | undefined {
+    const document = this._document()
+    if (document === undefined) return undefined
+    if (this._index?.document !== document) this._index = new DocumentIndex(document)
+    return this._index
   }
 }
 
-function matchesRoute (kind: KindConfiguration, modelInput: ModelInput | undefined): boolean {
-  return ('model' in kind.target) === (modelInput !== undefined)
+function accept (
+  context: Context, caller: AuthenticatedCaller, kind: KindConfiguration, body: unknown, now: Milliseconds,
+  modelInput?: ModelInput
+): Result<AcceptedRequest, RefusalError> {
+  const idempotencyKey = context.get('idempotency-key')
+  if (idempotencyKey !== '' && !IDEMPOTENCY_KEY.test(idempotencyKey)) {
+    return Result.err(new RefusalError('invalid-request', 400, true,
+      'The idempotency key is malformed', 'Send 1 to 255 printable characters without spaces, such as a UUID'))
+  }
+  return Result.ok({
+    requestId: createRequestId(),
+    workspace: caller.workspace,
+    kind,
+    body: JSON.stringify(body ?? {}),
+    ...(modelInput === undefined ? {} : { modelInput }),
+    ...(idempotencyKey === '' ? {} : { idempotencyKey }),
+    receivedAt: now,
+    deadline: now + kind.deadlineMilliseconds
+  })
 }
 
-function unknownKind (kindName: string): RefusalError {
+function unknownKind (): RefusalError {
   return new RefusalError('unknown-kind', 404, true,
-    `No kind of request named "${kindName}" is served here`, 'Use a kind of the document, on the route of its target')
-}
-
-function invalidBody (error: z.ZodError): RefusalError {
-  const issue = error.issues[0]
-  return new RefusalError('invalid-request', 400, true,
-    `The field "${issue?.path.map(String).join('.') ?? ''}" is wrong: ${issue?.message ?? 'not valid'}`, 'Correct the field and send the request again')
+    'No such kind of request is served here for your workspace', 'Use a kind of the document, on the route of its target')
 }
--- /dev/null
+++ b/packages/daemon/src/http/jsonBody.ts
@@ -0,0 +1,31 @@
+/** Reads JSON bodies; whatever a client did wrong becomes a client's error. */
+import { bodyParser } from '@koa/bodyparser'
+import { RemediedError } from '@wasabihead/coordination'
+
+const BODY_TOO_LARGE = 413
+const BAD_REQUEST = 400
+
+/** A body could not be read: it is too large, no JSON, or not in its stated encoding. */
+export class UnreadableBodyError extends RemediedError {
+  readonly kind = 'unreadable-body'
+
+  /** @param status HTTP status: 413 where the body is too large, else 400 */
+  constructor (readonly status: number, limit: string) {
+    super(
+      status === BODY_TOO_LARGE ? 'The body is too large' : 'The request is malformed',
+      status === BODY_TOO_LARGE ? `Send at most ${limit}` : 'Send a JSON object with the header Content-Type: application/json'
+    )
+  }
+}
+
+/** Middleware that reads a JSON body of at most the limit, such as "4mb". */
+export function jsonBody (limit: string): ReturnType<typeof bodyParser> {
+  return bodyParser({
+    enableTypes: ['json'],
+    jsonLimit: limit,
+    onError: error => {
+      const { status } = error as { status?: number }
+      throw new UnreadableBodyError(status === BODY_TOO_LARGE ? BODY_TOO_LARGE : BAD_REQUEST, limit)
+    }
+  })
+}
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -86,8 +86,10 @@
     parts.members.updateSelf({ state: 'leaving' }, this._clock.monotonic())
     parts.callerServer.leave()
     await parts.membership.announce()
-    while (this._limit.running > 0 || parts.claimed.running > 0) await waitFor(DRAIN_POLL)
+    // A request may still be arriving when the server stops listening, and claimed work outlives its caller's connection.
+    await this._waitUntilIdle(parts)
     await parts.callerServer.stop()
+    await this._waitUntilIdle(parts)
     parts.membership.stop()
     parts.configuration.stop()
     this._fleet.stop()
@@ -96,6 +98,10 @@
     this._logger.info('stopped')
   }
 
+  private async _waitUntilIdle (parts: RunningParts): Promise<void> {
+    while (this._limit.running > 0 || parts.claimed.running > 0) await waitFor(DRAIN_POLL)
+  }
+
   private _drain (): void {
     this.stop().then(this._onDrained, error => { this._logger.error('the drain failed', { problem: String(error) }) })
   }
--- a/packages/daemon/src/operators/operatorServer.ts
+++ b/packages/daemon/src/operators/operatorServer.ts
@@ -1,46 +1,50 @@
 /** HTTP for operators and their command-line tool. Each slice brings its own routes. */
 import { createHash, timingSafeEqual } from 'node:crypto'
-import http from 'node:http'
-import type { AddressInfo } from 'node:net'
-import { bodyParser } from '@koa/bodyparser'
 import Router from '@koa/router'
 import Koa, { type Context } from 'koa'
-import { answerError, type OperatorRoutes } from './operatorRoutes.js'
+import { RemediedError } from '@wasabihead/coordination'
+import { GuardedServer, jsonBody, type ServerTimeouts, type TransportFault } from '../http/index.js'
+import { answerError, type OperatorError, type OperatorRoutes } from './operatorRoutes.js'
 
 const BODY_LIMIT = '2mb'
+const NOT_FOUND: OperatorError = {
+  type: 'not-found', message: 'Nothing is served at this path with this method', remedy: 'Use the tool of the same version'
+}
+const TRANSPORT_ERRORS: Record<TransportFault, OperatorError> = {
+  'headers-too-large': { type: 'headers-too-large', message: 'The headers are too large', remedy: 'Send at most 16 KiB of headers' },
+  'request-too-slow': { type: 'request-too-slow', message: 'The request did not arrive in time', remedy: 'Send it again' },
+  malformed: { type: 'invalid-request', message: 'This is no HTTP request', remedy: 'Speak HTTP/1.1' }
+}
 
 /** Listens for operators. */
 export class OperatorServer {
-  private readonly _server: http.Server
+  private readonly _server: GuardedServer
 
   /**
    * @param _tokenDigest SHA-256 of the operators' token, in hexadecimal
    * @param routes the routes of the slices
    */
-  constructor (private readonly _tokenDigest: string, routes: readonly OperatorRoutes[]) {
+  constructor (private readonly _tokenDigest: string, routes: readonly OperatorRoutes[], timeouts?: ServerTimeouts) {
     const application = new Koa()
     application.silent = true
+    application.use(answerFailures)
     application.use(async (context, next) => { await this._authenticate(context, next) })
-    application.use(bodyParser({ enableTypes: ['json'], jsonLimit: BODY_LIMIT }))
+    application.use(jsonBody(BODY_LIMIT))
     const router = new Router()
     for (const slice of routes) slice.register(router)
     application.use(router.routes() as unknown as Koa.Middleware)
-    this._server = http.createServer(application.callback())
+    application.use(context => { answerError(context, 404, NOT_FOUND) })
+    this._server = new GuardedServer(application.callback(), fault => ({ error: TRANSPORT_ERRORS[fault] }), timeouts)
   }
 
   /** Starts listening; gives the port. */
   async start (bindAddress: string, port: number): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this._server.once('error', reject)
-      this._server.listen(port, bindAddress, resolve)
-    })
-    return (this._server.address() as AddressInfo).port
+    return await this._server.start(bindAddress, port)
   }
 
   /** Stops listening and closes what is open. */
   async stop (): Promise<void> {
-    this._server.closeAllConnections()
-    await new Promise<void>(resolve => { this._server.close(() => { resolve() }) })
+    await this._server.close()
   }
 
   private async _authenticate (context: Context, next: Koa.Next): Promise<void> {
@@ -54,3 +58,19 @@
     })
   }
 }
+
+async function answerFailures (context: Context, next: Koa.Next): Promise<void> {
+  try {
+    await next()
+  } catch (error) {
+    const status = (error as { status?: number } | undefined)?.status ?? 500
+    if (status >= 400 && status < 500) {
+      const remedy = error instanceof RemediedError ? error.remedy : 'Correct its path and headers'
+      const message = error instanceof RemediedError ? error.problem : 'The request is malformed'
+      return answerError(context, status, { type: 'invalid-request', message, remedy })
+    }
+    answerError(context, 500, {
+      type: 'failed', message: 'The instance failed on this call', remedy: 'Look at its state before you repeat the call'
+    })
+  }
+}
