feat(telemetry): bound histograms by bytes, merge those not used lately into other, and time tokens

Cause: the bound of 512 series was arbitrary, and whatever came first kept its place for good. Chosen: two digits, 32 bits, growing with their range, within 26 MB, and 6 MB for counters: a quarter of a node's 128 MB. Also: counters for each refusal by name, time between tokens, and a text read-out for scrapers at /v1/metrics.txt.

--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -4,8 +4,8 @@
 import { rankHosts, RefusalError, type ConcurrencyLimit, type MemberTable } from '@wasabihead/coordination'
 import { GuardedServer, jsonBody, type ServerTimeouts } from '../http/index.js'
 import type { Clock } from '../instance/clock.js'
-import type { AcceptedRequest, ClaimedRunner, ModelRunner, ServiceRunner } from '../serving/index.js'
-import type { Logger, Metrics } from '../telemetry/index.js'
+import type { AcceptedRequest, ClaimedRunner, ModelAnswer, ModelRunner, ServiceRunner } from '../serving/index.js'
+import type { LogFields, Logger, Metrics } from '../telemetry/index.js'
 import { readChatBody, readTextBody, type CompletionBody } from './completionBody.js'
 import { ChatCompletionShape, TextCompletionShape, type CompletionShape } from './completionShapes.js'
 import { abortWithCaller, EventStream } from './eventStream.js'
@@ -13,6 +13,7 @@
   answerRefusal, leavingRefusal, notFoundRefusal, refusalBody, toRefusal, transportRefusalBody, unwrap
 } from './refusals.js'
 import type { AuthenticatedCaller, RequestReader } from './requestReader.js'
+import { TokenTimes } from './tokenTimes.js'
 
 const BODY_LIMIT = '4mb'
 const OVERLOAD_RETRY_AFTER = 500
@@ -102,7 +103,7 @@
     await this._admitted(request, async () => {
       if (request.kind.treatment !== 'idempotent') await this._answerClaimed(context, request)
       else if (body.isStreamed) await this._answerStreamed(context, request, shape)
-      else context.body = shape.whole(request, unwrap(await this._parts.models.run(request, () => {}, abortWithCaller(context))))
+      else context.body = shape.whole(request, await this._runWhole(context, request))
     })
   }
 
@@ -121,13 +122,15 @@
     const workspace = request.workspace.name
     metrics.count('requests', workspace, request.kind.name)
     if (!limit.tryAcquire(workspace, request.workspace.maximumConcurrent)) {
-      metrics.count('refusals', workspace, request.kind.name)
+      metrics.countRefusal('overloaded', workspace, request.kind.name)
       throw new RefusalError('overloaded', 429, true,
         'Too many requests run at once', 'Come back after the time given', OVERLOAD_RETRY_AFTER)
     }
     try {
       await perform()
-      metrics.time('whole-answer', workspace, request.kind.name, clock.monotonic() - request.receivedAt)
+      const duration = clock.monotonic() - request.receivedAt
+      metrics.time('whole-answer', workspace, request.kind.name, duration)
+      this._parts.logger.debug('answered', { ...logFieldsOf(request), durationMilliseconds: Math.round(duration) })
     } catch (error) {
       this._noteRefusal(request, toRefusal(error))
       throw error
@@ -137,14 +140,8 @@
   }
 
   private _noteRefusal (request: AcceptedRequest, refusal: RefusalError): void {
-    this._parts.metrics.count('refusals', request.workspace.name, request.kind.name)
-    this._parts.logger.info('refused', {
-      requestId: request.requestId,
-      workspace: request.workspace.name,
-      requestKind: request.kind.name,
-      refusal: refusal.kind,
-      status: refusal.status
-    })
+    this._parts.metrics.countRefusal(refusal.kind, request.workspace.name, request.kind.name)
+    this._parts.logger.info('refused', { ...logFieldsOf(request), refusal: refusal.kind, status: refusal.status })
   }
 
   /** Claimed work goes on when its caller goes away: the caller comes back for the answer with its key. */
@@ -152,9 +149,18 @@
     answerKept(context, unwrap(await this._parts.claimed.run(request)))
   }
 
+  private async _runWhole (context: Context, request: AcceptedRequest): Promise<ModelAnswer> {
+    const times = new TokenTimes(this._parts.clock, this._parts.metrics, request)
+    return unwrap(await this._parts.models.run(request, () => { times.onToken() }, abortWithCaller(context)))
+  }
+
   private async _answerStreamed (context: Context, request: AcceptedRequest, shape: CompletionShape): Promise<void> {
     const stream = new EventStream(context)
-    const deliver = (part: { text: string }): void => { stream.send(shape.part(request, part.text)) }
+    const times = new TokenTimes(this._parts.clock, this._parts.metrics, request)
+    const deliver = (part: { text: string }): void => {
+      times.onToken()
+      stream.send(shape.part(request, part.text))
+    }
     const answer = await this._parts.models.run(request, deliver, abortWithCaller(context))
     if (answer.isErr && !stream.hasBegun) throw answer.error
     if (answer.isErr) {
@@ -183,6 +189,10 @@
   }
 }
 
+function logFieldsOf (request: AcceptedRequest): LogFields {
+  return { requestId: request.requestId, workspace: request.workspace.name, requestKind: request.kind.name }
+}
+
 function answerKept (context: Context, answer: { status: number, body: string }): void {
   context.status = answer.status
   context.type = 'application/json'
--- a/packages/daemon/src/telemetry/index.ts
+++ b/packages/daemon/src/telemetry/index.ts
@@ -1,5 +1,5 @@
+export { type CountedMeasure } from './counterTable.js'
+export { type TimedMeasure } from './histogramTable.js'
 export { Logger, type LogFields } from './logger.js'
-export {
-  Metrics, type CountedMeasure, type CounterReading, type HistogramReading, type TimedMeasure
-} from './metrics.js'
+export { Metrics, type CounterReading, type HistogramReading } from './metrics.js'
 export { MetricsRoutes } from './metricsRoutes.js'
--- a/packages/daemon/src/telemetry/metrics.ts
+++ b/packages/daemon/src/telemetry/metrics.ts
@@ -1,18 +1,11 @@
-/** Histograms for each workspace and kind, and counters. The number of histograms is bounded; the rest share "other". */
-import * as hdr from 'hdr-histogram-js'
-import type { Milliseconds } from '@wasabihead/coordination'
+/** Histograms and counters for each workspace and kind of request, within a bound of memory. */
+import type { Milliseconds, RefusalKind } from '@wasabihead/coordination'
+import { CounterTable, type CountedMeasure } from './counterTable.js'
+import { HistogramTable, type TimedMeasure } from './histogramTable.js'
 
-const SIGNIFICANT_DIGITS = 2
-const HIGHEST_VALUE_MILLISECONDS = 600_000
-const MAXIMUM_SERIES = 512
-const OTHER = 'other'
-
-/** What is timed. */
-export type TimedMeasure = 'first-token' | 'between-tokens' | 'queue-wait' | 'whole-answer'
-
-/** What is counted. */
-export type CountedMeasure =
-  | 'requests' | 'refusals' | 'retries' | 'recomputed-tokens' | 'reused-tokens' | 'imported-bytes' | 'exported-bytes'
+/** Together a quarter of the 128 MB that a node may spend on control. */
+const MAXIMUM_HISTOGRAM_BYTES = 26_000_000
+const MAXIMUM_COUNTER_BYTES = 6_000_000
 
 /** A histogram's figures in milliseconds. */
 export interface HistogramReading {
@@ -34,35 +27,39 @@
   count: number
 }
 
-interface Series<Value> {
-  workspace: string
-  requestKind: string
-  measure: string
-  value: Value
-}
-
 /** Records and reads measures. */
 export class Metrics {
-  private readonly _histograms = new Map<string, Series<hdr.Histogram>>()
-  private readonly _counters = new Map<string, Series<{ count: number }>>()
+  private readonly _histograms: HistogramTable
+  private readonly _counters: CounterTable
+
+  /** Bounds of memory in bytes; what passes them shares the series named "other". */
+  constructor (maximumHistogramBytes = MAXIMUM_HISTOGRAM_BYTES, maximumCounterBytes = MAXIMUM_COUNTER_BYTES) {
+    this._histograms = new HistogramTable(maximumHistogramBytes)
+    this._counters = new CounterTable(maximumCounterBytes)
+  }
 
   /** Records a duration. */
   time (measure: TimedMeasure, workspace: string, requestKind: string, duration: Milliseconds): void {
-    const series = findSeries(this._histograms, measure, workspace, requestKind, createHistogram)
-    series.value.recordValue(Math.min(HIGHEST_VALUE_MILLISECONDS, Math.max(0, Math.round(duration))))
+    this._histograms.record({ measure, workspace, requestKind }, duration)
   }
 
   /** Adds to a counter. */
   count (measure: CountedMeasure, workspace: string, requestKind: string, amount = 1): void {
-    findSeries(this._counters, measure, workspace, requestKind, () => ({ count: 0 })).value.count += amount
+    this._counters.add({ measure, workspace, requestKind }, amount)
+  }
+
+  /** Counts a refusal, in all and by its name. */
+  countRefusal (refusal: RefusalKind, workspace: string, requestKind: string): void {
+    this.count('refusals', workspace, requestKind)
+    this.count(`refused-${refusal}`, workspace, requestKind)
   }
 
   /** All histograms' figures. */
   readHistograms (): HistogramReading[] {
-    return [...this._histograms.values()].map(({ workspace, requestKind, measure, value }) => ({
+    return this._histograms.series.map(({ workspace, requestKind, measure, value }) => ({
       workspace,
       requestKind,
-      measure: measure as TimedMeasure,
+      measure,
       count: value.totalCount,
       p50: value.getValueAtPercentile(50),
       p95: value.getValueAtPercentile(95),
@@ -73,30 +70,12 @@
 
   /** All counters' figures. */
   readCounters (): CounterReading[] {
-    return [...this._counters.values()].map(({ workspace, requestKind, measure, value }) => ({
-      workspace, requestKind, measure: measure as CountedMeasure, count: value.count
-    }))
+    return this._counters.series.map(({ workspace, requestKind, measure, value }) => (
+      { workspace, requestKind, measure, count: value.count }))
   }
-}
 
-function findSeries<Value> (
-  all: Map<string, Series<Value>>, measure: string, workspace: string, requestKind: string, create: () => Value
-): Series<Value> {
-  const key = `${measure}\n${workspace}\n${requestKind}`
-  const known = all.get(key)
-  if (known !== undefined) return known
-  if (all.size >= MAXIMUM_SERIES && workspace !== OTHER) return findSeries(all, measure, OTHER, OTHER, create)
-  const series = { workspace, requestKind, measure, value: create() }
-  all.set(key, series)
-  return series
-}
-
-function createHistogram (): hdr.Histogram {
-  return hdr.build({
-    bitBucketSize: 32,
-    autoResize: true,
-    lowestDiscernibleValue: 1,
-    highestTrackableValue: 2,
-    numberOfSignificantValueDigits: SIGNIFICANT_DIGITS
-  })
+  /** Bytes that the series take, by reckoning. */
+  get bytes (): number {
+    return this._histograms.bytes + this._counters.bytes
+  }
 }
--- a/packages/daemon/src/telemetry/metricsRoutes.ts
+++ b/packages/daemon/src/telemetry/metricsRoutes.ts
@@ -2,8 +2,9 @@
 import type Router from '@koa/router'
 import { OperatorRoutes } from '../operators/operatorRoutes.js'
 import type { Metrics } from './metrics.js'
+import { formatMetrics } from './metricsText.js'
 
-/** Shows the measures to operators. */
+/** Shows the measures to operators, as JSON and as text. */
 export class MetricsRoutes extends OperatorRoutes {
   constructor (private readonly _metrics: Metrics) {
     super()
@@ -13,5 +14,9 @@
     router.get('/v1/metrics', context => {
       context.body = { histograms: this._metrics.readHistograms(), counters: this._metrics.readCounters() }
     })
+    router.get('/v1/metrics.txt', context => {
+      context.type = 'text/plain'
+      context.body = formatMetrics(this._metrics)
+    })
   }
 }
--- /dev/null
+++ b/packages/experiments/src/telemetry/index.ts
@@ -0,0 +1,1 @@
+export { TelemetryMeasurement } from './telemetryMeasurement.js'
--- /dev/null
+++ b/packages/experiments/src/telemetry/telemetryMeasurement.ts
@@ -0,0 +1,78 @@
+/** `--topic telemetry`: memory and time of the histograms and counters at the target's workspaces. */
+import { performance } from 'node:perf_hooks'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
+import { SeededRandom } from '@wasabihead/coordination'
+import { Metrics } from '@wasabihead/daemon'
+import { CoordinationMeasurement, type MeasurementRow } from '../coordination/measurement.js'
+
+const KINDS = ['lookup', 'answer', 'order'] as const
+const MEASURES = ['first-token', 'between-tokens', 'queue-wait', 'whole-answer'] as const
+const RECORDS_PER_SERIES = 20
+const MEDIAN_MILLISECONDS = 150
+const SPREAD = 1.2
+const BYTES_PER_MEGABYTE = 1_000_000
+const MICROSECONDS_PER_MILLISECOND = 1_000
+
+/** Fills the measures of several counts of workspaces. */
+export class TelemetryMeasurement extends CoordinationMeasurement {
+  override readonly name = 'telemetry'
+  override readonly description = 'memory and time of histograms and counters; 3 kinds, 4 timed measures and 1 count for each workspace'
+
+  override run (seed: number): MeasurementRow[] {
+    const collectGarbage = exposeGarbageCollector()
+    return [250, 500, 1_000, 2_300].map(workspaces => {
+      const random = new SeededRandom(seed)
+      const before = readMemory(collectGarbage)
+      const metrics = new Metrics()
+      const beganAt = performance.now()
+      const records = fill(metrics, workspaces, random)
+      const took = performance.now() - beganAt
+      const histograms = metrics.readHistograms()
+      return {
+        workspaces,
+        histograms: histograms.length,
+        recordsInOther: histograms.filter(({ workspace }) => workspace === 'other').reduce((sum, { count }) => sum + count, 0),
+        reckonedMegabytes: round(metrics.bytes / BYTES_PER_MEGABYTE),
+        measuredMegabytes: round((readMemory(collectGarbage) - before) / BYTES_PER_MEGABYTE),
+        microsecondsPerRecord: round(took * MICROSECONDS_PER_MILLISECOND / records)
+      }
+    })
+  }
+}
+
+function fill (metrics: Metrics, workspaces: number, random: SeededRandom): number {
+  let records = 0
+  for (let round = 0; round < RECORDS_PER_SERIES; round++) {
+    for (let workspace = 0; workspace < workspaces; workspace++) {
+      for (const kind of KINDS) {
+        for (const measure of MEASURES) metrics.time(measure, `workspace-${workspace}`, kind, durationOf(random))
+        metrics.count('requests', `workspace-${workspace}`, kind)
+        records += MEASURES.length + 1
+      }
+    }
+  }
+  return records
+}
+
+/** Durations have a long tail: their logarithm is spread around the median's. */
+function durationOf (random: SeededRandom): number {
+  const spread = (random.next() + random.next() + random.next() - 1.5) * 2
+  return MEDIAN_MILLISECONDS * Math.exp(SPREAD * spread)
+}
+
+function exposeGarbageCollector (): () => void {
+  setFlagsFromString('--expose_gc')
+  return runInNewContext('gc') as () => void
+}
+
+function readMemory (collectGarbage: () => void): number {
+  collectGarbage()
+  collectGarbage()
+  const { heapUsed, arrayBuffers } = process.memoryUsage()
+  return heapUsed + arrayBuffers
+}
+
+function round (value: number): number {
+  return Math.round(value * 100) / 100
+}
