--- a/packages/experiments/src/demonstration/main.ts
+++ b/packages/experiments/src/demonstration/main.ts
@@ -28,7 +28,9 @@
 try {
   const isAllWhole = await demonstrate()
   if (isOnce) await end(isAllWhole ? 0 : 1)
-  process.stdout.write(`serving at ${fleet.instances.map(instance => instance.addresses.caller).join(' ')}; interrupt to stop\n`)
+  const callers = fleet.instances.map(instance => instance.addresses.caller)
+  const operators = fleet.instances.map(instance => instance.addresses.operator)
+  process.stdout.write(`serving callers at ${callers.join(' ')} and operators at ${operators.join(' ')}; interrupt to stop\n`)
 } catch (error) {
   process.stderr.write(`${String(error)}\n`)
   await end(1)
