fix(cli): wait by the members' revisions, and show a conflict whose base the history has lost

Cause, found by walking the README on the demonstration: an apply that waits ended with "nothing is served at this path" after its change was accepted, and a conflict against an older revision ended the same way before it was shown. Every instance lists each member's revision already, so one path serves. A change whose outcome the instance doesn't know is sent again with its token.

--- a/packages/cli/src/client/messages.ts
+++ b/packages/cli/src/client/messages.ts
@@ -23,14 +23,6 @@
   changes: z.array(z.looseObject({ revision: z.number(), digest: z.string(), author: z.string(), appliedAt: z.string() }))
 })
 
-/** Which instance has which revision. */
-export const instancesSchema = z.looseObject({
-  revision: z.number(),
-  instances: z.array(z.looseObject({
-    host: z.string(), dataCentre: z.string(), revision: z.number(), state: z.string(), isLagging: z.boolean()
-  }))
-})
-
 /** Members as one instance sees them. */
 export const membersSchema = z.looseObject({
   self: z.string(),
--- a/packages/cli/src/commands/commands.spec.ts
+++ b/packages/cli/src/commands/commands.spec.ts
@@ -27,6 +27,7 @@
 
   lagging: string[] = []
   lostAnswers = 0
+  hasForgotten = false
   rival: string | undefined
   address = ''
   private readonly _server = http.createServer((request, response) => {
@@ -63,9 +64,8 @@
     if (method === 'PUT') return this._change(body)
     if (url === '/v1/configuration') return { status: 200, body: current ?? { revision: 0 } }
     if (url === '/v1/configuration/history') return { status: 200, body: { changes: this.changes } }
-    if (url.startsWith('/v1/configuration/history/')) return { status: 200, body: this.changes[Number(url.split('/').at(-1)) - 1] }
-    if (url === '/v1/configuration/instances') return { status: 200, body: { revision: current?.revision, instances: this._instances() } }
-    if (url === '/v1/members') return { status: 200, body: { self: 'entry-0', members: [this._member()] } }
+    if (url.startsWith('/v1/configuration/history/') && !this.hasForgotten) return { status: 200, body: this.changes[Number(url.split('/').at(-1)) - 1] }
+    if (url === '/v1/members') return { status: 200, body: { self: 'entry-0', members: this._members() } }
     if (url === '/v1/status') return { status: 200, body: this._status() }
     if (url.startsWith('/v1/claims?') || url === '/v1/claims') {
       return { status: 200, body: { claims: [{ workspace: 'harrowgate', idempotencyKey: 'order/1', state: 'unknown' }] } }
@@ -93,24 +93,19 @@
     return { status: 200, body: { revision, digest } }
   }
 
-  private _instances (): unknown[] {
-    const revision = this.changes.length
+  private _members (): unknown[] {
     return ['entry-0', 'entry-1'].map(host => {
-      const isLagging = this.lagging.includes(host)
-      return { host, dataCentre: 'leeds', revision: isLagging ? revision - 1 : revision, state: 'alive', isLagging }
+      const configurationRevision = this.changes.length - (this.lagging.includes(host) ? 1 : 0)
+      return { host, dataCentre: 'leeds', state: 'alive', callerAddress: 'http://10.0.0.1:8080', configurationRevision }
     })
   }
 
-  private _member (): object {
-    return { host: 'entry-0', dataCentre: 'leeds', state: 'alive', callerAddress: 'http://10.0.0.1:8080', configurationRevision: 1 }
-  }
-
   private _status (): object {
     return {
       instance: { host: 'entry-0', dataCentre: 'leeds', environment: 'trial', state: 'alive' },
       configuration: { revision: 1, digest: 'd' },
       running: 3,
-      members: [this._member()],
+      members: this._members(),
       histograms: [{ workspace: 'harrowgate', requestKind: 'letter', measure: 'first-token', count: 9, p50: 1, p95: 2, p99: 3 }],
       counters: [{ workspace: 'harrowgate', requestKind: 'letter', measure: 'retries', count: 4 }]
     }
@@ -235,6 +230,14 @@
   })
 }
 
+test('should show a conflict although the history no longer holds the base', async () => {
+  instance.accept(BASE, 'first')
+  instance.accept(THEIRS, 'rival')
+  instance.hasForgotten = true
+  const conflict = await run(['config', 'apply', mine(), '--expected-revision', '1'])
+  assert.is(conflict.code, ExitCode.Conflict, conflict.errors)
+})
+
 test('should wait until every instance has the revision, and name those that lag', async () => {
   const applied = await run(['config', 'apply', mine(), '--wait'])
   assert.match(applied.output, /in force on 2 instances: entry-0, entry-1/)
--- a/packages/cli/src/commands/config.ts
+++ b/packages/cli/src/commands/config.ts
@@ -7,7 +7,7 @@
 } from '../program/index.js'
 import { valueOf } from './answers.js'
 import {
-  putInForce, readConfiguration, readRevision, waitUntilInForce, type AcceptedChange, type Change
+  putInForce, readBase, readConfiguration, readRevision, waitUntilInForce, type AcceptedChange, type Change
 } from './configurationChange.js'
 import { requireValid } from './documentSource.js'
 
@@ -81,12 +81,6 @@
   return await report(client, await putInForce(client, change, context), 'accepted', context)
 }
 
-/** The base is shown to the operator in a conflict only; one that the history no longer holds reads as empty. */
-async function readBase (client: OperatorClient, revision: number): Promise<KeptConfiguration> {
-  if (revision === 0) return { revision, digest: '', source: '', author: '', appliedAt: '' }
-  return await readRevision(client, revision)
-}
-
 async function show (_words: readonly string[], context: CommandContext): Promise<CommandOutput> {
   const kept = await readChosen(context.client(), context.options)
   if (kept.revision === 0) return { value: kept, text: '# no document is in force yet\n' }
--- a/packages/cli/src/commands/configurationChange.ts
+++ b/packages/cli/src/commands/configurationChange.ts
@@ -2,13 +2,15 @@
 import { randomUUID } from 'node:crypto'
 import { z } from 'zod'
 import {
-  acceptedChangeSchema, conflictSchema, instancesSchema, InstanceRefusedError, InstanceUnreachableError,
-  keptConfigurationSchema, type KeptConfiguration, type OperatorClient
+  acceptedChangeSchema, conflictSchema, InstanceRefusedError, InstanceUnreachableError,
+  keptConfigurationSchema, membersSchema, type KeptConfiguration, type OperatorClient
 } from '../client/index.js'
 import { ChangeConflictError, differenceOf, InstancesLagError, type CommandContext } from '../program/index.js'
 import { valueOf } from './answers.js'
 
 const MAXIMUM_TRIES = 4
+/** The platform's service did not answer; the change may be in force, and the same token tells. */
+const STATUSES_WORTH_ANOTHER_TRY = [503, 504]
 const DEFAULT_WAIT_SECONDS = 30
 const MILLISECONDS_PER_SECOND = 1_000
 
@@ -41,6 +43,15 @@
   return valueOf(await client.read(`/v1/configuration/history/${revision}`, keptConfigurationSchema))
 }
 
+/** Reads the revision that a change was made from; one that the history does not hold reads as empty. */
+export async function readBase (client: OperatorClient, revision: number): Promise<KeptConfiguration> {
+  const unknown = { revision, digest: '', source: '', author: '', appliedAt: '' }
+  if (revision === 0) return unknown
+  const read = await client.read(`/v1/configuration/history/${revision}`, keptConfigurationSchema)
+  if (read.isErr && read.error instanceof InstanceRefusedError && read.error.status === 404) return unknown
+  return valueOf(read)
+}
+
 /** Sends a change. Its token stays the same over all tries, so that a try whose answer was lost is recognised. */
 export async function putInForce (client: OperatorClient, change: Change, context: CommandContext): Promise<AcceptedChange> {
   const body = {
@@ -55,7 +66,7 @@
     if (accepted.isOk) return accepted.value
     const { error } = accepted
     if (error instanceof InstanceRefusedError && error.status === 409) throw toConflict(error, change)
-    const mayHelp = error instanceof InstanceUnreachableError || error.status === 503
+    const mayHelp = error instanceof InstanceUnreachableError || STATUSES_WORTH_ANOTHER_TRY.includes(error.status)
     if (!mayHelp || attempt >= MAXIMUM_TRIES) throw error
     await context.pause()
   }
@@ -80,13 +91,13 @@
   const seconds = Number(context.options.waitSeconds ?? DEFAULT_WAIT_SECONDS)
   const end = performance.now() + seconds * MILLISECONDS_PER_SECOND
   for (;;) {
-    const read = await client.read('/v1/configuration/instances', instancesSchema)
+    const read = await client.read('/v1/members', membersSchema)
     if (read.isErr && read.error instanceof InstanceRefusedError) throw read.error
-    const instances = read.isOk ? read.value.instances.filter(instance => instance.state !== 'dead') : []
-    const lagging = instances.filter(instance => instance.revision < revision)
+    const instances = read.isOk ? read.value.members.filter(member => member.state !== 'dead') : []
+    const lagging = instances.filter(instance => instance.configurationRevision < revision)
     if (instances.length > 0 && lagging.length === 0) return instances.map(instance => instance.host)
     if (performance.now() >= end) {
-      const names = lagging.map(instance => `${instance.host} (revision ${instance.revision})`)
+      const names = lagging.map(instance => `${instance.host} (revision ${instance.configurationRevision})`)
       throw new InstancesLagError(revision, { lagging: names.length > 0 ? names : ['instances that could not be asked'] })
     }
     await context.pause()
