--- a/packages/daemon/src/configuration/configurationKeeper.ts
+++ b/packages/daemon/src/configuration/configurationKeeper.ts
@@ -3,10 +3,10 @@
 import { v4 as createToken } from 'uuid'
 import { parse as parseYaml } from 'yaml'
 import {
-  ABSENT_REVISION, checkDocument, ConfigurationState, contentDigest, InvalidDocumentError, PlatformRefusedError,
+  ABSENT_REVISION, checkDocumentSource, ConfigurationState, contentDigest, DOCUMENT_PARSER_OPTIONS, PlatformRefusedError,
   RemediedError, storedConfigurationSchema,
-  type ConfigurationDocument, type KeyValueService, type PlatformError, type StoredConfiguration, type VersionedValue,
-  type Watch
+  type ConfigurationDocument, type InvalidDocumentError, type KeyValueService, type PlatformError, type StoredConfiguration,
+  type VersionedValue, type Watch
 } from '@wasabihead/coordination'
 import type { Clock } from '../instance/clock.js'
 import type { Logger } from '../telemetry/index.js'
@@ -34,6 +34,8 @@
   /** The revision that the operator saw, or 0 for none. */
   expectedRevision: number
   author: string
+  /** The same over all tries of one change, so that a try whose answer was lost is recognised. */
+  changeToken?: string | undefined
 }
 
 /** Keeps one instance's configuration. */
@@ -82,6 +84,7 @@
     const read = await this._keyValue.read(this._key)
     if (read.isErr) return Result.err(read.error)
     const current = read.value === undefined ? undefined : storedConfigurationSchema.parse(JSON.parse(read.value.value))
+    if (current !== undefined && current.changeToken === change.changeToken) return this._accept(current)
     if ((current?.revision ?? 0) !== change.expectedRevision) return Result.err(new ConfigurationConflictError(current))
     return await this._write(toStored(change, document.value, this._clock.wall()), read.value?.revision ?? ABSENT_REVISION)
   }
@@ -137,17 +140,13 @@
 
 /** Parses and checks a document's source text, YAML or JSON. */
 export function checkSource (source: string): Result<ConfigurationDocument, InvalidDocumentError> {
-  try {
-    return checkDocument(parseYaml(source), Buffer.byteLength(source))
-  } catch (error) {
-    return Result.err(new InvalidDocumentError([{ path: '(document)', problem: `it is neither YAML nor JSON: ${String(error)}` }]))
-  }
+  return checkDocumentSource(source, text => parseYaml(text, DOCUMENT_PARSER_OPTIONS))
 }
 
 function toStored (change: ConfigurationChange, document: ConfigurationDocument, wall: number): StoredConfiguration {
   return {
     revision: change.expectedRevision + 1,
-    changeToken: createToken(),
+    changeToken: change.changeToken ?? createToken(),
     digest: contentDigest(change.source),
     source: change.source,
     document,
