feat(membership): probe, confirm, suspect and refute instead of exchanging whole tables

Cause: every instance sent its whole table to three others twice a second and called a member dead after two failed calls. At 340 members that is 340 entries in each of six messages a second, and one lost call makes a suspect. Now one direct probe a second, confirmation through three others, a suspicion that grows with the logarithm of the fleet, entries spread a bounded number of times on the probes, and tables compared by pages of digests. Registration holds a lease of 180 s renewed each 60 s and lists once at start, then about every 300 s. Instances that share a seed no longer jitter in step.

--- a/packages/coordination/src/membership/index.ts
+++ b/packages/coordination/src/membership/index.ts
@@ -1,1 +1,5 @@
-export { memberSchema, MemberTable, type Member } from './memberTable.js'
+export { memberSchema, MemberTable, type Member, type MemberOrder } from './memberTable.js'
+export { INDIRECT_PROBE_TIMEOUT, Membership, PAUSE_THRESHOLD, PROBE_PERIOD, PROBE_TIMEOUT } from './membership.js'
+export type {
+  DigestPage, MemberDigest, MembershipEffect, MembershipMessage, PageAnswer
+} from './messages.js'
--- a/packages/coordination/src/membership/memberTable.ts
+++ b/packages/coordination/src/membership/memberTable.ts
@@ -71,30 +71,59 @@
   merge (heard: Member, now: Milliseconds): boolean {
     if (heard.host === this._self.host) return this._refute(heard, now)
     const known = this._members.get(heard.host)
-    if (known !== undefined && !isNewer(heard, known)) return false
+    // A death of a member that is not known here has been forgotten here, or never mattered.
+    if (known === undefined ? heard.state === 'dead' : !isNewer(heard, known)) return false
     this._members.set(heard.host, heard)
     this._changedAt.set(heard.host, now)
     return true
   }
 
-  /** Marks a member after failed probes; ignored for an older incarnation. */
-  mark (host: string, incarnation: number, state: 'suspect' | 'dead' | 'alive', now: Milliseconds): void {
-    const known = this._members.get(host)
-    if (known === undefined || known.incarnation !== incarnation || known.state === state) return
-    this._members.set(host, { ...known, state })
-    this._changedAt.set(host, now)
+  /** Whether one order of an entry is newer than another of the same host. */
+  isNewer (left: MemberOrder, right: MemberOrder): boolean {
+    return isNewer(left, right)
   }
 
+  /** Whether an entry of this order would be news here. */
+  wants (order: MemberOrder & { host: string }): boolean {
+    const known = this._members.get(order.host)
+    if (order.host === this._self.host) return false
+    return known === undefined ? order.state !== 'dead' : isNewer(order, known)
+  }
+
+  /** Since when the entry of a member has stood as it is, or since the last `restartTimes`. */
+  changedAt (host: string): Milliseconds | undefined {
+    return this._changedAt.get(host)
+  }
+
+  /** Counts the time of every entry anew, as after a pause in which nothing was heard. */
+  restartTimes (now: Milliseconds): void {
+    for (const host of this._members.keys()) this._changedAt.set(host, now)
+  }
+
+  /** Drops the entry of a member that has been dead for long. */
+  forget (host: string): void {
+    if (host === this._self.host) return
+    this._members.delete(host)
+    this._changedAt.delete(host)
+  }
+
+  /** A run that hears of a later one of its own host has an incarnation that is out of date, and takes a higher one. */
   private _refute (heard: Member, now: Milliseconds): boolean {
-    const isAboutThisRun = heard.incarnation === this._self.incarnation
-    if (!isAboutThisRun || heard.version < this._self.version || heard.state === this._self.state) return false
-    this._self = { ...this._self, version: heard.version }
+    const isOutdated = heard.incarnation > this._self.incarnation
+    const isDoubted = heard.incarnation === this._self.incarnation && heard.version >= this._self.version &&
+      heard.state !== this._self.state
+    if (!isOutdated && !isDoubted) return false
+    const incarnation = isOutdated ? heard.incarnation + 1 : this._self.incarnation
+    this._self = { ...this._self, incarnation, version: heard.version }
     this.updateSelf({}, now)
     return true
   }
 }
 
-function isNewer (heard: Member, known: Member): boolean {
+/** What orders the entries of one host. */
+export type MemberOrder = Pick<Member, 'incarnation' | 'version' | 'state'>
+
+function isNewer (heard: MemberOrder, known: MemberOrder): boolean {
   if (heard.incarnation !== known.incarnation) return heard.incarnation > known.incarnation
   if (heard.version !== known.version) return heard.version > known.version
   return STATE_RANK[heard.state] > STATE_RANK[known.state]
--- /dev/null
+++ b/packages/coordination/src/membership/membership.ts
@@ -0,0 +1,281 @@
+/**
+ * Which instances are live, decided by probes: one direct probe each period, confirmation through other members before
+ * a suspicion, and a time to refute it before a death. Changes ride on the probes. Tables are only compared in pages.
+ */
+import type { Milliseconds, SeededRandom } from '../common/index.js'
+import type { Member, MemberTable } from './memberTable.js'
+import type { DigestPage, MembershipEffect, MembershipMessage, PageAnswer } from './messages.js'
+import { NewsQueue } from './newsQueue.js'
+
+/** Time between two direct probes by one instance. */
+export const PROBE_PERIOD: Milliseconds = 1_000
+/** Time that the daemon gives a direct or an indirect probe before it reports `probe-failed`. */
+export const PROBE_TIMEOUT: Milliseconds = 500
+/** Time that the daemon gives a probe through another member. */
+export const INDIRECT_PROBE_TIMEOUT: Milliseconds = 1_200
+/** A tick that comes this long after the one before shows that the instance was paused. */
+export const PAUSE_THRESHOLD: Milliseconds = 5_000
+
+const INDIRECT_HELPERS = 3
+const NEWS_PER_MESSAGE = 8
+const URGENT_FAN_OUT = 4
+const SUSPICION_FACTOR: Milliseconds = 3_000
+const COMPARISON_PERIOD: Milliseconds = 10_000
+const DEAD_CONTACT_PERIOD: Milliseconds = 10_000
+const DEAD_RETENTION: Milliseconds = 1_800_000
+const DIGESTS_PER_PAGE = 64
+const MEMBERS_PER_PAGE = 64
+
+interface Probe {
+  host: string
+  incarnation: number
+  stage: 'direct' | 'indirect' | 'dead-contact'
+  /** Probes of this id that have not failed yet. */
+  outstanding: number
+}
+
+/** The membership of one instance. Every method that decides takes the present monotonic time. */
+export class Membership {
+  private readonly _news = new NewsQueue()
+  private readonly _probes = new Map<number, Probe>()
+  private _nextProbeId = 1
+  private _probeOrder: string[] = []
+  private _nextProbeAt: Milliseconds = 0
+  private _nextComparisonAt: Milliseconds = 0
+  private _nextDeadContactAt: Milliseconds = DEAD_CONTACT_PERIOD
+  private _comparedThrough = ''
+  private _lastTickAt: Milliseconds | undefined
+  private _lastContactAt: Milliseconds | undefined
+
+  /**
+   * @param table this instance's table, which other slices read
+   * @param _random chooses probe targets and helpers
+   */
+  constructor (readonly table: MemberTable, private readonly _random: SeededRandom) {
+    this._news.add(table.self.host)
+  }
+
+  /** When a peer last answered a call of this instance, or undefined while none has. */
+  get lastContactAt (): Milliseconds | undefined {
+    return this._lastContactAt
+  }
+
+  /** Takes one message; gives what has to be done. */
+  handle (message: MembershipMessage, now: Milliseconds): MembershipEffect[] {
+    switch (message.kind) {
+      case 'tick': return this._tick(now)
+      case 'heard': return this._hear(message.members, now)
+      case 'probed':
+        this._hear(message.members, now)
+        return [{ kind: 'answer', news: this._takeNews() }]
+      case 'acknowledged': return this._acknowledge(message.probeId, message.members, now)
+      case 'probe-failed': return this._failProbe(message.probeId, now)
+      case 'page-received': return [{ kind: 'answer-page', answer: this._answerPage(message.page) }]
+      case 'page-answered': return this._mergePage(message.host, message.answer, now)
+      case 'leave': return this._leave(now)
+    }
+  }
+
+  /** Spreads a change of this instance's own entry with the next messages. */
+  spreadSelf (): void {
+    this._news.add(this.table.self.host)
+  }
+
+  /** How long a suspect has to refute; grows with the logarithm of the fleet, as the spread of news does. */
+  suspicionTimeout (): Milliseconds {
+    return Math.max(SUSPICION_FACTOR, SUSPICION_FACTOR * Math.log10(this._fleetSize() + 1))
+  }
+
+  private _tick (now: Milliseconds): MembershipEffect[] {
+    const wasPaused = this._lastTickAt !== undefined && now - this._lastTickAt > PAUSE_THRESHOLD
+    this._lastTickAt = now
+    if (wasPaused) this._distrustBeliefs(now)
+    this._expireSuspicions(now)
+    this._forgetDead(now)
+    return [...this._probeNext(now), ...this._contactDead(now), ...this._compareNext(now)]
+  }
+
+  /** After a pause nothing that was believed counts: suspicions begin again, and running probes tell nothing. */
+  private _distrustBeliefs (now: Milliseconds): void {
+    this._probes.clear()
+    this._lastContactAt = undefined
+    this.table.restartTimes(now)
+    this.table.updateSelf({}, now)
+    this.spreadSelf()
+    this._comparedThrough = ''
+    this._nextComparisonAt = now
+  }
+
+  private _probeNext (now: Milliseconds): MembershipEffect[] {
+    if (now < this._nextProbeAt) return []
+    this._nextProbeAt = now + PROBE_PERIOD
+    const target = this._nextTarget()
+    return target === undefined ? [] : [this._startProbe(target, 'direct')]
+  }
+
+  /** Every member once in a shuffled order, then a new order: the time until each one is probed is bounded. */
+  private _nextTarget (): Member | undefined {
+    if (this._probeOrder.length === 0) this._probeOrder = this._random.shuffle(this._others()).map(member => member.host)
+    while (this._probeOrder.length > 0) {
+      const member = this.table.find(this._probeOrder.pop() as string)
+      if (member !== undefined && member.state !== 'dead') return member
+    }
+    return undefined
+  }
+
+  private _startProbe (target: Member, stage: Probe['stage']): MembershipEffect {
+    const probeId = this._nextProbeId++
+    this._probes.set(probeId, { host: target.host, incarnation: target.incarnation, stage, outstanding: 1 })
+    return { kind: 'probe', probeId, target, news: this._newsFor(target) }
+  }
+
+  private _acknowledge (probeId: number, members: readonly Member[], now: Milliseconds): MembershipEffect[] {
+    const probe = this._probes.get(probeId)
+    this._probes.delete(probeId)
+    this._lastContactAt = now
+    const effects = this._hear(members, now)
+    if (probe?.stage !== 'dead-contact') return effects
+    // Two sides of a healed partition compare their tables at once instead of waiting for the slow comparison.
+    const peer = this.table.find(probe.host)
+    return peer === undefined ? effects : [...effects, this._compareAfter('', peer)]
+  }
+
+  private _failProbe (probeId: number, now: Milliseconds): MembershipEffect[] {
+    const probe = this._probes.get(probeId)
+    if (probe === undefined) return []
+    probe.outstanding -= 1
+    if (probe.outstanding > 0) return []
+    this._probes.delete(probeId)
+    const target = this.table.find(probe.host)
+    if (target === undefined || target.incarnation !== probe.incarnation || probe.stage === 'dead-contact') return []
+    if (probe.stage === 'direct') {
+      const effects = this._probeThroughOthers(target)
+      if (effects.length > 0) return effects
+    }
+    // A leaving member is expected to stop, so its silence needs no time for a refutation.
+    this._believe({ ...target, state: target.state === 'leaving' ? 'dead' : 'suspect' }, now)
+    return []
+  }
+
+  private _probeThroughOthers (target: Member): MembershipEffect[] {
+    const candidates = this._others().filter(member => member.state === 'alive' && member.host !== target.host)
+    const helpers = this._random.shuffle(candidates).slice(0, INDIRECT_HELPERS)
+    if (helpers.length === 0) return []
+    const probeId = this._nextProbeId++
+    this._probes.set(probeId, {
+      host: target.host, incarnation: target.incarnation, stage: 'indirect', outstanding: helpers.length
+    })
+    return helpers.map(helper => ({ kind: 'probe-through', probeId, helper, target, news: this._newsFor(target) }))
+  }
+
+  private _expireSuspicions (now: Milliseconds): void {
+    const timeout = this.suspicionTimeout()
+    for (const member of this._others('suspect')) {
+      if (this._age(member, now) >= timeout) this._believe({ ...member, state: 'dead' }, now)
+    }
+  }
+
+  /** Dead members are kept for a time, so that the sides of a long partition find each other again. */
+  private _forgetDead (now: Milliseconds): void {
+    for (const member of this._others('dead')) {
+      if (this._age(member, now) >= DEAD_RETENTION) this.table.forget(member.host)
+    }
+  }
+
+  private _contactDead (now: Milliseconds): MembershipEffect[] {
+    if (now < this._nextDeadContactAt) return []
+    this._nextDeadContactAt = now + DEAD_CONTACT_PERIOD * (0.5 + this._random.next())
+    const dead = this._others('dead')
+    return dead.length === 0 ? [] : [this._startProbe(this._random.pick(dead), 'dead-contact')]
+  }
+
+  private _compareNext (now: Milliseconds): MembershipEffect[] {
+    if (now < this._nextComparisonAt) return []
+    const live = this._others().filter(member => member.state === 'alive')
+    if (live.length === 0) return []
+    this._nextComparisonAt = now + COMPARISON_PERIOD * (0.5 + this._random.next())
+    return [this._compareAfter(this._comparedThrough, this._random.pick(live))]
+  }
+
+  private _compareAfter (after: string, target: Member): MembershipEffect {
+    const hosts = this._hostsAfter(after).slice(0, DIGESTS_PER_PAGE)
+    this._comparedThrough = hosts.length < DIGESTS_PER_PAGE ? '' : hosts.at(-1) as string
+    const digests = hosts.map(host => {
+      const { incarnation, version, state } = this.table.find(host) as Member
+      return { host, incarnation, version, state }
+    })
+    return { kind: 'compare-page', target, page: { after, digests } }
+  }
+
+  private _answerPage ({ after, digests }: DigestPage): PageAnswer {
+    const told = new Map(digests.map(digest => [digest.host, digest]))
+    const through = digests.length < DIGESTS_PER_PAGE ? undefined : digests.at(-1)?.host
+    const inRange = this._hostsAfter(after).filter(host => through === undefined || host <= through)
+    const newer = inRange.map(host => this.table.find(host) as Member).filter(member => {
+      const digest = told.get(member.host)
+      return digest === undefined ? member.state !== 'dead' : this.table.isNewer(member, digest)
+    })
+    const wanted = digests.filter(digest => this.table.wants(digest)).map(digest => digest.host)
+    return { members: newer.slice(0, MEMBERS_PER_PAGE), wanted }
+  }
+
+  private _mergePage (host: string, answer: PageAnswer, now: Milliseconds): MembershipEffect[] {
+    this._lastContactAt = now
+    this._hear(answer.members, now)
+    const peer = this.table.find(host)
+    if (peer === undefined) return []
+    const wanted = answer.wanted.flatMap(name => this.table.find(name) ?? []).slice(0, MEMBERS_PER_PAGE)
+    const effects: MembershipEffect[] = wanted.length === 0 ? [] : [{ kind: 'push', target: peer, news: wanted }]
+    // A full answer means that more is waiting behind it, as for an instance that has just joined.
+    const isFull = answer.members.length >= MEMBERS_PER_PAGE
+    return isFull ? [...effects, this._compareAfter(answer.members.at(-1)?.host ?? '', peer)] : effects
+  }
+
+  private _leave (now: Milliseconds): MembershipEffect[] {
+    this.table.updateSelf({ state: 'leaving' }, now)
+    this.spreadSelf()
+    const peers = this._random.shuffle(this.table.live.filter(member => member.host !== this.table.self.host))
+    return peers.slice(0, URGENT_FAN_OUT).map(target => ({ kind: 'push', target, news: this._newsFor(target) }))
+  }
+
+  /** A leaving member that is first heard of here is passed on at once, ahead of the next probe. */
+  private _hear (members: readonly Member[], now: Milliseconds): MembershipEffect[] {
+    const isUrgent = members.filter(member => this._believe(member, now) && member.state === 'leaving').length > 0
+    if (!isUrgent) return []
+    const peers = this._random.shuffle(this._others().filter(member => member.state === 'alive')).slice(0, URGENT_FAN_OUT)
+    return peers.map(target => ({ kind: 'push', target, news: this._newsFor(target) }))
+  }
+
+  private _believe (heard: Member, now: Milliseconds): boolean {
+    if (!this.table.merge(heard, now)) return false
+    this._news.add(heard.host)
+    return true
+  }
+
+  private _takeNews (): Member[] {
+    return this._news.take(NEWS_PER_MESSAGE, this._fleetSize()).flatMap(host => this.table.find(host) ?? [])
+  }
+
+  /** News with the target's own entry in front where it is doubted, so that the target can refute at once. */
+  private _newsFor (target: Member): Member[] {
+    const news = this._takeNews().filter(member => member.host !== target.host)
+    return target.state === 'alive' || target.state === 'leaving' ? news : [target, ...news]
+  }
+
+  private _others (state?: Member['state']): Member[] {
+    return this.table.members.filter(member => member.host !== this.table.self.host &&
+      (state === undefined ? member.state !== 'dead' : member.state === state))
+  }
+
+  private _hostsAfter (after: string): string[] {
+    return this.table.members.map(member => member.host).filter(host => host > after).sort()
+  }
+
+  private _age (member: Member, now: Milliseconds): Milliseconds {
+    return now - (this.table.changedAt(member.host) ?? now)
+  }
+
+  private _fleetSize (): number {
+    return this._others().length + 1
+  }
+}
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -1,6 +1,6 @@
 /** One instance of the daemon: its parts, started and stopped in order. */
 import {
-  ConcurrencyLimit, MemberTable, SeededRandom,
+  ConcurrencyLimit, MemberTable, placementHash, SeededRandom,
   type Member, type Milliseconds
 } from '@wasabihead/coordination'
 import { EtcdKeyValueService } from '../adapters/index.js'
@@ -68,9 +68,8 @@
   async stop (): Promise<void> {
     const parts = this._parts
     if (parts === undefined) return
-    parts.members.updateSelf({ state: 'leaving' }, this._clock.monotonic())
     parts.callerServer.leave()
-    await parts.membership.announce()
+    await parts.membership.leave()
     while (this._limit.running > 0 || parts.claimed.running > 0) await waitFor(DRAIN_POLL)
     await parts.callerServer.stop()
     parts.membership.stop()
@@ -84,7 +83,8 @@
   private _assemble (): RunningParts {
     const settings = this._settings
     const clock = this._clock
-    const random = new SeededRandom(settings.seed)
+    // Hosts that share a seed must still not jitter in step.
+    const random = new SeededRandom(placementHash(`${settings.seed}|${settings.host}`))
     const keyValue = new EtcdKeyValueService(settings.keyValueAddress)
     const members = new MemberTable(this._ownEntry())
     const configuration = new ConfigurationKeeper(settings.environment, keyValue, clock, this._logger, stored => {
@@ -97,9 +97,9 @@
     const models = new ModelRunner(placer, configuration, clock, random, this._metrics, this._logger)
     const services = new ServiceRunner(this._fleet)
     const claimed = new ClaimedRunner(members.identity, claims, models, services, clock, this._logger)
-    const membershipPeers = new MembershipPeerClient(this._connections)
-    const membership = new MembershipLoop(settings.environment, members, keyValue, membershipPeers, clock, random, () => {
-      this._learnConfiguration(members, configuration).catch(() => {})
+    const membershipPeers = new MembershipPeerClient(this._connections, settings.environment)
+    const membership = new MembershipLoop(settings.environment, members, keyValue, membershipPeers, clock, random, {
+      revisionSeen: () => { this._learnConfiguration(members, configuration).catch(() => {}) }
     })
     const reader = new RequestReader(() => configuration.document)
     return {
@@ -116,7 +116,7 @@
         new MetricsRoutes(this._metrics)
       ]),
       peerServer: new PeerServer([
-        new MembershipPeerRoutes(settings.environment, members, clock),
+        new MembershipPeerRoutes(settings.environment, membership),
         new ConfigurationPeerRoutes(configuration),
         new ClaimPeerRoutes(claims)
       ])
--- a/packages/daemon/src/membership/membershipLoop.ts
+++ b/packages/daemon/src/membership/membershipLoop.ts
@@ -1,108 +1,146 @@
-/** Registers this instance with a lease, finds the others, and exchanges news with a few of them each round. */
+/** Performs the effects of the membership decisions, and keeps this instance's registration in the key-value service. */
+import type { Result } from 'true-myth'
 import {
-  memberSchema, MemberTable, SeededRandom, ABSENT_REVISION,
-  type KeyValueService, type Member, type Milliseconds
+  Membership, PROBE_PERIOD,
+  type DigestPage, type KeyValueService, type Member, type MembershipEffect, type MembershipMessage, type MemberTable,
+  type Milliseconds, type PageAnswer, type SeededRandom
 } from '@wasabihead/coordination'
 import type { Clock } from '../instance/clock.js'
-import type { MembershipPeerClient } from './membershipPeers.js'
+import type { PeerUnreachableError } from '../peers/index.js'
+import type { MembershipPeerClient, ProbeAnswer } from './membershipPeers.js'
+import { Registration } from './registration.js'
 
-const ROUND_INTERVAL: Milliseconds = 500
-const LEASE_TIME_TO_LIVE: Milliseconds = 10_000
-const DISCOVERY_INTERVAL: Milliseconds = 3_000
-const FAN_OUT = 3
+const TICK_INTERVAL: Milliseconds = PROBE_PERIOD / 4
+
+/** What the loop tells the rest of the instance. */
+export interface MembershipListener {
+  /** A call was exchanged with a member that holds the given configuration revision. */
+  revisionSeen (host: string, revision: number): void
+}
 
 /** Keeps the member table fresh. */
 export class MembershipLoop {
-  private _roundTimer: NodeJS.Timeout | undefined
-  private _leaseId: string | undefined
-  private _nextDiscovery: Milliseconds = 0
+  private readonly _membership: Membership
+  private readonly _registration: Registration
+  private _timer: NodeJS.Timeout | undefined
+  private _toldVersion = 0
 
   constructor (
-    private readonly _environment: string,
+    environment: string,
     private readonly _members: MemberTable,
-    private readonly _keyValue: KeyValueService,
+    keyValue: KeyValueService,
     private readonly _peers: MembershipPeerClient,
     private readonly _clock: Clock,
-    private readonly _random: SeededRandom,
-    private readonly _onNews: () => void
-  ) {}
+    random: SeededRandom,
+    private readonly _listener: MembershipListener
+  ) {
+    this._membership = new Membership(_members, random)
+    this._registration = new Registration(environment, keyValue, _members, _clock, random, members => { this.hear(members) })
+  }
 
-  /** Registers, reads the other members and begins the rounds. */
+  /** This instance's own entry. */
+  get self (): Member {
+    return this._members.self
+  }
+
+  /** When a peer last answered, or undefined while none has. */
+  get lastContactAt (): Milliseconds | undefined {
+    return this._membership.lastContactAt
+  }
+
+  /** Registers, reads the other members once and begins to probe. */
   async start (): Promise<void> {
-    await this._discover()
-    this._schedule()
+    await this._registration.start()
+    this._timer = setInterval(() => { this._tick() }, TICK_INTERVAL)
   }
 
-  /** Ends the rounds. */
+  /** Ends the probes and the registration. */
   stop (): void {
-    clearTimeout(this._roundTimer)
+    clearInterval(this._timer)
+    this._registration.stop()
+  }
+
+  /** Tells a few others at once that this instance leaves; they pass it on. */
+  async leave (): Promise<void> {
+    await Promise.all([this._perform(this._handle({ kind: 'leave' })), this._registration.withdraw()])
+  }
+
+  /** Takes entries that a peer or the key-value service told. */
+  hear (members: readonly Member[]): void {
+    this._performSoon(this._handle({ kind: 'heard', members }))
   }
 
-  /** Tells a few others at once what changed here. */
-  async announce (): Promise<void> {
-    await this._gossip(this._pickPeers(FAN_OUT))
+  /** Takes a configuration revision that a peer told of itself. */
+  seeRevision (host: string, revision: number): void {
+    this._listener.revisionSeen(host, revision)
   }
 
-  private _schedule (): void {
-    this._roundTimer = setTimeout(() => {
-      this._round().catch(() => {}).finally(() => { this._schedule() })
-    }, ROUND_INTERVAL)
+  /** Answers a probe with the news of this instance. */
+  answerProbe (members: readonly Member[]): Member[] {
+    return this._handle({ kind: 'probed', members }).flatMap(effect => effect.kind === 'answer' ? effect.news : [])
   }
 
-  private async _round (): Promise<void> {
-    if (this._clock.monotonic() >= this._nextDiscovery) await this._discover()
-    await this._gossip(this._pickPeers(FAN_OUT))
+  /** Answers a peer that compares a page of its table with this one. */
+  answerPage (page: DigestPage): PageAnswer {
+    const effects = this._handle({ kind: 'page-received', page })
+    return effects.flatMap(effect => effect.kind === 'answer-page' ? [effect.answer] : [])[0] ?? { members: [], wanted: [] }
   }
 
-  private _pickPeers (count: number): Member[] {
-    const others = this._members.members.filter(member => member.host !== this._members.self.host && member.state !== 'dead')
-    return this._random.shuffle(others).slice(0, count)
+  /** Probes a third instance for another one. */
+  async probeFor (host: string, peerAddress: string): Promise<Result<ProbeAnswer, PeerUnreachableError>> {
+    const target = { ...this._members.self, host, peerAddress }
+    return await this._peers.probe(this._members.self, target, this._doubts(host))
   }
 
-  private async _gossip (peers: readonly Member[]): Promise<void> {
-    await Promise.all(peers.map(async peer => {
-      const answer = await this._peers.gossip(peer.peerAddress, this._environment, this._members.members)
-      const now = this._clock.monotonic()
-      if (answer.isErr) {
-        return this._members.mark(peer.host, peer.incarnation, peer.state === 'suspect' ? 'dead' : 'suspect', now)
+  /** What is believed of a host that the host itself may want to refute. */
+  private _doubts (host: string): Member[] {
+    const known = this._members.find(host)
+    return known === undefined || known.state === 'alive' ? [] : [known]
+  }
+
+  private _tick (): void {
+    const { version } = this._members.self
+    if (version !== this._toldVersion) this._membership.spreadSelf()
+    this._toldVersion = version
+    this._performSoon(this._handle({ kind: 'tick' }))
+  }
+
+  private _handle (message: MembershipMessage): MembershipEffect[] {
+    return this._membership.handle(message, this._clock.monotonic())
+  }
+
+  private _performSoon (effects: readonly MembershipEffect[]): void {
+    this._perform(effects).catch(() => {})
+  }
+
+  private async _perform (effects: readonly MembershipEffect[]): Promise<void> {
+    await Promise.all(effects.map(async effect => { await this._performOne(effect) }))
+  }
+
+  private async _performOne (effect: MembershipEffect): Promise<void> {
+    switch (effect.kind) {
+      case 'probe':
+        return await this._finishProbe(effect.probeId, await this._peers.probe(this.self, effect.target, effect.news))
+      case 'probe-through':
+        return await this._finishProbe(
+          effect.probeId, await this._peers.probeThrough(effect.helper, effect.target, effect.news))
+      case 'push':
+        await this._peers.push(effect.target, effect.news)
+        return
+      case 'compare-page': {
+        const answer = await this._peers.comparePage(effect.target, effect.page)
+        if (answer.isErr) return
+        const { host } = effect.target
+        return await this._perform(this._handle({ kind: 'page-answered', host, answer: answer.value }))
       }
-      this._members.mark(peer.host, peer.incarnation, peer.state === 'leaving' ? 'dead' : 'alive', now)
-      for (const member of answer.value) this._members.merge(member, now)
-    }))
-    this._onNews()
-  }
-
-  private async _discover (): Promise<void> {
-    this._nextDiscovery = this._clock.monotonic() + DISCOVERY_INTERVAL
-    await this._register()
-    const listed = await this._keyValue.list(this._prefix)
-    if (listed.isErr) return
-    for (const entry of listed.value) {
-      const parsed = memberSchema.safeParse(JSON.parse(entry.value))
-      if (parsed.success) this._members.merge(parsed.data, this._clock.monotonic())
+      case 'answer':
+      case 'answer-page':
     }
   }
 
-  private async _register (): Promise<void> {
-    if (this._leaseId !== undefined) {
-      const kept = await this._keyValue.keepLeaseAlive(this._leaseId)
-      if (kept.isOk) return
-    }
-    const granted = await this._keyValue.grantLease(LEASE_TIME_TO_LIVE)
-    if (granted.isErr) return
-    this._leaseId = granted.value
-    const key = this._prefix + this._members.self.host
-    const read = await this._keyValue.read(key)
-    if (read.isErr) return
-    await this._keyValue.compareAndSwap({
-      key,
-      value: JSON.stringify(this._members.self),
-      expectedRevision: read.value?.revision ?? ABSENT_REVISION,
-      leaseId: granted.value
-    })
-  }
-
-  private get _prefix (): string {
-    return `wasabihead/${this._environment}/members/`
+  private async _finishProbe (probeId: number, answer: Result<ProbeAnswer, PeerUnreachableError>): Promise<void> {
+    if (answer.isErr) return await this._perform(this._handle({ kind: 'probe-failed', probeId }))
+    this._listener.revisionSeen(answer.value.host, answer.value.configurationRevision)
+    await this._perform(this._handle({ kind: 'acknowledged', probeId, members: answer.value.members }))
   }
 }
--- a/packages/daemon/src/membership/membershipPeers.ts
+++ b/packages/daemon/src/membership/membershipPeers.ts
@@ -1,98 +1,133 @@
 /** The membership slice between instances. */
-import { create } from '@bufbuild/protobuf'
-import type { ConnectRouter } from '@connectrpc/connect'
+import { Code, ConnectError, type ConnectRouter } from '@connectrpc/connect'
 import type { Result } from 'true-myth'
-import type { InstanceIdentity, Member, MemberTable, Milliseconds } from '@wasabihead/coordination'
-import type { Clock } from '../instance/clock.js'
 import {
-  instanceFromWire, instanceToWire, PeerRoutes, type PeerConnections, type PeerUnreachableError
-} from '../peers/index.js'
+  INDIRECT_PROBE_TIMEOUT, PROBE_TIMEOUT,
+  type DigestPage, type Member, type Milliseconds, type PageAnswer
+} from '@wasabihead/coordination'
+import { instanceToWire, PeerRoutes, type PeerConnections, type PeerUnreachableError } from '../peers/index.js'
 import {
-  MemberEntrySchema, MembershipService, MemberState, type MemberEntry
+  MembershipService, type ProbeRequest, type ProbeResponse
 } from '../peers/gen/wasabihead/v1/membership_pb.js'
+import { digestFromWire, digestToWire, memberFromWire, memberToWire } from './memberConversions.js'
+import type { MembershipLoop } from './membershipLoop.js'
 
-const GOSSIP_TIMEOUT: Milliseconds = 2_000
-const PROBE_TIMEOUT: Milliseconds = 500
+const TABLE_CALL_TIMEOUT: Milliseconds = 2_000
 
-const STATE_TO_WIRE = {
-  alive: MemberState.ALIVE, suspect: MemberState.SUSPECT, leaving: MemberState.LEAVING, dead: MemberState.DEAD
-} as const
-const STATE_FROM_WIRE: Record<MemberState, Member['state']> = {
-  [MemberState.UNSPECIFIED]: 'suspect',
-  [MemberState.ALIVE]: 'alive',
-  [MemberState.SUSPECT]: 'suspect',
-  [MemberState.LEAVING]: 'leaving',
-  [MemberState.DEAD]: 'dead'
+/** What a probed instance tells. */
+export interface ProbeAnswer {
+  /** The instance that answered, which need not be the one that was asked to probe. */
+  host: string
+  members: Member[]
+  configurationRevision: number
 }
 
 /** Calls the membership service of other instances. */
 export class MembershipPeerClient {
-  constructor (private readonly _connections: PeerConnections) {}
+  constructor (private readonly _connections: PeerConnections, private readonly _environment: string) {}
 
-  /** Exchanges member entries. */
-  async gossip (
-    address: string, environment: string, members: readonly Member[]
-  ): Promise<Result<Member[], PeerUnreachableError>> {
-    return await this._connections.call(MembershipService, address, async client => {
-      const answer = await client.gossip({ environment, members: members.map(memberToWire) }, { timeoutMs: GOSSIP_TIMEOUT })
-      return answer.members.map(memberFromWire)
+  /** Asks for a sign of progress and exchanges news. */
+  async probe (
+    from: Member, target: Member, news: readonly Member[]
+  ): Promise<Result<ProbeAnswer, PeerUnreachableError>> {
+    return await this._connections.call(MembershipService, target.peerAddress, async client => {
+      return toProbeAnswer(await client.probe({
+        environment: this._environment,
+        targetHost: target.host,
+        news: news.map(memberToWire),
+        fromHost: from.host,
+        configurationRevision: BigInt(from.configurationRevision)
+      }, { timeoutMs: PROBE_TIMEOUT }))
     })
   }
 
-  /** Asks for a sign of progress. */
-  async probe (address: string, from: InstanceIdentity): Promise<Result<InstanceIdentity, PeerUnreachableError>> {
-    return await this._connections.call(MembershipService, address, async client => {
-      const answer = await client.probe({ from: instanceToWire(from) }, { timeoutMs: PROBE_TIMEOUT })
-      return instanceFromWire(answer.instance)
+  /** Asks a helper to probe the target. */
+  async probeThrough (
+    helper: Member, target: Member, news: readonly Member[]
+  ): Promise<Result<ProbeAnswer, PeerUnreachableError>> {
+    return await this._connections.call(MembershipService, helper.peerAddress, async client => {
+      return toProbeAnswer(await client.probeThrough({
+        environment: this._environment,
+        targetHost: target.host,
+        targetAddress: target.peerAddress,
+        news: news.map(memberToWire)
+      }, { timeoutMs: INDIRECT_PROBE_TIMEOUT }))
+    })
+  }
+
+  /** Tells entries. */
+  async push (target: Member, members: readonly Member[]): Promise<Result<void, PeerUnreachableError>> {
+    return await this._connections.call(MembershipService, target.peerAddress, async client => {
+      await client.push({ environment: this._environment, members: members.map(memberToWire) }, { timeoutMs: TABLE_CALL_TIMEOUT })
+    })
+  }
+
+  /** Compares a page of the two tables. */
+  async comparePage (target: Member, page: DigestPage): Promise<Result<PageAnswer, PeerUnreachableError>> {
+    return await this._connections.call(MembershipService, target.peerAddress, async client => {
+      const request = { environment: this._environment, after: page.after, digests: page.digests.map(digestToWire) }
+      const answer = await client.comparePage(request, { timeoutMs: TABLE_CALL_TIMEOUT })
+      return { members: answer.members.map(memberFromWire), wanted: answer.wanted }
     })
   }
 }
 
-/** Serves the membership calls of other instances. */
+/** Serves the membership calls of other instances. Calls of another environment are refused. */
 export class MembershipPeerRoutes extends PeerRoutes {
-  constructor (
-    private readonly _environment: string,
-    private readonly _members: MemberTable,
-    private readonly _clock: Clock
-  ) {
+  constructor (private readonly _environment: string, private readonly _loop: MembershipLoop) {
     super()
   }
 
   override register (router: ConnectRouter): void {
     router.service(MembershipService, {
-      gossip: request => ({ members: this._gossip(request.environment, request.members).map(memberToWire) }),
-      probe: () => ({ instance: instanceToWire(this._members.identity) })
+      probe: request => this._answerProbe(request),
+      probeThrough: async request => {
+        this._check(request.environment)
+        this._loop.hear(request.news.map(memberFromWire))
+        const answer = await this._loop.probeFor(request.targetHost, request.targetAddress)
+        if (answer.isErr) throw new ConnectError(answer.error.message, Code.Unavailable)
+        return this._toWire(answer.value.members)
+      },
+      push: request => {
+        this._check(request.environment)
+        this._loop.hear(request.members.map(memberFromWire))
+        return {}
+      },
+      comparePage: request => {
+        this._check(request.environment)
+        const answer = this._loop.answerPage({ after: request.after, digests: request.digests.map(digestFromWire) })
+        return { members: answer.members.map(memberToWire), wanted: answer.wanted }
+      }
     })
   }
 
-  /** Entries of another environment are ignored. */
-  private _gossip (environment: string, entries: readonly MemberEntry[]): readonly Member[] {
-    if (environment !== this._environment) return []
-    for (const entry of entries) this._members.merge(memberFromWire(entry), this._clock.monotonic())
-    return this._members.members
+  private _answerProbe (request: ProbeRequest): Omit<ProbeResponse, '$typeName'> {
+    this._check(request.environment)
+    if (request.targetHost !== this._loop.self.host) {
+      throw new ConnectError(`${this._loop.self.host} answers here, not ${request.targetHost}`, Code.NotFound)
+    }
+    this._loop.seeRevision(request.fromHost, Number(request.configurationRevision))
+    return this._toWire(this._loop.answerProbe(request.news.map(memberFromWire)))
   }
-}
 
-function memberToWire (member: Member): MemberEntry {
-  return create(MemberEntrySchema, {
-    instance: instanceToWire(member),
-    version: BigInt(member.version),
-    dataCentre: member.dataCentre,
-    peerAddress: member.peerAddress,
-    callerAddress: member.callerAddress,
-    state: STATE_TO_WIRE[member.state],
-    configurationRevision: BigInt(member.configurationRevision)
-  })
+  private _toWire (members: readonly Member[]): Omit<ProbeResponse, '$typeName'> {
+    return {
+      instance: instanceToWire(this._loop.self),
+      news: members.map(memberToWire),
+      configurationRevision: BigInt(this._loop.self.configurationRevision)
+    }
+  }
+
+  private _check (environment: string): void {
+    if (environment === this._environment) return
+    throw new ConnectError(`This instance belongs to "${this._environment}", not "${environment}"`, Code.FailedPrecondition)
+  }
 }
 
-function memberFromWire (entry: MemberEntry): Member {
+function toProbeAnswer (response: ProbeResponse): ProbeAnswer {
   return {
-    ...instanceFromWire(entry.instance),
-    version: Number(entry.version),
-    dataCentre: entry.dataCentre,
-    peerAddress: entry.peerAddress,
-    callerAddress: entry.callerAddress,
-    state: STATE_FROM_WIRE[entry.state],
-    configurationRevision: Number(entry.configurationRevision)
+    host: response.instance?.host ?? '',
+    members: response.news.map(memberFromWire),
+    configurationRevision: Number(response.configurationRevision)
   }
 }
--- /dev/null
+++ b/packages/daemon/src/membership/registration.ts
@@ -0,0 +1,112 @@
+/** Registers this instance under a lease in the key-value service, where new instances find their first peers. */
+import {
+  ABSENT_REVISION, memberSchema, PlatformRefusedError,
+  type KeyValueService, type Member, type MemberTable, type Milliseconds, type SeededRandom
+} from '@wasabihead/coordination'
+import type { Clock } from '../instance/clock.js'
+
+/** Long, so that a fleet of hundreds renews with few calls a second; liveness is judged by probes, not by this lease. */
+const LEASE_TIME_TO_LIVE: Milliseconds = 180_000
+const RENEWAL_INTERVAL: Milliseconds = LEASE_TIME_TO_LIVE / 3
+const RETRY_INTERVAL: Milliseconds = 2_000
+/** How often the list is read again; an instance that knows no other live member reads it with each retry. */
+const LIST_INTERVAL: Milliseconds = 300_000
+
+/** Keeps the registration. */
+export class Registration {
+  private _timer: NodeJS.Timeout | undefined
+  private _leaseId: string | undefined
+  private _nextRenewalAt: Milliseconds = 0
+  private _nextListAt: Milliseconds = 0
+  private _registered: string | undefined
+  private _isStopped = false
+  private _revision = ABSENT_REVISION
+
+  constructor (
+    private readonly _environment: string,
+    private readonly _keyValue: KeyValueService,
+    private readonly _members: MemberTable,
+    private readonly _clock: Clock,
+    private readonly _random: SeededRandom,
+    private readonly _found: (members: Member[]) => void
+  ) {}
+
+  /** Registers and reads the list once; failures are tried again later. */
+  async start (): Promise<void> {
+    await this._round()
+    this._schedule()
+  }
+
+  /** Takes the registration away, so that new instances no longer find this one; a failure is left to the lease. */
+  async withdraw (): Promise<void> {
+    this.stop()
+    if (this._registered !== undefined) await this._keyValue.remove(this._prefix + this._members.self.host, this._revision)
+  }
+
+  /** Ends the renewals; the lease lapses by itself. */
+  stop (): void {
+    this._isStopped = true
+    clearTimeout(this._timer)
+  }
+
+  private _schedule (): void {
+    if (this._isStopped) return
+    this._timer = setTimeout(() => {
+      this._round().catch(() => {}).finally(() => { this._schedule() })
+    }, this._jittered(RETRY_INTERVAL))
+  }
+
+  private async _round (): Promise<void> {
+    const now = this._clock.monotonic()
+    if (now >= this._nextRenewalAt && await this._register()) {
+      this._nextRenewalAt = now + this._jittered(RENEWAL_INTERVAL)
+    }
+    const isAlone = this._members.live.length <= 1
+    if (now < this._nextListAt && !isAlone) return
+    if (await this._list()) this._nextListAt = now + this._jittered(LIST_INTERVAL)
+  }
+
+  private async _list (): Promise<boolean> {
+    const listed = await this._keyValue.list(this._prefix)
+    if (listed.isErr) return false
+    this._found(listed.value.flatMap(entry => {
+      const parsed = memberSchema.safeParse(JSON.parse(entry.value))
+      return parsed.success ? [parsed.data] : []
+    }))
+    return true
+  }
+
+  /** Whether the registration stands under a lease that was renewed now. */
+  private async _register (): Promise<boolean> {
+    if (this._leaseId !== undefined && this._registered === this._entry()) {
+      const kept = await this._keyValue.keepLeaseAlive(this._leaseId)
+      if (kept.isOk || !(kept.error instanceof PlatformRefusedError)) return kept.isOk
+    }
+    const granted = await this._keyValue.grantLease(LEASE_TIME_TO_LIVE)
+    if (granted.isErr) return false
+    const key = this._prefix + this._members.self.host
+    const read = await this._keyValue.read(key)
+    if (read.isErr) return false
+    const value = this._entry()
+    const expectedRevision = read.value?.revision ?? ABSENT_REVISION
+    const written = await this._keyValue.compareAndSwap({ key, value, expectedRevision, leaseId: granted.value })
+    if (written.isErr || written.value.kind === 'lost') return false
+    this._leaseId = granted.value
+    this._registered = value
+    this._revision = written.value.revision
+    return true
+  }
+
+  /** What is registered: where and which run this instance is. The state that changes often travels by gossip. */
+  private _entry (): string {
+    return JSON.stringify({ ...this._members.self, version: 0, state: 'alive', configurationRevision: 0 })
+  }
+
+  private _jittered (interval: Milliseconds): Milliseconds {
+    return interval * (0.75 + 0.5 * this._random.next())
+  }
+
+  private get _prefix (): string {
+    return `wasabihead/${this._environment}/members/`
+  }
+}
