feat(configuration): decide changes and their spread in the library, and settle writes left open

Causes: a write without an answer was read back once and could be called refused although it landed later; every instance held a watch; a silent watch was never noticed; an instance cut off from everyone went on for ever; the stored value held the document twice, as source and parsed, so a document near the limit could not be stored. Now the same write is repeated with its change token until a compare-and-swap on that revision is answered, else the operator is told outcome-unknown. Two instances of a data centre watch and ask each 5 s for the next revision's history key, which is a short answer; the rest fetch from peers seen ahead on probes. Nothing heard for 15 s: no new work.

--- a/packages/coordination/src/configuration/configurationState.ts
+++ b/packages/coordination/src/configuration/configurationState.ts
@@ -1,10 +1,18 @@
 /** The configuration in force on one instance. It only ever moves to higher revisions. */
 import { z } from 'zod'
 import type { Milliseconds } from '../common/index.js'
-import { configurationDocumentSchema } from './document.js'
+import type { ConfigurationDocument } from './document.js'
 
-/** The value kept under the environment's one configuration key. */
-export const storedConfigurationSchema = z.strictObject({
+/** Where a promoted configuration was tried before. */
+export const promotionSchema = z.strictObject({
+  environment: z.string().min(1),
+  revision: z.number().int().positive(),
+  /** SHA-256 of the source that was tried; it must be the digest of the promoted source. */
+  digest: z.string()
+})
+
+/** The value kept under the environment's one configuration key. The document is parsed from the source where it is read. */
+export const configurationRecordSchema = z.object({
   /** Count of accepted changes in this environment; rises by one with each. */
   revision: z.number().int().positive(),
   /** Names the change, so that a writer whose answer was lost can settle it by reading back. */
@@ -13,13 +21,18 @@
   digest: z.string(),
   /** The source text, byte for byte, so that a promotion moves the very bytes that were tried. */
   source: z.string(),
-  document: configurationDocumentSchema,
   author: z.string(),
-  appliedAt: z.string()
+  appliedAt: z.string(),
+  promotedFrom: promotionSchema.optional()
 })
 
 /** The value kept under the environment's one configuration key. */
-export type StoredConfiguration = z.infer<typeof storedConfigurationSchema>
+export type ConfigurationRecord = z.infer<typeof configurationRecordSchema>
+
+/** A record with its checked document. */
+export interface StoredConfiguration extends ConfigurationRecord {
+  document: ConfigurationDocument
+}
 
 /** Revision and digest, as told to other instances. */
 export interface ConfigurationVersion {
@@ -29,11 +42,11 @@
 
 /** Holds the configuration in force. */
 export class ConfigurationState {
-  private _current: StoredConfiguration | undefined
+  private _current: ConfigurationRecord | undefined
   private _lastConfirmedAt: Milliseconds | undefined
 
   /** The configuration in force, or undefined before the first. */
-  get current (): StoredConfiguration | undefined {
+  get current (): ConfigurationRecord | undefined {
     return this._current
   }
 
@@ -48,10 +61,15 @@
   }
 
   /** Takes a configuration in force if its revision is higher; whether it did. */
-  offer (candidate: StoredConfiguration, now: Milliseconds): boolean {
+  offer (candidate: ConfigurationRecord, now: Milliseconds): boolean {
     const isNewer = candidate.revision > this.version.revision
     if (isNewer) this._current = candidate
-    if (candidate.revision >= this.version.revision) this._lastConfirmedAt = now
+    if (candidate.revision >= this.version.revision) this.confirm(now)
     return isNewer
   }
+
+  /** Notes that the service, or a peer that knows nothing newer, was heard. */
+  confirm (now: Milliseconds): void {
+    this._lastConfirmedAt = now
+  }
 }
--- a/packages/coordination/src/configuration/index.ts
+++ b/packages/coordination/src/configuration/index.ts
@@ -1,6 +1,14 @@
 export { checkDocument } from './checkDocument.js'
 export {
-  ConfigurationState, storedConfigurationSchema, type ConfigurationVersion, type StoredConfiguration
+  ConfigurationChangeAttempt, SETTLEMENT_LIMIT,
+  type CallFailure, type ChangeEffect, type ChangeMessage, type ChangeOutcome, type ReadConfiguration
+} from './configurationChange.js'
+export {
+  CONFIRMATION_LIMIT, ConfigurationSpread, WATCHERS_PER_DATA_CENTRE, type SpreadEffect, type SpreadMessage
+} from './configurationSpread.js'
+export {
+  configurationRecordSchema, ConfigurationState, promotionSchema,
+  type ConfigurationRecord, type ConfigurationVersion, type StoredConfiguration
 } from './configurationState.js'
 export {
   configurationDocumentSchema, MAXIMUM_DOCUMENT_BYTES,
--- a/packages/daemon/src/configuration/configurationPeers.ts
+++ b/packages/daemon/src/configuration/configurationPeers.ts
@@ -1,10 +1,11 @@
 /** The configuration slice between instances. */
 import type { ConnectRouter } from '@connectrpc/connect'
 import type { Result } from 'true-myth'
-import type { Milliseconds } from '@wasabihead/coordination'
+import type { ConfigurationRecord, Milliseconds } from '@wasabihead/coordination'
 import { PeerRoutes, type PeerConnections, type PeerUnreachableError } from '../peers/index.js'
 import { ConfigurationService } from '../peers/gen/wasabihead/v1/configuration_pb.js'
 import type { ConfigurationKeeper } from './configurationKeeper.js'
+import { decodeRecord } from './configurationStore.js'
 
 const CALL_TIMEOUT: Milliseconds = 2_000
 
@@ -12,11 +13,14 @@
 export class ConfigurationPeerClient {
   constructor (private readonly _connections: PeerConnections) {}
 
-  /** The peer's stored configuration as JSON; empty where it has none newer. */
-  async fetch (address: string, knownRevision: number): Promise<Result<string, PeerUnreachableError>> {
+  /** The peer's record; undefined where it has none newer. */
+  async fetch (
+    address: string, knownRevision: number
+  ): Promise<Result<ConfigurationRecord | undefined, PeerUnreachableError>> {
     return await this._connections.call(ConfigurationService, address, async client => {
       const request = { knownRevision: BigInt(knownRevision) }
-      return (await client.fetchConfiguration(request, { timeoutMs: CALL_TIMEOUT })).storedConfiguration
+      const { storedConfiguration } = await client.fetchConfiguration(request, { timeoutMs: CALL_TIMEOUT })
+      return storedConfiguration === '' ? undefined : decodeRecord(storedConfiguration)
     })
   }
 }
--- a/packages/daemon/src/configuration/index.ts
+++ b/packages/daemon/src/configuration/index.ts
@@ -1,5 +1,6 @@
 export {
-  checkSource, ConfigurationConflictError, ConfigurationKeeper, type ApplyError, type ConfigurationChange
+  checkSource, ConfigurationKeeper, type ConfigurationChange, type ConfigurationKeeperParts
 } from './configurationKeeper.js'
 export { ConfigurationPeerClient, ConfigurationPeerRoutes } from './configurationPeers.js'
 export { ConfigurationRoutes } from './configurationRoutes.js'
+export { ConfigurationConflictError, OutcomeUnknownError, PromotionMismatchError, type ApplyError } from './errors.js'
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -33,7 +33,6 @@
   private readonly _logger: Logger
   private readonly _metrics = new Metrics()
   private readonly _connections = new PeerConnections()
-  private readonly _configurationPeers = new ConfigurationPeerClient(this._connections)
   private readonly _fleet: BackendFleet
   private readonly _limit: ConcurrencyLimit
   private _parts: RunningParts | undefined
@@ -87,9 +86,18 @@
     const random = new SeededRandom(placementHash(`${settings.seed}|${settings.host}`))
     const keyValue = new EtcdKeyValueService(settings.keyValueAddress)
     const members = new MemberTable(this._ownEntry())
-    const configuration = new ConfigurationKeeper(settings.environment, keyValue, clock, this._logger, stored => {
-      this._fleet.configure(stored.document)
-      members.updateSelf({ configurationRevision: stored.revision }, clock.monotonic())
+    const configuration = new ConfigurationKeeper({
+      environment: settings.environment,
+      keyValue,
+      members,
+      peers: new ConfigurationPeerClient(this._connections),
+      clock,
+      random,
+      logger: this._logger,
+      inForce: stored => {
+        this._fleet.configure(stored.document)
+        members.updateSelf({ configurationRevision: stored.revision }, clock.monotonic())
+      }
     })
     const claims = new ClaimCoordinator(
       settings.environment, keyValue, members, new ClaimPeerClient(this._connections), clock, this._logger)
@@ -99,9 +107,9 @@
     const claimed = new ClaimedRunner(members.identity, claims, models, services, clock, this._logger)
     const membershipPeers = new MembershipPeerClient(this._connections, settings.environment)
     const membership = new MembershipLoop(settings.environment, members, keyValue, membershipPeers, clock, random, {
-      revisionSeen: () => { this._learnConfiguration(members, configuration).catch(() => {}) }
+      revisionSeen: (host, revision) => { configuration.seeRevision(host, revision) }
     })
-    const reader = new RequestReader(() => configuration.document)
+    const reader = new RequestReader(() => configuration.documentForNewWork)
     return {
       members,
       configuration,
@@ -111,7 +119,7 @@
         reader, models, services, claimed, members, limit: this._limit, clock, metrics: this._metrics, logger: this._logger
       }),
       operatorServer: new OperatorServer(settings.operatorTokenDigest, [
-        new ConfigurationRoutes(configuration),
+        new ConfigurationRoutes(configuration, members),
         new MemberRoutes(members),
         new MetricsRoutes(this._metrics)
       ]),
@@ -135,15 +143,6 @@
       configurationRevision: 0
     }
   }
-
-  /** Fetches the configuration from a peer that has a newer one. */
-  private async _learnConfiguration (members: MemberTable, configuration: ConfigurationKeeper): Promise<void> {
-    const { revision } = configuration.state.version
-    const ahead = members.live.find(member => member.configurationRevision > revision)
-    if (ahead === undefined) return
-    const fetched = await this._configurationPeers.fetch(ahead.peerAddress, revision)
-    if (fetched.isOk && fetched.value !== '') configuration.learn(fetched.value)
-  }
 }
 
 interface RunningParts {
