feat(leases): choose one holder for a role, and hold each instance to its share of the service's calls

Cause: nothing bounded the calls on the key-value service, and there was no lease that a paused holder stops believing. A lease counts from before its renewal was sent, with a tenth as margin; a role's epoch rises with each take-over and a candidate waits until it has seen the key unchanged for the time to live, so no two hosts' clocks are compared. Shares are the fleet's rates divided by the live members; claims may use all of a share, configuration three quarters and membership half of the saved calls. A waiting watch is paid from the reads.

--- /dev/null
+++ b/packages/coordination/src/leases/index.ts
@@ -0,0 +1,3 @@
+export { CallBudget, FLEET_RATES, type CallKind, type CallPriority, type FleetRates } from './callBudget.js'
+export { HeldLease } from './heldLease.js'
+export { LeaseKeeper, roleRecordSchema, type LeaseEffect, type LeaseMessage, type RoleRecord } from './roleLease.js'
--- /dev/null
+++ b/packages/coordination/src/leases/leases.spec.ts
@@ -0,0 +1,104 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { CallBudget, type CallPriority } from './callBudget.js'
+import { HeldLease } from './heldLease.js'
+import { LeaseKeeper, type LeaseEffect, type RoleRecord } from './roleLease.js'
+
+const TIME_TO_LIVE = 9_000
+const holder = { host: 'entry-0', incarnation: 1 }
+const other = { host: 'entry-1', incarnation: 1 }
+const held: RoleRecord = { holder: other, epoch: 4, renewal: 2, isReleased: false }
+
+function writtenRecord (effects: LeaseEffect[]): RoleRecord | undefined {
+  return effects.flatMap(effect => effect.kind === 'write-role' ? [effect.record] : [])[0]
+}
+
+function createHolder (): LeaseKeeper {
+  const keeper = new LeaseKeeper(holder, TIME_TO_LIVE)
+  keeper.handle({ kind: 'want', isWanted: true }, 0)
+  keeper.handle({ kind: 'role-read', record: undefined, keyRevision: 0 }, 0)
+  keeper.handle({ kind: 'role-written', outcome: { kind: 'won', revision: 1 } }, 1_000)
+  return keeper
+}
+
+const moments = [
+  { title: 'hold a lease before its margin', now: 8_000, isHeld: true },
+  { title: 'not hold a lease in its margin, counted from before the call', now: 8_150, isHeld: false },
+  { title: 'not hold a lease after a pause', now: 900_000, isHeld: false }
+]
+for (const { title, now, isHeld } of moments) {
+  test(`should ${title}`, () => {
+    const lease = new HeldLease(TIME_TO_LIVE)
+    lease.confirm(0)
+    assert.is(lease.isHeld(now), isHeld)
+    assert.is(createHolder().epoch(now), isHeld ? 1 : undefined)
+  })
+}
+
+const takeovers = [
+  { title: 'take a released role at once', record: { ...held, isReleased: true }, at: 0, epoch: 5 },
+  { title: 'not take a role that was renewed lately', record: held, at: TIME_TO_LIVE - 1, epoch: undefined },
+  { title: 'take a role that stood unchanged for the time to live', record: held, at: TIME_TO_LIVE, epoch: 5 }
+]
+for (const { title, record, at, epoch } of takeovers) {
+  test(`should ${title}`, () => {
+    const keeper = new LeaseKeeper(holder, TIME_TO_LIVE)
+    keeper.handle({ kind: 'want', isWanted: true }, 0)
+    const early = keeper.handle({ kind: 'role-read', record, keyRevision: 7 }, 0)
+    const effects = at === 0 ? early : keeper.handle({ kind: 'tick' }, at)
+    assert.is(writtenRecord(effects)?.epoch, epoch)
+  })
+}
+
+test('should keep the epoch while it renews, and renew in time for two failures', () => {
+  const keeper = createHolder()
+  assert.equal(keeper.handle({ kind: 'tick' }, 2_000), [])
+  assert.equal(writtenRecord(keeper.handle({ kind: 'tick' }, 3_000)), { holder, epoch: 1, renewal: 1, isReleased: false })
+})
+
+test('should hold nothing after its write was lost', () => {
+  const keeper = createHolder()
+  keeper.handle({ kind: 'tick' }, 3_000)
+  assert.equal(keeper.handle({ kind: 'role-written', outcome: { kind: 'lost' } }, 3_100), [{ kind: 'read-role' }])
+  assert.is(keeper.epoch(3_100), undefined)
+  keeper.handle({ kind: 'role-read', record: { ...held, epoch: 2 }, keyRevision: 9 }, 3_200)
+  assert.is(keeper.epoch(3_200), undefined)
+})
+
+test('should repeat a write without an answer on the same revision, and give the role back when it is not wanted', () => {
+  const keeper = createHolder()
+  const [first] = keeper.handle({ kind: 'tick' }, 3_000)
+  keeper.handle({ kind: 'call-failed' }, 5_000)
+  assert.equal(keeper.handle({ kind: 'tick' }, 6_000), [first])
+  keeper.handle({ kind: 'role-written', outcome: { kind: 'won', revision: 2 } }, 6_100)
+  assert.is(writtenRecord(keeper.handle({ kind: 'want', isWanted: false }, 6_200))?.isReleased, true)
+  assert.is(keeper.epoch(6_200), undefined)
+})
+
+test('should keep the sum of all shares under the rates of the fleet', () => {
+  const budgets = Array.from({ length: 340 }, () => new CallBudget({ readsPerSecond: 1_600, writesPerSecond: 300 }, 0))
+  for (const budget of budgets) budget.setLiveMembers(340, 0)
+  let writes = 0
+  for (let now = 0; now < 100_000; now += 100) {
+    for (const budget of budgets) writes += budget.take('write', 'claims', now) ? 1 : 0
+  }
+  assert.ok(writes <= 300 * 100 + 340 * 5)
+  assert.ok(writes >= 300 * 99)
+})
+
+test('should leave a reserve to the calls that go first', () => {
+  const taken = (priority: CallPriority): number => {
+    const budget = new CallBudget({ readsPerSecond: 20, writesPerSecond: 20 }, 0)
+    return Array.from({ length: 200 }, () => budget.take('write', priority, 0)).filter(Boolean).length
+  }
+  assert.equal([taken('claims'), taken('configuration'), taken('membership')], [100, 75, 50])
+})
+
+test('should pay for waiting watches from the reads', () => {
+  const budget = new CallBudget({ readsPerSecond: 10, writesPerSecond: 10 }, 0)
+  budget.setWatches(10, 0)
+  for (let index = 0; index < 100; index++) budget.take('read', 'claims', 0)
+  assert.not(budget.take('read', 'claims', 60_000))
+})
+
+test.run()
--- a/packages/daemon/src/adapters/index.ts
+++ b/packages/daemon/src/adapters/index.ts
@@ -1,3 +1,4 @@
+export { BudgetedKeyValueService, CallAccount } from './budgetedKeyValueService.js'
 export { EtcdKeyValueService } from './etcdKeyValueService.js'
 export { HttpModelEngine } from './httpModelEngine.js'
 export { HttpPlainService } from './httpPlainService.js'
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -1,9 +1,9 @@
 /** One instance of the daemon: its parts, started and stopped in order. */
 import {
-  ConcurrencyLimit, MemberTable, placementHash, SeededRandom,
+  CallBudget, ConcurrencyLimit, FLEET_RATES, MemberTable, placementHash, SeededRandom,
   type Member, type Milliseconds
 } from '@wasabihead/coordination'
-import { EtcdKeyValueService } from '../adapters/index.js'
+import { BudgetedKeyValueService, CallAccount, EtcdKeyValueService } from '../adapters/index.js'
 import { BackendFleet } from '../backends/index.js'
 import { CallerServer, RequestReader } from '../callers/index.js'
 import { ClaimCoordinator, ClaimPeerClient, ClaimPeerRoutes } from '../claims/index.js'
@@ -84,11 +84,12 @@
     const clock = this._clock
     // Hosts that share a seed must still not jitter in step.
     const random = new SeededRandom(placementHash(`${settings.seed}|${settings.host}`))
-    const keyValue = new EtcdKeyValueService(settings.keyValueAddress)
+    const service = new EtcdKeyValueService(settings.keyValueAddress)
+    const calls = new CallAccount(new CallBudget(FLEET_RATES, clock.monotonic()), clock)
     const members = new MemberTable(this._ownEntry())
     const configuration = new ConfigurationKeeper({
       environment: settings.environment,
-      keyValue,
+      keyValue: new BudgetedKeyValueService(service, calls, 'configuration'),
       members,
       peers: new ConfigurationPeerClient(this._connections),
       clock,
@@ -100,13 +101,15 @@
       }
     })
     const claims = new ClaimCoordinator(
-      settings.environment, keyValue, members, new ClaimPeerClient(this._connections), clock, this._logger)
+      settings.environment, new BudgetedKeyValueService(service, calls, 'claims'), members, new ClaimPeerClient(this._connections), clock, this._logger)
     const placer = new PromptPlacer(this._fleet, settings.workspaceSecret, this._metrics)
     const models = new ModelRunner(placer, configuration, clock, random, this._metrics, this._logger)
     const services = new ServiceRunner(this._fleet)
     const claimed = new ClaimedRunner(members.identity, claims, models, services, clock, this._logger)
+    const registry = new BudgetedKeyValueService(service, calls, 'membership')
     const membershipPeers = new MembershipPeerClient(this._connections, settings.environment)
-    const membership = new MembershipLoop(settings.environment, members, keyValue, membershipPeers, clock, random, {
+    const membership = new MembershipLoop(settings.environment, members, registry, membershipPeers, clock, random, {
+      membersChanged: count => { calls.setLiveMembers(count) },
       revisionSeen: (host, revision) => { configuration.seeRevision(host, revision) }
     })
     const reader = new RequestReader(() => configuration.documentForNewWork)
--- a/packages/daemon/src/membership/membershipLoop.ts
+++ b/packages/daemon/src/membership/membershipLoop.ts
@@ -14,6 +14,8 @@
 
 /** What the loop tells the rest of the instance. */
 export interface MembershipListener {
+  /** How many instances are believed to run, this one included; told on each tick. */
+  membersChanged (count: number): void
   /** A call was exchanged with a member that holds the given configuration revision. */
   revisionSeen (host: string, revision: number): void
 }
@@ -103,6 +105,7 @@
     if (version !== this._toldVersion) this._membership.spreadSelf()
     this._toldVersion = version
     this._performSoon(this._handle({ kind: 'tick' }))
+    this._listener.membersChanged(this._members.members.filter(member => member.state !== 'dead').length)
   }
 
   private _handle (message: MembershipMessage): MembershipEffect[] {
