--- a/packages/experiments/src/coordination/index.ts
+++ b/packages/experiments/src/coordination/index.ts
@@ -1,6 +1,11 @@
+import { ConfigurationMeasurement } from './configurationMeasurement.js'
 import type { CoordinationMeasurement } from './measurement.js'
+import { MembershipMeasurement } from './membershipMeasurement.js'
 
 /** Every measurement of the coordination decisions. */
-export const coordinationMeasurements: readonly CoordinationMeasurement[] = []
+export const coordinationMeasurements: readonly CoordinationMeasurement[] = [
+  new ConfigurationMeasurement(),
+  new MembershipMeasurement()
+]
 
 export { CoordinationMeasurement, type MeasurementRow } from './measurement.js'
--- /dev/null
+++ b/packages/experiments/src/coordination/membershipMeasurement.ts
@@ -0,0 +1,93 @@
+/** Detection, false suspicions and cost of the membership decisions. */
+import type { Milliseconds } from '@wasabihead/coordination'
+import { ReplayedFleet } from '../simulation/index.js'
+import { CoordinationMeasurement, type MeasurementRow } from './measurement.js'
+
+const FLEET_SIZES = [5, 50, 340]
+const LOSS_SHARES = [0, 0.3]
+const SETTLING: Milliseconds = 10_000
+const OBSERVED: Milliseconds = 60_000
+const DETECTION_LIMIT: Milliseconds = 60_000
+const SAMPLING: Milliseconds = 100
+const MILLISECONDS_PER_SECOND = 1_000
+const MICROSECONDS_PER_MILLISECOND = 1_000
+
+/** Membership at several fleet sizes, without and with lost messages. */
+export class MembershipMeasurement extends CoordinationMeasurement {
+  override readonly name = 'membership'
+  override readonly description = 'detection of a killed instance, false beliefs and cost for each instance'
+
+  override run (seed: number): MeasurementRow[] {
+    return FLEET_SIZES.flatMap(size => LOSS_SHARES.map(loss => measure(size, loss, seed)))
+  }
+}
+
+function measure (size: number, lossShare: number, seed: number): MeasurementRow {
+  const fleet = new ReplayedFleet({ instances: size, seed, isSettled: true })
+  fleet.network.lossShare = lossShare
+  fleet.time.runUntil(SETTLING)
+  const startedBytes = totalOf(fleet, 'bytes')
+  const startedMessages = totalOf(fleet, 'messages')
+  const startedAt = process.cpuUsage()
+  const beliefs = countFalseBeliefs(fleet)
+  const used = process.cpuUsage(startedAt)
+  const nodeSeconds = size * OBSERVED / MILLISECONDS_PER_SECOND
+  const bytes = (totalOf(fleet, 'bytes') - startedBytes) / nodeSeconds
+  const messages = (totalOf(fleet, 'messages') - startedMessages) / nodeSeconds
+  return {
+    instances: size,
+    lossShare,
+    bytesPerSecond: Math.round(bytes),
+    messagesPerSecond: round(messages),
+    coreShare: `${round((used.user + used.system) / MICROSECONDS_PER_MILLISECOND / nodeSeconds / 10)}%`,
+    suspectShare: `${round(100 * beliefs.suspect)}%`,
+    falseDeathShare: `${round(100 * beliefs.dead)}%`,
+    ...measureDetection(fleet)
+  }
+}
+
+/** Mean shares of all (observer, member) pairs that are believed suspect or dead although every instance runs. */
+function countFalseBeliefs (fleet: ReplayedFleet): { suspect: number, dead: number } {
+  const count = { suspect: 0, dead: 0 }
+  let samples = 0
+  for (let passed = 0; passed < OBSERVED; passed += MILLISECONDS_PER_SECOND) {
+    fleet.time.runUntil(fleet.time.now + MILLISECONDS_PER_SECOND)
+    for (const instance of fleet.running) {
+      for (const { state } of instance.table.members) {
+        samples += 1
+        if (state === 'suspect' || state === 'dead') count[state] += 1
+      }
+    }
+  }
+  return { suspect: count.suspect / samples, dead: count.dead / samples }
+}
+
+function measureDetection (fleet: ReplayedFleet): MeasurementRow {
+  const victim = fleet.running.at(-1)
+  if (victim === undefined) return {}
+  const { host } = victim.self
+  victim.kill()
+  const killedAt = fleet.time.now
+  const seenAt: Milliseconds[] = []
+  const unaware = new Set(fleet.running)
+  while (unaware.size > 0 && fleet.time.now - killedAt < DETECTION_LIMIT) {
+    fleet.time.runUntil(fleet.time.now + SAMPLING)
+    for (const instance of unaware) {
+      if (instance.table.find(host)?.state !== 'dead') continue
+      seenAt.push(fleet.time.now - killedAt)
+      unaware.delete(instance)
+    }
+  }
+  return {
+    firstSeenDeadSeconds: round((seenAt[0] ?? Infinity) / MILLISECONDS_PER_SECOND),
+    allSeenDeadSeconds: unaware.size > 0 ? 'not all in 60' : round((seenAt.at(-1) ?? Infinity) / MILLISECONDS_PER_SECOND)
+  }
+}
+
+function totalOf (fleet: ReplayedFleet, figure: 'bytes' | 'messages'): number {
+  return fleet.running.reduce((sum, instance) => sum + instance.process[figure], 0)
+}
+
+function round (value: number): number {
+  return Math.round(value * 100) / 100
+}
