test(configuration): prove that an accepted configuration is in force within 16 s and never reverts

Shown failing: a variant that reports open writes as refused, and one whose peers do not tell their revisions.

--- /dev/null
+++ b/tests/promises/configurationInForce.spec.ts
@@ -0,0 +1,78 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import {
+  checkConfigurationHistory, ConfigurationInForceProof, type ConfigurationBreakage, type ConfigurationEvent
+} from './configurationInForce.js'
+
+const RUNS = 15
+const RUNS_OF_BROKEN_VARIANT = 60
+const END = 60_000
+
+const connected: ConfigurationEvent = { kind: 'connected', at: 0, instance: 'a#1' }
+const accepted: ConfigurationEvent = { kind: 'reported', at: 1_000, outcome: 'accepted', revision: 1, changeToken: 'x' }
+const inForce = (at: number, revision: number, changeToken: string): ConfigurationEvent =>
+  ({ kind: 'in-force', at, instance: 'a#1', revision, changeToken })
+
+const histories: Array<{ title: string, events: ConfigurationEvent[], problem: RegExp | undefined }> = [
+  { title: 'accept a configuration in force within the bound', events: [connected, accepted, inForce(17_000, 1, 'x')], problem: undefined },
+  { title: 'find one in force too late', events: [connected, accepted, inForce(17_001, 1, 'x')], problem: /lacks the revision/ },
+  { title: 'find one never in force', events: [connected, accepted], problem: /lacks the revision/ },
+  {
+    title: 'ask nothing of an instance while it is disturbed',
+    events: [connected, accepted, { kind: 'disturbed', at: 5_000, instance: 'a#1' }],
+    problem: undefined
+  },
+  {
+    title: 'count the bound anew once it is connected again',
+    events: [
+      connected, accepted, { kind: 'disturbed', at: 5_000, instance: 'a#1' }, { kind: 'connected', at: 9_000, instance: 'a#1' }
+    ],
+    problem: /at 25000/
+  },
+  { title: 'find a revert', events: [inForce(0, 2, 'y'), inForce(1, 1, 'x')], problem: /not higher/ },
+  {
+    title: 'find two changes under one revision',
+    events: [inForce(0, 1, 'x'), { kind: 'in-force', at: 1, instance: 'b#1', revision: 1, changeToken: 'y' }],
+    problem: /one revision is two changes/
+  },
+  {
+    title: 'find a refused change in force',
+    events: [{ ...accepted, outcome: 'refused' }, inForce(20_000, 1, 'x')],
+    problem: /refused change/
+  },
+  { title: 'find two accepted changes of one revision', events: [accepted, { ...accepted, changeToken: 'y' }], problem: /two changes/ },
+  {
+    title: 'find an isolated instance that goes on',
+    events: [{ kind: 'isolated-work', at: 20_000, instance: 'a#1', since: 0 }],
+    problem: /hears nobody/
+  }
+]
+for (const { title, events, problem } of histories) {
+  test(`should ${title}`, () => {
+    const [violation] = checkConfigurationHistory(events, END)
+    if (problem === undefined) assert.is(violation, undefined)
+    else assert.match(violation?.problem ?? '', problem)
+  })
+}
+
+const breakages: Array<{ title: string, breakage: ConfigurationBreakage, problem: RegExp }> = [
+  { title: 'writes without an answer are called refused', breakage: { refusesOpenWrites: true }, problem: /refused change/ },
+  { title: 'peers do not tell their revisions', breakage: { hidesRevisions: true }, problem: /lacks the revision/ }
+]
+for (const { title, breakage, problem } of breakages) {
+  test(`should notice when ${title}`, () => {
+    const proof = new ConfigurationInForceProof(breakage)
+    for (let seed = 1; seed <= RUNS_OF_BROKEN_VARIANT; seed++) {
+      const [violation] = proof.run(seed).violations
+      if (violation !== undefined) return assert.match(violation.problem, problem)
+    }
+    assert.unreachable('no run was found broken')
+  })
+}
+
+test('should hold in seeded runs', () => {
+  const proof = new ConfigurationInForceProof()
+  for (let seed = 1; seed <= RUNS; seed++) assert.equal(proof.run(seed).violations, [], `seed ${seed}`)
+})
+
+test.run()
--- /dev/null
+++ b/tests/promises/configurationInForce.ts
@@ -0,0 +1,304 @@
+/** Proof: an accepted configuration is in force everywhere within seconds and never reverts. */
+import { SeededRandom, type ChangeOutcome, type Milliseconds } from '@wasabihead/coordination'
+import { FAULTLESS, ReplayedFleet, type ReplayedInstance } from '@wasabihead/experiments'
+import { Proof, type ProofRun, type Violation } from './proof.js'
+
+/** The users' bound between acceptance and being in force everywhere. */
+export const IN_FORCE_LIMIT: Milliseconds = 16_000
+
+const INSTANCES = 9
+const RUN_LENGTH: Milliseconds = 240_000
+const QUIET_END: Milliseconds = 80_000
+const OPERATIONS = 30
+const FAULTS = 12
+const WORK_SAMPLING: Milliseconds = 1_000
+
+/** What a run records. An instance is named by its host and run, as in `entry-host-1#2`. */
+export type ConfigurationEvent =
+  /** The instance runs and reaches its peers, from here until it is `disturbed`. */
+  | { kind: 'connected', at: Milliseconds, instance: string }
+  | { kind: 'disturbed', at: Milliseconds, instance: string }
+  | { kind: 'in-force', at: Milliseconds, instance: string, revision: number, changeToken: string }
+  | { kind: 'reported', at: Milliseconds, outcome: ChangeOutcome['kind'], revision: number, changeToken: string }
+  /** The instance takes new work under a revision although nothing has reached it since the given time. */
+  | { kind: 'isolated-work', at: Milliseconds, instance: string, since: Milliseconds }
+
+/** Checks a history; it knows the promise and nothing of how it is kept. */
+export function checkConfigurationHistory (events: readonly ConfigurationEvent[], end: Milliseconds): Violation[] {
+  return [
+    ...findReverts(events), ...findLateInstances(events, end), ...findFalseReports(events), ...findIsolatedWork(events)
+  ]
+}
+
+function findReverts (events: readonly ConfigurationEvent[]): Violation[] {
+  const latest = new Map<string, ConfigurationEvent & { kind: 'in-force' }>()
+  const tokens = new Map<number, ConfigurationEvent & { kind: 'in-force' }>()
+  const violations: Violation[] = []
+  for (const event of events) {
+    if (event.kind !== 'in-force') continue
+    const before = latest.get(event.instance)
+    if (before !== undefined && before.revision >= event.revision) {
+      violations.push({ problem: 'an instance moved to a revision that is not higher', evidence: [before, event].map(show) })
+    }
+    const same = tokens.get(event.revision)
+    if (same !== undefined && same.changeToken !== event.changeToken) {
+      violations.push({ problem: 'one revision is two changes', evidence: [same, event].map(show) })
+    }
+    latest.set(event.instance, event)
+    tokens.set(event.revision, event)
+  }
+  return violations
+}
+
+/** Each instance that stays connected for the bound after an acceptance has that revision, or a higher one, by then. */
+function findLateInstances (events: readonly ConfigurationEvent[], end: Milliseconds): Violation[] {
+  const accepted = events.filter(event => event.kind === 'reported' && event.outcome === 'accepted') as Array<
+    ConfigurationEvent & { kind: 'reported' }>
+  const instances = new Set(events.flatMap(event => 'instance' in event ? [event.instance] : []))
+  return [...instances].flatMap(instance => {
+    const own = events.filter(event => 'instance' in event && event.instance === instance)
+    return accepted.flatMap(report => {
+      const deadline = findDeadline(own, report.at, end)
+      const isInForce = own.some(event => event.kind === 'in-force' && event.revision >= report.revision && event.at <= deadline)
+      if (deadline === Infinity || isInForce) return []
+      return [{ problem: `${instance} lacks the revision at ${deadline}`, evidence: [report, ...own].map(show) }]
+    })
+  })
+}
+
+/** The end of the first span of the bound's length, not before acceptance, in which the instance is connected throughout. */
+function findDeadline (own: readonly ConfigurationEvent[], acceptedAt: Milliseconds, end: Milliseconds): Milliseconds {
+  let connectedAt: Milliseconds | undefined
+  for (const event of own) {
+    if (event.kind === 'connected') connectedAt = event.at
+    if (event.kind !== 'disturbed') continue
+    if (connectedAt !== undefined && Math.max(connectedAt, acceptedAt) + IN_FORCE_LIMIT <= event.at) break
+    connectedAt = undefined
+  }
+  if (connectedAt === undefined) return Infinity
+  const deadline = Math.max(connectedAt, acceptedAt) + IN_FORCE_LIMIT
+  return deadline <= end ? deadline : Infinity
+}
+
+function findFalseReports (events: readonly ConfigurationEvent[]): Violation[] {
+  const inForce = new Map(events.flatMap(event => event.kind === 'in-force' ? [[event.changeToken, event]] : []))
+  const winners = new Map<number, ConfigurationEvent>()
+  return events.flatMap(event => {
+    if (event.kind !== 'reported') return []
+    const seen = inForce.get(event.changeToken)
+    const isRefusal = event.outcome === 'refused' || event.outcome === 'conflict'
+    if (isRefusal && seen !== undefined) return [{ problem: 'a refused change came into force', evidence: [event, seen].map(show) }]
+    if (event.outcome !== 'accepted') return []
+    const winner = winners.get(event.revision)
+    winners.set(event.revision, event)
+    const isSecond = winner?.kind === 'reported' && winner.changeToken !== event.changeToken
+    return isSecond ? [{ problem: 'two changes were accepted as one revision', evidence: [winner, event].map(show) }] : []
+  })
+}
+
+function findIsolatedWork (events: readonly ConfigurationEvent[]): Violation[] {
+  return events.flatMap(event => event.kind === 'isolated-work' && event.at - event.since > IN_FORCE_LIMIT
+    ? [{ problem: 'an instance that hears nobody takes new work', evidence: [show(event)] }]
+    : [])
+}
+
+function show (event: ConfigurationEvent): string {
+  return JSON.stringify(event)
+}
+
+/** What a run can be told to break, to show that the proof notices. */
+export interface ConfigurationBreakage {
+  /** A write without an answer is reported as refused. */
+  refusesOpenWrites?: boolean
+  /** Instances do not fetch from peers. */
+  hidesRevisions?: boolean
+}
+
+/** Proves the promise about configurations. */
+export class ConfigurationInForceProof extends Proof {
+  override readonly name = 'configuration-in-force'
+  override readonly promise = 'A configuration that has been accepted is in force everywhere within seconds and never reverts'
+  override readonly failures = [
+    'racing operators', 'lost answers', 'late writes', 'service outages', 'silent watches', 'lost messages', 'partitions',
+    'instances cut off from everyone', 'kills and starts, also during outages', 'freezes'
+  ]
+
+  constructor (private readonly _breakage: ConfigurationBreakage = {}) {
+    super()
+  }
+
+  override run (seed: number): ProofRun {
+    const run = new ConfigurationRun(seed, this._breakage)
+    const violations = checkConfigurationHistory(run.perform(), RUN_LENGTH)
+    return { counts: run.counts, violations }
+  }
+}
+
+class ConfigurationRun {
+  readonly counts: Record<string, number> = {}
+  private readonly _random: SeededRandom
+  private readonly _fleet: ReplayedFleet
+  private readonly _events: ConfigurationEvent[] = []
+  private readonly _isolatedSince = new Map<string, Milliseconds>()
+  private _side = new Map<string, number>()
+  private _nextToken = 1
+
+  constructor (seed: number, private readonly _breakage: ConfigurationBreakage) {
+    this._random = new SeededRandom(seed)
+    this._fleet = new ReplayedFleet({ instances: INSTANCES, seed })
+    this._fleet.inForce = (instance, { revision, changeToken }) => {
+      this._events.push({ kind: 'in-force', at: this._now, instance: nameOf(instance), revision, changeToken })
+      if (this._breakage.hidesRevisions === true) instance.table.updateSelf({ configurationRevision: 0 }, this._now)
+    }
+    this._fleet.network.isConnected = (left, right) => {
+      const isIsolated = this._isolatedSince.has(left) || this._isolatedSince.has(right)
+      return !isIsolated && (this._side.get(left) ?? 0) === (this._side.get(right) ?? 0)
+    }
+  }
+
+  perform (): readonly ConfigurationEvent[] {
+    const { time } = this._fleet
+    const active = RUN_LENGTH - QUIET_END
+    for (const instance of this._fleet.running) this._connect(instance)
+    this._fleet.network.lossShare = this._random.next() * 0.1
+    for (let count = 0; count < OPERATIONS; count++) time.after(this._random.next() * active, () => { this._operate() })
+    for (let count = 0; count < FAULTS; count++) this._breakSomethingWithin(active - 40_000)
+    for (let at = 0; at < RUN_LENGTH; at += WORK_SAMPLING) time.after(at, () => { this._sampleWork() })
+    time.runUntil(RUN_LENGTH)
+    return this._events
+  }
+
+  private get _now (): Milliseconds {
+    return this._fleet.time.now
+  }
+
+  /** An operator changes what he sees at some instance, and sends the change again while its outcome is unknown. */
+  private _operate (): void {
+    const instance = this._random.pick(this._fleet.running)
+    const revision = instance.spread.state.version.revision + 1
+    const racers = this._random.next() < 0.3 ? 2 : 1
+    for (let racer = 0; racer < racers; racer++) {
+      const changeToken = `change-${this._nextToken++}`
+      this._apply(racer === 0 ? instance : this._random.pick(this._fleet.running), revision, changeToken, false)
+    }
+  }
+
+  private _apply (instance: ReplayedInstance, revision: number, changeToken: string, isResent: boolean): void {
+    this._fleet.apply(instance, revision, changeToken, isResent, outcome => {
+      const isBroken = outcome.kind === 'unknown' && this._breakage.refusesOpenWrites === true
+      const kind = isBroken ? 'refused' : outcome.kind
+      this._count(kind)
+      this._events.push({ kind: 'reported', at: this._now, outcome: kind, revision, changeToken })
+      if (kind === 'unknown' && this._random.next() < 0.5) {
+        this._count('sent again')
+        this._apply(this._random.pick(this._fleet.running), revision, changeToken, true)
+      }
+    })
+  }
+
+  private _breakSomethingWithin (span: Milliseconds): void {
+    this._fleet.time.after(this._random.next() * span, () => { this._breakSomething() })
+  }
+
+  private _breakSomething (): void {
+    const faults = [
+      () => { this._disturbService() },
+      () => { this._disturbService() },
+      () => { this._partition() },
+      () => { this._isolate() },
+      () => { this._freeze() },
+      () => { this._restart() },
+      () => { this._silenceWatches() }
+    ]
+    this._random.pick(faults)()
+  }
+
+  private _disturbService (): void {
+    const isDown = this._random.next() < 0.4
+    this._count(isDown ? 'outages' : 'lossy service')
+    this._fleet.keyValue.faults = {
+      isDown, maximumDelay: 500, lostAnswerShare: 0.3, lostCallShare: 0.1, lateWriteShare: 0.3
+    }
+    this._fleet.time.after(this._random.next() * 30_000, () => { this._fleet.keyValue.faults = FAULTLESS })
+  }
+
+  private _partition (): void {
+    if (this._side.size > 0) return
+    this._count('partitions')
+    for (const instance of this._fleet.running) this._disturb(instance)
+    this._side = new Map([...this._fleet.instances.keys()].map(host => [host, this._random.integer(2)]))
+    this._fleet.time.after(this._random.next() * 30_000, () => {
+      this._side = new Map()
+      for (const instance of this._fleet.running) this._connect(instance)
+    })
+  }
+
+  private _isolate (): void {
+    const instance = this._random.pick(this._fleet.running)
+    const { host } = instance.self
+    if (this._isolatedSince.has(host)) return
+    this._count('isolations')
+    this._disturb(instance)
+    this._isolatedSince.set(host, this._now)
+    this._fleet.cutFromService.add(host)
+    this._fleet.time.after(this._random.next() * 40_000, () => {
+      this._isolatedSince.delete(host)
+      this._fleet.cutFromService.delete(host)
+      for (const running of this._fleet.running) if (running.self.host === host) this._connect(running)
+    })
+  }
+
+  private _freeze (): void {
+    const instance = this._random.pick(this._fleet.running)
+    if (instance.process.isFrozen) return
+    this._count('freezes')
+    this._disturb(instance)
+    instance.process.freeze()
+    this._fleet.time.after(this._random.next() * 30_000, () => {
+      instance.process.thaw()
+      this._connect(instance)
+    })
+  }
+
+  private _restart (): void {
+    const index = this._random.integer(INSTANCES)
+    const instance = this._fleet.instances.get(`entry-host-${index}`)
+    if (instance === undefined || !instance.process.isRunning || this._fleet.running.length < 3) return
+    this._count('restarts')
+    this._disturb(instance)
+    instance.kill()
+    this._fleet.time.after(this._random.next() * 20_000, () => { this._connect(this._fleet.start(index)) })
+  }
+
+  private _silenceWatches (): void {
+    this._count('silent watches')
+    for (const instance of this._fleet.running) instance.isWatchSilent = instance.isWatchSilent || this._random.next() < 0.7
+  }
+
+  private _sampleWork (): void {
+    for (const instance of this._fleet.running) {
+      const since = this._isolatedSince.get(instance.self.host)
+      if (since === undefined || instance.process.isFrozen || !instance.spread.mayTakeWork(this._now)) continue
+      this._events.push({ kind: 'isolated-work', at: this._now, instance: nameOf(instance), since })
+    }
+  }
+
+  private _connect (instance: ReplayedInstance): void {
+    const { host } = instance.self
+    const { isRunning, isFrozen } = instance.process
+    const isReachable = isRunning && !isFrozen && !this._isolatedSince.has(host) && this._side.size === 0
+    if (isReachable) this._events.push({ kind: 'connected', at: this._now, instance: nameOf(instance) })
+  }
+
+  private _disturb (instance: ReplayedInstance): void {
+    this._events.push({ kind: 'disturbed', at: this._now, instance: nameOf(instance) })
+  }
+
+  private _count (name: string): void {
+    this.counts[name] = (this.counts[name] ?? 0) + 1
+  }
+}
+
+function nameOf (instance: ReplayedInstance): string {
+  return `${instance.self.host}#${instance.run}`
+}
--- a/tests/promises/index.ts
+++ b/tests/promises/index.ts
@@ -1,9 +1,11 @@
+import { ConfigurationInForceProof } from './configurationInForce.js'
 import { OrdersProof } from './orders.js'
 import type { Proof } from './proof.js'
 
 /** Every proof, in the order of the users' list of what must always hold. */
 export const proofs: readonly Proof[] = [
-  new OrdersProof()
+  new OrdersProof(),
+  new ConfigurationInForceProof()
 ]
 
 export { Proof, type ProofRun, type Violation } from './proof.js'
