--- a/tests/promises/index.ts
+++ b/tests/promises/index.ts
@@ -1,11 +1,13 @@
 import { ConfigurationInForceProof } from './configurationInForce.js'
+import { MembershipProof } from './membership.js'
 import { OrdersProof } from './orders.js'
 import type { Proof } from './proof.js'
 
 /** Every proof, in the order of the users' list of what must always hold. */
 export const proofs: readonly Proof[] = [
   new OrdersProof(),
-  new ConfigurationInForceProof()
+  new ConfigurationInForceProof(),
+  new MembershipProof()
 ]
 
 export { Proof, type ProofRun, type Violation } from './proof.js'
--- /dev/null
+++ b/tests/promises/membership.spec.ts
@@ -0,0 +1,68 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import {
+  checkMembershipHistory, DETECTION_LIMIT, MembershipProof, REJOIN_LIMIT,
+  type Belief, type MembershipBreakage, type MembershipEvent
+} from './membership.js'
+
+const RUNS = 10
+const RUNS_OF_BROKEN_VARIANT = 20
+
+const start: MembershipEvent[] = [
+  { kind: 'started', at: 0, host: 'a' }, { kind: 'started', at: 0, host: 'b' }, { kind: 'quiet', at: 0 },
+  { kind: 'believed', at: 0, observer: 'b', host: 'a', belief: 'alive' }
+]
+const killed: MembershipEvent = { kind: 'killed', at: 0, host: 'b' }
+const believe = (at: number, belief: Belief): MembershipEvent => ({ kind: 'believed', at, observer: 'a', host: 'b', belief })
+
+const histories: Array<{ title: string, events: MembershipEvent[], problem: RegExp | undefined }> = [
+  { title: 'accept a return at the limit', events: [believe(0, 'dead'), believe(REJOIN_LIMIT, 'alive')], problem: undefined },
+  { title: 'find a live instance that stays dead', events: [believe(0, 'dead')], problem: /does not see b alive/ },
+  { title: 'find a live instance that stays unknown', events: [], problem: /does not see b alive/ },
+  {
+    title: 'find a live instance that is seen dead again',
+    events: [believe(0, 'alive'), believe(REJOIN_LIMIT + 1, 'dead'), believe(REJOIN_LIMIT + 2, 'alive')],
+    problem: /does not see b alive/
+  },
+  { title: 'accept a death seen at the limit', events: [killed, believe(0, 'alive'), believe(DETECTION_LIMIT, 'dead')], problem: undefined },
+  {
+    title: 'find a death seen too late',
+    events: [killed, believe(0, 'alive'), believe(DETECTION_LIMIT + 1, 'dead')],
+    problem: /does not see b dead/
+  },
+  {
+    title: 'find a killed instance that comes back by itself',
+    events: [killed, believe(0, 'dead'), believe(DETECTION_LIMIT + 1, 'alive')],
+    problem: /does not see b dead/
+  }
+]
+for (const { title, events, problem } of histories) {
+  test(`should ${title}`, () => {
+    const [violation] = checkMembershipHistory([...start, ...events])
+    if (problem === undefined) assert.is(violation, undefined)
+    else assert.match(violation?.problem ?? '', problem)
+  })
+}
+
+const breakages: Array<{ breakage: MembershipBreakage, problem: RegExp }> = [
+  { breakage: 'ignores-failed-probes', problem: /dead/ },
+  { breakage: 'never-refutes', problem: /alive/ },
+  { breakage: 'forgets-the-dead', problem: /alive/ }
+]
+for (const { breakage, problem } of breakages) {
+  test(`should notice a fleet that ${breakage.replaceAll('-', ' ')}`, () => {
+    const proof = new MembershipProof(breakage)
+    for (let seed = 1; seed <= RUNS_OF_BROKEN_VARIANT; seed++) {
+      const [violation] = proof.run(seed).violations
+      if (violation !== undefined) return assert.match(violation.problem, problem)
+    }
+    assert.unreachable('no run was found broken')
+  })
+}
+
+test('should hold in seeded runs', () => {
+  const proof = new MembershipProof()
+  for (let seed = 1; seed <= RUNS; seed++) assert.equal(proof.run(seed).violations, [], `seed ${seed}`)
+})
+
+test.run()
