--- a/tests/promises/index.ts
+++ b/tests/promises/index.ts
@@ -2,12 +2,14 @@
 import { MembershipProof } from './membership.js'
 import { OrdersProof } from './orders.js'
 import type { Proof } from './proof.js'
+import { RoleLeaseProof } from './roleLease.js'
 
 /** Every proof, in the order of the users' list of what must always hold. */
 export const proofs: readonly Proof[] = [
   new OrdersProof(),
   new ConfigurationInForceProof(),
-  new MembershipProof()
+  new MembershipProof(),
+  new RoleLeaseProof()
 ]
 
 export { Proof, type ProofRun, type Violation } from './proof.js'
