--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -100,8 +100,9 @@
         members.updateSelf({ configurationRevision: stored.revision }, clock.monotonic())
       }
     })
+    const claimStore = new BudgetedKeyValueService(service, calls, 'claims')
     const claims = new ClaimCoordinator(
-      settings.environment, new BudgetedKeyValueService(service, calls, 'claims'), members, new ClaimPeerClient(this._connections), clock, this._logger)
+      settings.environment, claimStore, members, new ClaimPeerClient(this._connections), clock, this._logger)
     const placer = new PromptPlacer(this._fleet, settings.workspaceSecret, this._metrics)
     const models = new ModelRunner(placer, configuration, clock, random, this._metrics, this._logger)
     const services = new ServiceRunner(this._fleet)
