feat(membership): find peers by the settings when the key-value service is down

Cause: a new instance read its first peers only from the key-value service, so one that started in an outage learned nothing. The setting known-peers names some; an instance that knows nobody asks them for their table.

--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -112,7 +112,7 @@
     const membership = new MembershipLoop(settings.environment, members, registry, membershipPeers, clock, random, {
       membersChanged: count => { calls.setLiveMembers(count) },
       revisionSeen: (host, revision) => { configuration.seeRevision(host, revision) }
-    })
+    }, settings.knownPeers)
     const reader = new RequestReader(() => configuration.documentForNewWork)
     return {
       members,
--- a/packages/daemon/src/membership/membershipLoop.ts
+++ b/packages/daemon/src/membership/membershipLoop.ts
@@ -11,6 +11,7 @@
 import { Registration } from './registration.js'
 
 const TICK_INTERVAL: Milliseconds = PROBE_PERIOD / 4
+const ASK_INTERVAL: Milliseconds = 2_000
 
 /** What the loop tells the rest of the instance. */
 export interface MembershipListener {
@@ -26,6 +27,7 @@
   private readonly _registration: Registration
   private _timer: NodeJS.Timeout | undefined
   private _toldVersion = 0
+  private _nextAskAt: Milliseconds = 0
 
   constructor (
     environment: string,
@@ -34,7 +36,8 @@
     private readonly _peers: MembershipPeerClient,
     private readonly _clock: Clock,
     random: SeededRandom,
-    private readonly _listener: MembershipListener
+    private readonly _listener: MembershipListener,
+    private readonly _knownPeers: readonly string[] = []
   ) {
     this._membership = new Membership(_members, random)
     this._registration = new Registration(environment, keyValue, _members, _clock, random, members => { this.hear(members) })
@@ -104,10 +107,22 @@
     const { version } = this._members.self
     if (version !== this._toldVersion) this._membership.spreadSelf()
     this._toldVersion = version
+    this._askKnownPeers()
     this._performSoon(this._handle({ kind: 'tick' }))
     this._listener.membersChanged(this._members.members.filter(member => member.state !== 'dead').length)
   }
 
+  /** An instance that knows nobody asks the peers of its settings, which works without the key-value service. */
+  private _askKnownPeers (): void {
+    const now = this._clock.monotonic()
+    if (this._members.live.length > 1 || now < this._nextAskAt) return
+    this._nextAskAt = now + ASK_INTERVAL
+    for (const peerAddress of this._knownPeers) {
+      this._peers.comparePage({ ...this.self, peerAddress }, { after: '', digests: [] })
+        .then(answer => { if (answer.isOk) this.hear(answer.value.members) }, () => {})
+    }
+  }
+
   private _handle (message: MembershipMessage): MembershipEffect[] {
     return this._membership.handle(message, this._clock.monotonic())
   }
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -20,6 +20,7 @@
   peerPort: portSchema.default(8082),
   callerAddress: z.url().optional(),
   peerAddress: z.url().optional(),
+  knownPeers: z.string().default('').transform(splitList).pipe(z.array(z.url())),
   keyValueAddress: z.url(),
   hostListAddress: z.url(),
   operatorTokenDigest: digestSchema,
@@ -50,6 +51,10 @@
   peerPort: { flag: 'peer-port', description: 'Port for other instances; 0 takes a free one' },
   callerAddress: { flag: 'caller-address', description: 'URL that callers are told; made from address and port if absent' },
   peerAddress: { flag: 'peer-address', description: 'URL that other instances use; made from address and port if absent' },
+  knownPeers: {
+    flag: 'known-peers',
+    description: 'URLs of other instances, separated by commas, to find the rest when the key-value service is down'
+  },
   keyValueAddress: { flag: 'key-value-address', description: "URL of the platform's key-value service" },
   hostListAddress: { flag: 'host-list-address', description: "URL of the platform's host list" },
   operatorTokenDigest: { flag: 'operator-token-digest', description: "SHA-256 of the operators' token, in hexadecimal" },
@@ -144,3 +149,7 @@
     `Set --${help.flag} or ${environmentVariableOf(help.flag)}: ${help.description}`
   ))
 }
+
+function splitList (text: string): string[] {
+  return text.split(',').map(part => part.trim()).filter(part => part !== '')
+}
