--- a/packages/coordination/src/membership/membership.ts
+++ b/packages/coordination/src/membership/membership.ts
@@ -21,6 +21,7 @@
 const ROUNDS_BEFORE_SUSPICION = 4
 const NEWS_PER_MESSAGE = 8
 const URGENT_FAN_OUT = 4
+const ANNOUNCEMENT_FAN_OUT = 2
 const SUSPICION_FACTOR: Milliseconds = 3_000
 const COMPARISON_PERIOD: Milliseconds = 10_000
 const DEAD_CONTACT_PERIOD: Milliseconds = 10_000
@@ -75,6 +76,7 @@
       case 'probe-failed': return this._failProbe(message.probeId, now)
       case 'page-received': return [{ kind: 'answer-page', answer: this._answerPage(message.page) }]
       case 'page-answered': return this._mergePage(message.host, message.answer, now)
+      case 'announce': return this._announce()
       case 'leave': return this._leave(now)
     }
   }
@@ -238,6 +240,13 @@
     return isFull ? [...effects, this._compareAfter(answer.members.at(-1)?.host ?? '', peer)] : effects
   }
 
+  /** Probes a few others at once; each that learns something does the same, so it takes a few round trips to reach all. */
+  private _announce (): MembershipEffect[] {
+    this.spreadSelf()
+    const peers = this._random.shuffle(this._others().filter(member => member.state === 'alive'))
+    return peers.slice(0, ANNOUNCEMENT_FAN_OUT).map(target => this._startProbe(target, 'direct'))
+  }
+
   private _leave (now: Milliseconds): MembershipEffect[] {
     this.table.updateSelf({ state: 'leaving' }, now)
     this.spreadSelf()
--- a/packages/coordination/src/membership/messages.ts
+++ b/packages/coordination/src/membership/messages.ts
@@ -34,6 +34,8 @@
   /** A peer compares a page of its table with this one; the `answer-page` effect carries the result. */
   | { kind: 'page-received', page: DigestPage }
   | { kind: 'page-answered', host: string, answer: PageAnswer }
+  /** This instance's own entry holds something that others should see soon. */
+  | { kind: 'announce' }
   /** This instance begins to leave. */
   | { kind: 'leave' }
 
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -98,6 +98,7 @@
       inForce: stored => {
         this._fleet.configure(stored.document)
         members.updateSelf({ configurationRevision: stored.revision }, clock.monotonic())
+        this._parts?.membership.announce()
       }
     })
     const claimStore = new BudgetedKeyValueService(service, calls, 'claims')
--- a/packages/daemon/src/membership/membershipLoop.ts
+++ b/packages/daemon/src/membership/membershipLoop.ts
@@ -70,6 +70,11 @@
     await Promise.all([this._perform(this._handle({ kind: 'leave' })), this._registration.withdraw()])
   }
 
+  /** Tells a few others at once that this instance's own entry has changed. */
+  announce (): void {
+    this._performSoon(this._handle({ kind: 'announce' }))
+  }
+
   /** Takes entries that a peer or the key-value service told. */
   hear (members: readonly Member[]): void {
     this._performSoon(this._handle({ kind: 'heard', members }))
--- a/packages/experiments/src/simulation/replayedInstance.ts
+++ b/packages/experiments/src/simulation/replayedInstance.ts
@@ -231,6 +231,7 @@
       case 'in-force':
         this.table.updateSelf({ configurationRevision: effect.record.revision }, this._world.time.now)
         this._world.inForce(this, effect.record)
+        this._handle({ kind: 'announce' })
     }
   }
 
