--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -1,9 +1,9 @@
 /** One instance of the daemon: its parts, started and stopped in order. */
 import {
-  ConcurrencyLimit, MemberTable, SeededRandom,
+  CallBudget, ConcurrencyLimit, FLEET_RATES, MemberTable, placementHash, SeededRandom,
   type Member, type Milliseconds
 } from '@wasabihead/coordination'
-import { EtcdKeyValueService } from '../adapters/index.js'
+import { BudgetedKeyValueService, CallAccount, EtcdKeyValueService } from '../adapters/index.js'
 import { BackendFleet } from '../backends/index.js'
 import { CallerServer, RequestReader } from '../callers/index.js'
 import { ClaimCoordinator, ClaimPeerClient, ClaimPeerRoutes } from '../claims/index.js'
@@ -34,7 +34,6 @@
   private readonly _logger: Logger
   private readonly _metrics = new Metrics()
   private readonly _connections = new PeerConnections()
-  private readonly _configurationPeers = new ConfigurationPeerClient(this._connections)
   private readonly _fleet: BackendFleet
   private readonly _limit: ConcurrencyLimit
   private _parts: RunningParts | undefined
@@ -83,9 +82,8 @@
   private async _leave (): Promise<void> {
     const parts = this._parts
     if (parts === undefined) return
-    parts.members.updateSelf({ state: 'leaving' }, this._clock.monotonic())
     parts.callerServer.leave()
-    await parts.membership.announce()
+    await parts.membership.leave()
     // A request may still be arriving when the server stops listening, and claimed work outlives its caller's connection.
     await this._waitUntilIdle(parts)
     await parts.callerServer.stop()
@@ -109,24 +107,39 @@
   private _assemble (): RunningParts {
     const settings = this._settings
     const clock = this._clock
-    const random = new SeededRandom(settings.seed)
-    const keyValue = new EtcdKeyValueService(settings.keyValueAddress)
+    // Hosts that share a seed must still not jitter in step.
+    const random = new SeededRandom(placementHash(`${settings.seed}|${settings.host}`))
+    const service = new EtcdKeyValueService(settings.keyValueAddress)
+    const calls = new CallAccount(new CallBudget(FLEET_RATES, clock.monotonic()), clock)
     const members = new MemberTable(this._ownEntry())
-    const configuration = new ConfigurationKeeper(settings.environment, keyValue, clock, this._logger, stored => {
-      this._fleet.configure(stored.document)
-      members.updateSelf({ configurationRevision: stored.revision }, clock.monotonic())
+    const configuration = new ConfigurationKeeper({
+      environment: settings.environment,
+      keyValue: new BudgetedKeyValueService(service, calls, 'configuration'),
+      members,
+      peers: new ConfigurationPeerClient(this._connections),
+      clock,
+      random,
+      logger: this._logger,
+      inForce: stored => {
+        this._fleet.configure(stored.document)
+        members.updateSelf({ configurationRevision: stored.revision }, clock.monotonic())
+        this._parts?.membership.announce()
+      }
     })
+    const claimStore = new BudgetedKeyValueService(service, calls, 'claims')
     const claims = new ClaimCoordinator(
-      settings.environment, keyValue, members, new ClaimPeerClient(this._connections), clock, this._logger)
+      settings.environment, claimStore, members, new ClaimPeerClient(this._connections), clock, this._logger)
     const placer = new PromptPlacer(this._fleet, settings.workspaceSecret, this._metrics)
     const models = new ModelRunner(placer, configuration, clock, random, this._metrics, this._logger)
     const services = new ServiceRunner(this._fleet)
     const claimed = new ClaimedRunner(members.identity, claims, models, services, clock, this._logger)
-    const membershipPeers = new MembershipPeerClient(this._connections)
-    const membership = new MembershipLoop(settings.environment, members, keyValue, membershipPeers, clock, random, () => {
-      this._learnConfiguration(members, configuration).catch(() => {})
-    })
-    const reader = new RequestReader(() => configuration.document)
+    const registry = new BudgetedKeyValueService(service, calls, 'membership')
+    const membershipPeers = new MembershipPeerClient(this._connections, settings.environment)
+    const membership = new MembershipLoop(settings.environment, members, registry, membershipPeers, clock, random, {
+      membersChanged: count => { calls.setLiveMembers(count) },
+      revisionSeen: (host, revision) => { configuration.seeRevision(host, revision) }
+    }, settings.knownPeers)
+    const reader = new RequestReader(() => configuration.documentForNewWork)
     return {
       members,
       configuration,
@@ -136,7 +149,7 @@
         reader, models, services, claimed, members, limit: this._limit, clock, metrics: this._metrics, logger: this._logger
       }),
       operatorServer: new OperatorServer(settings.operatorTokenDigest, [
-        new ConfigurationRoutes(configuration),
+        new ConfigurationRoutes(configuration, members),
         new MemberRoutes(members),
         new MetricsRoutes(this._metrics),
         new StatusRoutes({
@@ -149,7 +162,7 @@
         new DrainRoutes(settings.host, () => { this._drain() })
       ]),
       peerServer: new PeerServer([
-        new MembershipPeerRoutes(settings.environment, members, clock),
+        new MembershipPeerRoutes(settings.environment, membership),
         new ConfigurationPeerRoutes(configuration),
         new ClaimPeerRoutes(claims)
       ])
@@ -168,15 +181,6 @@
       configurationRevision: 0
     }
   }
-
-  /** Fetches the configuration from a peer that has a newer one. */
-  private async _learnConfiguration (members: MemberTable, configuration: ConfigurationKeeper): Promise<void> {
-    const { revision } = configuration.state.version
-    const ahead = members.live.find(member => member.configurationRevision > revision)
-    if (ahead === undefined) return
-    const fetched = await this._configurationPeers.fetch(ahead.peerAddress, revision)
-    if (fetched.isOk && fetched.value !== '') configuration.learn(fetched.value)
-  }
 }
 
 interface RunningParts {
--- a/packages/daemon/src/operators/operatorServer.spec.ts
+++ b/packages/daemon/src/operators/operatorServer.spec.ts
@@ -30,7 +30,7 @@
   const metrics = new Metrics()
   const configurationVersion = () => ({ revision: 0, digest: '' })
   server = new OperatorServer(createHash('sha256').update(TOKEN).digest('hex'), [
-    new ConfigurationRoutes(keeper),
+    new ConfigurationRoutes(keeper, members),
     new MemberRoutes(members),
     new MetricsRoutes(metrics),
     new StatusRoutes({ environment: 'trial', members, metrics, configurationVersion, running: () => 2 }),
--- a/packages/daemon/src/settings/settingsSchema.ts
+++ b/packages/daemon/src/settings/settingsSchema.ts
@@ -21,6 +21,7 @@
   peerPort: portSchema.prefault('8082'),
   callerAddress: urlSchema.optional(),
   peerAddress: urlSchema.optional(),
+  knownPeers: z.string().transform(splitList).pipe(z.array(urlSchema)).prefault(''),
   keyValueAddress: urlSchema,
   hostListAddress: urlSchema,
   operatorTokenDigest: z.string().regex(/^[0-9a-f]{64}$/, 'use a SHA-256 digest, 64 lower-case hexadecimal digits'),
@@ -53,6 +54,10 @@
   peerPort: { flag: 'peer-port', description: 'Port for other instances; 0 takes a free one' },
   callerAddress: { flag: 'caller-address', description: 'URL that callers are told; made from address and port if absent' },
   peerAddress: { flag: 'peer-address', description: 'URL that other instances use; made from address and port if absent' },
+  knownPeers: {
+    flag: 'known-peers',
+    description: 'URLs of other instances, separated by commas, to find the rest when the key-value service is down'
+  },
   keyValueAddress: { flag: 'key-value-address', description: "URL of the platform's key-value service" },
   hostListAddress: { flag: 'host-list-address', description: "URL of the platform's host list" },
   operatorTokenDigest: { flag: 'operator-token-digest', description: "SHA-256 of the operators' token, in hexadecimal" },
@@ -94,3 +99,7 @@
     }
   })
 }
+
+function splitList (text: string): string[] {
+  return text.split(',').map(part => part.trim()).filter(part => part !== '')
+}
--- a/packages/experiments/src/coordination/index.ts
+++ b/packages/experiments/src/coordination/index.ts
@@ -1,7 +1,13 @@
 import { TelemetryMeasurement } from '../telemetry/index.js'
+import { ConfigurationMeasurement } from './configurationMeasurement.js'
 import type { CoordinationMeasurement } from './measurement.js'
+import { MembershipMeasurement } from './membershipMeasurement.js'
 
 /** Every measurement of the coordination decisions. */
-export const coordinationMeasurements: readonly CoordinationMeasurement[] = [new TelemetryMeasurement()]
+export const coordinationMeasurements: readonly CoordinationMeasurement[] = [
+  new ConfigurationMeasurement(),
+  new MembershipMeasurement(),
+  new TelemetryMeasurement()
+]
 
 export { CoordinationMeasurement, type MeasurementRow } from './measurement.js'
