--- a/packages/coordination/src/admission/errors.ts
+++ b/packages/coordination/src/admission/errors.ts
@@ -9,7 +9,7 @@
   | 'unauthorized' | 'invalid-request' | 'unknown-kind' | 'body-too-large' | 'overloaded' | 'no-replica'
   | 'service-unavailable' | 'deadline-exceeded' | 'idempotency-key-missing' | 'idempotency-key-conflict'
   | 'idempotency-key-expired' | 'in-progress' | 'outcome-unknown' | 'quarantined' | 'shutting-down' | 'not-configured'
-  | 'not-found'
+  | 'not-found' | 'answer-not-kept'
 
 /** A refusal: a final answer to a caller, at once. */
 export class RefusalError extends RemediedError {
--- a/packages/coordination/src/claims/claimPlacement.ts
+++ b/packages/coordination/src/claims/claimPlacement.ts
@@ -2,7 +2,7 @@
 import { placementHash } from '../common/index.js'
 
 /** Number of claim shards; fixed for an environment's life. */
-export const CLAIM_SHARD_COUNT = 16
+export const CLAIM_SHARD_COUNT = 32
 
 /** The shard of a workspace's idempotency key. */
 export function claimShardOf (workspace: string, idempotencyKey: string): number {
@@ -13,3 +13,8 @@
 export function shardHeadKey (environment: string, shard: number): string {
   return `wasabihead/${environment}/claims/${shard}/head`
 }
+
+/** The key of a closed segment, under the environment's prefix. */
+export function segmentKey (environment: string, shard: number, name: string): string {
+  return `wasabihead/${environment}/claims/${shard}/segments/${name}`
+}
--- a/packages/coordination/src/claims/claimShard.ts
+++ b/packages/coordination/src/claims/claimShard.ts
@@ -3,11 +3,25 @@
  * Safety comes from the compare-and-swap alone; a deposed owner's next write fails, and it then knows.
  */
 import type { InstanceIdentity, Milliseconds } from '../common/index.js'
-import type {
-  Claim, ClaimEffect, ClaimMessage, ClaimReply, ClaimReport, ClaimRequest, ShardHead
-} from './messages.js'
+import { claimId, decideClaim, decideReport, decideResolution, type ClaimDecision } from './claimDecisions.js'
+import { ClaimStore, headContents, type ClosedSegment, type SegmentPlan } from './claimStore.js'
+import { ExecutorWatch } from './executorWatch.js'
+import type { Claim, ClaimCall, ClaimEffect, ClaimMessage, ClaimReply, ClaimRequest, ShardHead } from './messages.js'
+import { isOutsideWindow, keyTime } from './retention.js'
+import { SegmentLoader } from './segmentLoader.js'
+import { WritePacer } from './writePacer.js'
+
+/** A head is never written above about this size: what is settled moves into segments, and new claims are refused. */
+export const HEAD_MAXIMUM_BYTES = 524_288
 
 const RETRY_AFTER: Milliseconds = 1_000
+const AMBIGUOUS: ClaimReply = { kind: 'ambiguous', retryAfter: RETRY_AFTER }
+const OVERLOADED_RETRY_AFTER: Milliseconds = 5_000
+/** An owner that was deposed leaves the shard alone for this long, so that differing beliefs do not flap. */
+const TAKEOVER_HOLD: Milliseconds = 3_000
+/** A gap between messages above this means that the process was paused; ticks come about once a second. */
+const PAUSE_GAP: Milliseconds = 5_000
+const HAND_OVERS_PER_WRITE = 16
 
 interface PendingReply {
   callId: number
@@ -18,17 +32,33 @@
   head: ShardHead
   expectedRevision: number
   replies: PendingReply[]
+  open: Claim[]
+  segments: readonly ClosedSegment[]
+  /** The closing of which this write is the last step. */
+  plan?: SegmentPlan
+  /** What to perform once the write is won. */
+  afterwards: ClaimEffect[]
 }
 
 /** Decides for one shard. Feed it messages; perform the effects it returns, in order. */
 export class ClaimShard {
-  private _phase: 'follower' | 'reading' | 'owner' = 'follower'
+  private _phase: 'follower' | 'reading' | 'confirming' | 'owner' = 'follower'
   private _epoch = 0
   private _revision = 0
   private _writeCount = 0
-  private readonly _claims = new Map<string, Claim>()
-  private _waiting: Array<Extract<ClaimMessage, { kind: 'claim' | 'report' }>> = []
+  private _lastToken = ''
+  private _lastMessageAt: Milliseconds | undefined
+  private _heldUntil: Milliseconds = 0
+  private _unavailableUntil: Milliseconds = 0
+  private _wall: Milliseconds | undefined
+  private _isWakeAsked = false
+  private _waiting: ClaimCall[] = []
+  private _loader: SegmentLoader | undefined
+  private _closing: SegmentPlan | undefined
   private _inFlight: WriteInFlight | undefined
+  private readonly _store = new ClaimStore()
+  private readonly _executors = new ExecutorWatch()
+  private readonly _pacer = new WritePacer()
 
   /** @param _self the instance that drives this shard */
   constructor (private readonly _self: InstanceIdentity) {}
@@ -40,141 +70,283 @@
 
   /** The claims as last known to be recorded. */
   get claims (): readonly Claim[] {
-    return [...this._claims.values()]
+    return this._store.claims
   }
 
   /** Handles one message. */
-  handle (message: ClaimMessage, _now: Milliseconds): ClaimEffect[] {
+  handle (message: ClaimMessage, now: Milliseconds): ClaimEffect[] {
+    const staleEffects = this._noticePause(now)
+    return [...staleEffects, ...this._dispatch(message, now)]
+  }
+
+  private _dispatch (message: ClaimMessage, now: Milliseconds): ClaimEffect[] {
     switch (message.kind) {
-      case 'take-over': return this._takeOver()
-      case 'claim':
-      case 'report': return this._enqueue(message)
-      case 'head-read': return this._onHeadRead(message.head, message.revision)
-      case 'head-read-failed': return this._abandon()
-      case 'head-written': return this._onHeadWritten(message.revision)
-      case 'head-write-lost': return this._onHeadWriteLost()
+      case 'take-over': return this._takeOver(now)
+      case 'tick': return this._tick(message.live, message.wall, now)
+      case 'wake':
+        this._isWakeAsked = false
+        return this._flush(now)
+      case 'head-read': return this._onHeadRead(message.head, message.revision, now)
+      case 'head-read-failed': return this._abandon(now)
+      case 'head-written': return this._onHeadWritten(message.revision, now)
+      case 'head-write-lost': return this._onHeadWriteLost(now)
       case 'head-write-ambiguous': return [{ kind: 'read-head' }]
+      case 'segment-read': return this._onSegmentRead(message.name, message.text, now)
+      case 'segment-read-failed': return this._loader?.isWaitingFor(message.name) === true ? this._abandon(now) : []
+      case 'segment-written': return this._onSegmentWritten(message.name, now)
+      case 'segment-write-failed': return this._onSegmentWriteFailed(message.name, now)
+      default: return this._enqueue(message, now)
     }
   }
 
-  private _takeOver (): ClaimEffect[] {
-    if (this._phase !== 'follower') return []
+  /** After a pause, ownership is only a belief until the head is read again. */
+  private _noticePause (now: Milliseconds): ClaimEffect[] {
+    const gap = now - (this._lastMessageAt ?? now)
+    this._lastMessageAt = now
+    if (gap <= PAUSE_GAP) return []
+    this._executors.reset()
+    if (this._phase !== 'owner' || this._inFlight !== undefined || this._closing !== undefined) return []
+    this._phase = 'confirming'
+    return [{ kind: 'read-head' }]
+  }
+
+  private _takeOver (now: Milliseconds): ClaimEffect[] {
+    if (this._phase !== 'follower' || now < this._heldUntil || now < this._unavailableUntil) return []
     this._phase = 'reading'
     return [{ kind: 'read-head' }]
   }
 
-  private _enqueue (message: Extract<ClaimMessage, { kind: 'claim' | 'report' }>): ClaimEffect[] {
+  private _tick (live: readonly InstanceIdentity[], wall: Milliseconds, now: Milliseconds): ClaimEffect[] {
+    this._wall = wall
+    if (this._phase !== 'owner') return []
+    const executors = this._store.open.filter(claim => claim.state === 'claimed').map(claim => claim.executor)
+    this._executors.update(live, executors, now)
+    return this._flush(now)
+  }
+
+  private _enqueue (call: ClaimCall, now: Milliseconds): ClaimEffect[] {
     if (this._phase === 'follower') {
-      return [{ kind: 'reply', callId: message.callId, reply: { kind: 'not-owner' } }]
+      const reply: ClaimReply = now < this._unavailableUntil
+        ? { kind: 'unavailable', retryAfter: this._unavailableUntil - now }
+        : { kind: 'not-owner' }
+      return [{ kind: 'reply', callId: call.callId, reply }]
     }
-    this._waiting.push(message)
-    return this._flush()
+    this._waiting.push(call)
+    return this._flush(now)
   }
 
-  private _onHeadRead (head: ShardHead | undefined, revision: number): ClaimEffect[] {
-    if (this._inFlight !== undefined) return this._settleAmbiguousWrite(head, revision)
+  private _onHeadRead (head: ShardHead | undefined, revision: number, now: Milliseconds): ClaimEffect[] {
+    if (this._inFlight !== undefined) return this._settleAmbiguousWrite(head, revision, now)
+    if (this._phase === 'confirming') return this._confirm(head, revision, now)
     if (this._phase !== 'reading') return []
-    this._load(head, revision)
+    if (this._loader !== undefined && this._loader.revision === revision) return this._abandon(now)
+    this._loader = new SegmentLoader(head, revision)
+    return this._loadOrTakeOver(now)
+  }
+
+  private _confirm (head: ShardHead | undefined, revision: number, now: Milliseconds): ClaimEffect[] {
+    if (head?.writerToken !== this._lastToken || revision !== this._revision) return this._onHeadWriteLost(now)
     this._phase = 'owner'
-    this._epoch = (head?.epoch ?? 0) + 1
-    return this._write([])
+    return this._flush(now)
+  }
+
+  private _onSegmentRead (name: string, text: string | undefined, now: Milliseconds): ClaimEffect[] {
+    if (this._loader?.isWaitingFor(name) !== true) return []
+    // Another owner may have dropped the segment since; a head that still names it cannot be understood.
+    if (!this._loader.accept(name, text)) return [{ kind: 'read-head' }]
+    return this._loadOrTakeOver(now)
+  }
+
+  private _loadOrTakeOver (now: Milliseconds): ClaimEffect[] {
+    const loader = this._loader as SegmentLoader
+    if (!loader.isComplete) return loader.nextReads()
+    this._loader = undefined
+    this._store.load(loader.head?.claims ?? [], loader.segments)
+    this._revision = loader.revision
+    this._epoch = (loader.head?.epoch ?? 0) + 1
+    this._phase = 'owner'
+    return this._write({ open: this._store.open, segments: this._store.segments }, now)
   }
 
   /** Only a write that wins on the same revision, or our own token read back, settles an ambiguous write. */
-  private _settleAmbiguousWrite (head: ShardHead | undefined, revision: number): ClaimEffect[] {
+  private _settleAmbiguousWrite (head: ShardHead | undefined, revision: number, now: Milliseconds): ClaimEffect[] {
     const write = this._inFlight as WriteInFlight
-    if (head?.writerToken === write.head.writerToken) return this._onHeadWritten(revision)
+    if (head?.writerToken === write.head.writerToken) return this._onHeadWritten(revision, now)
     if (revision === write.expectedRevision) {
       return [{ kind: 'write-head', head: write.head, expectedRevision: write.expectedRevision }]
     }
-    return this._onHeadWriteLost()
+    // Our write may have been won and followed by another owner's: what it recorded stays recorded.
+    return this._onHeadWriteLost(now, AMBIGUOUS)
   }
 
-  private _load (head: ShardHead | undefined, revision: number): void {
-    this._claims.clear()
-    for (const claim of head?.claims ?? []) this._claims.set(claimId(claim), claim)
-    this._revision = revision
+  private _flush (now: Milliseconds): ClaimEffect[] {
+    if (this._phase !== 'owner' || this._inFlight !== undefined || this._closing !== undefined) return []
+    const delay = this._pacer.delayAt(now)
+    if (delay > 0) return this._askToWake(delay)
+    if (this._store.isCloseDue && this._wall !== undefined) return this._close(this._wall, now)
+    return this._decideWaiting(now)
+  }
+
+  private _askToWake (delay: Milliseconds): ClaimEffect[] {
+    if (this._isWakeAsked || this._waiting.length === 0) return []
+    this._isWakeAsked = true
+    return [{ kind: 'wake-after', delay }]
+  }
+
+  private _close (wall: Milliseconds, now: Milliseconds): ClaimEffect[] {
+    this._pacer.take(now)
+    this._closing = this._store.planClose(this._nextToken().replaceAll('/', '.'), wall)
+    return [{ kind: 'write-segment', name: this._closing.segment.name.name, text: this._closing.text }]
+  }
+
+  private _onSegmentWritten (name: string, now: Milliseconds): ClaimEffect[] {
+    const plan = this._closing
+    if (plan?.segment.name.name !== name) return []
+    this._closing = undefined
+    const afterwards = plan.dropped.map((dropped): ClaimEffect => ({ kind: 'remove-segment', name: dropped }))
+    return this._write({ open: plan.open, segments: plan.segments, plan, afterwards }, now)
+  }
+
+  /** The next try takes another name, so that a write that lands late is named by no head. */
+  private _onSegmentWriteFailed (name: string, now: Milliseconds): ClaimEffect[] {
+    if (this._closing?.segment.name.name !== name) return []
+    this._closing = undefined
+    return this._abandon(now)
   }
 
-  private _flush (): ClaimEffect[] {
-    if (this._phase !== 'owner' || this._inFlight !== undefined || this._waiting.length === 0) return []
-    const messages = this._waiting
+  private _decideWaiting (now: Milliseconds): ClaimEffect[] {
+    const calls = this._waiting
     this._waiting = []
     const changed = new Map<string, Claim>()
-    const replies = messages.map(message => ({ callId: message.callId, reply: this._decide(message, changed) }))
+    const afterwards = this._settleGoneExecutors(changed, now)
+    const replies = calls.map(call => ({ callId: call.callId, reply: this._decide(call, changed) }))
     if (changed.size === 0) return replies.map(pending => ({ kind: 'reply', ...pending }))
-    return this._write(replies, changed)
+    const open = [...new Map([...this._store.open.map(withId), ...changed]).values()]
+    return this._write({ open, segments: this._store.segments, replies, afterwards }, now)
   }
 
-  private _decide (message: Extract<ClaimMessage, { kind: 'claim' | 'report' }>, changed: Map<string, Claim>): ClaimReply {
-    const id = claimId(message.kind === 'claim' ? message.request : message.report)
-    const known = changed.get(id) ?? this._claims.get(id)
-    return message.kind === 'claim'
-      ? decideClaim(message.request, known, claim => { changed.set(id, claim) })
-      : decideReport(message.report, known, claim => { changed.set(id, claim) })
+  /** An at-most-once request of an executor that is gone may have run; durable work is taken over. */
+  private _settleGoneExecutors (changed: Map<string, Claim>, now: Milliseconds): ClaimEffect[] {
+    const isOrphan = (claim: Claim): boolean => claim.state === 'claimed' && this._executors.isGone(claim.executor, now)
+    const orphans = this._store.open.filter(isOrphan).slice(0, HAND_OVERS_PER_WRITE)
+    const settled = orphans.map(claim => claim.treatment === 'durable' ? this._handOver(claim) : withoutOutcome(claim))
+    for (const claim of settled) changed.set(claimId(claim), claim)
+    return settled.filter(claim => claim.state === 'claimed').map(claim => ({ kind: 'run-durable', claim }))
   }
 
-  private _write (replies: PendingReply[], changed: ReadonlyMap<string, Claim> = new Map()): ClaimEffect[] {
-    this._writeCount += 1
-    const claims = new Map([...this._claims, ...changed])
+  private _handOver (claim: Claim): Claim {
+    return { ...claim, executor: this._self, attemptToken: this._nextToken(), attempt: (claim.attempt ?? 1) + 1 }
+  }
+
+  private _decide (call: ClaimCall, changed: Map<string, Claim>): ClaimReply {
+    const id = idOf(call)
+    const decision = this._decideCall(call, changed.get(id) ?? this._store.find(id), changed)
+    if (decision.record !== undefined) changed.set(id, decision.record)
+    return decision.reply
+  }
+
+  private _decideCall (call: ClaimCall, known: Claim | undefined, changed: ReadonlyMap<string, Claim>): ClaimDecision {
+    switch (call.kind) {
+      case 'claim': return this._decideClaim(call.request, known, changed)
+      case 'report': return decideReport(call.report, known)
+      case 'find': return { reply: { kind: 'found', claim: known } }
+      case 'resolve':
+        return this._wall === undefined
+          ? { reply: { kind: 'unavailable', retryAfter: RETRY_AFTER } }
+          : decideResolution(call.resolution, known, this._wall)
+    }
+  }
+
+  private _decideClaim (request: ClaimRequest, known: Claim | undefined, changed: ReadonlyMap<string, Claim>): ClaimDecision {
+    const decision = decideClaim(request, known)
+    if (decision.record === undefined) return decision
+    if (keyTime(request.idempotencyKey) !== undefined) {
+      if (this._wall === undefined) return { reply: { kind: 'unavailable', retryAfter: RETRY_AFTER } }
+      if (isOutsideWindow(request.idempotencyKey, this._wall)) return { reply: { kind: 'expired' } }
+    }
+    if (this._isFull(request, changed)) return { reply: { kind: 'overloaded', retryAfter: OVERLOADED_RETRY_AFTER } }
+    return decision
+  }
+
+  private _isFull (request: ClaimRequest, changed: ReadonlyMap<string, Claim>): boolean {
+    const newBytes = [...changed.values(), request].reduce((sum, claim) => sum + JSON.stringify(claim).length, 0)
+    if (this._store.openBytes + newBytes > HEAD_MAXIMUM_BYTES) return true
+    if (request.treatment !== 'durable' || request.maximumBacklog === undefined) return false
+    const isBacklog = (claim: Claim): boolean =>
+      claim.treatment === 'durable' && claim.state === 'claimed' && claim.workspace === request.workspace
+    const backlog = [...this._store.open, ...changed.values()].filter(isBacklog)
+    return new Set(backlog.map(claimId)).size >= request.maximumBacklog
+  }
+
+  private _write (
+    next: Pick<WriteInFlight, 'open' | 'segments'> & Partial<Pick<WriteInFlight, 'plan' | 'replies' | 'afterwards'>>, now: Milliseconds
+  ): ClaimEffect[] {
+    this._pacer.take(now)
     const head: ShardHead = {
-      writerToken: `${this._self.host}/${this._self.incarnation}/${this._epoch}/${this._writeCount}`,
-      epoch: this._epoch,
-      owner: this._self,
-      claims: [...claims.values()]
+      writerToken: this._nextToken(), epoch: this._epoch, owner: this._self, ...headContents(next.open, next.segments)
     }
-    this._inFlight = { head, expectedRevision: this._revision, replies }
+    this._inFlight = { replies: [], afterwards: [], ...next, head, expectedRevision: this._revision }
     return [{ kind: 'write-head', head, expectedRevision: this._revision }]
   }
 
-  private _onHeadWritten (revision: number): ClaimEffect[] {
+  private _nextToken (): string {
+    this._writeCount += 1
+    return `${this._self.host}/${this._self.incarnation}/${this._epoch}/${this._writeCount}`
+  }
+
+  private _onHeadWritten (revision: number, now: Milliseconds): ClaimEffect[] {
     const write = this._inFlight
     if (write === undefined) return []
     this._inFlight = undefined
-    this._load(write.head, revision)
-    return [...write.replies.map(pending => ({ kind: 'reply' as const, ...pending })), ...this._flush()]
+    this._revision = revision
+    this._lastToken = write.head.writerToken
+    if (write.plan === undefined) this._store.record(write.open)
+    else this._store.close(write.plan)
+    return [...write.replies.map(pending => ({ kind: 'reply' as const, ...pending })), ...write.afterwards, ...this._flush(now)]
   }
 
   /** Another owner has written: nothing of the lost write was granted, and nothing more will be here. */
-  private _onHeadWriteLost (): ClaimEffect[] {
-    return this._stepDown({ kind: 'not-owner' })
+  private _onHeadWriteLost (now: Milliseconds, written: ClaimReply = { kind: 'not-owner' }): ClaimEffect[] {
+    this._heldUntil = now + TAKEOVER_HOLD
+    return this._stepDown({ kind: 'not-owner' }, written)
   }
 
-  private _abandon (): ClaimEffect[] {
-    return this._stepDown({ kind: 'unavailable', retryAfter: RETRY_AFTER })
+  private _abandon (now: Milliseconds): ClaimEffect[] {
+    this._unavailableUntil = now + RETRY_AFTER
+    return this._stepDown({ kind: 'unavailable', retryAfter: RETRY_AFTER }, AMBIGUOUS)
   }
 
-  private _stepDown (reply: ClaimReply): ClaimEffect[] {
-    const callIds = [...(this._inFlight?.replies ?? []), ...this._waiting].map(pending => pending.callId)
+  /**
+   * @param waiting the reply to calls of which nothing was written
+   * @param written the reply to calls of the write in flight
+   */
+  private _stepDown (waiting: ClaimReply, written: ClaimReply): ClaimEffect[] {
+    const inFlight = (this._inFlight?.replies ?? []).map(({ callId }) => ({ callId, reply: written }))
+    const replies = [...inFlight, ...this._waiting.map(({ callId }) => ({ callId, reply: waiting }))]
     this._phase = 'follower'
     this._inFlight = undefined
+    this._closing = undefined
+    this._loader = undefined
     this._waiting = []
-    this._claims.clear()
-    return callIds.map(callId => ({ kind: 'reply', callId, reply }))
+    this._store.load([], [])
+    this._executors.reset()
+    return replies.map(pending => ({ kind: 'reply', ...pending }))
   }
 }
 
-function claimId (claim: Pick<Claim, 'workspace' | 'idempotencyKey'>): string {
-  return `${claim.workspace}\n${claim.idempotencyKey}`
+function idOf (call: ClaimCall): string {
+  switch (call.kind) {
+    case 'claim': return claimId(call.request)
+    case 'report': return claimId(call.report)
+    case 'resolve': return claimId(call.resolution)
+    case 'find': return claimId(call)
+  }
 }
 
-function decideClaim (request: ClaimRequest, known: Claim | undefined, record: (claim: Claim) => void): ClaimReply {
-  if (known !== undefined && known.requestDigest !== request.requestDigest) return { kind: 'conflict' }
-  if (known === undefined || known.state === 'released') {
-    record({ ...request, state: 'claimed' })
-    return { kind: 'granted' }
-  }
-  if (known.state === 'done' && known.answer !== undefined) return { kind: 'done', answer: known.answer }
-  if (known.state === 'unknown') return { kind: 'unknown' }
-  // The answer to a grant may have been lost; the same attempt asks again and is granted again.
-  if (known.attemptToken === request.attemptToken) return { kind: 'granted' }
-  return { kind: 'in-progress', executor: known.executor }
+function withId (claim: Claim): [string, Claim] {
+  return [claimId(claim), claim]
 }
 
-function decideReport (report: ClaimReport, known: Claim | undefined, record: (claim: Claim) => void): ClaimReply {
-  if (known === undefined || known.attemptToken !== report.attemptToken) return { kind: 'conflict' }
-  if (known.state === report.state) return { kind: 'recorded' }
-  if (known.state !== 'claimed') return { kind: 'conflict' }
-  record({ ...known, state: report.state, answer: report.answer })
-  return { kind: 'recorded' }
+function withoutOutcome (claim: Claim): Claim {
+  return { ...claim, state: 'unknown' }
 }
--- /dev/null
+++ b/packages/coordination/src/claims/claimStore.ts
@@ -0,0 +1,170 @@
+/** The claims of one shard as last known to be recorded: the head's open records over the closed segments. */
+import { contentDigest, type Milliseconds } from '../common/index.js'
+import { claimId } from './claimDecisions.js'
+import type { Claim, SegmentName, ShardHead } from './messages.js'
+import { isForgettable } from './retention.js'
+
+/** Size of settled records at which the head's records move into a segment. */
+export const CLOSE_AT_BYTES = 32_768
+
+/** Size up to which the newest segment is written anew together with the next records, so that names stay few. */
+export const SEGMENT_TARGET_BYTES = 262_144
+
+/** No segment is written above this size; the service holds values up to a megabyte. */
+export const SEGMENT_MAXIMUM_BYTES = 786_432
+
+/** A closed segment with its records. */
+export interface ClosedSegment {
+  name: SegmentName
+  claims: readonly Claim[]
+}
+
+/** A closing of the head's settled records: what the next head holds once the segment is written. */
+export interface SegmentPlan {
+  segment: ClosedSegment
+  /** The segment's value. */
+  text: string
+  open: Claim[]
+  segments: ClosedSegment[]
+  /** Names that the next head no longer holds. */
+  dropped: string[]
+}
+
+/** Holds the records of one shard. */
+export class ClaimStore {
+  private readonly _open = new Map<string, Claim>()
+  private readonly _closed = new Map<string, Claim>()
+  private _segments: readonly ClosedSegment[] = []
+  private _openBytes = 0
+  private _settledBytes = 0
+
+  /** The latest record of every claim. */
+  get claims (): Claim[] {
+    return [...new Map([...this._closed, ...this._open]).values()]
+  }
+
+  /** The records that are in no segment. */
+  get open (): Claim[] {
+    return [...this._open.values()]
+  }
+
+  /** Size of the open records. */
+  get openBytes (): number {
+    return this._openBytes
+  }
+
+  /** The closed segments, oldest first. */
+  get segments (): readonly ClosedSegment[] {
+    return this._segments
+  }
+
+  /** Whether enough records are settled to close them. */
+  get isCloseDue (): boolean {
+    return this._settledBytes >= CLOSE_AT_BYTES
+  }
+
+  /** The latest record of a claim. */
+  find (id: string): Claim | undefined {
+    return this._open.get(id) ?? this._closed.get(id)
+  }
+
+  /** Replaces everything by what a head names. */
+  load (open: readonly Claim[], segments: readonly ClosedSegment[]): void {
+    this._open.clear()
+    this._closed.clear()
+    this._openBytes = 0
+    this._settledBytes = 0
+    this._segments = segments
+    for (const { claims } of segments) for (const claim of claims) this._closed.set(claimId(claim), claim)
+    this.record(open)
+  }
+
+  /** Takes a closing that a head write has won. */
+  close (plan: SegmentPlan): void {
+    const dropped = this._segments.filter(({ name }) => plan.dropped.includes(name.name))
+    for (const claim of dropped.flatMap(({ claims }) => claims)) this._forget(claim)
+    for (const claim of plan.segment.claims) this._closed.set(claimId(claim), claim)
+    this._segments = plan.segments
+    this._open.clear()
+    this._openBytes = 0
+    this._settledBytes = 0
+    this.record(plan.open)
+  }
+
+  /** Adds records that a head write has won. */
+  record (claims: Iterable<Claim>): void {
+    for (const claim of claims) this._set(claim)
+  }
+
+  /** Plans the closing of all settled records under a name that can never come again. */
+  planClose (name: string, wall: Milliseconds): SegmentPlan {
+    const settled = this.open.filter(claim => claim.state !== 'claimed')
+    const newest = this._segments.at(-1)
+    const isMerging = newest !== undefined && newest.name.sizeBytes + this._settledBytes <= SEGMENT_TARGET_BYTES
+    const rest = isMerging ? this._segments.slice(0, -1) : this._segments
+    const merged = isMerging ? this._keptOf(newest, rest.length === 0, wall) : []
+    const expired = this._expiredOf(rest, wall)
+    const carried = expired === undefined ? [] : this._keptOf(expired, true, wall)
+    const claims = [...carried, ...merged, ...settled]
+    const text = JSON.stringify(claims)
+    const closed: ClosedSegment = {
+      name: { name, digest: contentDigest(text), count: claims.length, sizeBytes: text.length, closedAt: wall }, claims
+    }
+    return {
+      segment: closed,
+      text,
+      open: this.open.filter(claim => claim.state === 'claimed'),
+      segments: [...rest.filter(segment => segment !== expired), closed],
+      dropped: [...(isMerging ? [newest.name.name] : []), ...(expired === undefined ? [] : [expired.name.name])]
+    }
+  }
+
+  /**
+   * The records of a segment that its successor must hold. Records past the window may only go from the oldest segment:
+   * an older segment could hold an older record of the same claim, which would then count again.
+   */
+  private _keptOf (segment: ClosedSegment, isOldest: boolean, wall: Milliseconds): Claim[] {
+    return segment.claims.filter(claim => {
+      const id = claimId(claim)
+      if (this._open.has(id) || this._closed.get(id) !== claim) return false
+      return claim.state === 'unknown' || !isOldest || !isForgettable(claim.recordedAt, wall)
+    })
+  }
+
+  /** The oldest segment, if it is past the window and what it must hand on is small enough. */
+  private _expiredOf (segments: readonly ClosedSegment[], wall: Milliseconds): ClosedSegment | undefined {
+    const oldest = segments[0]
+    if (oldest === undefined || !isForgettable(oldest.name.closedAt, wall)) return undefined
+    const carriedBytes = this._keptOf(oldest, true, wall).reduce((sum, claim) => sum + sizeOf(claim), 0)
+    return carriedBytes + this._settledBytes + SEGMENT_TARGET_BYTES > SEGMENT_MAXIMUM_BYTES ? undefined : oldest
+  }
+
+  private _forget (claim: Claim): void {
+    const id = claimId(claim)
+    if (this._closed.get(id) === claim) this._closed.delete(id)
+  }
+
+  private _set (claim: Claim): void {
+    const id = claimId(claim)
+    const previous = this._open.get(id)
+    if (previous === claim) return
+    if (previous !== undefined) this._count(previous, -1)
+    this._open.set(id, claim)
+    this._count(claim, 1)
+  }
+
+  private _count (claim: Claim, sign: 1 | -1): void {
+    const size = sizeOf(claim) * sign
+    this._openBytes += size
+    if (claim.state !== 'claimed') this._settledBytes += size
+  }
+}
+
+/** The part of a head that a store writes. */
+export function headContents (open: Claim[], segments: readonly ClosedSegment[]): Pick<ShardHead, 'claims' | 'segments'> {
+  return { claims: open, segments: segments.map(segment => segment.name) }
+}
+
+function sizeOf (claim: Claim): number {
+  return JSON.stringify(claim).length
+}
--- a/packages/coordination/src/claims/messages.ts
+++ b/packages/coordination/src/claims/messages.ts
@@ -27,11 +27,33 @@
   recordedAt: z.number(),
   /** The request itself, kept for durable requests so that any instance can run it. */
   request: z.string().optional(),
-  answer: keptAnswerSchema.optional()
+  /** Absent for a claim that is done where the answer was too large to keep, or an operator resolved it without one. */
+  answer: keptAnswerSchema.optional(),
+  /** Wall-clock time after which the attempt no longer sends; an operator waits for it before `not-run`. */
+  deadlineAt: z.number().optional(),
+  /** Rises each time durable work is handed to another instance. */
+  attempt: z.number().int().positive().optional(),
+  /** The operator who resolved the claim. */
+  resolvedBy: z.string().optional()
 })
 /** One claim as recorded in the log. */
 export type Claim = z.infer<typeof claimSchema>
 
+/** A closed segment as the head names it. Neither the name nor the contents ever change or come again. */
+export const segmentNameSchema = z.strictObject({
+  name: z.string().min(1),
+  digest: z.string(),
+  count: z.number().int().nonnegative(),
+  sizeBytes: z.number().int().nonnegative(),
+  /** Wall-clock time of closing: every claim in the segment was recorded before. */
+  closedAt: z.number()
+})
+/** A closed segment as the head names it. */
+export type SegmentName = z.infer<typeof segmentNameSchema>
+
+/** The value under a segment's key. */
+export const segmentSchema = z.array(claimSchema)
+
 /** The value under a shard's head key. */
 export const shardHeadSchema = z.strictObject({
   /** Names the write, so that a lost answer is settled by reading back. */
@@ -39,6 +61,9 @@
   /** Rises with each new owner. */
   epoch: z.number().int().nonnegative(),
   owner: instanceIdentitySchema,
+  /** Closed segments, oldest first. */
+  segments: z.array(segmentNameSchema).default([]),
+  /** Records that are in no segment; each is newer than any record of the same claim in a segment. */
   claims: z.array(claimSchema)
 })
 /** The value under a shard's head key. */
@@ -55,6 +80,9 @@
   executor: InstanceIdentity
   recordedAt: number
   request?: string
+  deadlineAt?: number
+  /** Most durable requests of the workspace that may be open at once in one shard; not part of the record. */
+  maximumBacklog?: number
 }
 
 /** A report about a claimed attempt by its executor. */
@@ -65,6 +93,17 @@
   /** `released` only if the attempt was never sent and never will be. */
   state: 'released' | 'done' | 'unknown'
   answer?: KeptAnswer
+  /** With `released`: the request of an attempt that may never have been recorded, or may be recorded only later. */
+  abandoned?: ClaimRequest
+}
+
+/** An operator's word on a claim whose outcome is unknown. */
+export interface ClaimResolution {
+  workspace: string
+  idempotencyKey: string
+  outcome: 'ran' | 'not-run'
+  author: string
+  answer?: KeptAnswer
 }
 
 /** Answer to a claim request or report. */
@@ -74,23 +113,58 @@
   | { kind: 'done', answer: KeptAnswer }
   | { kind: 'in-progress', executor: InstanceIdentity }
   | { kind: 'unknown' }
+  /** The key is older than the retention window, so whether it ran is no longer known; it is never run. */
+  | { kind: 'expired' }
+  /** The request ran; its answer is not kept. */
+  | { kind: 'answer-not-kept' }
+  /** The shard or the workspace's share of it is full. Nothing was recorded. */
+  | { kind: 'overloaded', retryAfter: Milliseconds }
+  /** An operator's `not-run` came while the attempt might still have sent. */
+  | { kind: 'too-early', retryAfter: Milliseconds }
   | { kind: 'conflict' }
+  | { kind: 'found', claim: Claim | undefined }
+  /** Nothing was recorded, and nothing will be. */
   | { kind: 'not-owner' }
+  /** Nothing was recorded, and nothing will be. */
   | { kind: 'unavailable', retryAfter: Milliseconds }
+  /** It may be recorded, now or later. */
+  | { kind: 'ambiguous', retryAfter: Milliseconds }
+
+/** A message that its sender waits to have answered. */
+export type ClaimCall = Extract<ClaimMessage, { callId: number }>
 
 /** What a shard is told. */
 export type ClaimMessage =
   | { kind: 'take-over' }
+  /** The live members as believed here, and the wall-clock time for the retention window. Told about once a second. */
+  | { kind: 'tick', wall: Milliseconds, live: readonly InstanceIdentity[] }
   | { kind: 'claim', callId: number, request: ClaimRequest }
   | { kind: 'report', callId: number, report: ClaimReport }
+  | { kind: 'resolve', callId: number, resolution: ClaimResolution }
+  | { kind: 'find', callId: number, workspace: string, idempotencyKey: string }
+  /** The delay that the shard asked for with `wake-after` is over. */
+  | { kind: 'wake' }
   | { kind: 'head-read', head: ShardHead | undefined, revision: number }
   | { kind: 'head-read-failed' }
   | { kind: 'head-written', revision: number }
   | { kind: 'head-write-lost' }
   | { kind: 'head-write-ambiguous' }
+  /** The segment's text, or `undefined` where the key does not exist. */
+  | { kind: 'segment-read', name: string, text: string | undefined }
+  | { kind: 'segment-read-failed', name: string }
+  | { kind: 'segment-written', name: string }
+  | { kind: 'segment-write-failed', name: string }
 
 /** What a shard asks its driver to do. */
 export type ClaimEffect =
   | { kind: 'read-head' }
   | { kind: 'write-head', head: ShardHead, expectedRevision: number }
+  | { kind: 'read-segment', name: string }
+  /** Create if absent. A key that exists already is our own earlier write, since a name never comes again. */
+  | { kind: 'write-segment', name: string, text: string }
+  /** No head names the segment any more. A removal that fails leaves an unused key behind and nothing worse. */
+  | { kind: 'remove-segment', name: string }
   | { kind: 'reply', callId: number, reply: ClaimReply }
+  | { kind: 'wake-after', delay: Milliseconds }
+  /** Durable work whose executor is gone is now recorded as this instance's own. */
+  | { kind: 'run-durable', claim: Claim }
--- /dev/null
+++ b/packages/coordination/src/claims/writePacer.ts
@@ -0,0 +1,33 @@
+/** Spaces the writes of one shard, so that all shards together stay within their share of the key-value service. */
+import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../common/index.js'
+import { CLAIM_SHARD_COUNT } from './claimPlacement.js'
+
+/** Writes a second that the claims of the whole fleet may take of the key-value service. */
+export const FLEET_CLAIM_WRITES_PER_SECOND = 200
+
+const BURST_WRITES = 4
+const SPACING: Milliseconds = MILLISECONDS_PER_SECOND * CLAIM_SHARD_COUNT / FLEET_CLAIM_WRITES_PER_SECOND
+
+/** A token bucket: idle shards write at once, busy ones gather more records into each write. */
+export class WritePacer {
+  private _tokens = BURST_WRITES
+  private _filledAt: Milliseconds = 0
+
+  /** Delay until a write is allowed; 0 where it is allowed now. */
+  delayAt (now: Milliseconds): Milliseconds {
+    this._fill(now)
+    return this._tokens >= 1 ? 0 : Math.ceil((1 - this._tokens) * SPACING)
+  }
+
+  /** Counts one write. */
+  take (now: Milliseconds): void {
+    this._fill(now)
+    this._tokens -= 1
+  }
+
+  private _fill (now: Milliseconds): void {
+    const filled = this._tokens + Math.max(0, now - this._filledAt) / SPACING
+    this._tokens = Math.min(BURST_WRITES, filled)
+    this._filledAt = now
+  }
+}
--- a/packages/daemon/src/claims/claimConversions.ts
+++ b/packages/daemon/src/claims/claimConversions.ts
@@ -1,10 +1,13 @@
 /** Conversions between the claim slice's types and the peers' protocol. */
 import { create } from '@bufbuild/protobuf'
-import type { ClaimReply, ClaimReport, ClaimRequest } from '@wasabihead/coordination'
+import {
+  claimSchema,
+  type Claim, type ClaimReply, type ClaimReport, type ClaimRequest, type ClaimResolution, type Milliseconds
+} from '@wasabihead/coordination'
 import { instanceFromWire, instanceToWire } from '../peers/index.js'
 import {
-  ClaimCallRequestSchema, ClaimCallResponseSchema, ReportClaimRequestSchema, ReportedState, Treatment,
-  type ClaimCallRequest, type ClaimCallResponse, type ReportClaimRequest
+  ClaimCallRequestSchema, ClaimCallResponseSchema, ReportClaimRequestSchema, ReportedState, ResolveClaimRequestSchema, Treatment,
+  type ClaimCallRequest, type ClaimCallResponse, type ReportClaimRequest, type ResolveClaimRequest
 } from '../peers/gen/wasabihead/v1/claims_pb.js'
 
 const RETRY_AFTER_MILLISECONDS = 1_000
@@ -24,7 +27,8 @@
     ...request,
     treatment: request.treatment === 'durable' ? Treatment.DURABLE : Treatment.AT_MOST_ONCE,
     executor: instanceToWire(request.executor),
-    recordedAt: BigInt(Math.round(request.recordedAt))
+    recordedAt: BigInt(Math.round(request.recordedAt)),
+    deadlineAt: request.deadlineAt === undefined ? undefined : BigInt(Math.round(request.deadlineAt))
   })
 }
 
@@ -39,13 +43,19 @@
     attemptToken: request.attemptToken,
     executor: instanceFromWire(request.executor),
     recordedAt: Number(request.recordedAt),
-    ...(request.request === undefined ? {} : { request: request.request })
+    ...(request.request === undefined ? {} : { request: request.request }),
+    ...(request.deadlineAt === undefined ? {} : { deadlineAt: Number(request.deadlineAt) }),
+    ...(request.maximumBacklog === undefined ? {} : { maximumBacklog: request.maximumBacklog })
   }
 }
 
 /** A claim report on the wire. */
 export function claimReportToWire (report: ClaimReport): ReportClaimRequest {
-  return create(ReportClaimRequestSchema, { ...report, state: REPORTED_TO_WIRE[report.state] })
+  return create(ReportClaimRequestSchema, {
+    ...report,
+    state: REPORTED_TO_WIRE[report.state],
+    abandoned: report.abandoned === undefined ? undefined : claimRequestToWire(report.abandoned)
+  })
 }
 
 /** A claim report from the wire; a state that is not known counts as an unknown outcome. */
@@ -55,7 +65,25 @@
     idempotencyKey: report.idempotencyKey,
     attemptToken: report.attemptToken,
     state: REPORTED_FROM_WIRE[report.state] ?? 'unknown',
-    ...(report.answer === undefined ? {} : { answer: { status: report.answer.status, body: report.answer.body } })
+    ...(report.answer === undefined ? {} : { answer: { status: report.answer.status, body: report.answer.body } }),
+    ...(report.abandoned === undefined ? {} : { abandoned: claimRequestFromWire(report.abandoned) })
+  }
+}
+
+/** An operator's resolution on the wire. */
+export function resolutionToWire (resolution: ClaimResolution): ResolveClaimRequest {
+  return create(ResolveClaimRequestSchema, { ...resolution, ran: resolution.outcome === 'ran' })
+}
+
+/** An operator's resolution from the wire. */
+export function resolutionFromWire (resolution: ResolveClaimRequest): ClaimResolution {
+  const { workspace, idempotencyKey, author, answer } = resolution
+  return {
+    workspace,
+    idempotencyKey,
+    author,
+    outcome: resolution.ran ? 'ran' : 'not-run',
+    ...(answer === undefined ? {} : { answer: { status: answer.status, body: answer.body } })
   }
 }
 
@@ -71,13 +99,21 @@
     case 'conflict': return create(ClaimCallResponseSchema, { reply: { case: 'conflict', value: {} } })
     case 'not-owner': return create(ClaimCallResponseSchema, { reply: { case: 'notOwner', value: {} } })
     case 'unavailable':
+    case 'ambiguous':
+    case 'overloaded':
+      return create(ClaimCallResponseSchema, { reply: { case: reply.kind, value: delayToWire(reply.retryAfter) } })
+    case 'too-early':
+      return create(ClaimCallResponseSchema, { reply: { case: 'tooEarly', value: delayToWire(reply.retryAfter) } })
+    case 'expired': return create(ClaimCallResponseSchema, { reply: { case: 'expired', value: {} } })
+    case 'answer-not-kept': return create(ClaimCallResponseSchema, { reply: { case: 'answerNotKept', value: {} } })
+    case 'found':
       return create(ClaimCallResponseSchema, {
-        reply: { case: 'unavailable', value: { retryAfterMilliseconds: reply.retryAfter } }
+        reply: { case: 'found', value: reply.claim === undefined ? {} : { record: JSON.stringify(reply.claim) } }
       })
   }
 }
 
-/** A claim reply from the wire; a reply that is not understood counts as unavailable. */
+/** A claim reply from the wire; a reply that is not understood counts as ambiguous. */
 export function claimReplyFromWire (response: ClaimCallResponse): ClaimReply {
   const reply = response.reply
   switch (reply.case) {
@@ -88,7 +124,21 @@
     case 'unknown': return { kind: 'unknown' }
     case 'conflict': return { kind: 'conflict' }
     case 'notOwner': return { kind: 'not-owner' }
-    case 'unavailable': return { kind: 'unavailable', retryAfter: reply.value.retryAfterMilliseconds }
-    default: return { kind: 'unavailable', retryAfter: RETRY_AFTER_MILLISECONDS }
+    case 'unavailable':
+    case 'ambiguous':
+    case 'overloaded': return { kind: reply.case, retryAfter: reply.value.retryAfterMilliseconds }
+    case 'tooEarly': return { kind: 'too-early', retryAfter: reply.value.retryAfterMilliseconds }
+    case 'expired': return { kind: 'expired' }
+    case 'answerNotKept': return { kind: 'answer-not-kept' }
+    case 'found': return { kind: 'found', claim: claimFromRecord(reply.value.record) }
+    default: return { kind: 'ambiguous', retryAfter: RETRY_AFTER_MILLISECONDS }
   }
 }
+
+function delayToWire (delay: Milliseconds): { retryAfterMilliseconds: number } {
+  return { retryAfterMilliseconds: Math.ceil(delay) }
+}
+
+function claimFromRecord (record: string | undefined): Claim | undefined {
+  return record === undefined ? undefined : claimSchema.parse(JSON.parse(record))
+}
--- a/packages/daemon/src/claims/claimCoordinator.ts
+++ b/packages/daemon/src/claims/claimCoordinator.ts
@@ -1,21 +1,26 @@
 /** Drives the claim shards of this instance and finds the owner of the others. */
-import { Result } from 'true-myth'
+import type { Result } from 'true-myth'
 import {
-  ABSENT_REVISION, CLAIM_SHARD_COUNT, ClaimShard, claimShardOf, firstByRendezvous, shardHeadKey, shardHeadSchema,
-  type ClaimEffect, type ClaimMessage, type ClaimReply, type ClaimReport, type ClaimRequest, type KeyValueService,
-  type MemberTable, type ShardHead
+  ABSENT_REVISION, CLAIM_SHARD_COUNT, ClaimShard, claimShardOf, firstByRendezvous, segmentKey, shardHeadKey, shardHeadSchema,
+  type Claim, type ClaimEffect, type ClaimMessage, type ClaimReply, type ClaimReport, type ClaimRequest,
+  type ClaimResolution, type KeyValueService, type MemberTable, type Milliseconds, type ShardHead
 } from '@wasabihead/coordination'
 import type { Clock } from '../instance/clock.js'
 import type { Logger } from '../telemetry/index.js'
 import type { ClaimPeerClient } from './claimPeers.js'
 
-const RETRY_AFTER_MILLISECONDS = 1_000
+const RETRY_AFTER: Milliseconds = 1_000
+const TICK_INTERVAL: Milliseconds = 1_000
 
 /** Records claims, here or at the owner of their shard. */
 export class ClaimCoordinator {
+  /** Runs durable work that was recorded as this instance's own. */
+  onDurableWork: (claim: Claim) => void = () => {}
+
   private readonly _shards: ClaimShard[]
   private readonly _waitingCalls = new Map<number, (reply: ClaimReply) => void>()
   private _nextCallId = 1
+  private _ticker: NodeJS.Timeout | undefined
 
   constructor (
     private readonly _environment: string,
@@ -28,30 +33,72 @@
     this._shards = Array.from({ length: CLAIM_SHARD_COUNT }, () => new ClaimShard(_members.identity))
   }
 
+  /** Begins to own shards: an owner takes over the work of executors that are gone without being called. */
+  start (): void {
+    this._ticker = setInterval(() => { this._tick() }, TICK_INTERVAL)
+  }
+
+  /** Ends the ticks. Calls are answered as before. */
+  stop (): void {
+    clearInterval(this._ticker)
+  }
+
   /** Records a claim wherever its shard is owned. */
   async claim (request: ClaimRequest): Promise<ClaimReply> {
-    const owner = this._ownerOf(claimShardOf(request.workspace, request.idempotencyKey))
-    if (owner === undefined) return await this.claimHere(request)
-    return unavailableOnError(await this._peers.claim(owner, request))
+    return await this._atOwner(request, async () => await this.claimHere(request),
+      async address => await this._peers.claim(address, request))
   }
 
   /** Records a claim's outcome wherever its shard is owned. */
   async report (report: ClaimReport): Promise<ClaimReply> {
-    const owner = this._ownerOf(claimShardOf(report.workspace, report.idempotencyKey))
-    if (owner === undefined) return await this.reportHere(report)
-    return unavailableOnError(await this._peers.report(owner, report))
+    return await this._atOwner(report, async () => await this.reportHere(report),
+      async address => await this._peers.report(address, report))
+  }
+
+  /** Records an operator's resolution wherever the claim's shard is owned. */
+  async resolve (resolution: ClaimResolution): Promise<ClaimReply> {
+    return await this._atOwner(resolution, async () => await this.resolveHere(resolution),
+      async address => await this._peers.resolve(address, resolution))
+  }
+
+  /** Finds a claim; the reply is `found`, or tells why it cannot be said. */
+  async find (workspace: string, idempotencyKey: string): Promise<ClaimReply> {
+    return await this._atOwner({ workspace, idempotencyKey }, async () => await this.findHere(workspace, idempotencyKey),
+      async address => await this._peers.find(address, workspace, idempotencyKey))
   }
 
   /** Records a claim as the owner of its shard. */
   async claimHere (request: ClaimRequest): Promise<ClaimReply> {
-    const shard = claimShardOf(request.workspace, request.idempotencyKey)
-    return await this._submit(shard, callId => ({ kind: 'claim', callId, request }))
+    return await this._submit(shardOf(request), callId => ({ kind: 'claim', callId, request }))
   }
 
   /** Records a claim's outcome as the owner of its shard. */
   async reportHere (report: ClaimReport): Promise<ClaimReply> {
-    const shard = claimShardOf(report.workspace, report.idempotencyKey)
-    return await this._submit(shard, callId => ({ kind: 'report', callId, report }))
+    return await this._submit(shardOf(report), callId => ({ kind: 'report', callId, report }))
+  }
+
+  /** Records an operator's resolution as the owner of the claim's shard. */
+  async resolveHere (resolution: ClaimResolution): Promise<ClaimReply> {
+    return await this._submit(shardOf(resolution), callId => ({ kind: 'resolve', callId, resolution }))
+  }
+
+  /** Finds a claim as the owner of its shard. */
+  async findHere (workspace: string, idempotencyKey: string): Promise<ClaimReply> {
+    return await this._submit(shardOf({ workspace, idempotencyKey }), callId => ({
+      kind: 'find', callId, workspace, idempotencyKey
+    }))
+  }
+
+  /** One retry where beliefs about the owner differed; only a definite "not the owner" is asked again. */
+  private async _atOwner (
+    claim: ClaimPlace, here: () => Promise<ClaimReply>, there: (address: string) => Promise<Result<ClaimReply, Error>>
+  ): Promise<ClaimReply> {
+    const ask = async (): Promise<ClaimReply> => {
+      const owner = this._ownerOf(shardOf(claim))
+      return owner === undefined ? await here() : ambiguousOnError(await there(owner))
+    }
+    const reply = await ask()
+    return reply.kind === 'not-owner' ? await ask() : reply
   }
 
   /** The peer address of a shard's owner, or undefined where it is this instance. */
@@ -62,6 +109,15 @@
     return this._members.find(owner)?.peerAddress
   }
 
+  private _tick (): void {
+    const live = this._members.live.map(({ host, incarnation }) => ({ host, incarnation }))
+    const wall = this._clock.wall()
+    for (let shard = 0; shard < CLAIM_SHARD_COUNT; shard++) {
+      if (this._ownerOf(shard) === undefined) this._tell(shard, { kind: 'take-over' })
+      this._tell(shard, { kind: 'tick', wall, live })
+    }
+  }
+
   private async _submit (shard: number, toMessage: (callId: number) => ClaimMessage): Promise<ClaimReply> {
     const callId = this._nextCallId++
     const reply = new Promise<ClaimReply>(resolve => { this._waitingCalls.set(callId, resolve) })
@@ -78,18 +134,24 @@
   private _perform (shard: number, effect: ClaimEffect): void {
     switch (effect.kind) {
       case 'reply': return this._reply(effect.callId, effect.reply)
-      case 'read-head':
-        this._readHead(shard).catch(error => { this._onBroken(shard, error) })
+      case 'run-durable': return this.onDurableWork(effect.claim)
+      case 'wake-after':
+        setTimeout(() => { this._tell(shard, { kind: 'wake' }) }, effect.delay)
         return
-      case 'write-head':
-        this._writeHead(shard, effect.head, effect.expectedRevision).catch(error => { this._onBroken(shard, error) })
+      case 'read-head': return this._guard(shard, this._readHead(shard))
+      case 'write-head': return this._guard(shard, this._writeHead(shard, effect.head, effect.expectedRevision))
+      case 'read-segment': return this._guard(shard, this._readSegment(shard, effect.name))
+      case 'write-segment': return this._guard(shard, this._writeSegment(shard, effect.name, effect.text))
+      case 'remove-segment': return this._guard(shard, this._removeSegment(shard, effect.name))
     }
   }
 
   /** A head that cannot be understood is no reason to guess: the shard refuses until it can be read. */
-  private _onBroken (shard: number, error: unknown): void {
-    this._logger.error('a claim shard cannot be read', { shard, problem: String(error) })
-    this._tell(shard, { kind: 'head-read-failed' })
+  private _guard (shard: number, performed: Promise<void>): void {
+    performed.catch(error => {
+      this._logger.error('a claim shard cannot be read', { shard, problem: String(error) })
+      this._tell(shard, { kind: 'head-read-failed' })
+    })
   }
 
   private _reply (callId: number, reply: ClaimReply): void {
@@ -114,8 +176,34 @@
       Err: (): ClaimMessage => ({ kind: 'head-write-ambiguous' })
     }))
   }
+
+  private async _readSegment (shard: number, name: string): Promise<void> {
+    const read = await this._keyValue.read(segmentKey(this._environment, shard, name))
+    this._tell(shard, read.isErr
+      ? { kind: 'segment-read-failed', name }
+      : { kind: 'segment-read', name, text: read.value?.value })
+  }
+
+  /** A write that lost found its own earlier copy, since no other writer ever uses the name. */
+  private async _writeSegment (shard: number, name: string, text: string): Promise<void> {
+    const key = segmentKey(this._environment, shard, name)
+    const written = await this._keyValue.compareAndSwap({ key, value: text, expectedRevision: ABSENT_REVISION })
+    this._tell(shard, { kind: written.isOk ? 'segment-written' : 'segment-write-failed', name })
+  }
+
+  private async _removeSegment (shard: number, name: string): Promise<void> {
+    const key = segmentKey(this._environment, shard, name)
+    const read = await this._keyValue.read(key)
+    if (read.isOk && read.value !== undefined) await this._keyValue.remove(key, read.value.revision)
+  }
+}
+
+type ClaimPlace = Pick<Claim, 'workspace' | 'idempotencyKey'>
+
+function shardOf (claim: ClaimPlace): number {
+  return claimShardOf(claim.workspace, claim.idempotencyKey)
 }
 
-function unavailableOnError (reply: Result<ClaimReply, Error>): ClaimReply {
-  return reply.unwrapOr({ kind: 'unavailable', retryAfter: RETRY_AFTER_MILLISECONDS })
+function ambiguousOnError (reply: Result<ClaimReply, Error>): ClaimReply {
+  return reply.unwrapOr({ kind: 'ambiguous', retryAfter: RETRY_AFTER })
 }
--- a/packages/daemon/src/claims/claimPeers.ts
+++ b/packages/daemon/src/claims/claimPeers.ts
@@ -1,12 +1,13 @@
 /** The claim slice between instances: calls to a shard's owner, and serving them. */
 import type { ConnectRouter } from '@connectrpc/connect'
 import type { Result } from 'true-myth'
-import type { ClaimReply, ClaimReport, ClaimRequest, Milliseconds } from '@wasabihead/coordination'
+import type { ClaimReply, ClaimReport, ClaimRequest, ClaimResolution, Milliseconds } from '@wasabihead/coordination'
 import { PeerRoutes, type PeerConnections, type PeerUnreachableError } from '../peers/index.js'
 import { ClaimService } from '../peers/gen/wasabihead/v1/claims_pb.js'
 import type { ClaimCoordinator } from './claimCoordinator.js'
 import {
-  claimReplyFromWire, claimReplyToWire, claimReportFromWire, claimReportToWire, claimRequestFromWire, claimRequestToWire
+  claimReplyFromWire, claimReplyToWire, claimReportFromWire, claimReportToWire, claimRequestFromWire, claimRequestToWire,
+  resolutionFromWire, resolutionToWire
 } from './claimConversions.js'
 
 const CALL_TIMEOUT: Milliseconds = 5_000
@@ -21,6 +22,18 @@
       claimReplyFromWire(await client.claim(claimRequestToWire(request), { timeoutMs: CALL_TIMEOUT })))
   }
 
+  /** Passes an operator's resolution on. */
+  async resolve (address: string, resolution: ClaimResolution): Promise<Result<ClaimReply, PeerUnreachableError>> {
+    return await this._connections.call(ClaimService, address, async client =>
+      claimReplyFromWire(await client.resolveClaim(resolutionToWire(resolution), { timeoutMs: CALL_TIMEOUT })))
+  }
+
+  /** Asks a shard's owner for a claim. */
+  async find (address: string, workspace: string, idempotencyKey: string): Promise<Result<ClaimReply, PeerUnreachableError>> {
+    return await this._connections.call(ClaimService, address, async client =>
+      claimReplyFromWire(await client.findClaim({ workspace, idempotencyKey }, { timeoutMs: CALL_TIMEOUT })))
+  }
+
   /** Reports a claim's outcome to its shard's owner. */
   async report (address: string, report: ClaimReport): Promise<Result<ClaimReply, PeerUnreachableError>> {
     return await this._connections.call(ClaimService, address, async client =>
@@ -37,7 +50,10 @@
   override register (router: ConnectRouter): void {
     router.service(ClaimService, {
       claim: async request => claimReplyToWire(await this._coordinator.claimHere(claimRequestFromWire(request))),
-      reportClaim: async request => claimReplyToWire(await this._coordinator.reportHere(claimReportFromWire(request)))
+      reportClaim: async request => claimReplyToWire(await this._coordinator.reportHere(claimReportFromWire(request))),
+      resolveClaim: async request => claimReplyToWire(await this._coordinator.resolveHere(resolutionFromWire(request))),
+      findClaim: async request => claimReplyToWire(
+        await this._coordinator.findHere(request.workspace, request.idempotencyKey))
     })
   }
 }
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -59,6 +59,7 @@
       this._settings.peerAddress ?? addresses.peer, this._settings.callerAddress ?? addresses.caller, this._clock.monotonic())
     await parts.configuration.start()
     await parts.membership.start()
+    parts.claims.start()
     this._fleet.start()
     this._logger.info('serving', { ...addresses })
     return addresses
@@ -73,6 +74,7 @@
     await parts.membership.announce()
     while (this._limit.running > 0 || parts.claimed.running > 0) await waitFor(DRAIN_POLL)
     await parts.callerServer.stop()
+    parts.claims.stop()
     parts.membership.stop()
     parts.configuration.stop()
     this._fleet.stop()
@@ -96,7 +98,9 @@
     const placer = new PromptPlacer(this._fleet, settings.workspaceSecret, this._metrics)
     const models = new ModelRunner(placer, configuration, clock, random, this._metrics, this._logger)
     const services = new ServiceRunner(this._fleet)
-    const claimed = new ClaimedRunner(members.identity, claims, models, services, clock, this._logger)
+    const claimed = new ClaimedRunner(
+      members.identity, claims, models, services, () => configuration.document, clock, this._logger)
+    claims.onDurableWork = claim => { claimed.resume(claim) }
     const membershipPeers = new MembershipPeerClient(this._connections)
     const membership = new MembershipLoop(settings.environment, members, keyValue, membershipPeers, clock, random, () => {
       this._learnConfiguration(members, configuration).catch(() => {})
@@ -105,6 +109,7 @@
     return {
       members,
       configuration,
+      claims,
       claimed,
       membership,
       callerServer: new CallerServer({
@@ -149,6 +154,7 @@
 interface RunningParts {
   members: MemberTable
   configuration: ConfigurationKeeper
+  claims: ClaimCoordinator
   claimed: ClaimedRunner
   membership: MembershipLoop
   callerServer: CallerServer
--- a/packages/daemon/src/serving/claimedRunner.ts
+++ b/packages/daemon/src/serving/claimedRunner.ts
@@ -2,20 +2,31 @@
 import { Result } from 'true-myth'
 import { v4 as createToken } from 'uuid'
 import {
-  contentDigest, PlatformRefusedError, RefusalError,
-  type ClaimReply, type ClaimReport, type InstanceIdentity, type KeptAnswer
+  ClaimedAttempt, contentDigest, PlatformRefusedError, RefusalError,
+  type AttemptEffect, type AttemptMessage, type AttemptOutcome, type CallEnd, type Claim, type ClaimRequest,
+  type ConfigurationDocument, type InstanceIdentity, type KeptAnswer, type Milliseconds
 } from '@wasabihead/coordination'
 import type { ClaimCoordinator } from '../claims/index.js'
 import type { Clock } from '../instance/clock.js'
 import type { Logger } from '../telemetry/index.js'
 import type { AcceptedRequest } from './acceptedRequest.js'
+import { refusalOf } from './claimedRefusals.js'
+import { readDurableRequest } from './durableRequest.js'
 import type { ModelRunner } from './modelRunner.js'
 import type { ServiceRunner } from './serviceRunner.js'
-import { waitFor } from './waiting.js'
 
-const REPORT_RETRY_DELAY = 500
-const RETRY_AFTER_MILLISECONDS = 1_000
-const DURABLE_RETRY_DELAY = 500
+/** Largest body of a durable request; it is kept in the log until the answer is recorded. */
+const DURABLE_BODY_MAXIMUM_BYTES = 131_072
+/** Attempts that run or whose outcome is not yet recorded; above it new ones are refused. */
+const MAXIMUM_ATTEMPTS = 2_000
+const FIRST_SERVER_ERROR_STATUS = 500
+const OVERLOADED_RETRY_AFTER: Milliseconds = 1_000
+
+interface RunningAttempt {
+  request: AcceptedRequest
+  attempt: ClaimedAttempt
+  answer: (outcome: AttemptOutcome) => void
+}
 
 /** Runs claimed requests. */
 export class ClaimedRunner {
@@ -26,6 +37,7 @@
     private readonly _claims: ClaimCoordinator,
     private readonly _models: ModelRunner,
     private readonly _services: ServiceRunner,
+    private readonly _document: () => ConfigurationDocument | undefined,
     private readonly _clock: Clock,
     private readonly _logger: Logger
   ) {}
@@ -37,80 +49,128 @@
 
   /** Claims the request, runs it if granted, and gives the kept answer or a refusal. */
   async run (request: AcceptedRequest): Promise<Result<KeptAnswer, RefusalError>> {
-    const idempotencyKey = request.idempotencyKey
-    if (idempotencyKey === undefined) {
-      return Result.err(new RefusalError('idempotency-key-missing', 400, true,
-        `The kind "${request.kind.name}" needs an idempotency key`, 'Send the header Idempotency-Key with a new UUID for each request'))
+    const refusal = this._refusalBefore(request)
+    if (refusal !== undefined) return Result.err(refusal)
+    const outcome = await new Promise<AttemptOutcome>(resolve => {
+      this._begin(request, this._claimRequest(request), { kind: 'start' }, resolve)
+    })
+    return outcome.kind === 'answered' ? Result.ok(outcome.answer) : Result.err(refusalOf(outcome))
+  }
+
+  /** Runs durable work that the log now names as this instance's own. */
+  resume (claim: Claim): void {
+    const request = readDurableRequest(claim, this._document(), this._clock.monotonic())
+    if (request === undefined) {
+      this._logger.error('durable work cannot be run under the document in force', {
+        workspace: claim.workspace, requestKind: claim.kind
+      })
+      return
     }
-    const attemptToken = createToken()
-    const reply = await this._claims.claim({
+    this._begin(request, claim, { kind: 'resume' }, () => {})
+  }
+
+  private _refusalBefore (request: AcceptedRequest): RefusalError | undefined {
+    if (request.idempotencyKey === undefined) {
+      return new RefusalError('idempotency-key-missing', 400, true,
+        `The kind "${request.kind.name}" needs an idempotency key`, 'Send the header Idempotency-Key with a new UUID for each request')
+    }
+    if (request.kind.treatment === 'durable' && Buffer.byteLength(request.body) > DURABLE_BODY_MAXIMUM_BYTES) {
+      return new RefusalError('body-too-large', 413, true,
+        'The body is too large to be kept', `Send at most ${DURABLE_BODY_MAXIMUM_BYTES} bytes`)
+    }
+    if (this._running < MAXIMUM_ATTEMPTS) return undefined
+    return new RefusalError('overloaded', 429, true,
+      'Too many claimed requests are open on this host', 'Come back after the time given', OVERLOADED_RETRY_AFTER)
+  }
+
+  private _claimRequest (request: AcceptedRequest): ClaimRequest {
+    const isDurable = request.kind.treatment === 'durable'
+    const wall = this._clock.wall()
+    return {
       workspace: request.workspace.name,
-      idempotencyKey,
+      idempotencyKey: request.idempotencyKey as string,
       kind: request.kind.name,
-      treatment: request.kind.treatment === 'durable' ? 'durable' : 'at-most-once',
+      treatment: isDurable ? 'durable' : 'at-most-once',
       requestDigest: contentDigest(`${request.kind.name}\n${request.body}`),
-      attemptToken,
+      attemptToken: createToken(),
       executor: this._identity,
-      recordedAt: this._clock.wall(),
-      ...(request.kind.treatment === 'durable' ? { request: request.body } : {})
-    })
-    if (reply.kind === 'granted') return await this._runGranted(request, { idempotencyKey, attemptToken })
-    if (reply.kind === 'unavailable') {
-      // The claim may have been recorded all the same; this attempt is given up and never sends.
-      this._report(request, { idempotencyKey, attemptToken, state: 'released' }).catch(() => {})
+      recordedAt: wall,
+      deadlineAt: wall + request.deadline - this._clock.monotonic(),
+      ...(isDurable ? { request: request.body, maximumBacklog: request.workspace.maximumBacklog } : {})
     }
-    return toResult(reply)
   }
 
-  private async _runGranted (
-    request: AcceptedRequest, claim: Pick<ClaimReport, 'idempotencyKey' | 'attemptToken'>
-  ): Promise<Result<KeptAnswer, RefusalError>> {
+  private _begin (
+    request: AcceptedRequest, claim: ClaimRequest, first: AttemptMessage, answer: (outcome: AttemptOutcome) => void
+  ): void {
+    const rules = { deadline: request.deadline, isResendable: this._isResendable(request) }
+    const running = { request, attempt: new ClaimedAttempt(claim, rules), answer }
     this._running += 1
-    try {
-      return request.kind.treatment === 'durable'
-        ? await this._runUntilDone(request, claim)
-        : await this._runOnce(request, claim)
-    } finally {
-      this._running -= 1
+    this._tell(running, first)
+    const untilDeadline = Math.max(0, request.deadline - this._clock.monotonic())
+    setTimeout(() => { this._tell(running, { kind: 'deadline-reached' }) }, untilDeadline).unref()
+  }
+
+  /** Such a service drops a second call with the same key, so an ambiguous call may be sent again. */
+  private _isResendable (request: AcceptedRequest): boolean {
+    const { target } = request.kind
+    const service = this._document()?.services.find(({ name }) => 'service' in target && name === target.service)
+    return service?.honoursIdempotencyKey === true
+  }
+
+  private _tell (running: RunningAttempt, message: AttemptMessage): void {
+    for (const effect of running.attempt.handle(message, this._clock.monotonic())) this._perform(running, effect)
+  }
+
+  private _perform (running: RunningAttempt, effect: AttemptEffect): void {
+    switch (effect.kind) {
+      case 'claim':
+        return this._follow(running, this._claims.claim(effect.request), reply => ({ kind: 'claim-replied', reply }))
+      case 'report':
+        return this._follow(running, this._claims.report(effect.report), reply => ({ kind: 'report-replied', reply }))
+      case 'send':
+        return this._follow(running, this._send(running.request), end => ({ kind: 'call-ended', end }))
+      case 'send-after':
+        this._logger.warn('a claimed request is sent again', {
+          requestId: running.request.requestId, workspace: running.request.workspace.name
+        })
+        return this._tellAfter(running, effect.delay)
+      case 'report-after': return this._tellAfter(running, effect.delay)
+      case 'answer': return running.answer(effect.outcome)
+      case 'end': this._running -= 1
     }
   }
 
-  private async _runOnce (
-    request: AcceptedRequest, claim: Pick<ClaimReport, 'idempotencyKey' | 'attemptToken'>
-  ): Promise<Result<KeptAnswer, RefusalError>> {
-    if (this._clock.monotonic() >= request.deadline) {
-      await this._report(request, { ...claim, state: 'released' })
-      return Result.err(new RefusalError('deadline-exceeded', 504, true,
-        'The deadline passed before the request was sent', 'Send it again with the same idempotency key', RETRY_AFTER_MILLISECONDS))
+  private _tellAfter (running: RunningAttempt, delay: Milliseconds): void {
+    setTimeout(() => { this._tell(running, { kind: 'delay-over' }) }, delay)
+  }
+
+  private _follow<Value> (running: RunningAttempt, value: Promise<Value>, toMessage: (value: Value) => AttemptMessage): void {
+    value.then(
+      settled => { this._tell(running, toMessage(settled)) },
+      error => { this._logger.error('a claimed request failed inside', { problem: String(error) }) })
+  }
+
+  private async _send (request: AcceptedRequest): Promise<CallEnd> {
+    try {
+      return request.kind.treatment === 'durable' ? await this._sendDurable(request) : await this._sendOnce(request)
+    } catch (error) {
+      this._logger.error('a call ended with an unexpected error', { requestId: request.requestId, problem: String(error) })
+      return { kind: 'ambiguous' }
     }
+  }
+
+  private async _sendOnce (request: AcceptedRequest): Promise<CallEnd> {
     const answer = await this._services.callOnce(request, new AbortController().signal)
-    if (answer.isOk) {
-      await this._report(request, { ...claim, state: 'done', answer: answer.value })
-      return Result.ok(answer.value)
-    }
-    if (answer.error instanceof PlatformRefusedError) {
-      await this._report(request, { ...claim, state: 'released' })
-      return Result.err(new RefusalError('service-unavailable', 503, true,
-        'The service could not be reached and the request was not sent', 'Send it again with the same idempotency key', RETRY_AFTER_MILLISECONDS))
-    }
-    await this._report(request, { ...claim, state: 'unknown' })
-    return Result.err(outcomeUnknown())
+    if (answer.isOk) return { kind: 'answered', answer: answer.value }
+    return { kind: answer.error instanceof PlatformRefusedError ? 'not-sent' : 'ambiguous' }
   }
 
-  private async _runUntilDone (
-    request: AcceptedRequest, claim: Pick<ClaimReport, 'idempotencyKey' | 'attemptToken'>
-  ): Promise<Result<KeptAnswer, RefusalError>> {
-    for (;;) {
-      const answer = await this._tryDurable(request)
-      if (answer.isOk) {
-        await this._report(request, { ...claim, state: 'done', answer: answer.value })
-        return answer
-      }
-      this._logger.warn('durable request failed and is tried again', {
-        requestId: request.requestId, workspace: request.workspace.name, requestKind: request.kind.name
-      })
-      await waitFor(DURABLE_RETRY_DELAY)
-    }
+  /** A server error is no answer to durable work, which is sent again. */
+  private async _sendDurable (request: AcceptedRequest): Promise<CallEnd> {
+    const answer = await this._tryDurable(request)
+    if (answer.isErr || answer.value.status >= FIRST_SERVER_ERROR_STATUS) return { kind: 'ambiguous' }
+    return { kind: 'answered', answer: answer.value }
   }
 
   private async _tryDurable (request: AcceptedRequest): Promise<Result<KeptAnswer, RefusalError>> {
@@ -122,41 +182,4 @@
       body: JSON.stringify({ text: whole.text, tokenCount: whole.tokenCount, weightVersion: whole.weightVersion })
     }))
   }
-
-  /** Repeats a report until the log has it: a claim that stays open would block its key. */
-  private async _report (request: AcceptedRequest, report: Omit<ClaimReport, 'workspace'>): Promise<void> {
-    const reply = await this._claims.report({ workspace: request.workspace.name, ...report })
-    if (reply.kind !== 'unavailable' && reply.kind !== 'not-owner') return
-    this._running += 1
-    this._repeatReport(request, report).catch(() => {}).finally(() => { this._running -= 1 })
-  }
-
-  private async _repeatReport (request: AcceptedRequest, report: Omit<ClaimReport, 'workspace'>): Promise<void> {
-    for (;;) {
-      await waitFor(REPORT_RETRY_DELAY)
-      const reply = await this._claims.report({ workspace: request.workspace.name, ...report })
-      if (reply.kind !== 'unavailable' && reply.kind !== 'not-owner') return
-    }
-  }
-}
-
-function toResult (reply: ClaimReply): Result<KeptAnswer, RefusalError> {
-  switch (reply.kind) {
-    case 'done': return Result.ok(reply.answer)
-    case 'in-progress':
-      return Result.err(new RefusalError('in-progress', 409, 'unknown',
-        'A request with this idempotency key is running', 'Send it again after the time given for its answer', RETRY_AFTER_MILLISECONDS))
-    case 'conflict':
-      return Result.err(new RefusalError('idempotency-key-conflict', 422, true,
-        'This idempotency key belongs to another request', 'Use a new key for a new request'))
-    case 'unknown': return Result.err(outcomeUnknown())
-    default:
-      return Result.err(new RefusalError('service-unavailable', 503, true,
-        'The claim could not be recorded, so the request was not sent', 'Send it again with the same idempotency key', RETRY_AFTER_MILLISECONDS))
-  }
-}
-
-function outcomeUnknown (): RefusalError {
-  return new RefusalError('outcome-unknown', 409, 'unknown',
-    'The request may have run, and its answer is not known', 'Ask your operator to resolve the claim; it is not sent again by itself')
 }
