fix(claims): release attempts that their executor denies, and prove a conflict by a write

Cause: a hand-over was won, but its owner learnt only that it had been deposed, so no instance ran the work while the log named a live one. The same happens to a claim call that arrives after its executor gave up. Ruled out: the executor watch (the executor is alive). Change: the owner asks the executor of a claim that stays open; a denial releases it or hands it on. 2. Cause: a deposed owner that had not yet noticed answered a report with a conflict from memory; the executor ended without its answer being recorded, denied the attempt later, and the claim was released. Change: a conflict to a report is given only after a head write was won, which a deposed owner cannot do.

--- a/packages/coordination/src/claims/claimDecisions.ts
+++ b/packages/coordination/src/claims/claimDecisions.ts
@@ -2,9 +2,6 @@
 import type { Milliseconds } from '../common/index.js'
 import type { Claim, ClaimReply, ClaimReport, ClaimRequest, ClaimResolution } from './messages.js'
 
-/** Longest pause of a process that is reckoned with: an attempt past its check of the deadline may send this much later. */
-export const LARGEST_PAUSE: Milliseconds = 600_000
-
 /** A reply, with the record that has to be won before the reply may be given. */
 export interface ClaimDecision {
   reply: ClaimReply
@@ -41,7 +38,7 @@
 
 /** Decides on an operator's resolution. Only an unknown outcome can be resolved. */
 export function decideResolution (
-  resolution: ClaimResolution, known: Claim | undefined, wall: Milliseconds
+  resolution: ClaimResolution, known: Claim | undefined, wall: Milliseconds, largestPause: Milliseconds
 ): ClaimDecision {
   if (known?.state !== 'unknown') return { reply: { kind: 'conflict' } }
   const resolvedBy = resolution.author
@@ -49,7 +46,7 @@
     const answer = resolution.answer === undefined ? {} : { answer: resolution.answer }
     return { reply: { kind: 'recorded' }, record: { ...known, ...answer, state: 'done', resolvedBy } }
   }
-  const retryAfter = (known.deadlineAt ?? known.recordedAt) + LARGEST_PAUSE - wall
+  const retryAfter = (known.deadlineAt ?? known.recordedAt) + largestPause - wall
   if (retryAfter > 0) return { reply: { kind: 'too-early', retryAfter } }
   return { reply: { kind: 'recorded' }, record: { ...known, state: 'released', resolvedBy } }
 }
--- a/packages/coordination/src/claims/claimShard.ts
+++ b/packages/coordination/src/claims/claimShard.ts
@@ -3,7 +3,9 @@
  * Safety comes from the compare-and-swap alone; a deposed owner's next write fails, and it then knows.
  */
 import type { InstanceIdentity, Milliseconds } from '../common/index.js'
+import { AttemptAudit } from './attemptAudit.js'
 import { claimId, decideClaim, decideReport, decideResolution, type ClaimDecision } from './claimDecisions.js'
+import { CLAIM_LIMITS, type ClaimLimits } from './claimLimits.js'
 import { ClaimStore, headContents, type ClosedSegment, type SegmentPlan } from './claimStore.js'
 import { ExecutorWatch } from './executorWatch.js'
 import type { Claim, ClaimCall, ClaimEffect, ClaimMessage, ClaimReply, ClaimRequest, ShardHead } from './messages.js'
@@ -11,9 +13,6 @@
 import { SegmentLoader } from './segmentLoader.js'
 import { WritePacer } from './writePacer.js'
 
-/** A head is never written above about this size: what is settled moves into segments, and new claims are refused. */
-export const HEAD_MAXIMUM_BYTES = 524_288
-
 const RETRY_AFTER: Milliseconds = 1_000
 const AMBIGUOUS: ClaimReply = { kind: 'ambiguous', retryAfter: RETRY_AFTER }
 const OVERLOADED_RETRY_AFTER: Milliseconds = 5_000
@@ -56,12 +55,19 @@
   private _loader: SegmentLoader | undefined
   private _closing: SegmentPlan | undefined
   private _inFlight: WriteInFlight | undefined
-  private readonly _store = new ClaimStore()
+  private readonly _store: ClaimStore
+  private readonly _audit = new AttemptAudit()
+  private readonly _denied = new Set<string>()
   private readonly _executors = new ExecutorWatch()
   private readonly _pacer = new WritePacer()
 
-  /** @param _self the instance that drives this shard */
-  constructor (private readonly _self: InstanceIdentity) {}
+  /**
+   * @param _self the instance that drives this shard
+   * @param _limits sizes and times; the same in all instances of an environment
+   */
+  constructor (private readonly _self: InstanceIdentity, private readonly _limits: ClaimLimits = CLAIM_LIMITS) {
+    this._store = new ClaimStore(_limits)
+  }
 
   /** Whether this instance believes that it owns the shard. */
   get isOwner (): boolean {
@@ -83,6 +89,9 @@
     switch (message.kind) {
       case 'take-over': return this._takeOver(now)
       case 'tick': return this._tick(message.live, message.wall, now)
+      case 'attempt-denied':
+        if (this._phase === 'owner') this._denied.add(message.attemptToken)
+        return this._flush(now)
       case 'wake':
         this._isWakeAsked = false
         return this._flush(now)
@@ -119,9 +128,10 @@
   private _tick (live: readonly InstanceIdentity[], wall: Milliseconds, now: Milliseconds): ClaimEffect[] {
     this._wall = wall
     if (this._phase !== 'owner') return []
-    const executors = this._store.open.filter(claim => claim.state === 'claimed').map(claim => claim.executor)
-    this._executors.update(live, executors, now)
-    return this._flush(now)
+    const claimed = this._store.open.filter(claim => claim.state === 'claimed')
+    this._executors.update(live, claimed.map(claim => claim.executor), now)
+    const questions = this._audit.due(claimed, now).map((claim): ClaimEffect => ({ kind: 'ask-executor', claim }))
+    return [...questions, ...this._flush(now)]
   }
 
   private _enqueue (call: ClaimCall, now: Milliseconds): ClaimEffect[] {
@@ -218,18 +228,28 @@
     const calls = this._waiting
     this._waiting = []
     const changed = new Map<string, Claim>()
-    const afterwards = this._settleGoneExecutors(changed, now)
+    const afterwards = this._settleOrphans(changed, now)
     const replies = calls.map(call => ({ callId: call.callId, reply: this._decide(call, changed) }))
-    if (changed.size === 0) return replies.map(pending => ({ kind: 'reply', ...pending }))
+    // An executor ends on a conflict, so a deposed owner must not give one from memory: the write proves that it is current.
+    const isProofNeeded = calls.some((call, index) => call.kind === 'report' && replies[index]?.reply.kind === 'conflict')
+    if (changed.size === 0 && !isProofNeeded) return replies.map(pending => ({ kind: 'reply', ...pending }))
     const open = [...new Map([...this._store.open.map(withId), ...changed]).values()]
     return this._write({ open, segments: this._store.segments, replies, afterwards }, now)
   }
 
-  /** An at-most-once request of an executor that is gone may have run; durable work is taken over. */
-  private _settleGoneExecutors (changed: Map<string, Claim>, now: Milliseconds): ClaimEffect[] {
-    const isOrphan = (claim: Claim): boolean => claim.state === 'claimed' && this._executors.isGone(claim.executor, now)
+  /**
+   * Durable work of an executor that is gone is taken over. An at-most-once request of such an executor may have run; one that
+   * its executor denies was never sent, since what is sent stays known there until its outcome is recorded.
+   */
+  private _settleOrphans (changed: Map<string, Claim>, now: Milliseconds): ClaimEffect[] {
+    const isOrphan = (claim: Claim): boolean =>
+      claim.state === 'claimed' && (this._denied.has(claim.attemptToken) || this._executors.isGone(claim.executor, now))
     const orphans = this._store.open.filter(isOrphan).slice(0, HAND_OVERS_PER_WRITE)
-    const settled = orphans.map(claim => claim.treatment === 'durable' ? this._handOver(claim) : withoutOutcome(claim))
+    const settled = orphans.map((claim): Claim => {
+      if (claim.treatment === 'durable') return this._handOver(claim)
+      return { ...claim, state: this._denied.has(claim.attemptToken) ? 'released' : 'unknown' }
+    })
+    this._denied.clear()
     for (const claim of settled) changed.set(claimId(claim), claim)
     return settled.filter(claim => claim.state === 'claimed').map(claim => ({ kind: 'run-durable', claim }))
   }
@@ -253,7 +273,7 @@
       case 'resolve':
         return this._wall === undefined
           ? { reply: { kind: 'unavailable', retryAfter: RETRY_AFTER } }
-          : decideResolution(call.resolution, known, this._wall)
+          : decideResolution(call.resolution, known, this._wall, this._limits.largestPause)
     }
   }
 
@@ -262,7 +282,7 @@
     if (decision.record === undefined) return decision
     if (keyTime(request.idempotencyKey) !== undefined) {
       if (this._wall === undefined) return { reply: { kind: 'unavailable', retryAfter: RETRY_AFTER } }
-      if (isOutsideWindow(request.idempotencyKey, this._wall)) return { reply: { kind: 'expired' } }
+      if (isOutsideWindow(request.idempotencyKey, this._wall, this._limits)) return { reply: { kind: 'expired' } }
     }
     if (this._isFull(request, changed)) return { reply: { kind: 'overloaded', retryAfter: OVERLOADED_RETRY_AFTER } }
     return decision
@@ -270,7 +290,7 @@
 
   private _isFull (request: ClaimRequest, changed: ReadonlyMap<string, Claim>): boolean {
     const newBytes = [...changed.values(), request].reduce((sum, claim) => sum + JSON.stringify(claim).length, 0)
-    if (this._store.openBytes + newBytes > HEAD_MAXIMUM_BYTES) return true
+    if (this._store.openBytes + newBytes > this._limits.headMaximumBytes) return true
     if (request.treatment !== 'durable' || request.maximumBacklog === undefined) return false
     const isBacklog = (claim: Claim): boolean =>
       claim.treatment === 'durable' && claim.state === 'claimed' && claim.workspace === request.workspace
@@ -330,6 +350,8 @@
     this._waiting = []
     this._store.load([], [])
     this._executors.reset()
+    this._audit.reset()
+    this._denied.clear()
     return replies.map(pending => ({ kind: 'reply', ...pending }))
   }
 }
@@ -346,7 +368,3 @@
 function withId (claim: Claim): [string, Claim] {
   return [claimId(claim), claim]
 }
-
-function withoutOutcome (claim: Claim): Claim {
-  return { ...claim, state: 'unknown' }
-}
--- a/packages/coordination/src/claims/claimStore.ts
+++ b/packages/coordination/src/claims/claimStore.ts
@@ -1,18 +1,10 @@
 /** The claims of one shard as last known to be recorded: the head's open records over the closed segments. */
 import { contentDigest, type Milliseconds } from '../common/index.js'
 import { claimId } from './claimDecisions.js'
+import type { ClaimLimits } from './claimLimits.js'
 import type { Claim, SegmentName, ShardHead } from './messages.js'
 import { isForgettable } from './retention.js'
 
-/** Size of settled records at which the head's records move into a segment. */
-export const CLOSE_AT_BYTES = 32_768
-
-/** Size up to which the newest segment is written anew together with the next records, so that names stay few. */
-export const SEGMENT_TARGET_BYTES = 262_144
-
-/** No segment is written above this size; the service holds values up to a megabyte. */
-export const SEGMENT_MAXIMUM_BYTES = 786_432
-
 /** A closed segment with its records. */
 export interface ClosedSegment {
   name: SegmentName
@@ -38,6 +30,9 @@
   private _openBytes = 0
   private _settledBytes = 0
 
+  /** @param _limits sizes and times of the log */
+  constructor (private readonly _limits: ClaimLimits) {}
+
   /** The latest record of every claim. */
   get claims (): Claim[] {
     return [...new Map([...this._closed, ...this._open]).values()]
@@ -60,7 +55,7 @@
 
   /** Whether enough records are settled to close them. */
   get isCloseDue (): boolean {
-    return this._settledBytes >= CLOSE_AT_BYTES
+    return this._settledBytes >= this._limits.closeAtBytes
   }
 
   /** The latest record of a claim. */
@@ -100,7 +95,7 @@
   planClose (name: string, wall: Milliseconds): SegmentPlan {
     const settled = this.open.filter(claim => claim.state !== 'claimed')
     const newest = this._segments.at(-1)
-    const isMerging = newest !== undefined && newest.name.sizeBytes + this._settledBytes <= SEGMENT_TARGET_BYTES
+    const isMerging = newest !== undefined && newest.name.sizeBytes + this._settledBytes <= this._limits.segmentTargetBytes
     const rest = isMerging ? this._segments.slice(0, -1) : this._segments
     const merged = isMerging ? this._keptOf(newest, rest.length === 0, wall) : []
     const expired = this._expiredOf(rest, wall)
@@ -127,16 +122,18 @@
     return segment.claims.filter(claim => {
       const id = claimId(claim)
       if (this._open.has(id) || this._closed.get(id) !== claim) return false
-      return claim.state === 'unknown' || !isOldest || !isForgettable(claim.recordedAt, wall)
+      return claim.state === 'unknown' || !isOldest || !isForgettable(claim.recordedAt, wall, this._limits)
     })
   }
 
   /** The oldest segment, if it is past the window and what it must hand on is small enough. */
   private _expiredOf (segments: readonly ClosedSegment[], wall: Milliseconds): ClosedSegment | undefined {
     const oldest = segments[0]
-    if (oldest === undefined || !isForgettable(oldest.name.closedAt, wall)) return undefined
+    if (oldest === undefined || !isForgettable(oldest.name.closedAt, wall, this._limits)) return undefined
     const carriedBytes = this._keptOf(oldest, true, wall).reduce((sum, claim) => sum + sizeOf(claim), 0)
-    return carriedBytes + this._settledBytes + SEGMENT_TARGET_BYTES > SEGMENT_MAXIMUM_BYTES ? undefined : oldest
+    return carriedBytes + this._settledBytes + this._limits.segmentTargetBytes > this._limits.segmentMaximumBytes
+      ? undefined
+      : oldest
   }
 
   private _forget (claim: Claim): void {
--- a/packages/coordination/src/claims/messages.ts
+++ b/packages/coordination/src/claims/messages.ts
@@ -142,6 +142,8 @@
   | { kind: 'report', callId: number, report: ClaimReport }
   | { kind: 'resolve', callId: number, resolution: ClaimResolution }
   | { kind: 'find', callId: number, workspace: string, idempotencyKey: string }
+  /** The executor, in the incarnation that the claim names, has no such attempt and will never send it. */
+  | { kind: 'attempt-denied', attemptToken: string }
   /** The delay that the shard asked for with `wake-after` is over. */
   | { kind: 'wake' }
   | { kind: 'head-read', head: ShardHead | undefined, revision: number }
@@ -165,6 +167,8 @@
   /** No head names the segment any more. A removal that fails leaves an unused key behind and nothing worse. */
   | { kind: 'remove-segment', name: string }
   | { kind: 'reply', callId: number, reply: ClaimReply }
+  /** Ask the claim's executor whether it knows the attempt; only a denial is told back. */
+  | { kind: 'ask-executor', claim: Claim }
   | { kind: 'wake-after', delay: Milliseconds }
   /** Durable work whose executor is gone is now recorded as this instance's own. */
   | { kind: 'run-durable', claim: Claim }
--- a/packages/coordination/src/claims/retention.ts
+++ b/packages/coordination/src/claims/retention.ts
@@ -1,14 +1,9 @@
 /**
- * How long claims are kept. The wall clock decides nothing but this window. A claim is forgotten only `WINDOW_MARGIN`
+ * How long claims are kept. The wall clock decides nothing but this window. A claim is forgotten only the margin
  * after a key of its age is refused, so clocks that differ by less than half the margin cannot let a key run again.
  */
-import { MILLISECONDS_PER_HOUR, type Milliseconds } from '../common/index.js'
-
-/** Time for which a key may be sent again. */
-export const RETENTION_WINDOW: Milliseconds = 24 * MILLISECONDS_PER_HOUR
-
-/** Time for which a claim is kept beyond the window. */
-export const WINDOW_MARGIN: Milliseconds = MILLISECONDS_PER_HOUR
+import type { Milliseconds } from '../common/index.js'
+import type { ClaimLimits } from './claimLimits.js'
 
 const TIMESTAMP_DIGITS = 12
 const UUID_VERSION_7 = /^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/i
@@ -20,13 +15,13 @@
 }
 
 /** Whether a key is outside the window. A key from the future would outlive its claim, so it is outside as well. */
-export function isOutsideWindow (idempotencyKey: string, wall: Milliseconds): boolean {
+export function isOutsideWindow (idempotencyKey: string, wall: Milliseconds, limits: ClaimLimits): boolean {
   const time = keyTime(idempotencyKey)
   if (time === undefined) return false
-  return time < wall - RETENTION_WINDOW || time > wall + WINDOW_MARGIN / 2
+  return time < wall - limits.retentionWindow || time > wall + limits.windowMargin / 2
 }
 
 /** Whether every claim of a segment that was closed then may be forgotten. */
-export function isForgettable (closedAt: Milliseconds, wall: Milliseconds): boolean {
-  return closedAt + RETENTION_WINDOW + WINDOW_MARGIN < wall
+export function isForgettable (closedAt: Milliseconds, wall: Milliseconds, limits: ClaimLimits): boolean {
+  return closedAt + limits.retentionWindow + limits.windowMargin < wall
 }
--- a/packages/daemon/src/claims/claimCoordinator.ts
+++ b/packages/daemon/src/claims/claimCoordinator.ts
@@ -1,9 +1,10 @@
 /** Drives the claim shards of this instance and finds the owner of the others. */
 import type { Result } from 'true-myth'
 import {
-  ABSENT_REVISION, CLAIM_SHARD_COUNT, ClaimShard, claimShardOf, firstByRendezvous, segmentKey, shardHeadKey, shardHeadSchema,
+  ABSENT_REVISION, CLAIM_SHARD_COUNT, ClaimShard, claimShardOf, firstByRendezvous, isSameInstance, segmentKey,
+  shardHeadKey, shardHeadSchema,
   type Claim, type ClaimEffect, type ClaimMessage, type ClaimReply, type ClaimReport, type ClaimRequest,
-  type ClaimResolution, type KeyValueService, type MemberTable, type Milliseconds, type ShardHead
+  type ClaimResolution, type InstanceIdentity, type KeyValueService, type MemberTable, type Milliseconds, type ShardHead
 } from '@wasabihead/coordination'
 import type { Clock } from '../instance/clock.js'
 import type { Logger } from '../telemetry/index.js'
@@ -16,6 +17,8 @@
 export class ClaimCoordinator {
   /** Runs durable work that was recorded as this instance's own. */
   onDurableWork: (claim: Claim) => void = () => {}
+  /** Whether an attempt of this instance runs or has an outcome that is not yet recorded. */
+  knowsAttempt: (attemptToken: string) => boolean = () => true
 
   private readonly _shards: ClaimShard[]
   private readonly _waitingCalls = new Map<number, (reply: ClaimReply) => void>()
@@ -89,6 +92,11 @@
     }))
   }
 
+  /** Whether this instance is the executor that is meant, and has no such attempt. */
+  denies (executor: InstanceIdentity, attemptToken: string): boolean {
+    return isSameInstance(executor, this._members.identity) && !this.knowsAttempt(attemptToken)
+  }
+
   /** One retry where beliefs about the owner differed; only a definite "not the owner" is asked again. */
   private async _atOwner (
     claim: ClaimPlace, here: () => Promise<ClaimReply>, there: (address: string) => Promise<Result<ClaimReply, Error>>
@@ -134,6 +142,7 @@
   private _perform (shard: number, effect: ClaimEffect): void {
     switch (effect.kind) {
       case 'reply': return this._reply(effect.callId, effect.reply)
+      case 'ask-executor': return this._guard(shard, this._askExecutor(shard, effect.claim))
       case 'run-durable': return this.onDurableWork(effect.claim)
       case 'wake-after':
         setTimeout(() => { this._tell(shard, { kind: 'wake' }) }, effect.delay)
@@ -159,6 +168,16 @@
     this._waitingCalls.delete(callId)
   }
 
+  private async _askExecutor (shard: number, claim: Claim): Promise<void> {
+    const { host } = claim.executor
+    const address = this._members.find(host)?.peerAddress
+    if (address === undefined) return
+    const isDenied = host === this._members.self.host
+      ? this.denies(claim.executor, claim.attemptToken)
+      : (await this._peers.denies(address, claim)).unwrapOr(false)
+    if (isDenied) this._tell(shard, { kind: 'attempt-denied', attemptToken: claim.attemptToken })
+  }
+
   private async _readHead (shard: number): Promise<void> {
     const read = await this._keyValue.read(shardHeadKey(this._environment, shard))
     if (read.isErr) return this._tell(shard, { kind: 'head-read-failed' })
--- a/packages/daemon/src/claims/claimPeers.ts
+++ b/packages/daemon/src/claims/claimPeers.ts
@@ -1,8 +1,8 @@
 /** The claim slice between instances: calls to a shard's owner, and serving them. */
 import type { ConnectRouter } from '@connectrpc/connect'
 import type { Result } from 'true-myth'
-import type { ClaimReply, ClaimReport, ClaimRequest, ClaimResolution, Milliseconds } from '@wasabihead/coordination'
-import { PeerRoutes, type PeerConnections, type PeerUnreachableError } from '../peers/index.js'
+import type { Claim, ClaimReply, ClaimReport, ClaimRequest, ClaimResolution, Milliseconds } from '@wasabihead/coordination'
+import { instanceFromWire, instanceToWire, PeerRoutes, type PeerConnections, type PeerUnreachableError } from '../peers/index.js'
 import { ClaimService } from '../peers/gen/wasabihead/v1/claims_pb.js'
 import type { ClaimCoordinator } from './claimCoordinator.js'
 import {
@@ -34,6 +34,13 @@
       claimReplyFromWire(await client.findClaim({ workspace, idempotencyKey }, { timeoutMs: CALL_TIMEOUT })))
   }
 
+  /** Whether an executor denies an attempt. */
+  async denies (address: string, { attemptToken, executor }: Claim): Promise<Result<boolean, PeerUnreachableError>> {
+    const request = { attemptToken, executor: instanceToWire(executor) }
+    return await this._connections.call(ClaimService, address, async client =>
+      (await client.askAttempt(request, { timeoutMs: CALL_TIMEOUT })).denied)
+  }
+
   /** Reports a claim's outcome to its shard's owner. */
   async report (address: string, report: ClaimReport): Promise<Result<ClaimReply, PeerUnreachableError>> {
     return await this._connections.call(ClaimService, address, async client =>
@@ -52,6 +59,9 @@
       claim: async request => claimReplyToWire(await this._coordinator.claimHere(claimRequestFromWire(request))),
       reportClaim: async request => claimReplyToWire(await this._coordinator.reportHere(claimReportFromWire(request))),
       resolveClaim: async request => claimReplyToWire(await this._coordinator.resolveHere(resolutionFromWire(request))),
+      askAttempt: request => ({
+        denied: this._coordinator.denies(instanceFromWire(request.executor), request.attemptToken)
+      }),
       findClaim: async request => claimReplyToWire(
         await this._coordinator.findHere(request.workspace, request.idempotencyKey))
     })
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -101,6 +101,7 @@
     const claimed = new ClaimedRunner(
       members.identity, claims, models, services, () => configuration.document, clock, this._logger)
     claims.onDurableWork = claim => { claimed.resume(claim) }
+    claims.knowsAttempt = attemptToken => claimed.knows(attemptToken)
     const membershipPeers = new MembershipPeerClient(this._connections)
     const membership = new MembershipLoop(settings.environment, members, keyValue, membershipPeers, clock, random, () => {
       this._learnConfiguration(members, configuration).catch(() => {})
--- a/packages/daemon/src/serving/claimedRunner.ts
+++ b/packages/daemon/src/serving/claimedRunner.ts
@@ -24,13 +24,14 @@
 
 interface RunningAttempt {
   request: AcceptedRequest
+  attemptToken: string
   attempt: ClaimedAttempt
   answer: (outcome: AttemptOutcome) => void
 }
 
 /** Runs claimed requests. */
 export class ClaimedRunner {
-  private _running = 0
+  private readonly _attempts = new Map<string, ClaimedAttempt>()
 
   constructor (
     private readonly _identity: InstanceIdentity,
@@ -44,7 +45,12 @@
 
   /** Claimed requests that still run or whose outcome is not yet recorded. */
   get running (): number {
-    return this._running
+    return this._attempts.size
+  }
+
+  /** Whether an attempt runs or has an outcome that is not yet recorded. */
+  knows (attemptToken: string): boolean {
+    return this._attempts.has(attemptToken)
   }
 
   /** Claims the request, runs it if granted, and gives the kept answer or a refusal. */
@@ -78,7 +84,7 @@
       return new RefusalError('body-too-large', 413, true,
         'The body is too large to be kept', `Send at most ${DURABLE_BODY_MAXIMUM_BYTES} bytes`)
     }
-    if (this._running < MAXIMUM_ATTEMPTS) return undefined
+    if (this._attempts.size < MAXIMUM_ATTEMPTS) return undefined
     return new RefusalError('overloaded', 429, true,
       'Too many claimed requests are open on this host', 'Come back after the time given', OVERLOADED_RETRY_AFTER)
   }
@@ -104,8 +110,8 @@
     request: AcceptedRequest, claim: ClaimRequest, first: AttemptMessage, answer: (outcome: AttemptOutcome) => void
   ): void {
     const rules = { deadline: request.deadline, isResendable: this._isResendable(request) }
-    const running = { request, attempt: new ClaimedAttempt(claim, rules), answer }
-    this._running += 1
+    const running = { request, attemptToken: claim.attemptToken, attempt: new ClaimedAttempt(claim, rules), answer }
+    this._attempts.set(claim.attemptToken, running.attempt)
     this._tell(running, first)
     const untilDeadline = Math.max(0, request.deadline - this._clock.monotonic())
     setTimeout(() => { this._tell(running, { kind: 'deadline-reached' }) }, untilDeadline).unref()
@@ -137,7 +143,7 @@
         return this._tellAfter(running, effect.delay)
       case 'report-after': return this._tellAfter(running, effect.delay)
       case 'answer': return running.answer(effect.outcome)
-      case 'end': this._running -= 1
+      case 'end': this._attempts.delete(running.attemptToken)
     }
   }
 
