test(claims): prove at most once, not run and durable whole in seeded concurrent runs

Three instances of the real decisions in virtual time, with kills, freezes between a decision and its effect, wrong beliefs, lost and late messages, outages, lost answers and late writes, the same key at two hosts and past the window, skewed wall clocks and operators who resolve claims. The checkers know only the promises and are tested on broken histories. Seven broken variants are each seen failing: early grants, missing segments ignored, claims forgotten too early, release after sending, a lost answer called not run, sending after a refusal, durable work never handed over.

--- /dev/null
+++ b/tests/promises/claims/claimHistory.ts
@@ -0,0 +1,61 @@
+/** What happened in a run of the claim log, and the checks of it. The checks know only the promises. */
+import type { KeptAnswer } from '@wasabihead/coordination'
+import type { Violation } from '../proof.js'
+
+const SHOWN_EVENTS = 60
+
+/** One event. `call` names one request of a caller; a caller that sends its key again makes a new call. */
+export type ClaimEvent =
+  | { kind: 'asked', at: number, key: string, call: string, host: string }
+  | { kind: 'ran', at: number, key: string, call: string, host: string }
+  | { kind: 'refused', at: number, key: string, call: string, reason: string, notRun: boolean | 'unknown' }
+  | { kind: 'answered', at: number, key: string, call: string, answer: KeptAnswer }
+  | { kind: 'accepted', at: number, key: string, call: string }
+
+/** A key that runs at most once reached the service at most once. */
+export function checkAtMostOnce (history: readonly ClaimEvent[], isAtMostOnce: (key: string) => boolean): Violation[] {
+  return breachesByKey(history, isAtMostOnce, events => {
+    const runs = events.filter(({ kind }) => kind === 'ran').length
+    return runs > 1 ? `it ran ${runs} times` : undefined
+  })
+}
+
+/** A call that was told "not run" never ran, and a key of which every call was told so never ran either. */
+export function checkNotRun (history: readonly ClaimEvent[]): Violation[] {
+  return breachesByKey(history, () => true, events => {
+    const runs = events.filter(({ kind }) => kind === 'ran')
+    const refused = new Set(events.flatMap(event => event.kind === 'refused' && event.notRun === true ? [event.call] : []))
+    if (runs.some(({ call }) => refused.has(call))) return 'a call that was told "not run" ran'
+    const isAllRefused = events.every(event => event.kind === 'ran' || refused.has(event.call))
+    return isAllRefused && runs.length > 0 ? 'it ran although every call was told "not run"' : undefined
+  })
+}
+
+/** An accepted key is answered in the end, whole, and everyone gets the same answer. */
+export function checkDurableWhole (history: readonly ClaimEvent[], isDurable: (key: string) => boolean): Violation[] {
+  return breachesByKey(history, isDurable, events => {
+    const answers = events.flatMap(event => event.kind === 'answered' ? [event.answer.body] : [])
+    const key = events[0]?.key ?? ''
+    if (answers.some(body => !body.startsWith(`answer of ${key}:`) || !body.endsWith('.'))) return 'an answer is not whole'
+    if (new Set(answers).size > 1) return 'callers got different answers'
+    const isAccepted = events.some(({ kind }) => kind === 'accepted')
+    return isAccepted && answers.length === 0 ? 'it was accepted and never answered' : undefined
+  })
+}
+
+/** The first events and the last: callers that come back every second fill the middle. */
+function evidenceOf (events: ClaimEvent[]): string[] {
+  const shown = events.length <= SHOWN_EVENTS ? events : [...events.slice(0, SHOWN_EVENTS - 5), ...events.slice(-5)]
+  return shown.map(event => JSON.stringify(event))
+}
+
+function breachesByKey (
+  history: readonly ClaimEvent[], isChecked: (key: string) => boolean, check: (events: ClaimEvent[]) => string | undefined
+): Violation[] {
+  const keys = [...new Set(history.map(({ key }) => key))].filter(isChecked)
+  return keys.flatMap(key => {
+    const events = history.filter(event => event.key === key)
+    const problem = check(events)
+    return problem === undefined ? [] : [{ problem: `${key}: ${problem}`, evidence: evidenceOf(events) }]
+  })
+}
--- /dev/null
+++ b/tests/promises/claims/claimRun.ts
@@ -0,0 +1,302 @@
+/** A seeded run of the claim log: callers, instances, the key-value service and the service behind, all with faults. */
+import {
+  CLAIM_LIMITS, ClaimedAttempt, ClaimShard, SeededRandom,
+  type AttemptOutcome, type AttemptRules, type CallEnd, type ClaimLimits, type ClaimReply, type ClaimReport, type ClaimRequest,
+  type InstanceIdentity, type Milliseconds
+} from '@wasabihead/coordination'
+import { FAULTLESS, SimulatedKeyValue, VirtualTime } from '@wasabihead/experiments'
+import type { ClaimEvent } from './claimHistory.js'
+import { ClaimInstance } from './claimInstance.js'
+
+const HOSTS = ['entry-0', 'entry-1', 'entry-2']
+const KEYS = 24
+const FAULTS_END: Milliseconds = 900_000
+const RUN_END: Milliseconds = 1_400_000
+const CALL_TIMEOUT: Milliseconds = 5_000
+const REQUEST_DEADLINE: Milliseconds = 10_000
+const CALLER_PATIENCE: Milliseconds = 15_000
+const TICK: Milliseconds = 1_000
+const LONGEST_FREEZE: Milliseconds = 90_000
+const CLOCK_SKEW: Milliseconds = 10_000
+
+/** Small sizes and a short window, so that segments close, merge and are forgotten within a run. */
+export const RUN_LIMITS: ClaimLimits = {
+  ...CLAIM_LIMITS,
+  closeAtBytes: 1_500,
+  segmentTargetBytes: 4_000,
+  retentionWindow: 420_000,
+  windowMargin: 40_000,
+  largestPause: 200_000
+}
+
+/** The parts that a deliberately broken variant replaces. */
+export interface ClaimParts {
+  createShard (identity: InstanceIdentity): ClaimShard
+  createAttempt (request: ClaimRequest, rules: AttemptRules): ClaimedAttempt
+}
+
+/** The real parts. */
+export const REAL_PARTS: ClaimParts = {
+  createShard: identity => new ClaimShard(identity, RUN_LIMITS),
+  createAttempt: (request, rules) => new ClaimedAttempt(request, rules)
+}
+
+/** What a run gave. */
+export interface ClaimRunResult {
+  history: ClaimEvent[]
+  counts: Record<string, number>
+}
+
+/** Whether a key belongs to an at-most-once request; the others are durable. */
+export function isAtMostOnceKey (key: string): boolean {
+  return Number.parseInt(key.slice(-1), 16) % 2 === 0
+}
+
+/** One run. */
+export class ClaimRun {
+  private readonly _time = new VirtualTime()
+  private readonly _random: SeededRandom
+  private readonly _keyValue: SimulatedKeyValue
+  private readonly _instances = new Map<string, ClaimInstance>()
+  private readonly _history: ClaimEvent[] = []
+  private readonly _counts = { asked: 0, ran: 0, freezes: 0, kills: 0, lostMessages: 0, outages: 0, resolutions: 0, segments: 0 }
+  private readonly _callOfToken = new Map<string, string>()
+  private readonly _answered = new Set<string>()
+  private _nextIncarnation = 1
+
+  constructor (seed: number, private readonly _parts: ClaimParts = REAL_PARTS) {
+    this._random = new SeededRandom(seed)
+    this._keyValue = new SimulatedKeyValue(this._time, this._random)
+  }
+
+  /** Runs to the end; faults stop before it, so that everything accepted can be answered. */
+  run (): ClaimRunResult {
+    for (const host of HOSTS) this._startInstance(host)
+    for (let index = 0; index < KEYS; index++) this._startCaller(index)
+    this._every(TICK, () => { for (const instance of this._instances.values()) instance.step(() => { instance.tick() }) })
+    this._every(4_000, () => { this._injectFault() })
+    this._every(2_000, () => { this._shiftBeliefs() })
+    this._every(20_000, () => { this._resolveSomething() })
+    this._time.after(FAULTS_END, () => { this._endFaults() })
+    this._time.runUntil(RUN_END)
+    this._counts.segments = this._keyValue.keys().length - 1
+    return { history: this._history, counts: this._counts }
+  }
+
+  private get _hasFaults (): boolean {
+    return this._time.now < FAULTS_END
+  }
+
+  private _every (interval: Milliseconds, perform: () => void): void {
+    this._time.after(interval, () => {
+      perform()
+      this._every(interval, perform)
+    })
+  }
+
+  private _startInstance (host: string): void {
+    const identity = { host, incarnation: this._nextIncarnation++ }
+    const skew = (this._random.next() * 2 - 1) * CLOCK_SKEW
+    const instance = new ClaimInstance(identity, this._parts.createShard(identity), skew, {
+      time: this._time,
+      keyValue: this._keyValue,
+      freezes: () => this._freezesNow(identity),
+      callOwner: (from, call, answered) => { this._callOwner(from, call, answered) },
+      askExecutor: (from, claim, denied) => {
+        const executor = this._instances.get(claim.executor.host)
+        this._deliver(() => {
+          executor?.step(() => { if (executor.denies(claim)) this._deliver(() => { from.step(denied) }) })
+        })
+      },
+      callService: (from, claim, ended) => { this._callService(from, claim, ended) },
+      createAttempt: this._parts.createAttempt,
+      accepted: claim => { this._record({ kind: 'accepted', key: claim.idempotencyKey, call: this._callOf(claim) }) }
+    })
+    this._instances.set(host, instance)
+    this._updateBeliefs(instance)
+  }
+
+  private _freezesNow (identity: InstanceIdentity): boolean {
+    if (!this._hasFaults || this._random.next() >= 0.004) return false
+    this._freezeFor(this._instances.get(identity.host) as ClaimInstance)
+    return true
+  }
+
+  private _freezeFor (instance: ClaimInstance): void {
+    this._counts.freezes += 1
+    instance.isFrozen = true
+    this._time.after(this._random.next() * LONGEST_FREEZE, () => { instance.thaw() })
+  }
+
+  private _injectFault (): void {
+    if (!this._hasFaults) return
+    const host = this._random.pick(HOSTS)
+    const instance = this._instances.get(host) as ClaimInstance
+    switch (this._random.integer(5)) {
+      case 0: return instance.isFrozen || !instance.isAlive ? undefined : this._freezeFor(instance)
+      case 1: return this._kill(host, instance)
+      case 2: return this._outage()
+      default:
+        this._keyValue.faults = {
+          ...FAULTLESS, maximumDelay: 200, lostAnswerShare: 0.1, lostCallShare: 0.05, lateWriteShare: 0.1
+        }
+    }
+  }
+
+  private _kill (host: string, instance: ClaimInstance): void {
+    if (!instance.isAlive || this._random.next() < 0.5) return
+    this._counts.kills += 1
+    instance.isAlive = false
+    this._time.after(this._random.next() * 60_000, () => { this._startInstance(host) })
+  }
+
+  private _outage (): void {
+    this._counts.outages += 1
+    this._keyValue.faults = { ...FAULTLESS, isDown: true }
+    this._time.after(this._random.next() * 10_000, () => { this._keyValue.faults = FAULTLESS })
+  }
+
+  private _endFaults (): void {
+    this._keyValue.faults = FAULTLESS
+    for (const instance of this._instances.values()) if (instance.isFrozen) instance.thaw()
+  }
+
+  /** Beliefs differ and are often wrong while faults last. */
+  private _shiftBeliefs (): void {
+    for (const instance of this._instances.values()) {
+      if (!this._hasFaults || this._random.next() < 0.3) this._updateBeliefs(instance)
+    }
+  }
+
+  private _updateBeliefs (instance: ClaimInstance): void {
+    const alive = [...this._instances.values()].filter(({ isAlive, isFrozen }) => isAlive && !isFrozen)
+    instance.live = alive.map(({ identity }) => identity)
+    const isWrong = this._hasFaults && this._random.next() < 0.2
+    instance.believedOwner = isWrong ? this._random.pick(HOSTS) : alive[0]?.identity.host ?? HOSTS[0] as string
+  }
+
+  private _callOwner (from: ClaimInstance, call: ClaimRequest | ClaimReport, answered: (reply: ClaimReply) => void): void {
+    let isOver = false
+    const answerOnce = (reply: ClaimReply): void => {
+      if (isOver) return
+      isOver = true
+      from.step(() => { answered(reply) })
+    }
+    const owner = this._instances.get(from.believedOwner)
+    this._time.after(CALL_TIMEOUT, () => { answerOnce({ kind: 'ambiguous', retryAfter: 1_000 }) })
+    if (owner === undefined) return
+    this._deliver(() => {
+      owner.step(() => { owner.serve(call, reply => { this._deliver(() => { answerOnce(reply) }) }) })
+    })
+  }
+
+  /** Delivers a message late, or not at all; some come after their sender gave up. */
+  private _deliver (perform: () => void): void {
+    if (this._hasFaults && this._random.next() < 0.05) {
+      this._counts.lostMessages += 1
+      return
+    }
+    const isLate = this._hasFaults && this._random.next() < 0.03
+    this._time.after(this._random.next() * (isLate ? 20_000 : 50), perform)
+  }
+
+  private _callService (from: ClaimInstance, claim: ClaimRequest, ended: (end: CallEnd) => void): void {
+    const end = (result: CallEnd): void => { from.step(() => { ended(result) }) }
+    if (this._hasFaults && this._random.next() < 0.1) return end({ kind: 'not-sent' })
+    if (this._hasFaults && this._random.next() < 0.1) return this._time.after(CALL_TIMEOUT, () => { end({ kind: 'ambiguous' }) })
+    this._counts.ran += 1
+    const run = this._counts.ran
+    this._record({ kind: 'ran', key: claim.idempotencyKey, call: this._callOf(claim), host: from.identity.host })
+    const isLost = this._hasFaults && this._random.next() < 0.1
+    const answer = { status: 200, body: `answer of ${claim.idempotencyKey}: run ${run}.` }
+    this._time.after(this._random.next() * 2_000, () => { end(isLost ? { kind: 'ambiguous' } : { kind: 'answered', answer }) })
+  }
+
+  /** Callers send the same key again until they are answered, also to two hosts at once and after the window. */
+  private _startCaller (index: number): void {
+    const startsAt = this._random.next() * FAULTS_END * 0.8
+    const key = keyAt(startsAt, index)
+    this._time.after(startsAt, () => { this._send(key) })
+    this._time.after(startsAt, () => { this._send(key) })
+    for (let again = 0; again < 3; again++) {
+      this._time.after(startsAt + this._random.next() * 700_000, () => { this._send(key) })
+    }
+  }
+
+  private _send (key: string): void {
+    const host = this._random.pick(HOSTS)
+    const instance = this._instances.get(host) as ClaimInstance
+    const call = `call-${++this._counts.asked}`
+    this._record({ kind: 'asked', key, call, host })
+    let isOver = false
+    const sendAgain = (delay: Milliseconds): void => {
+      if (!this._answered.has(key)) this._time.after(delay, () => { this._send(key) })
+    }
+    instance.step(() => {
+      const now = this._time.now
+      instance.run(this._request(key, call, instance), now + REQUEST_DEADLINE, outcome => {
+        this._recordOutcome(key, call, outcome)
+        if (!isOver && outcome.kind === 'refused' && outcome.retryAfter !== undefined) sendAgain(outcome.retryAfter)
+        isOver = true
+      })
+    })
+    this._time.after(CALLER_PATIENCE, () => {
+      if (!isOver) sendAgain(this._random.next() * 5_000)
+      isOver = true
+    })
+  }
+
+  private _request (key: string, call: string, instance: ClaimInstance): ClaimRequest {
+    const isAtMostOnce = isAtMostOnceKey(key)
+    this._callOfToken.set(call, call)
+    return {
+      workspace: 'harrowgate',
+      idempotencyKey: key,
+      kind: isAtMostOnce ? 'uniform-order' : 'policy-summary',
+      treatment: isAtMostOnce ? 'at-most-once' : 'durable',
+      requestDigest: key,
+      attemptToken: call,
+      executor: instance.identity,
+      recordedAt: instance.wall,
+      deadlineAt: instance.wall + REQUEST_DEADLINE,
+      ...(isAtMostOnce ? {} : { request: 'body' })
+    }
+  }
+
+  private _recordOutcome (key: string, call: string, outcome: AttemptOutcome): void {
+    if (outcome.kind === 'answered') {
+      this._answered.add(key)
+      return this._record({ kind: 'answered', key, call, answer: outcome.answer })
+    }
+    this._record({ kind: 'refused', key, call, reason: outcome.reason, notRun: outcome.notRun })
+  }
+
+  /** The operator looks at the service before saying whether the request ran. */
+  private _resolveSomething (): void {
+    const key = this._random.pick(this._history)?.key
+    if (key === undefined || !isAtMostOnceKey(key)) return
+    const hasRun = this._history.some(event => event.kind === 'ran' && event.key === key)
+    this._counts.resolutions += 1
+    const instance = this._instances.get(this._random.pick(HOSTS)) as ClaimInstance
+    instance.step(() => {
+      instance.resolve({ workspace: 'harrowgate', idempotencyKey: key, outcome: hasRun ? 'ran' : 'not-run', author: 'operator' })
+    })
+  }
+
+  /** The call that a claim was made for; work handed to another instance carries a token of its own. */
+  private _callOf (claim: ClaimRequest): string {
+    return this._callOfToken.get(claim.attemptToken) ?? `handed over as ${claim.attemptToken}`
+  }
+
+  private _record (event: EventWithoutTime): void {
+    this._history.push({ ...event, at: Math.round(this._time.now) })
+  }
+}
+
+type WithoutTime<Event> = Event extends { at: number } ? Omit<Event, 'at'> : never
+type EventWithoutTime = WithoutTime<ClaimEvent>
+
+function keyAt (time: Milliseconds, index: number): string {
+  const digits = Math.floor(time).toString(16).padStart(12, '0')
+  return `${digits.slice(0, 8)}-${digits.slice(8)}-7000-8000-${index.toString(16).padStart(12, '0')}`
+}
--- /dev/null
+++ b/tests/promises/claims/claims.spec.ts
@@ -0,0 +1,124 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import {
+  ClaimedAttempt, ClaimShard,
+  type AttemptEffect, type AttemptMessage, type ClaimEffect, type ClaimMessage, type InstanceIdentity
+} from '@wasabihead/coordination'
+import type { Proof } from '../proof.js'
+import { checkAtMostOnce, checkDurableWhole, checkNotRun, type ClaimEvent } from './claimHistory.js'
+import { REAL_PARTS, RUN_LIMITS, type ClaimParts } from './claimRun.js'
+import { AtMostOnceProof, DurableWholeProof, NotRunProof } from './index.js'
+
+const RUNS = 6
+const RUNS_OF_BROKEN = 60
+
+const ran: ClaimEvent = { kind: 'ran', at: 1, key: 'a', call: 'call-1', host: 'entry-0' }
+const refused: ClaimEvent = { kind: 'refused', at: 2, key: 'a', call: 'call-1', reason: 'not-sent', notRun: true }
+const accepted: ClaimEvent = { kind: 'accepted', at: 0, key: 'a', call: 'call-1' }
+const answeredBy = (body: string): ClaimEvent => ({ kind: 'answered', at: 3, key: 'a', call: 'call-1', answer: { status: 200, body } })
+const every = (): boolean => true
+
+const histories = [
+  { title: 'two runs of one key', check: () => checkAtMostOnce([ran, { ...ran, at: 9 }], every), isBroken: true },
+  { title: 'one run of each of two keys', check: () => checkAtMostOnce([ran, { ...ran, key: 'b' }], every), isBroken: false },
+  { title: 'a run after "not run"', check: () => checkNotRun([refused, { ...ran, at: 9 }]), isBroken: true },
+  { title: 'a hand-over of a key never accepted', check: () => checkNotRun([refused, { ...ran, call: 'call-9' }]), isBroken: true },
+  { title: 'an unknown outcome that ran', check: () => checkNotRun([{ ...refused, notRun: 'unknown' }, ran]), isBroken: false },
+  { title: 'an accepted request without answer', check: () => checkDurableWhole([accepted], every), isBroken: true },
+  { title: 'a cut answer', check: () => checkDurableWhole([accepted, answeredBy('answer of a: r')], every), isBroken: true },
+  {
+    title: 'two answers to one key',
+    check: () => checkDurableWhole([answeredBy('answer of a: run 1.'), answeredBy('answer of a: run 2.')], every),
+    isBroken: true
+  },
+  { title: 'a whole answer', check: () => checkDurableWhole([accepted, answeredBy('answer of a: run 1.')], every), isBroken: false }
+]
+for (const { title, check, isBroken } of histories) {
+  test(`should judge a history with ${title} as ${isBroken ? 'broken' : 'whole'}`, () => {
+    assert.is(check().length > 0, isBroken)
+  })
+}
+
+/** Grants before the head write is won. */
+class EarlyGrantingShard extends ClaimShard {
+  override handle (message: ClaimMessage, now: number): ClaimEffect[] {
+    const effects = super.handle(message, now)
+    const isWriting = effects.some(({ kind }) => kind === 'write-head')
+    if (message.kind !== 'claim' || !isWriting) return effects
+    return [{ kind: 'reply', callId: message.callId, reply: { kind: 'granted' } }, ...effects]
+  }
+}
+
+/** Takes a named segment that is missing, and any other, for an empty one. */
+class HoleIgnoringShard extends ClaimShard {
+  override handle (message: ClaimMessage, now: number): ClaimEffect[] {
+    if (message.kind !== 'head-read' || message.head === undefined) return super.handle(message, now)
+    return super.handle({ ...message, head: { ...message.head, segments: [] } }, now)
+  }
+}
+
+/** Believes that every executor is alive. */
+class TrustingShard extends ClaimShard {
+  private readonly _seen: InstanceIdentity[] = []
+
+  override handle (message: ClaimMessage, now: number): ClaimEffect[] {
+    if (message.kind === 'claim') this._seen.push(message.request.executor)
+    if (message.kind !== 'tick') return super.handle(message, now)
+    const claimed = this.claims.map(({ executor }) => executor)
+    const everyone = [...this._seen, ...claimed]
+    const isLater = (one: InstanceIdentity): boolean =>
+      everyone.some(other => other.host === one.host && other.incarnation < one.incarnation)
+    return super.handle({ ...message, live: [...everyone.filter(one => !isLater(one)), ...claimed] }, now)
+  }
+}
+
+/** Calls a lost answer "not sent". */
+class ForgetfulAttempt extends ClaimedAttempt {
+  override handle (message: AttemptMessage, now: number): AttemptEffect[] {
+    const isLostAnswer = message.kind === 'call-ended' && message.end.kind === 'ambiguous'
+    return super.handle(isLostAnswer ? { kind: 'call-ended', end: { kind: 'not-sent' } } : message, now)
+  }
+}
+
+/** Sends on a grant although the caller was told "not run". */
+class LateSendingAttempt extends ClaimedAttempt {
+  override handle (message: AttemptMessage, now: number): AttemptEffect[] {
+    const effects = super.handle(message, now)
+    const isLateGrant = message.kind === 'report-replied' && message.reply.kind === 'recorded' && effects.length > 0
+    return isLateGrant && this.isEnded ? [{ kind: 'send' }, ...effects] : effects
+  }
+}
+
+const shardWith = (Shard: typeof ClaimShard, limits = RUN_LIMITS): ClaimParts =>
+  ({ ...REAL_PARTS, createShard: identity => new Shard(identity, limits) })
+const attemptWith = (Attempt: typeof ClaimedAttempt): ClaimParts =>
+  ({ ...REAL_PARTS, createAttempt: (request, rules) => new Attempt(request, rules) })
+
+const broken: Array<{ title: string, proof: Proof }> = [
+  { title: 'grants before its write is won', proof: new AtMostOnceProof(shardWith(EarlyGrantingShard)) },
+  { title: 'takes a missing segment for no claim', proof: new AtMostOnceProof(shardWith(HoleIgnoringShard)) },
+  {
+    title: 'forgets claims before their keys expire',
+    proof: new AtMostOnceProof(shardWith(ClaimShard, { ...RUN_LIMITS, windowMargin: -RUN_LIMITS.retentionWindow }))
+  },
+  { title: 'releases after sending', proof: new AtMostOnceProof(attemptWith(ForgetfulAttempt)) },
+  { title: 'calls a lost answer not run', proof: new NotRunProof(attemptWith(ForgetfulAttempt)) },
+  { title: 'sends after its refusal', proof: new NotRunProof(attemptWith(LateSendingAttempt)) },
+  { title: 'never hands durable work over', proof: new DurableWholeProof(shardWith(TrustingShard)) }
+]
+for (const { title, proof } of broken) {
+  test(`should find the breach of ${proof.name} by a variant that ${title}`, () => {
+    const seeds = Array.from({ length: RUNS_OF_BROKEN }, (_, index) => index + 1)
+    assert.ok(seeds.some(seed => proof.run(seed).violations.length > 0))
+  })
+}
+
+for (const proof of [new AtMostOnceProof(), new NotRunProof(), new DurableWholeProof()]) {
+  test(`should keep the promise ${proof.name} in seeded runs`, () => {
+    const runs = Array.from({ length: RUNS }, (_, index) => proof.run(index + 1))
+    assert.equal(runs.flatMap(({ violations }) => violations), [])
+    assert.ok(runs.every(({ counts }) => (counts.ran ?? 0) > 0))
+  })
+}
+
+test.run()
--- a/tests/promises/index.ts
+++ b/tests/promises/index.ts
@@ -1,8 +1,12 @@
+import { AtMostOnceProof, DurableWholeProof, NotRunProof } from './claims/index.js'
 import { OrdersProof } from './orders.js'
 import type { Proof } from './proof.js'
 
 /** Every proof, in the order of the users' list of what must always hold. */
 export const proofs: readonly Proof[] = [
+  new DurableWholeProof(),
+  new NotRunProof(),
+  new AtMostOnceProof(),
   new OrdersProof()
 ]
 
