--- a/packages/coordination/src/claims/claimShard.spec.ts
+++ b/packages/coordination/src/claims/claimShard.spec.ts
@@ -1,7 +1,8 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { CLAIM_LIMITS } from './claimLimits.js'
 import { ClaimShard } from './claimShard.js'
-import type { ClaimEffect, ClaimRequest, ShardHead } from './messages.js'
+import type { ClaimEffect, ClaimReport, ClaimRequest, ShardHead } from './messages.js'
 
 const request: ClaimRequest = {
   workspace: 'harrowgate',
@@ -71,4 +72,99 @@
   })
 }
 
+const report: ClaimReport = { workspace: 'harrowgate', idempotencyKey: 'key-1', attemptToken: 'attempt-1', state: 'done' }
+const live = [{ host: 'entry-0', incarnation: 1 }]
+
+test('should give a conflict to a report only after a head write was won', () => {
+  const shard = createOwner()
+  assert.equal(shard.handle({ kind: 'report', callId: 1, report }, 0).map(({ kind }) => kind), ['write-head'])
+  assert.equal(shard.handle({ kind: 'head-write-lost' }, 0), [{ kind: 'reply', callId: 1, reply: { kind: 'not-owner' } }])
+})
+
+test('should call a write that another owner followed ambiguous, since it may have been won', () => {
+  const shard = createOwner()
+  const head = writtenHead(shard.handle({ kind: 'claim', callId: 1, request }, 0))
+  shard.handle({ kind: 'head-write-ambiguous' }, 0)
+  const effects = shard.handle({ kind: 'head-read', head: { ...head, writerToken: 'other' }, revision: 3 }, 0)
+  assert.equal(effects, [{ kind: 'reply', callId: 1, reply: { kind: 'ambiguous', retryAfter: 1_000 } }])
+})
+
+test('should not grant a late copy of an attempt that was released before it came', () => {
+  const shard = createOwner()
+  shard.handle({ kind: 'report', callId: 1, report: { ...report, state: 'released', abandoned: request } }, 0)
+  shard.handle({ kind: 'head-written', revision: 2 }, 0)
+  const effects = shard.handle({ kind: 'claim', callId: 2, request }, 0)
+  assert.equal(effects, [{ kind: 'reply', callId: 2, reply: { kind: 'conflict' } }])
+})
+
+test('should read the head again before it answers after a pause', () => {
+  const shard = createOwner()
+  const effects = shard.handle({ kind: 'find', callId: 1, workspace: 'harrowgate', idempotencyKey: 'key-1' }, 60_000)
+  assert.equal(effects, [{ kind: 'read-head' }])
+})
+
+const orphans = [
+  { title: 'unknown where its executor restarted', treatment: 'at-most-once', denied: false, state: 'unknown', attempt: 'attempt-1' },
+  { title: 'released where its executor denies it', treatment: 'at-most-once', denied: true, state: 'released', attempt: 'attempt-1' },
+  { title: "this instance's own where it is durable", treatment: 'durable', denied: false, state: 'claimed', attempt: 'entry-0/1/1/3' }
+] as const
+for (const { title, treatment, denied, state, attempt } of orphans) {
+  test(`should make a claim ${title}`, () => {
+    const shard = createOwner()
+    const executor = { host: 'entry-9', incarnation: 1 }
+    shard.handle({ kind: 'claim', callId: 1, request: { ...request, treatment, executor } }, 0)
+    shard.handle({ kind: 'head-written', revision: 2 }, 0)
+    const effects = denied
+      ? shard.handle({ kind: 'attempt-denied', attemptToken: 'attempt-1' }, 0)
+      : shard.handle({ kind: 'tick', wall: 0, live: [...live, { host: 'entry-9', incarnation: 2 }] }, 0)
+    const [claim] = writtenHead(effects).claims
+    assert.equal([claim?.state, claim?.attemptToken], [state, attempt])
+  })
+}
+
+test('should name a segment in the head only after it was written, and refuse while it cannot be read', () => {
+  const shard = new ClaimShard({ host: 'entry-0', incarnation: 1 }, { ...CLAIM_LIMITS, closeAtBytes: 1 })
+  shard.handle({ kind: 'take-over' }, 0)
+  shard.handle({ kind: 'head-read', head: undefined, revision: 0 }, 0)
+  shard.handle({ kind: 'head-written', revision: 1 }, 0)
+  shard.handle({ kind: 'claim', callId: 1, request }, 0)
+  shard.handle({ kind: 'report', callId: 2, report }, 0)
+  shard.handle({ kind: 'head-written', revision: 2 }, 0)
+  shard.handle({ kind: 'head-written', revision: 3 }, 0)
+  const [write] = shard.handle({ kind: 'tick', wall: 5, live }, 1_000)
+  if (write?.kind !== 'write-segment') throw new Error('no segment was written')
+  const head = writtenHead(shard.handle({ kind: 'segment-written', name: write.name }, 1_000))
+  assert.equal([head.claims.length, head.segments.map(({ name }) => name)], [0, [write.name]])
+
+  const reader = new ClaimShard({ host: 'entry-1', incarnation: 1 })
+  reader.handle({ kind: 'take-over' }, 0)
+  assert.equal(reader.handle({ kind: 'head-read', head, revision: 4 }, 0), [{ kind: 'read-segment', name: write.name }])
+  reader.handle({ kind: 'claim', callId: 1, request }, 0)
+  assert.equal(reader.handle({ kind: 'segment-read', name: write.name, text: undefined }, 0), [{ kind: 'read-head' }])
+  const refused = reader.handle({ kind: 'head-read', head, revision: 4 }, 0)
+  assert.equal(refused.map(effect => effect.kind === 'reply' && effect.reply.kind), ['unavailable'])
+})
+
+const DAY = 86_400_000
+const keys = [
+  { title: 'a key older than the window', key: keyOf(DAY), reply: 'expired' },
+  { title: 'a key from the future', key: keyOf(4 * DAY), reply: 'expired' },
+  { title: 'a key inside the window', key: keyOf(3 * DAY - 1), reply: 'granted' },
+  { title: 'an opaque key', key: 'order-77', reply: 'granted' }
+]
+for (const { title, key, reply } of keys) {
+  test(`should answer ${reply} to ${title}`, () => {
+    const shard = createOwner()
+    shard.handle({ kind: 'tick', wall: 3 * DAY, live }, 0)
+    const effects = shard.handle({ kind: 'claim', callId: 1, request: { ...request, idempotencyKey: key } }, 0)
+    const answered = effects[0]?.kind === 'reply' ? effects : shard.handle({ kind: 'head-written', revision: 2 }, 0)
+    assert.is(answered[0]?.kind === 'reply' ? answered[0].reply.kind : undefined, reply)
+  })
+}
+
+function keyOf (time: number): string {
+  const digits = time.toString(16).padStart(12, '0')
+  return `${digits.slice(0, 8)}-${digits.slice(8)}-7000-8000-000000000000`
+}
+
 test.run()
