feat(claims): let operators list, show and resolve claims

The listing reads heads and segments through the service with a bound on the reads and never shows a request's body or an answer.

--- /dev/null
+++ b/packages/daemon/src/claims/claimDirectory.ts
@@ -0,0 +1,79 @@
+/** Reads the claims of the whole fleet for operators: heads and segments through the service, with a bound on the reads. */
+import { Result } from 'true-myth'
+import {
+  CLAIM_SHARD_COUNT, PlatformRefusedError, segmentKey, segmentSchema, shardHeadKey, shardHeadSchema,
+  type Claim, type KeyValueService, type PlatformError, type ShardHead
+} from '@wasabihead/coordination'
+
+const MAXIMUM_SEGMENT_READS = 64
+
+/** Which claims are wanted. */
+export interface ClaimFilter {
+  state?: Claim['state']
+  workspace?: string
+  /** Most claims to give. */
+  limit: number
+}
+
+/** A claim without the contents of its request and answer. */
+export type ClaimSummary = Omit<Claim, 'request' | 'answer'> & { isAnswerKept: boolean }
+
+/** The claims found; `isComplete` is false where the limit or the bound on reads left some out. */
+export interface ClaimListing {
+  claims: ClaimSummary[]
+  isComplete: boolean
+}
+
+/** Lists claims. */
+export class ClaimDirectory {
+  constructor (private readonly _environment: string, private readonly _keyValue: KeyValueService) {}
+
+  /** Reads every shard's head, then its segments from the newest on; the latest record of a claim counts. */
+  async list (filter: ClaimFilter): Promise<Result<ClaimListing, PlatformError>> {
+    const listing: ClaimListing = { claims: [], isComplete: true }
+    let readsLeft = MAXIMUM_SEGMENT_READS
+    for (let shard = 0; shard < CLAIM_SHARD_COUNT; shard++) {
+      const head = await this._readHead(shard)
+      if (head.isErr) return Result.err(head.error)
+      const { claims = [], segments = [] } = head.value ?? {}
+      const seen = new Set<string>()
+      addMatching(listing, claims, seen, filter)
+      for (const { name } of segments.toReversed()) {
+        if (readsLeft === 0 || listing.claims.length >= filter.limit) return Result.ok({ ...listing, isComplete: false })
+        readsLeft -= 1
+        const closed = await this._readSegment(shard, name)
+        if (closed.isErr) return Result.err(closed.error)
+        addMatching(listing, closed.value, seen, filter)
+      }
+    }
+    const isCut = listing.claims.length > filter.limit
+    return Result.ok({ claims: listing.claims.slice(0, filter.limit), isComplete: listing.isComplete && !isCut })
+  }
+
+  private async _readHead (shard: number): Promise<Result<ShardHead | undefined, PlatformError>> {
+    const read = await this._keyValue.read(shardHeadKey(this._environment, shard))
+    return read.map(entry => entry === undefined ? undefined : shardHeadSchema.parse(JSON.parse(entry.value)))
+  }
+
+  private async _readSegment (shard: number, name: string): Promise<Result<Claim[], PlatformError>> {
+    const read = await this._keyValue.read(segmentKey(this._environment, shard, name))
+    return read.andThen(entry => entry === undefined
+      ? Result.err<Claim[], PlatformError>(new PlatformRefusedError('The log changed while it was read', 'Ask again'))
+      : Result.ok<Claim[], PlatformError>(segmentSchema.parse(JSON.parse(entry.value))))
+  }
+}
+
+/** A claim as operators see it. */
+export function summaryOf ({ request, answer, ...claim }: Claim): ClaimSummary {
+  return { ...claim, isAnswerKept: answer !== undefined }
+}
+
+function addMatching (listing: ClaimListing, claims: readonly Claim[], seen: Set<string>, filter: ClaimFilter): void {
+  for (const claim of claims) {
+    const id = `${claim.workspace}\n${claim.idempotencyKey}`
+    const isLatest = !seen.has(id)
+    seen.add(id)
+    const isWanted = (filter.state ?? claim.state) === claim.state && (filter.workspace ?? claim.workspace) === claim.workspace
+    if (isLatest && isWanted) listing.claims.push(summaryOf(claim))
+  }
+}
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -6,7 +6,7 @@
 import { EtcdKeyValueService } from '../adapters/index.js'
 import { BackendFleet } from '../backends/index.js'
 import { CallerServer, RequestReader } from '../callers/index.js'
-import { ClaimCoordinator, ClaimPeerClient, ClaimPeerRoutes } from '../claims/index.js'
+import { ClaimCoordinator, ClaimDirectory, ClaimPeerClient, ClaimPeerRoutes, ClaimRoutes } from '../claims/index.js'
 import {
   ConfigurationKeeper, ConfigurationPeerClient, ConfigurationPeerRoutes, ConfigurationRoutes
 } from '../configuration/index.js'
@@ -119,6 +119,7 @@
       operatorServer: new OperatorServer(settings.operatorTokenDigest, [
         new ConfigurationRoutes(configuration),
         new MemberRoutes(members),
+        new ClaimRoutes(claims, new ClaimDirectory(settings.environment, keyValue)),
         new MetricsRoutes(this._metrics)
       ]),
       peerServer: new PeerServer([
