--- a/packages/coordination/src/claims/claimPlacement.ts
+++ b/packages/coordination/src/claims/claimPlacement.ts
@@ -1,7 +1,7 @@
 /** Which shard holds a claim, and which key holds a shard. */
 import { placementHash } from '../common/index.js'
 
-/** Number of claim shards; fixed for an environment's life. */
+/** Number of claim shards; fixed for an environment's life, and stored under `claimLayoutKey`. */
 export const CLAIM_SHARD_COUNT = 32
 
 /** The shard of a workspace's idempotency key. */
@@ -9,6 +9,11 @@
   return placementHash(`${workspace}\n${idempotencyKey}`) % CLAIM_SHARD_COUNT
 }
 
+/** The key that holds the number of shards of an environment; written once. */
+export function claimLayoutKey (environment: string): string {
+  return `wasabihead/${environment}/claims/layout`
+}
+
 /** The head key of a shard, under the environment's prefix. */
 export function shardHeadKey (environment: string, shard: number): string {
   return `wasabihead/${environment}/claims/${shard}/head`
--- a/packages/coordination/src/claims/index.ts
+++ b/packages/coordination/src/claims/index.ts
@@ -1,5 +1,5 @@
 export { ClaimedAttempt, type AttemptEffect, type AttemptMessage, type AttemptOutcome, type AttemptRefusal, type AttemptRules, type CallEnd } from './claimedAttempt.js'
-export { CLAIM_SHARD_COUNT, claimShardOf, segmentKey, shardHeadKey } from './claimPlacement.js'
+export { CLAIM_SHARD_COUNT, claimLayoutKey, claimShardOf, segmentKey, shardHeadKey } from './claimPlacement.js'
 export { ClaimShard } from './claimShard.js'
 export { EXECUTOR_GONE_AFTER } from './executorWatch.js'
 export { CLAIM_LIMITS, type ClaimLimits } from './claimLimits.js'
--- a/packages/daemon/src/claims/claimCoordinator.ts
+++ b/packages/daemon/src/claims/claimCoordinator.ts
@@ -1,8 +1,8 @@
 /** Drives the claim shards of this instance and finds the owner of the others. */
 import type { Result } from 'true-myth'
 import {
-  ABSENT_REVISION, CLAIM_SHARD_COUNT, ClaimShard, claimShardOf, firstByRendezvous, isSameInstance, segmentKey,
-  shardHeadKey, shardHeadSchema,
+  ABSENT_REVISION, CLAIM_SHARD_COUNT, claimLayoutKey, ClaimShard, claimShardOf, firstByRendezvous, isSameInstance, RemediedError,
+  segmentKey, shardHeadKey, shardHeadSchema,
   type Claim, type ClaimEffect, type ClaimMessage, type ClaimReply, type ClaimReport, type ClaimRequest,
   type ClaimResolution, type InstanceIdentity, type KeyValueService, type MemberTable, type Milliseconds, type ShardHead
 } from '@wasabihead/coordination'
@@ -13,6 +13,15 @@
 const RETRY_AFTER: Milliseconds = 1_000
 const TICK_INTERVAL: Milliseconds = 1_000
 
+/** The environment's claims were recorded under another number of shards. */
+export class ClaimLayoutError extends RemediedError {
+  readonly kind = 'claim-layout'
+
+  constructor (stored: string, own: string) {
+    super(`The environment has ${stored} claim shards and this version uses ${own}`, 'Run the version that made the environment')
+  }
+}
+
 /** Records claims, here or at the owner of their shard. */
 export class ClaimCoordinator {
   /** Runs durable work that was recorded as this instance's own. */
@@ -22,6 +31,7 @@
 
   private readonly _shards: ClaimShard[]
   private readonly _waitingCalls = new Map<number, (reply: ClaimReply) => void>()
+  private _isLayoutChecked = false
   private _nextCallId = 1
   private _ticker: NodeJS.Timeout | undefined
 
@@ -178,7 +188,23 @@
     if (isDenied) this._tell(shard, { kind: 'attempt-denied', attemptToken: claim.attemptToken })
   }
 
+  /** Another number of shards would look for claims in the wrong place, so nothing is read before the numbers agree. */
+  private async _checkLayout (): Promise<boolean> {
+    const key = claimLayoutKey(this._environment)
+    const value = String(CLAIM_SHARD_COUNT)
+    const read = await this._keyValue.read(key)
+    if (read.isErr) return false
+    if (read.value === undefined) {
+      await this._keyValue.compareAndSwap({ key, value, expectedRevision: ABSENT_REVISION })
+      return false
+    }
+    if (read.value.value !== value) throw new ClaimLayoutError(read.value.value, value)
+    return true
+  }
+
   private async _readHead (shard: number): Promise<void> {
+    this._isLayoutChecked = this._isLayoutChecked || await this._checkLayout() || await this._checkLayout()
+    if (!this._isLayoutChecked) return this._tell(shard, { kind: 'head-read-failed' })
     const read = await this._keyValue.read(shardHeadKey(this._environment, shard))
     if (read.isErr) return this._tell(shard, { kind: 'head-read-failed' })
     const head = read.value === undefined ? undefined : shardHeadSchema.parse(JSON.parse(read.value.value))
