perf(claims): merge segments by size and keep the head small

Cause: a head of up to 32 KB was rewritten with each group commit, and each closing rewrote up to 256 KB of the newest segment. Ruled out: small segments without merging, whose names would fill the head at the target. Change: the head closes at 8 KB; a closing takes in only segments of at most twice what it writes anyway, up to 512 KB.

--- a/packages/coordination/src/claims/claimLimits.ts
+++ b/packages/coordination/src/claims/claimLimits.ts
@@ -5,7 +5,7 @@
 export interface ClaimLimits {
   /** Size of settled records at which the head's records move into a segment. */
   closeAtBytes: number
-  /** Size up to which the newest segment is written anew together with the next records, so that names stay few. */
+  /** Size up to which the newest segments are merged with the next records, so that names stay few. */
   segmentTargetBytes: number
   /** No segment is written above this size; the service holds values up to a megabyte. */
   segmentMaximumBytes: number
@@ -21,8 +21,8 @@
 
 /** The limits that instances use. */
 export const CLAIM_LIMITS: ClaimLimits = {
-  closeAtBytes: 32_768,
-  segmentTargetBytes: 262_144,
+  closeAtBytes: 8_192,
+  segmentTargetBytes: 524_288,
   segmentMaximumBytes: 786_432,
   headMaximumBytes: 524_288,
   retentionWindow: 24 * MILLISECONDS_PER_HOUR,
--- a/packages/coordination/src/claims/claimStore.ts
+++ b/packages/coordination/src/claims/claimStore.ts
@@ -94,10 +94,9 @@
   /** Plans the closing of all settled records under a name that can never come again. */
   planClose (name: string, wall: Milliseconds): SegmentPlan {
     const settled = this.open.filter(claim => claim.state !== 'claimed')
-    const newest = this._segments.at(-1)
-    const isMerging = newest !== undefined && newest.name.sizeBytes + this._settledBytes <= this._limits.segmentTargetBytes
-    const rest = isMerging ? this._segments.slice(0, -1) : this._segments
-    const merged = isMerging ? this._keptOf(newest, rest.length === 0, wall) : []
+    const rest = this._segments.slice(0, this._segments.length - this._mergeCount())
+    const merging = this._segments.slice(rest.length)
+    const merged = merging.flatMap((segment, index) => this._keptOf(segment, rest.length + index === 0, wall))
     const expired = this._expiredOf(rest, wall)
     const carried = expired === undefined ? [] : this._keptOf(expired, true, wall)
     const claims = [...carried, ...merged, ...settled]
@@ -110,10 +109,25 @@
       text,
       open: this.open.filter(claim => claim.state === 'claimed'),
       segments: [...rest.filter(segment => segment !== expired), closed],
-      dropped: [...(isMerging ? [newest.name.name] : []), ...(expired === undefined ? [] : [expired.name.name])]
+      dropped: [...merging, ...(expired === undefined ? [] : [expired])].map(segment => segment.name.name)
     }
   }
 
+  /**
+   * How many of the newest segments the next one takes in: each that is at most twice as large as what is written anyway.
+   * So a record is written again only a few times on its way into a segment of the target's size.
+   */
+  private _mergeCount (): number {
+    let sizeBytes = this._settledBytes
+    let count = 0
+    for (const { name } of this._segments.toReversed()) {
+      if (name.sizeBytes > 2 * sizeBytes || name.sizeBytes + sizeBytes > this._limits.segmentTargetBytes) return count
+      sizeBytes += name.sizeBytes
+      count += 1
+    }
+    return count
+  }
+
   /**
    * The records of a segment that its successor must hold. Records past the window may only go from the oldest segment:
    * an older segment could hold an older record of the same claim, which would then count again.
