fix(claims): count segment removals among the paced writes

Cause: the fleet wrote 244 times a second at 1,000 requests, above its share of 200, because removals were not paced. Conclusion: the share is nearly kept, and the price is the delay of grants above some hundred requests a second.

--- a/packages/coordination/src/claims/claimShard.ts
+++ b/packages/coordination/src/claims/claimShard.ts
@@ -214,6 +214,7 @@
     if (plan?.segment.name.name !== name) return []
     this._closing = undefined
     const afterwards = plan.dropped.map((dropped): ClaimEffect => ({ kind: 'remove-segment', name: dropped }))
+    this._pacer.take(now, plan.dropped.length)
     return this._write({ open: plan.open, segments: plan.segments, plan, afterwards }, now)
   }
 
--- a/packages/coordination/src/claims/writePacer.ts
+++ b/packages/coordination/src/claims/writePacer.ts
@@ -19,10 +19,10 @@
     return this._tokens >= 1 ? 0 : Math.ceil((1 - this._tokens) * SPACING)
   }
 
-  /** Counts one write. */
-  take (now: Milliseconds): void {
+  /** Counts writes; those above what is allowed delay the next. */
+  take (now: Milliseconds, writes = 1): void {
     this._fill(now)
-    this._tokens -= 1
+    this._tokens -= writes
   }
 
   private _fill (now: Milliseconds): void {
