--- a/packages/coordination/src/claims/index.ts
+++ b/packages/coordination/src/claims/index.ts
@@ -1,7 +1,11 @@
-export { CLAIM_SHARD_COUNT, claimShardOf, shardHeadKey } from './claimPlacement.js'
+export { ClaimedAttempt, type AttemptEffect, type AttemptMessage, type AttemptOutcome, type AttemptRefusal, type AttemptRules, type CallEnd } from './claimedAttempt.js'
+export { CLAIM_SHARD_COUNT, claimLayoutKey, claimShardOf, segmentKey, shardHeadKey } from './claimPlacement.js'
 export { ClaimShard } from './claimShard.js'
+export { EXECUTOR_GONE_AFTER } from './executorWatch.js'
+export { CLAIM_LIMITS, type ClaimLimits } from './claimLimits.js'
+export { FLEET_CLAIM_WRITES_PER_SECOND } from './writePacer.js'
 export {
-  claimSchema, keptAnswerSchema, shardHeadSchema,
+  claimSchema, keptAnswerSchema, segmentSchema, shardHeadSchema,
   type Claim, type ClaimEffect, type ClaimMessage, type ClaimReply, type ClaimReport, type ClaimRequest,
-  type KeptAnswer, type ShardHead
+  type ClaimResolution, type KeptAnswer, type SegmentName, type ShardHead
 } from './messages.js'
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -6,7 +6,7 @@
 import { BudgetedKeyValueService, CallAccount, EtcdKeyValueService } from '../adapters/index.js'
 import { BackendFleet } from '../backends/index.js'
 import { CallerServer, RequestReader } from '../callers/index.js'
-import { ClaimCoordinator, ClaimPeerClient, ClaimPeerRoutes } from '../claims/index.js'
+import { ClaimCoordinator, ClaimDirectory, ClaimPeerClient, ClaimPeerRoutes, ClaimRoutes } from '../claims/index.js'
 import {
   ConfigurationKeeper, ConfigurationPeerClient, ConfigurationPeerRoutes, ConfigurationRoutes
 } from '../configuration/index.js'
@@ -68,6 +68,7 @@
       this._settings.peerAddress ?? addresses.peer, this._settings.callerAddress ?? addresses.caller, this._clock.monotonic())
     await parts.configuration.start()
     await parts.membership.start()
+    parts.claims.start()
     this._fleet.start()
     this._logger.info('serving', { ...addresses })
     return addresses
@@ -88,6 +89,7 @@
     await this._waitUntilIdle(parts)
     await parts.callerServer.stop()
     await this._waitUntilIdle(parts)
+    parts.claims.stop()
     parts.membership.stop()
     parts.configuration.stop()
     this._fleet.stop()
@@ -132,7 +134,10 @@
     const placer = new PromptPlacer(this._fleet, settings.workspaceSecret, this._metrics)
     const models = new ModelRunner(placer, configuration, clock, random, this._metrics, this._logger)
     const services = new ServiceRunner(this._fleet)
-    const claimed = new ClaimedRunner(members.identity, claims, models, services, clock, this._logger)
+    const claimed = new ClaimedRunner(
+      members.identity, claims, models, services, () => configuration.document, clock, this._logger)
+    claims.onDurableWork = claim => { claimed.resume(claim) }
+    claims.knowsAttempt = attemptToken => claimed.knows(attemptToken)
     const registry = new BudgetedKeyValueService(service, calls, 'membership')
     const membershipPeers = new MembershipPeerClient(this._connections, settings.environment)
     const membership = new MembershipLoop(settings.environment, members, registry, membershipPeers, clock, random, {
@@ -143,6 +148,7 @@
     return {
       members,
       configuration,
+      claims,
       claimed,
       membership,
       callerServer: new CallerServer({
@@ -151,6 +157,7 @@
       operatorServer: new OperatorServer(settings.operatorTokenDigest, [
         new ConfigurationRoutes(configuration, members),
         new MemberRoutes(members),
+        new ClaimRoutes(claims, new ClaimDirectory(settings.environment, claimStore)),
         new MetricsRoutes(this._metrics),
         new StatusRoutes({
           environment: settings.environment,
@@ -186,6 +193,7 @@
 interface RunningParts {
   members: MemberTable
   configuration: ConfigurationKeeper
+  claims: ClaimCoordinator
   claimed: ClaimedRunner
   membership: MembershipLoop
   callerServer: CallerServer
--- a/packages/experiments/src/coordination/index.ts
+++ b/packages/experiments/src/coordination/index.ts
@@ -1,5 +1,6 @@
 import { TelemetryMeasurement } from '../telemetry/index.js'
 import { ConfigurationMeasurement } from './configurationMeasurement.js'
+import { ClaimTakeoverMeasurement, ClaimWritesMeasurement } from './claims.js'
 import type { CoordinationMeasurement } from './measurement.js'
 import { MembershipMeasurement } from './membershipMeasurement.js'
 
@@ -7,7 +8,9 @@
 export const coordinationMeasurements: readonly CoordinationMeasurement[] = [
   new ConfigurationMeasurement(),
   new MembershipMeasurement(),
-  new TelemetryMeasurement()
+  new TelemetryMeasurement(),
+  new ClaimWritesMeasurement(),
+  new ClaimTakeoverMeasurement()
 ]
 
 export { CoordinationMeasurement, type MeasurementRow } from './measurement.js'
--- a/tests/promises/index.ts
+++ b/tests/promises/index.ts
@@ -1,11 +1,15 @@
 import { ConfigurationInForceProof } from './configurationInForce.js'
 import { MembershipProof } from './membership.js'
+import { AtMostOnceProof, DurableWholeProof, NotRunProof } from './claims/index.js'
 import { OrdersProof } from './orders.js'
 import type { Proof } from './proof.js'
 import { RoleLeaseProof } from './roleLease.js'
 
 /** Every proof, in the order of the users' list of what must always hold. */
 export const proofs: readonly Proof[] = [
+  new DurableWholeProof(),
+  new NotRunProof(),
+  new AtMostOnceProof(),
   new OrdersProof(),
   new ConfigurationInForceProof(),
   new MembershipProof(),
