--- a/packages/coordination/src/retry/retryBudget.ts
+++ b/packages/coordination/src/retry/retryBudget.ts
@@ -42,3 +42,8 @@
   const ceiling = Math.min(settings.maximumDelay, settings.firstDelay * 2 ** retry)
   return Math.ceil(ceiling * sample)
 }
+
+/** A come-back time from `retryAfter` to twice that, so that callers refused together do not return together. */
+export function spreadRetryAfter (retryAfter: Milliseconds, sample: number): Milliseconds {
+  return Math.ceil(retryAfter * (1 + sample))
+}
--- /dev/null
+++ b/packages/coordination/src/retry/retryBudgets.spec.ts
@@ -0,0 +1,42 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { RetryBudgets, spreadRetryAfter } from './index.js'
+
+const settings = { retryShare: 0.2, maximumSavedRetries: 2, maximumBudgets: 2, idleTime: 1_000 }
+
+test('should keep retries to the saved ones and a share of first tries', () => {
+  const budgets = new RetryBudgets({ ...settings, maximumBudgets: 10 })
+  let retries = 0
+  for (let firstTry = 0; firstTry < 100; firstTry++) {
+    const budget = budgets.onFirstTry('warmerhomes', 'draft-letter', firstTry)
+    while (budget.trySpend()) retries += 1
+  }
+  assert.is(retries, 2 + Math.floor(99 * 0.2))
+})
+
+test('should keep workspaces and kinds apart', () => {
+  const budgets = new RetryBudgets({ ...settings, maximumBudgets: 10 })
+  const first = budgets.onFirstTry('a', 'b', 0)
+  while (first.trySpend());
+  for (const [workspace, kind] of [['a', 'c'], ['b', 'b']] as const) {
+    assert.ok(budgets.onFirstTry(workspace, kind, 0).trySpend())
+  }
+})
+
+const forgotten = [
+  { title: 'the least recently used past the bound', times: [0, 1, 2], expected: 2 },
+  { title: 'those unused for the idle time', times: [0, 1, 1_001], expected: 1 }
+]
+for (const { title, times, expected } of forgotten) {
+  test(`should forget ${title}`, () => {
+    const budgets = new RetryBudgets(settings)
+    times.forEach((time, index) => { budgets.onFirstTry(`workspace-${index}`, 'kind', time) })
+    assert.is(budgets.size, expected)
+  })
+}
+
+test('should spread come-back times from once to twice the given one', () => {
+  assert.equal([0, 0.5, 0.999].map(sample => spreadRetryAfter(1_000, sample)), [1_000, 1_500, 1_999])
+})
+
+test.run()
