feat(adapters): drop the pooled connections of an address when a call on it times out

Cause: the process-wide keep-alive pool handed a silent connection to call after call. Each origin has its own pool now; a timeout retires the pool: free connections are closed, those in use serve their call only. Ruled out: destroying connections in use, which would cut streams that still make progress.

--- a/packages/daemon/src/adapters/httpCalls.ts
+++ b/packages/daemon/src/adapters/httpCalls.ts
@@ -1,7 +1,8 @@
 /** HTTP calls on the platform, with failures sorted into "never took effect" and "may have". */
-import got, { RequestError, type Method } from 'got'
+import got, { RequestError, TimeoutError, type Method } from 'got'
 import { Result } from 'true-myth'
 import { PlatformAmbiguousError, PlatformRefusedError, type Milliseconds, type PlatformError } from '@wasabihead/coordination'
+import { httpConnections } from './httpConnections.js'
 
 const NEVER_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'EADDRNOTAVAIL'])
 
@@ -13,6 +14,8 @@
   headers?: Record<string, string>
   timeout: Milliseconds
   signal?: AbortSignal
+  /** Opens a connection for this call alone. */
+  isOnNewConnection?: boolean
 }
 
 /** The answer of an HTTP call, whatever its status. */
@@ -31,12 +34,15 @@
       headers: call.headers,
       signal: call.signal,
       timeout: { request: call.timeout },
+      agent: { http: call.isOnNewConnection === true ? httpConnections.single() : httpConnections.agentFor(call.url) },
       retry: { limit: 0 },
       followRedirect: false,
       throwHttpErrors: false
     })
     return Result.ok({ status: response.statusCode, body: response.body, headers: response.headers })
   } catch (error) {
+    // A call that timed out may have met a silent connection, so none that it could have used serves the next call.
+    if (error instanceof TimeoutError) httpConnections.drop(call.url)
     return Result.err(sortFailure(error, call.url))
   }
 }
