feat(streams): decide the run of a prompt in a state machine that a driver performs

Cause: attempts, deadlines and weight versions were interleaved with I/O in ModelRunner, so no replay could drive them; a stream that stayed open without parts held its request for good, and a refusal never said that nothing ran. AnswerRun takes messages and returns effects; a phase without progress leads to one shared probe on a new connection; a run that met a swap restarts under the new version only while nothing was delivered. Service calls spend the same budgets and keep to the deadline. Ruled out: blaming a replica at the first silence; going on under another version after delivered tokens.

--- a/packages/coordination/src/platform/backendServer.ts
+++ b/packages/coordination/src/platform/backendServer.ts
@@ -1,5 +1,6 @@
 /** Backend servers: model engines, and the plain services beside them. */
 import type { Result } from 'true-myth'
+import type { Milliseconds } from '../common/index.js'
 import type { PlatformError } from './errors.js'
 
 /** A request as sent to a model engine. */
@@ -112,6 +113,12 @@
 
   /** Reads what the engine now runs. */
   abstract readState (): Promise<Result<EngineState, PlatformError>>
+
+  /** Reads what the engine now runs on a new connection, so that a silent one cannot speak for the engine. */
+  abstract probe (timeout: Milliseconds): Promise<Result<EngineState, PlatformError>>
+
+  /** Has every later call use a new connection. Calls under way keep theirs until they end. */
+  abstract dropConnections (): void
 }
 
 /** A call to a plain service. */
@@ -122,6 +129,8 @@
   body: string
   /** Passed on where the service knows idempotency keys. */
   idempotencyKey?: string
+  /** Longest time to wait for the whole answer; the adapter's own bound if absent. */
+  timeout?: Milliseconds
 }
 
 /** The whole answer of a plain service. */
--- a/packages/coordination/src/platform/errors.ts
+++ b/packages/coordination/src/platform/errors.ts
@@ -6,6 +6,9 @@
   readonly kind = 'platform-refused'
 }
 
+/** The replica serves another weight version or model than the request names; the request did not run. */
+export class WeightVersionRefusedError extends PlatformRefusedError {}
+
 /** No answer came: the call may or may not have taken effect, now or later. */
 export class PlatformAmbiguousError extends RemediedError {
   readonly kind = 'platform-ambiguous'
--- a/packages/coordination/src/platform/index.ts
+++ b/packages/coordination/src/platform/index.ts
@@ -3,7 +3,9 @@
   type CacheEvent, type CacheEventBatch, type CacheSnapshot, type EngineOrder, type EnginePart, type EngineRequest,
   type EngineState, type LoadReport, type ServiceAnswer, type ServiceCall, type StoredBlock
 } from './backendServer.js'
-export { PlatformAmbiguousError, PlatformRefusedError, type PlatformError } from './errors.js'
+export {
+  PlatformAmbiguousError, PlatformRefusedError, WeightVersionRefusedError, type PlatformError
+} from './errors.js'
 export {
   ABSENT_REVISION, KeyValueService,
   type CompareAndSwap, type CompareAndSwapOutcome, type VersionedValue, type Watch
--- a/packages/coordination/src/streams/answerAssembler.ts
+++ b/packages/coordination/src/streams/answerAssembler.ts
@@ -4,6 +4,9 @@
  */
 import type { EnginePart } from '../platform/index.js'
 
+/** Most parts that are held because an earlier one is missing. */
+export const MAXIMUM_EARLY_PARTS = 256
+
 /** A part in the answer's order. */
 export interface OrderedPart {
   sequence: number
@@ -23,9 +26,13 @@
   private _nextSequence = 0
   private readonly _early = new Map<number, string>()
   private _end: AnswerEnd | undefined
+  private _isInvalid = false
 
-  /** @param weightVersion the version chosen at admission; a replica must echo it */
-  constructor (readonly weightVersion: string) {}
+  /**
+   * @param weightVersion the version chosen at admission; a replica must echo it
+   * @param _maximumTokens most tokens asked for; an attempt that goes past them is not ours to trust
+   */
+  constructor (readonly weightVersion: string, private readonly _maximumTokens = Infinity) {}
 
   /** Count of tokens delivered in order so far; a next attempt resumes after them. */
   get deliveredTokens (): number {
@@ -34,7 +41,12 @@
 
   /** Whether every token up to the end has been delivered. */
   get isWhole (): boolean {
-    return this._end !== undefined && this._nextSequence === this._end.tokenCount
+    return !this._isInvalid && this._end !== undefined && this._nextSequence === this._end.tokenCount
+  }
+
+  /** Whether the attempt sent what cannot belong to an answer of this request; it should be given up. */
+  get isInvalid (): boolean {
+    return this._isInvalid
   }
 
   /** Counts of the finished answer, once whole. */
@@ -47,17 +59,37 @@
     this._nonce = nonce
     this._early.clear()
     this._end = undefined
+    this._isInvalid = false
+  }
+
+  /** Whether a part belongs to the attempt under way. Another nonce or version is no progress. */
+  belongs (part: EnginePart): boolean {
+    return part.nonce === this._nonce && part.weightVersion === this.weightVersion
   }
 
   /** Takes a part; returns those that can now be delivered in order. */
   accept (part: EnginePart): OrderedPart[] {
-    if (part.nonce !== this._nonce || part.weightVersion !== this.weightVersion) return []
-    if (part.kind === 'end') {
-      this._end = { tokenCount: part.tokenCount, promptTokens: part.promptTokens, cachedTokens: part.cachedTokens }
-      return []
-    }
+    if (!this.belongs(part) || this._isInvalid) return []
+    if (part.kind === 'end') return this._acceptEnd(part)
+    const limit = this._end?.tokenCount ?? this._maximumTokens
+    if (part.sequence >= limit) return this._giveUp()
     if (part.sequence >= this._nextSequence) this._early.set(part.sequence, part.text)
-    return this._takeOrdered()
+    const ordered = this._takeOrdered()
+    if (this._early.size > MAXIMUM_EARLY_PARTS) this._giveUp()
+    return ordered
+  }
+
+  private _acceptEnd (part: Extract<EnginePart, { kind: 'end' }>): OrderedPart[] {
+    const highest = Math.max(this._nextSequence - 1, ...this._early.keys())
+    if (part.tokenCount > this._maximumTokens || part.tokenCount <= highest) return this._giveUp()
+    this._end = { tokenCount: part.tokenCount, promptTokens: part.promptTokens, cachedTokens: part.cachedTokens }
+    return []
+  }
+
+  private _giveUp (): OrderedPart[] {
+    this._isInvalid = true
+    this._early.clear()
+    return []
   }
 
   private _takeOrdered (): OrderedPart[] {
--- a/packages/daemon/src/adapters/httpModelEngine.ts
+++ b/packages/daemon/src/adapters/httpModelEngine.ts
@@ -4,17 +4,18 @@
 import { Result } from 'true-myth'
 import { z } from 'zod'
 import {
-  ModelEngine, PlatformAmbiguousError,
+  ModelEngine, PlatformAmbiguousError, WeightVersionRefusedError,
   type CacheEventBatch, type CacheSnapshot, type EngineOrder, type EnginePart, type EngineRequest, type EngineState,
   type LoadReport, type Milliseconds, type PlatformError, type StoredBlock
 } from '@wasabihead/coordination'
-import { callHttp, sortFailure, statusError } from './httpCalls.js'
+import { callHttp, sortFailure, statusError, type HttpCall } from './httpCalls.js'
+import { httpConnections } from './httpConnections.js'
 
 const CONNECT_TIMEOUT: Milliseconds = 1_000
-const FIRST_PART_TIMEOUT: Milliseconds = 20_000
 const CALL_TIMEOUT: Milliseconds = 2_000
 const TRANSFER_TIMEOUT: Milliseconds = 30_000
 const END_MARK = '[DONE]'
+const WEIGHT_VERSION_CONFLICT = 409
 
 const partSchema = z.object({
   id: z.string(),
@@ -80,8 +81,9 @@
     const stream = got.stream.post(url, {
       json: toWireRequest(request),
       signal,
+      agent: { http: httpConnections.agentFor(url) },
       retry: { limit: 0 },
-      timeout: { connect: CONNECT_TIMEOUT, response: FIRST_PART_TIMEOUT }
+      timeout: { connect: CONNECT_TIMEOUT }
     })
     const parts: EnginePart[] = []
     const parser = createParser({ onEvent: event => { if (event.data !== END_MARK) parts.push(readPart(event.data)) } })
@@ -96,7 +98,10 @@
   }
 
   override async cancel (nonce: string): Promise<Result<void, PlatformError>> {
-    return (await this._call('POST', '/v1/cancel', z.unknown(), { request_id: nonce })).map(() => undefined)
+    // The run's own connection may be the silent one, and others of its pool with it.
+    const json = { request_id: nonce }
+    const call = { method: 'POST', url: `${this._address}/v1/cancel`, timeout: CALL_TIMEOUT, json, isOnNewConnection: true } as const
+    return (await this._send(call, z.unknown())).map(() => undefined)
   }
 
   override async readLoad (): Promise<Result<LoadReport, PlatformError>> {
@@ -140,11 +145,26 @@
     return await this._call('GET', '/state', stateSchema)
   }
 
+  override async probe (timeout: Milliseconds): Promise<Result<EngineState, PlatformError>> {
+    return await this._send({ method: 'GET', url: `${this._address}/state`, timeout, isOnNewConnection: true }, stateSchema)
+  }
+
+  override dropConnections (): void {
+    httpConnections.drop(this._address)
+  }
+
   private async _call<Schema extends z.ZodType> (
     method: 'GET' | 'POST', path: string, schema: Schema, json?: object, timeout: Milliseconds = CALL_TIMEOUT
   ): Promise<Result<z.infer<Schema>, PlatformError>> {
     const url = this._address + path
-    const answer = await callHttp({ method, url, timeout, ...(json === undefined ? {} : { json }) })
+    return await this._send({ method, url, timeout, ...(json === undefined ? {} : { json }) }, schema)
+  }
+
+  private async _send<Schema extends z.ZodType> (
+    call: HttpCall, schema: Schema
+  ): Promise<Result<z.infer<Schema>, PlatformError>> {
+    const { url } = call
+    const answer = await callHttp(call)
     return answer.andThen((http): Result<z.infer<Schema>, PlatformError> => {
       if (http.status !== 200) return Result.err(statusError(http, url))
       return Result.ok(schema.parse(JSON.parse(http.body)))
@@ -185,6 +205,9 @@
 
 function sortStreamFailure (error: unknown, url: string): PlatformError {
   const status = (error as { response?: { statusCode?: number } }).response?.statusCode
+  if (status === WEIGHT_VERSION_CONFLICT) {
+    return new WeightVersionRefusedError(`${new URL(url).host} serves another weight version`, 'Use another replica')
+  }
   if (status !== undefined) return statusError({ status, body: '', headers: {} }, url)
   if (error instanceof z.ZodError || error instanceof SyntaxError) {
     return new PlatformAmbiguousError(`${new URL(url).host} sent a part that is not understood`, 'Check the engine version')
--- a/packages/daemon/src/adapters/httpPlainService.ts
+++ b/packages/daemon/src/adapters/httpPlainService.ts
@@ -24,7 +24,7 @@
         'x-request-id': call.nonce,
         ...(call.idempotencyKey === undefined ? {} : { 'idempotency-key': call.idempotencyKey })
       },
-      timeout: CALL_TIMEOUT,
+      timeout: Math.min(CALL_TIMEOUT, call.timeout ?? CALL_TIMEOUT),
       signal
     })
     return answer.andThen((http): Result<ServiceAnswer, PlatformError> => {
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -1,6 +1,6 @@
 /** One instance of the daemon: its parts, started and stopped in order. */
 import {
-  ConcurrencyLimit, MemberTable, SeededRandom,
+  ConcurrencyLimit, MemberTable, RetryBudgets, SeededRandom,
   type Member, type Milliseconds
 } from '@wasabihead/coordination'
 import { EtcdKeyValueService } from '../adapters/index.js'
@@ -13,7 +13,7 @@
 import { MemberRoutes, MembershipLoop, MembershipPeerClient, MembershipPeerRoutes } from '../membership/index.js'
 import { OperatorServer } from '../operators/index.js'
 import { PeerConnections, PeerServer } from '../peers/index.js'
-import { ClaimedRunner, ModelRunner, PromptPlacer, ServiceRunner, waitFor } from '../serving/index.js'
+import { ClaimedRunner, ModelRunner, PromptPlacer, RETRY_BUDGETS, ServiceRunner, waitFor } from '../serving/index.js'
 import type { Settings } from '../settings/index.js'
 import { Logger, Metrics, MetricsRoutes } from '../telemetry/index.js'
 import { SystemClock, type Clock } from './clock.js'
@@ -94,8 +94,9 @@
     const claims = new ClaimCoordinator(
       settings.environment, keyValue, members, new ClaimPeerClient(this._connections), clock, this._logger)
     const placer = new PromptPlacer(this._fleet, settings.workspaceSecret, this._metrics)
-    const models = new ModelRunner(placer, configuration, clock, random, this._metrics, this._logger)
-    const services = new ServiceRunner(this._fleet)
+    const budgets = new RetryBudgets(RETRY_BUDGETS)
+    const models = new ModelRunner(placer, configuration, budgets, clock, random, this._metrics, this._logger)
+    const services = new ServiceRunner(this._fleet, budgets, clock, random, this._metrics)
     const claimed = new ClaimedRunner(members.identity, claims, models, services, clock, this._logger)
     const membershipPeers = new MembershipPeerClient(this._connections)
     const membership = new MembershipLoop(settings.environment, members, keyValue, membershipPeers, clock, random, () => {
--- /dev/null
+++ b/packages/daemon/src/serving/answerDriver.ts
@@ -0,0 +1,187 @@
+/** Performs the effects of one `AnswerRun`: streams, timers, probes and cancellations. */
+import { Result } from 'true-myth'
+import { v4 as createNonce } from 'uuid'
+import {
+  PlatformRefusedError, WeightVersionRefusedError,
+  type AnswerEnd, type AnswerRun, type AnswerRunEffect, type AnswerRunMessage, type AttemptFailure, type EngineRequest,
+  type Milliseconds, type OrderedPart, type RefusalError
+} from '@wasabihead/coordination'
+import type { Clock } from '../instance/clock.js'
+import type { PlacedPrompt, PreparedReplica, PromptPlacer } from './promptPlacer.js'
+import type { ReplicaProber } from './replicaProber.js'
+
+/** How a run ended well. */
+export interface DrivenAnswer {
+  end: AnswerEnd
+  weightVersion: string
+  replica: string
+  importedBlocks: number
+}
+
+/** What the driver of one run works with. */
+export interface AnswerDriverParts {
+  placer: PromptPlacer
+  prober: ReplicaProber
+  clock: Clock
+  activeWeightVersion: () => string
+  deliver: (part: OrderedPart) => void
+  onAttemptFailed: (replica: string, attempt: number, problem: string) => void
+}
+
+/** What an engine is asked, but for what belongs to each attempt. */
+export type EngineAsk = Omit<EngineRequest, 'nonce' | 'weightVersion' | 'blockKeys' | 'resumeAfterTokens'>
+
+type EffectOf<Kind extends AnswerRunEffect['kind']> = Extract<AnswerRunEffect, { kind: Kind }>
+
+interface RunningAttempt {
+  prepared: PreparedReplica
+  aborter: AbortController
+}
+
+/** Drives one run; used once. */
+export class AnswerDriver {
+  private readonly _attempts = new Map<number, RunningAttempt>()
+  private _timer: NodeJS.Timeout | undefined
+  private _importedBlocks = 0
+  private _resolve: (result: Result<DrivenAnswer, RefusalError>) => void = () => {}
+
+  constructor (
+    private readonly _run: AnswerRun,
+    private readonly _prompt: PlacedPrompt,
+    private readonly _ask: EngineAsk,
+    private readonly _parts: AnswerDriverParts
+  ) {}
+
+  /** Runs to the whole answer or a refusal. An aborted signal says that the caller has left. */
+  async drive (signal: AbortSignal): Promise<Result<DrivenAnswer, RefusalError>> {
+    const onAbort = () => { this._handle({ kind: 'caller-left' }) }
+    try {
+      return await new Promise(resolve => {
+        this._resolve = resolve
+        signal.addEventListener('abort', onAbort, { once: true })
+        this._handle(signal.aborted ? { kind: 'caller-left' } : { kind: 'start' })
+      })
+    } finally {
+      signal.removeEventListener('abort', onAbort)
+      clearTimeout(this._timer)
+      for (const attempt of this._attempts.keys()) this._release(attempt)
+    }
+  }
+
+  private _handle (message: AnswerRunMessage): void {
+    for (const effect of this._run.handle(message, this._parts.clock.monotonic())) this._perform(effect)
+  }
+
+  private _perform (effect: AnswerRunEffect): void {
+    switch (effect.kind) {
+      case 'prepare-attempt': return this._prepare(effect)
+      case 'open-stream': return this._open(effect)
+      case 'deliver': return this._parts.deliver(effect.part)
+      case 'cancel-attempt': return this._cancel(effect)
+      case 'probe': return this._probe(effect)
+      case 'drop-connections': return
+      case 'mark-failed': return this._fail(effect)
+      case 'wake-at': return this._wakeAt(effect.at)
+      case 'finish': return this._finish(effect)
+      case 'refuse': return this._resolve(Result.err(effect.refusal))
+    }
+  }
+
+  private _prepare ({ attempt, weightVersion, excludedReplicas }: EffectOf<'prepare-attempt'>): void {
+    this._releaseBefore(attempt)
+    this._parts.placer.prepare({ ...this._prompt, weightVersion }, excludedReplicas).then(
+      prepared => { this._onPrepared(attempt, prepared) },
+      () => { this._onPrepared(attempt, undefined) })
+  }
+
+  private _onPrepared (attempt: number, prepared: PreparedReplica | undefined): void {
+    const activeWeightVersion = this._parts.activeWeightVersion()
+    if (prepared === undefined) return this._handle({ kind: 'no-replica', attempt, activeWeightVersion })
+    this._importedBlocks += prepared.importedBlocks
+    const replica = prepared.replica.configuration.name
+    this._attempts.set(attempt, { prepared, aborter: new AbortController() })
+    this._handle({ kind: 'attempt-prepared', attempt, nonce: createNonce(), replica, activeWeightVersion })
+    // The run may have moved on or ended while the replica was prepared.
+    if (this._run.isEnded) this._release(attempt)
+  }
+
+  private _open (effect: EffectOf<'open-stream'>): void {
+    const { attempt } = effect
+    const running = this._attempts.get(attempt)
+    if (running === undefined) return
+    this._stream(running, effect).then(
+      () => { this._handle({ kind: 'attempt-ended', attempt }) },
+      (error: unknown) => {
+        if (this._attempts.has(attempt)) this._parts.onAttemptFailed(effect.replica, attempt, String(error))
+        this._handle({ kind: 'attempt-ended', attempt, failure: sortAttemptFailure(error) })
+      })
+  }
+
+  private async _stream (running: RunningAttempt, effect: EffectOf<'open-stream'>): Promise<void> {
+    const parts = running.prepared.replica.engine.run({
+      ...this._ask,
+      nonce: effect.nonce,
+      weightVersion: effect.weightVersion,
+      blockKeys: running.prepared.blockKeys,
+      resumeAfterTokens: effect.resumeAfterTokens
+    }, running.aborter.signal)
+    for await (const part of parts) this._handle({ kind: 'part', attempt: effect.attempt, part })
+  }
+
+  private _cancel ({ attempt, nonce }: EffectOf<'cancel-attempt'>): void {
+    const running = this._attempts.get(attempt)
+    if (running === undefined) return
+    running.aborter.abort()
+    running.prepared.replica.engine.cancel(nonce).catch(() => {})
+  }
+
+  private _probe ({ attempt, replica, timeout }: EffectOf<'probe'>): void {
+    const running = this._attempts.get(attempt)
+    if (running === undefined) return
+    this._parts.onAttemptFailed(replica, attempt, 'no progress within the idle bound; probed on a new connection')
+    this._parts.prober.probe(running.prepared.replica, timeout).then(
+      isAnswered => { this._handle({ kind: 'probe-ended', attempt, isAnswered }) },
+      () => { this._handle({ kind: 'probe-ended', attempt, isAnswered: false }) })
+  }
+
+  private _fail ({ attempt }: EffectOf<'mark-failed'>): void {
+    const running = this._attempts.get(attempt)
+    if (running === undefined) return
+    this._attempts.delete(attempt)
+    this._parts.placer.fail(running.prepared)
+  }
+
+  private _release (attempt: number): void {
+    const running = this._attempts.get(attempt)
+    if (running === undefined) return
+    this._attempts.delete(attempt)
+    running.aborter.abort()
+    this._parts.placer.release(running.prepared)
+  }
+
+  private _releaseBefore (attempt: number): void {
+    for (const earlier of this._attempts.keys()) {
+      if (earlier < attempt) this._release(earlier)
+    }
+  }
+
+  private _wakeAt (at: Milliseconds): void {
+    clearTimeout(this._timer)
+    const delay = Math.max(0, Math.ceil(at - this._parts.clock.monotonic()))
+    this._timer = setTimeout(() => { this._handle({ kind: 'wake' }) }, delay)
+  }
+
+  private _finish ({ replica, weightVersion, end }: EffectOf<'finish'>): void {
+    for (const [attempt, { prepared }] of this._attempts) {
+      if (prepared.replica.configuration.name !== replica) continue
+      this._attempts.delete(attempt)
+      this._parts.placer.finish({ ...this._prompt, weightVersion }, prepared)
+    }
+    this._resolve(Result.ok({ end, weightVersion, replica, importedBlocks: this._importedBlocks }))
+  }
+}
+
+function sortAttemptFailure (error: unknown): AttemptFailure {
+  if (error instanceof WeightVersionRefusedError) return 'version-refused'
+  return error instanceof PlatformRefusedError ? 'not-sent' : 'broken'
+}
--- a/packages/daemon/src/serving/promptPlacer.ts
+++ b/packages/daemon/src/serving/promptPlacer.ts
@@ -29,7 +29,7 @@
   store: StoreReplica
 }
 
-/** Places prompts. Every `prepare` that gives a replica is paired with one `finish` or `fail`. */
+/** Places prompts. Every `prepare` that gives a replica is paired with one `finish`, `release` or `fail`. */
 export class PromptPlacer {
   private readonly _policy = new PredictedFirstTokenPolicy()
 
@@ -57,6 +57,11 @@
     this._exportBlocks(prompt, prepared).catch(() => {})
   }
 
+  /** Ends an attempt that came to nothing without a fault of the replica. */
+  release (prepared: PreparedReplica): void {
+    this._fleet.replicas.onFinished(prepared.replica.configuration.name)
+  }
+
   /** Ends an attempt that broke. */
   fail (prepared: PreparedReplica): void {
     this._fleet.replicas.onFinished(prepared.replica.configuration.name)
