feat(admission): queue by class and workspace share under a limit that follows latency

Cause: a fixed count of running requests was the only limit. A batch took every slot, a caller was refused at random with a fixed come-back time, and the count knew nothing of how fast the backend servers were. AdmissionQueue (start-time fair queueing within a class, room kept for higher classes, one turn in ten for the lowest) refuses at once what the queue predicts to miss its deadline; AdaptiveLimit is AIMD on the median latency of each kind. Ruled out: a baseline that rises under pressure; the first try let the limit creep up with the overload (spec 'should shrink when latency rises past the tolerance' failed), so it rises only without pressure. ConcurrencyLimit and its use are replaced; its two rules (in all, for each workspace) are kept and tested.

--- a/packages/coordination/src/admission/index.ts
+++ b/packages/coordination/src/admission/index.ts
@@ -1,2 +1,7 @@
-export { ConcurrencyLimit } from './concurrencyLimit.js'
+export { AdaptiveLimit, type AdaptiveLimitSettings } from './adaptiveLimit.js'
+export { AdmissionQueue, type AdmissionSettings } from './admissionQueue.js'
 export { RefusalError, type NotRun, type RefusalKind } from './errors.js'
+export {
+  REQUEST_CLASSES,
+  type AdmissionEffect, type AdmissionEntry, type AdmissionMessage, type RequestClass, type RunOutcome
+} from './messages.js'
--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -6,17 +6,18 @@
 import Router from '@koa/router'
 import Koa, { type Context } from 'koa'
 import {
-  ConcurrencyLimit, rankByRendezvous, RefusalError,
+  rankByRendezvous, RefusalError,
   type MemberTable, type OrderedPart
 } from '@wasabihead/coordination'
 import type { Clock } from '../instance/clock.js'
-import type { AcceptedRequest, ClaimedRunner, ModelAnswer, ModelRunner, ServiceRunner } from '../serving/index.js'
+import type {
+  AcceptedRequest, ClaimedRunner, ModelAnswer, ModelRunner, RequestAdmission, ServiceRunner
+} from '../serving/index.js'
 import type { Logger, Metrics } from '../telemetry/index.js'
 import type { RequestReader } from './requestReader.js'
 
 const BODY_LIMIT = '4mb'
 const HOSTS_KEEP_SECONDS = 10
-const OVERLOAD_RETRY_AFTER = 500
 const SHUTDOWN_RETRY_AFTER = 100
 const MILLISECONDS_PER_SECOND = 1_000
 
@@ -27,7 +28,7 @@
   services: ServiceRunner
   claimed: ClaimedRunner
   members: MemberTable
-  limit: ConcurrencyLimit
+  admission: RequestAdmission
   clock: Clock
   metrics: Metrics
   logger: Logger
@@ -92,7 +93,7 @@
 
   private async _complete (context: Context): Promise<void> {
     const request = unwrap(this._parts.reader.readCompletion(context, this._parts.clock.monotonic()))
-    await this._admitted(request.accepted, async () => {
+    await this._admitted(context, request.accepted, async () => {
       if (request.accepted.kind.treatment !== 'idempotent') await this._answerClaimed(context, request.accepted)
       else if (request.isStreamed) await this._answerStreamed(context, request.accepted)
       else await this._answerWhole(context, request.accepted)
@@ -101,28 +102,29 @@
 
   private async _call (context: Context): Promise<void> {
     const request = unwrap(this._parts.reader.readCall(context, String(context.params.kind), this._parts.clock.monotonic()))
-    await this._admitted(request, async () => {
+    await this._admitted(context, request, async () => {
       if (request.kind.treatment !== 'idempotent') return await this._answerClaimed(context, request)
       const answer = unwrap(await this._parts.services.callWithRetries(request, new AbortController().signal))
       answerKept(context, answer)
     })
   }
 
-  private async _admitted (request: AcceptedRequest, perform: () => Promise<void>): Promise<void> {
-    const { limit, metrics, clock } = this._parts
+  private async _admitted (context: Context, request: AcceptedRequest, perform: () => Promise<void>): Promise<void> {
+    const { admission, metrics, clock } = this._parts
     const workspace = request.workspace.name
     metrics.count('requests', workspace, request.kind.name)
     if (this._isLeaving) throw this._leavingRefusal()
-    if (!limit.tryAcquire(workspace, request.workspace.maximumConcurrent)) {
-      metrics.count('refusals', workspace, request.kind.name)
-      throw new RefusalError('overloaded', 429, true,
-        'Too many requests run at once', 'Come back after the time given', OVERLOAD_RETRY_AFTER)
-    }
+    const ticket = await admission.enter(request, abortWithCaller(context))
+    if (ticket.isErr) metrics.count('refusals', workspace, request.kind.name)
+    const { leave } = unwrap(ticket)
+    metrics.time('queue-wait', workspace, request.kind.name, clock.monotonic() - request.receivedAt)
     try {
       await perform()
       metrics.time('whole-answer', workspace, request.kind.name, clock.monotonic() - request.receivedAt)
-    } finally {
-      limit.release(workspace)
+      leave()
+    } catch (error) {
+      leave(error)
+      throw error
     }
   }
 
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -1,6 +1,6 @@
 /** One instance of the daemon: its parts, started and stopped in order. */
 import {
-  ConcurrencyLimit, MemberTable, RetryBudgets, SeededRandom,
+  MemberTable, RetryBudgets, SeededRandom,
   type Member, type Milliseconds
 } from '@wasabihead/coordination'
 import { EtcdKeyValueService } from '../adapters/index.js'
@@ -13,7 +13,7 @@
 import { MemberRoutes, MembershipLoop, MembershipPeerClient, MembershipPeerRoutes } from '../membership/index.js'
 import { OperatorServer } from '../operators/index.js'
 import { PeerConnections, PeerServer } from '../peers/index.js'
-import { ClaimedRunner, ModelRunner, PromptPlacer, RETRY_BUDGETS, ServiceRunner, waitFor } from '../serving/index.js'
+import { ClaimedRunner, ModelRunner, PromptPlacer, RequestAdmission, RETRY_BUDGETS, ServiceRunner, waitFor } from '../serving/index.js'
 import type { Settings } from '../settings/index.js'
 import { Logger, Metrics, MetricsRoutes } from '../telemetry/index.js'
 import { SystemClock, type Clock } from './clock.js'
@@ -35,14 +35,14 @@
   private readonly _connections = new PeerConnections()
   private readonly _configurationPeers = new ConfigurationPeerClient(this._connections)
   private readonly _fleet: BackendFleet
-  private readonly _limit: ConcurrencyLimit
+  private readonly _admission: RequestAdmission
   private _parts: RunningParts | undefined
 
   /** @param _settings checked settings */
   constructor (private readonly _settings: Settings) {
     this._logger = new Logger(_settings.host, _settings.logLevel)
     this._fleet = new BackendFleet(this._clock)
-    this._limit = new ConcurrencyLimit(_settings.maximumRunning)
+    this._admission = new RequestAdmission(_settings.maximumRunning, new SeededRandom(_settings.seed), this._clock)
   }
 
   /** Starts every part; resolves when callers can be served. */
@@ -71,7 +71,7 @@
     parts.members.updateSelf({ state: 'leaving' }, this._clock.monotonic())
     parts.callerServer.leave()
     await parts.membership.announce()
-    while (this._limit.running > 0 || parts.claimed.running > 0) await waitFor(DRAIN_POLL)
+    while (this._admission.present > 0 || parts.claimed.running > 0) await waitFor(DRAIN_POLL)
     await parts.callerServer.stop()
     parts.membership.stop()
     parts.configuration.stop()
@@ -109,7 +109,15 @@
       claimed,
       membership,
       callerServer: new CallerServer({
-        reader, models, services, claimed, members, limit: this._limit, clock, metrics: this._metrics, logger: this._logger
+        reader,
+        models,
+        services,
+        claimed,
+        members,
+        admission: this._admission,
+        clock,
+        metrics: this._metrics,
+        logger: this._logger
       }),
       operatorServer: new OperatorServer(settings.operatorTokenDigest, [
         new ConfigurationRoutes(configuration),
--- /dev/null
+++ b/packages/daemon/src/serving/requestAdmission.ts
@@ -0,0 +1,113 @@
+/** Performs what `AdmissionQueue` decides: callers wait on a promise until their request is admitted or refused. */
+import { Result } from 'true-myth'
+import {
+  AdmissionQueue, RefusalError,
+  type AdmissionEffect, type AdmissionMessage, type AdmissionSettings, type Milliseconds, type RequestClass,
+  type RunOutcome
+} from '@wasabihead/coordination'
+import type { Clock } from '../instance/clock.js'
+import type { AcceptedRequest } from './acceptedRequest.js'
+
+const MAXIMUM_WAITING = 1_024
+const SMALLEST_LIMIT = 4
+
+/** An admitted request; `leave` is called once, when it has ended. */
+export interface AdmissionTicket {
+  /** @param refusal why the request failed, if it did */
+  leave (refusal?: unknown): void
+}
+
+/** Admits the requests of this instance. */
+export class RequestAdmission {
+  private readonly _queue: AdmissionQueue
+  private readonly _waiting = new Map<number, (result: Result<AdmissionTicket, RefusalError>) => void>()
+  private _lastId = 0
+  private _timer: NodeJS.Timeout | undefined
+
+  /** @param maximumRunning most requests that may run at once, whatever the latency */
+  constructor (
+    maximumRunning: number, random: AdmissionSettings['random'], private readonly _clock: Clock
+  ) {
+    this._queue = new AdmissionQueue({
+      initialLimit: maximumRunning,
+      minimumLimit: Math.min(SMALLEST_LIMIT, maximumRunning),
+      maximumLimit: maximumRunning,
+      maximumWaiting: MAXIMUM_WAITING,
+      random
+    })
+  }
+
+  /** Requests that run or wait. */
+  get present (): number {
+    return this._queue.running + this._queue.waiting
+  }
+
+  /** Waits for the request's turn. An aborted signal takes it out of the queue. */
+  async enter (request: AcceptedRequest, signal: AbortSignal): Promise<Result<AdmissionTicket, RefusalError>> {
+    const id = ++this._lastId
+    const onAbort = () => { this._cancel(id) }
+    try {
+      return await new Promise(resolve => {
+        this._waiting.set(id, resolve)
+        signal.addEventListener('abort', onAbort, { once: true })
+        this._handle({ kind: 'enter', entry: this._entryOf(id, request) })
+      })
+    } finally {
+      signal.removeEventListener('abort', onAbort)
+    }
+  }
+
+  private _entryOf (id: number, { workspace, kind, deadline }: AcceptedRequest): Extract<AdmissionMessage, { kind: 'enter' }>['entry'] {
+    const requestClass: RequestClass = kind.treatment === 'durable' ? 'batch' : kind.priority
+    return {
+      id,
+      workspace: workspace.name,
+      share: workspace.share,
+      maximumConcurrent: workspace.maximumConcurrent,
+      requestClass,
+      requestKind: kind.name,
+      deadline
+    }
+  }
+
+  private _cancel (id: number): void {
+    this._handle({ kind: 'cancel', id })
+    this._answer(id, Result.err(new RefusalError('deadline-exceeded', 499, true, 'The caller went away', 'Send the request again')))
+  }
+
+  private _handle (message: AdmissionMessage): void {
+    for (const effect of this._queue.handle(message, this._clock.monotonic())) this._perform(effect)
+  }
+
+  private _perform (effect: AdmissionEffect): void {
+    switch (effect.kind) {
+      case 'admit': return this._answer(effect.id, Result.ok(this._ticketOf(effect.id)))
+      case 'refuse': return this._answer(effect.id, Result.err(effect.refusal))
+      case 'wake-at': return this._wakeAt(effect.at)
+    }
+  }
+
+  private _ticketOf (id: number): AdmissionTicket {
+    return {
+      leave: refusal => { this._handle({ kind: 'leave', id, outcome: outcomeOf(refusal) }) }
+    }
+  }
+
+  private _answer (id: number, result: Result<AdmissionTicket, RefusalError>): void {
+    this._waiting.get(id)?.(result)
+    this._waiting.delete(id)
+  }
+
+  private _wakeAt (at: Milliseconds): void {
+    clearTimeout(this._timer)
+    const delay = Math.max(0, Math.ceil(at - this._clock.monotonic()))
+    this._timer = setTimeout(() => { this._handle({ kind: 'wake' }) }, delay)
+    this._timer.unref()
+  }
+}
+
+function outcomeOf (refusal: unknown): RunOutcome {
+  if (refusal === undefined) return 'answered'
+  const isOverloaded = refusal instanceof RefusalError && (refusal.kind === 'no-replica' || refusal.status === 504)
+  return isOverloaded ? 'overloaded' : 'failed'
+}
