--- a/packages/coordination/src/admission/admissionQueue.ts
+++ b/packages/coordination/src/admission/admissionQueue.ts
@@ -47,6 +47,8 @@
   private readonly _serviceByKind = new Map<string, Milliseconds>()
   private _meanService = FIRST_SERVICE_ESTIMATE
   private _admissionsSinceLowest = 0
+  /** No waiting entry becomes too late before this time. */
+  private _nextLate: Milliseconds = Infinity
 
   /** @param _settings bounds */
   constructor (private readonly _settings: AdmissionSettings) {
@@ -92,6 +94,7 @@
   }
 
   private _enqueue (entry: AdmissionEntry): void {
+    this._nextLate = Math.min(this._nextLate, this._latestStart(entry))
     this._queues[entry.requestClass].add(entry, this._serviceOf(entry.requestKind))
   }
 
@@ -169,20 +172,26 @@
     return { kind: 'admit', id: entry.id }
   }
 
+  /** Looks through the queues only when the earliest may be too late, so that most messages cost no walk. */
   private _refuseLate (now: Milliseconds): AdmissionEffect[] {
     const effects: AdmissionEffect[] = []
-    let nextLate = Infinity
-    for (const requestClass of REQUEST_CLASSES) {
-      const queue = this._queues[requestClass]
-      if (queue.size === 0) continue
-      for (const entry of [...queue.entries()]) {
-        if (this._isTooLate(entry, now)) {
-          queue.remove(entry)
-          effects.push(this._refuse(entry, 'deadline'))
-        } else nextLate = Math.min(nextLate, this._latestStart(entry))
-      }
+    if (now > this._nextLate) {
+      this._nextLate = Infinity
+      for (const queue of Object.values(this._queues)) effects.push(...this._refuseLateIn(queue, now))
+    }
+    if (this.waiting === 0) this._nextLate = Infinity
+    else effects.push({ kind: 'wake-at', at: this._nextLate })
+    return effects
+  }
+
+  private _refuseLateIn (queue: FairQueue, now: Milliseconds): AdmissionEffect[] {
+    const effects: AdmissionEffect[] = []
+    for (const entry of [...queue.entries()]) {
+      if (this._isTooLate(entry, now)) {
+        queue.remove(entry)
+        effects.push(this._refuse(entry, 'deadline'))
+      } else this._nextLate = Math.min(this._nextLate, this._latestStart(entry))
     }
-    if (nextLate < Infinity) effects.push({ kind: 'wake-at', at: nextLate })
     return effects
   }
 
--- a/packages/daemon/src/serving/requestAdmission.ts
+++ b/packages/daemon/src/serving/requestAdmission.ts
@@ -100,7 +100,7 @@
 
   private _wakeAt (at: Milliseconds): void {
     clearTimeout(this._timer)
-    const delay = Math.max(0, Math.ceil(at - this._clock.monotonic()))
+    const delay = Math.max(0, Math.floor(at - this._clock.monotonic()) + 1)
     this._timer = setTimeout(() => { this._handle({ kind: 'wake' }) }, delay)
     this._timer.unref()
   }
--- /dev/null
+++ b/packages/experiments/src/coordination/overload/index.ts
@@ -0,0 +1,1 @@
+export { OverloadMeasurement } from './overloadMeasurement.js'
