--- a/packages/daemon/src/serving/requestAdmission.ts
+++ b/packages/daemon/src/serving/requestAdmission.ts
@@ -10,6 +10,8 @@
 
 const MAXIMUM_WAITING = 1_024
 const SMALLEST_LIMIT = 4
+/** Small at the start, so that an instance that starts under overload learns what unpressed latency is. */
+const INITIAL_LIMIT = 32
 
 /** An admitted request; `leave` is called once, when it has ended. */
 export interface AdmissionTicket {
@@ -29,7 +31,7 @@
     maximumRunning: number, random: AdmissionSettings['random'], private readonly _clock: Clock
   ) {
     this._queue = new AdmissionQueue({
-      initialLimit: maximumRunning,
+      initialLimit: Math.min(INITIAL_LIMIT, maximumRunning),
       minimumLimit: Math.min(SMALLEST_LIMIT, maximumRunning),
       maximumLimit: maximumRunning,
       maximumWaiting: MAXIMUM_WAITING,
--- a/packages/experiments/src/coordination/overload/policies.ts
+++ b/packages/experiments/src/coordination/overload/policies.ts
@@ -5,6 +5,7 @@
 
 const PLAIN_RETRY_DELAY: Milliseconds = 100
 const MAXIMUM_RUNNING = 256
+const INITIAL_LIMIT = 32
 
 /** Sends every try to the replicas; a try that misses its deadline is sent again, and the old work goes on. */
 export class PlainRetryPolicy extends OverloadPolicy {
@@ -35,7 +36,7 @@
   constructor (private readonly _time: VirtualTime, random: SeededRandom) {
     super()
     this._queue = new AdmissionQueue({
-      initialLimit: MAXIMUM_RUNNING, minimumLimit: 4, maximumLimit: MAXIMUM_RUNNING, maximumWaiting: 1_024, random
+      initialLimit: INITIAL_LIMIT, minimumLimit: 4, maximumLimit: MAXIMUM_RUNNING, maximumWaiting: 1_024, random
     })
   }
 
