--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -1,10 +1,12 @@
 /** HTTP for callers: which hosts to use, completions and calls. */
 import Router from '@koa/router'
 import Koa, { type Context } from 'koa'
-import { rankHosts, RefusalError, type ConcurrencyLimit, type MemberTable } from '@wasabihead/coordination'
+import { rankHosts, type MemberTable, type RefusalError } from '@wasabihead/coordination'
 import { GuardedServer, jsonBody, type ServerTimeouts } from '../http/index.js'
 import type { Clock } from '../instance/clock.js'
-import type { AcceptedRequest, ClaimedRunner, ModelAnswer, ModelRunner, ServiceRunner } from '../serving/index.js'
+import type {
+  AcceptedRequest, ClaimedRunner, ModelAnswer, ModelRunner, RequestAdmission, ServiceRunner
+} from '../serving/index.js'
 import type { LogFields, Logger, Metrics } from '../telemetry/index.js'
 import { readChatBody, readTextBody, type CompletionBody } from './completionBody.js'
 import { ChatCompletionShape, TextCompletionShape, type CompletionShape } from './completionShapes.js'
@@ -16,7 +18,6 @@
 import { TokenTimes } from './tokenTimes.js'
 
 const BODY_LIMIT = '4mb'
-const OVERLOAD_RETRY_AFTER = 500
 
 /** What the caller server works with. */
 export interface CallerServerParts {
@@ -25,7 +26,7 @@
   services: Pick<ServiceRunner, 'callWithRetries'>
   claimed: Pick<ClaimedRunner, 'run'>
   members: MemberTable
-  limit: ConcurrencyLimit
+  admission: RequestAdmission
   clock: Clock
   metrics: Metrics
   logger: Logger
@@ -100,7 +101,7 @@
     const { reader, clock } = this._parts
     const { caller } = context.state as CallerState
     const request = unwrap(reader.readCompletion(context, caller, body, clock.monotonic()))
-    await this._admitted(request, async () => {
+    await this._admitted(context, request, async () => {
       if (request.kind.treatment !== 'idempotent') await this._answerClaimed(context, request)
       else if (body.isStreamed) await this._answerStreamed(context, request, shape)
       else context.body = shape.whole(request, await this._runWhole(context, request))
@@ -111,31 +112,30 @@
     const { reader, clock, services } = this._parts
     const { caller } = context.state as CallerState
     const request = unwrap(reader.readCall(context, caller, kindName, clock.monotonic()))
-    await this._admitted(request, async () => {
+    await this._admitted(context, request, async () => {
       if (request.kind.treatment !== 'idempotent') await this._answerClaimed(context, request)
       else answerKept(context, unwrap(await services.callWithRetries(request, abortWithCaller(context))))
     })
   }
 
-  private async _admitted (request: AcceptedRequest, perform: () => Promise<void>): Promise<void> {
-    const { limit, metrics, clock } = this._parts
+  private async _admitted (context: Context, request: AcceptedRequest, perform: () => Promise<void>): Promise<void> {
+    const { admission, metrics, clock } = this._parts
     const workspace = request.workspace.name
     metrics.count('requests', workspace, request.kind.name)
-    if (!limit.tryAcquire(workspace, request.workspace.maximumConcurrent)) {
-      metrics.countRefusal('overloaded', workspace, request.kind.name)
-      throw new RefusalError('overloaded', 429, true,
-        'Too many requests run at once', 'Come back after the time given', OVERLOAD_RETRY_AFTER)
-    }
+    const ticket = await admission.enter(request, abortWithCaller(context))
+    if (ticket.isErr) this._noteRefusal(request, ticket.error)
+    const { leave } = unwrap(ticket)
+    metrics.time('queue-wait', workspace, request.kind.name, clock.monotonic() - request.receivedAt)
     try {
       await perform()
       const duration = clock.monotonic() - request.receivedAt
       metrics.time('whole-answer', workspace, request.kind.name, duration)
       this._parts.logger.debug('answered', { ...logFieldsOf(request), durationMilliseconds: Math.round(duration) })
+      leave()
     } catch (error) {
       this._noteRefusal(request, toRefusal(error))
+      leave(error)
       throw error
-    } finally {
-      limit.release(workspace)
     }
   }
 
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -1,6 +1,6 @@
 /** One instance of the daemon: its parts, started and stopped in order. */
 import {
-  CallBudget, ConcurrencyLimit, FLEET_RATES, MemberTable, placementHash, SeededRandom,
+  CallBudget, FLEET_RATES, MemberTable, placementHash, RetryBudgets, SeededRandom,
   type Member, type Milliseconds
 } from '@wasabihead/coordination'
 import { BudgetedKeyValueService, CallAccount, EtcdKeyValueService } from '../adapters/index.js'
@@ -13,7 +13,7 @@
 import { MemberRoutes, MembershipLoop, MembershipPeerClient, MembershipPeerRoutes } from '../membership/index.js'
 import { DrainRoutes, OperatorServer, StatusRoutes } from '../operators/index.js'
 import { PeerConnections, PeerServer } from '../peers/index.js'
-import { ClaimedRunner, ModelRunner, PromptPlacer, ServiceRunner, waitFor } from '../serving/index.js'
+import { ClaimedRunner, ModelRunner, PromptPlacer, RequestAdmission, RETRY_BUDGETS, ServiceRunner, waitFor } from '../serving/index.js'
 import type { Settings } from '../settings/index.js'
 import { Logger, Metrics, MetricsRoutes } from '../telemetry/index.js'
 import { SystemClock, type Clock } from './clock.js'
@@ -35,7 +35,7 @@
   private readonly _metrics = new Metrics()
   private readonly _connections = new PeerConnections()
   private readonly _fleet: BackendFleet
-  private readonly _limit: ConcurrencyLimit
+  private readonly _admission: RequestAdmission
   private _parts: RunningParts | undefined
   private _stopping: Promise<void> | undefined
 
@@ -46,7 +46,7 @@
   constructor (private readonly _settings: Settings, private readonly _onDrained: () => void = () => {}) {
     this._logger = new Logger(_settings.host, _settings.logLevel)
     this._fleet = new BackendFleet(this._clock)
-    this._limit = new ConcurrencyLimit(_settings.maximumRunning)
+    this._admission = new RequestAdmission(_settings.maximumRunning, new SeededRandom(_settings.seed), this._clock)
   }
 
   /** Keeps the process alive through failures that nobody awaits and that leave no decision half done. */
@@ -99,7 +99,7 @@
   }
 
   private async _waitUntilIdle (parts: RunningParts): Promise<void> {
-    while (this._limit.running > 0 || parts.claimed.running > 0) await waitFor(DRAIN_POLL)
+    while (this._admission.present > 0 || parts.claimed.running > 0) await waitFor(DRAIN_POLL)
   }
 
   private _drain (): void {
@@ -132,8 +132,9 @@
     const claims = new ClaimCoordinator(
       settings.environment, claimStore, members, new ClaimPeerClient(this._connections), clock, this._logger)
     const placer = new PromptPlacer(this._fleet, settings.workspaceSecret, this._metrics)
-    const models = new ModelRunner(placer, configuration, clock, random, this._metrics, this._logger)
-    const services = new ServiceRunner(this._fleet)
+    const budgets = new RetryBudgets(RETRY_BUDGETS)
+    const models = new ModelRunner(placer, configuration, budgets, clock, random, this._metrics, this._logger)
+    const services = new ServiceRunner(this._fleet, budgets, clock, random, this._metrics)
     const claimed = new ClaimedRunner(
       members.identity, claims, models, services, () => configuration.document, clock, this._logger)
     claims.onDurableWork = claim => { claimed.resume(claim) }
@@ -152,7 +153,15 @@
       claimed,
       membership,
       callerServer: new CallerServer({
-        reader, models, services, claimed, members, limit: this._limit, clock, metrics: this._metrics, logger: this._logger
+        reader,
+        models,
+        services,
+        claimed,
+        members,
+        admission: this._admission,
+        clock,
+        metrics: this._metrics,
+        logger: this._logger
       }),
       operatorServer: new OperatorServer(settings.operatorTokenDigest, [
         new ConfigurationRoutes(configuration, members),
@@ -164,7 +173,7 @@
           members,
           metrics: this._metrics,
           configurationVersion: () => configuration.state.version,
-          running: () => Math.max(this._limit.running, claimed.running)
+          running: () => Math.max(this._admission.present, claimed.running)
         }),
         new DrainRoutes(settings.host, () => { this._drain() })
       ]),
--- a/packages/experiments/src/coordination/index.ts
+++ b/packages/experiments/src/coordination/index.ts
@@ -3,6 +3,7 @@
 import { ClaimTakeoverMeasurement, ClaimWritesMeasurement } from './claims.js'
 import type { CoordinationMeasurement } from './measurement.js'
 import { MembershipMeasurement } from './membershipMeasurement.js'
+import { OverloadMeasurement } from './overload/index.js'
 
 /** Every measurement of the coordination decisions. */
 export const coordinationMeasurements: readonly CoordinationMeasurement[] = [
@@ -10,7 +11,8 @@
   new MembershipMeasurement(),
   new TelemetryMeasurement(),
   new ClaimWritesMeasurement(),
-  new ClaimTakeoverMeasurement()
+  new ClaimTakeoverMeasurement(),
+  new OverloadMeasurement()
 ]
 
 export { CoordinationMeasurement, type MeasurementRow } from './measurement.js'
--- a/tests/promises/index.ts
+++ b/tests/promises/index.ts
@@ -4,9 +4,11 @@
 import { OrdersProof } from './orders.js'
 import type { Proof } from './proof.js'
 import { RoleLeaseProof } from './roleLease.js'
+import { WholeAnswerProof } from './wholeAnswer/wholeAnswer.js'
 
 /** Every proof, in the order of the users' list of what must always hold. */
 export const proofs: readonly Proof[] = [
+  new WholeAnswerProof(),
   new DurableWholeProof(),
   new NotRunProof(),
   new AtMostOnceProof(),
