feat(routing): place prompts by tiers and links, and measure it beside the baselines

Cause: the first version sums the queue and the imports, imports one block after the other, exports everything to the first store, believes the configured link speed, and forgets its own dispatches at each lagged report. The measuring tool replays seeded traces through the decisions. The daemon now uses the tiered policy.

Ruled out: keeping sent blocks as held for a fixed time. The whole-path test showed that a prompt that returned within that time was sent to a replica that had evicted it; the expectation now ends with the request. Blaming the link for a refusal (an export of an evicted block) made imports look slower than computing; a refusal now tells nothing.

--- /dev/null
+++ b/packages/coordination/src/cache/importForecast.ts
@@ -0,0 +1,56 @@
+/** For one prompt: which of its blocks can be imported, over which links, and until when, given what is under way. */
+import type { Milliseconds } from '../common/index.js'
+import type { LinkEstimates } from './linkEstimates.js'
+
+interface ForecastLink {
+  name: string
+  /** Time until what is under way now is through. */
+  waitTime: Milliseconds
+  timePerBlock: Milliseconds
+}
+
+/** Worked out once for a prompt, then asked for each replica. */
+export class ImportForecast {
+  private readonly _links: ForecastLink[] = []
+  private readonly _linksOfBlocks: number[][]
+  private readonly _plannedBlocks: number[]
+
+  constructor (
+    blockKeys: readonly string[], linksOfBlocks: ReadonlyMap<string, readonly string[]>, links: LinkEstimates,
+    blockBytes: number, now: Milliseconds
+  ) {
+    this._linksOfBlocks = blockKeys.map(blockKey =>
+      (linksOfBlocks.get(blockKey) ?? []).map(link => this._indexOf(link, links, blockBytes, now)))
+    this._plannedBlocks = this._links.map(() => 0)
+  }
+
+  /** Forgets the imports that were planned, for the next replica. */
+  reset (): void {
+    this._plannedBlocks.fill(0)
+  }
+
+  /** Plans the import of one more block over its quickest link; gives its end, or undefined where no store holds it. */
+  plan (block: number): { link: string, endsAfter: Milliseconds } | undefined {
+    let quickest = -1
+    let endsAfter = Infinity
+    for (const index of this._linksOfBlocks[block] ?? []) {
+      const link = this._links[index] as ForecastLink
+      const time = link.waitTime + ((this._plannedBlocks[index] as number) + 1) * link.timePerBlock
+      if (time < endsAfter) {
+        quickest = index
+        endsAfter = time
+      }
+    }
+    if (quickest === -1) return undefined
+    this._plannedBlocks[quickest] = (this._plannedBlocks[quickest] as number) + 1
+    return { link: (this._links[quickest] as ForecastLink).name, endsAfter }
+  }
+
+  private _indexOf (name: string, links: LinkEstimates, blockBytes: number, now: Milliseconds): number {
+    const known = this._links.findIndex(link => link.name === name)
+    if (known !== -1) return known
+    const waitTime = links.predict(name, 0, now)
+    this._links.push({ name, waitTime, timePerBlock: links.predict(name, blockBytes, now) - waitTime })
+    return this._links.length - 1
+  }
+}
--- a/packages/coordination/src/cache/index.ts
+++ b/packages/coordination/src/cache/index.ts
@@ -1,1 +1,7 @@
 export { blockKeysOf, BYTES_PER_TOKEN, estimateTokens, type BlockScope } from './blockKeys.js'
+export { BlockValues } from './blockValues.js'
+export { ExportQueue, type BlockExport } from './exportQueue.js'
+export { ImportForecast } from './importForecast.js'
+export { ImportTable } from './importTable.js'
+export { LinkEstimates, type LinkSpeed, type LinkTransfer } from './linkEstimates.js'
+export { storeForBlock, storesForPrompt, type PlacedStore } from './storeChoice.js'
--- a/packages/coordination/src/routing/index.ts
+++ b/packages/coordination/src/routing/index.ts
@@ -1,4 +1,5 @@
-export { ReplicaTable, type ReplicaBelief } from './replicaTable.js'
+export { isBelievedHeld, queuedPromptTokens, ReplicaTable, type Dispatch, type ReplicaBelief } from './replicaTable.js'
 export {
-  PredictedFirstTokenPolicy, RoutingPolicy, type Placement, type PlacementRequest
+  PredictedFirstTokenPolicy, RoutingPolicy, type BlockImport, type Placement, type PlacementRequest
 } from './routingPolicy.js'
+export { TieredPlacementPolicy } from './tieredPlacementPolicy.js'
--- a/packages/coordination/src/routing/replicaTable.ts
+++ b/packages/coordination/src/routing/replicaTable.ts
@@ -1,6 +1,20 @@
 /** What one instance believes about each replica: its load, its cache, and what this instance has in flight there. */
 import type { CacheEventBatch, CacheSnapshot, LoadReport } from '../platform/index.js'
-import type { Milliseconds } from '../common/index.js'
+import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../common/index.js'
+
+/** Longest time that a load report is taken to have been on its way: work sent less long before may not be in it. */
+const REPORT_LAG: Milliseconds = 1_000
+/** Longest time for which a block that was sent to a replica counts as held there before its events tell. */
+const EXPECTED_BLOCK_TIME: Milliseconds = 60_000
+/** Most blocks for each replica that count as held before their events tell. */
+const MAXIMUM_EXPECTED_BLOCKS = 2_000
+
+/** A prompt that this instance sent to a replica. */
+export interface Dispatch {
+  /** Prompt tokens that the replica has to compute. */
+  computedTokens: number
+  sentAt: Milliseconds
+}
 
 /** Belief about one replica. */
 export interface ReplicaBelief {
@@ -14,6 +28,10 @@
   /** Prompt tokens that this instance sent since the last load report. */
   ownTokensSinceReport: number
   ownRunning: number
+  /** Own dispatches that the last load report may not include. */
+  recentDispatches: Dispatch[]
+  /** Blocks that this instance sent there, and until when they count as held. */
+  expectedBlocks: Map<string, Milliseconds>
   lastEventSequence: number
   /** True while events are known to be missing; the blocks are then only a guess. */
   needsSnapshot: boolean
@@ -54,6 +72,7 @@
     belief.load = report
     belief.loadReadAt = now
     belief.ownTokensSinceReport = 0
+    belief.recentDispatches = belief.recentDispatches.filter(dispatch => dispatch.sentAt > now - REPORT_LAG)
     belief.acceptsWork = true
   }
 
@@ -67,7 +86,7 @@
       if (event.sequence !== belief.lastEventSequence + 1) belief.needsSnapshot = true
       belief.lastEventSequence = event.sequence
       if (event.change === 'stored') belief.blockKeys.add(event.blockKey)
-      else belief.blockKeys.delete(event.blockKey)
+      else forgetBlock(belief, event.blockKey)
     }
     if (batch.lastSequence > belief.lastEventSequence) belief.needsSnapshot = true
   }
@@ -83,36 +102,72 @@
     belief.needsSnapshot = false
   }
 
-  /** Counts a dispatch of this instance's own. */
-  onDispatched (name: string, promptTokens: number): void {
+  /** Counts a dispatch of this instance's own: all the prompt's tokens, those to be computed, and its blocks. */
+  onDispatched (
+    name: string, promptTokens: number, computedTokens: number, blockKeys: readonly string[], now: Milliseconds
+  ): void {
     const belief = this._beliefs.get(name)
     if (belief === undefined) return
     belief.ownRunning += 1
     belief.ownTokensSinceReport += promptTokens
+    belief.recentDispatches.push({ computedTokens, sentAt: now })
+    for (const blockKey of blockKeys) {
+      belief.expectedBlocks.delete(blockKey)
+      belief.expectedBlocks.set(blockKey, now + EXPECTED_BLOCK_TIME)
+    }
+    while (belief.expectedBlocks.size > MAXIMUM_EXPECTED_BLOCKS) {
+      belief.expectedBlocks.delete(belief.expectedBlocks.keys().next().value as string)
+    }
   }
 
-  /** Counts the end of a dispatch. */
-  onFinished (name: string): void {
+  /** Counts the end of a dispatch. From now on the replica's events, which lag, tell whether it holds the blocks. */
+  onFinished (name: string, blockKeys: readonly string[], now: Milliseconds): void {
     const belief = this._beliefs.get(name)
-    if (belief !== undefined) belief.ownRunning = Math.max(0, belief.ownRunning - 1)
+    if (belief === undefined) return
+    belief.ownRunning = Math.max(0, belief.ownRunning - 1)
+    for (const blockKey of blockKeys) {
+      const until = belief.expectedBlocks.get(blockKey)
+      if (until !== undefined) belief.expectedBlocks.set(blockKey, Math.min(until, now + REPORT_LAG))
+    }
   }
 
   /** Stops new work to a replica until its next load report. */
   onFailed (name: string): void {
     const belief = this._beliefs.get(name)
-    if (belief !== undefined) belief.acceptsWork = false
+    if (belief === undefined) return
+    belief.acceptsWork = false
+    belief.expectedBlocks.clear()
   }
 
   private _noticeIncarnation (belief: ReplicaBelief, incarnation: number): void {
     if (incarnation === belief.incarnation) return
     belief.incarnation = incarnation
     belief.load = undefined
+    belief.recentDispatches = []
+    belief.expectedBlocks = new Map()
     belief.blockKeys = new Set()
     belief.lastEventSequence = 0
     belief.needsSnapshot = true
   }
 }
 
+/** Whether a replica is believed to hold a block, by its events or because the block was sent there lately. */
+export function isBelievedHeld (belief: ReplicaBelief, blockKey: string, now: Milliseconds): boolean {
+  return belief.blockKeys.has(blockKey) || (belief.expectedBlocks.get(blockKey) ?? 0) > now
+}
+
+/** Prompt tokens that wait on a replica: the last report less what was worked off since, and what was sent since. */
+export function queuedPromptTokens (belief: ReplicaBelief, prefillTokensPerSecond: number, now: Milliseconds): number {
+  const sent = belief.recentDispatches.reduce((sum, dispatch) => sum + dispatch.computedTokens, 0)
+  const workedOff = (now - belief.loadReadAt) / MILLISECONDS_PER_SECOND * prefillTokensPerSecond
+  return Math.max(0, (belief.load?.queuedPromptTokens ?? 0) + sent - workedOff)
+}
+
+function forgetBlock (belief: ReplicaBelief, blockKey: string): void {
+  belief.blockKeys.delete(blockKey)
+  belief.expectedBlocks.delete(blockKey)
+}
+
 function emptyBelief (name: string, dataCentre: string): ReplicaBelief {
   return {
     name,
@@ -123,6 +178,8 @@
     loadReadAt: 0,
     ownTokensSinceReport: 0,
     ownRunning: 0,
+    recentDispatches: [],
+    expectedBlocks: new Map(),
     lastEventSequence: 0,
     needsSnapshot: true,
     blockKeys: new Set()
--- /dev/null
+++ b/packages/coordination/src/routing/routing.spec.ts
@@ -0,0 +1,98 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { ImportTable, LinkEstimates } from '../cache/index.js'
+import { isBelievedHeld, queuedPromptTokens, ReplicaTable, TieredPlacementPolicy, type PlacementRequest } from './index.js'
+
+const blockKeys = ['a', 'b', 'c', 'd']
+
+function createTable (): ReplicaTable {
+  const table = new ReplicaTable()
+  table.keepOnly(['engine-0', 'engine-1'].map(name => ({ name, dataCentre: 'leeds' })))
+  return table
+}
+
+function createRequest (change: Partial<PlacementRequest> = {}, bytesPerSecond = 1_000_000_000): PlacementRequest {
+  const links = new LinkEstimates()
+  links.configure([{ name: 'store-0', bytesPerSecond }])
+  return {
+    promptTokens: 8_000,
+    blockKeys,
+    blockTokens: 2_000,
+    blockBytes: 50_000_000,
+    prefillTokensPerSecond: 8_000,
+    storedBlockKeys: new Set(blockKeys),
+    linkBytesPerSecond: bytesPerSecond,
+    linksOfBlocks: new Map(blockKeys.map(blockKey => [blockKey, ['store-0']])),
+    links,
+    imports: new ImportTable(),
+    recomputeWeight: 0,
+    ...change
+  }
+}
+
+const cuts = [
+  { title: 'import all over a quick link', bytesPerSecond: 1_000_000_000, weight: 0, imported: 4 },
+  { title: 'import over a link little slower than the engine, which others wait for too', bytesPerSecond: 190_000_000, weight: 0, imported: 4 },
+  { title: 'compute all rather than wait for a slow link', bytesPerSecond: 10_000_000, weight: 0, imported: 0 },
+  { title: 'import over a slow link where the recomputed share is all that counts', bytesPerSecond: 10_000_000, weight: 1, imported: 4 }
+]
+for (const { title, bytesPerSecond, weight, imported } of cuts) {
+  test(`should ${title}`, () => {
+    const request = createRequest({ recomputeWeight: weight }, bytesPerSecond)
+    const placement = new TieredPlacementPolicy().place(request, createTable().beliefs, 0)
+    assert.is(placement?.importBlockKeys.length, imported)
+  })
+}
+
+test('should import as many blocks as come while the prompt waits in the queue, and compute the rest', () => {
+  const table = createTable()
+  table.keepOnly([{ name: 'engine-0', dataCentre: 'leeds' }])
+  table.onLoadReport('engine-0', {
+    incarnation: 1, sequence: 1, runningRequests: 0, queuedRequests: 1, queuedPromptTokens: 8_000
+  }, 0)
+  const placement = new TieredPlacementPolicy().place(createRequest({}, 60_000_000), table.beliefs, 0)
+  assert.is(placement?.importBlockKeys.length, 1)
+})
+
+test('should import up to the first block that no store holds', () => {
+  const request = createRequest({ linksOfBlocks: new Map([['a', ['store-0']], ['c', ['store-0']]]) })
+  assert.equal(new TieredPlacementPolicy().place(request, createTable().beliefs, 0)?.importBlockKeys, ['a'])
+})
+
+test('should prefer the replica that this instance sent the blocks to before events tell, and forget it when it fails', () => {
+  const table = createTable()
+  table.onDispatched('engine-1', 8_000, 0, blockKeys, 0)
+  const request = createRequest({ linksOfBlocks: new Map() })
+  const placement = new TieredPlacementPolicy().place(request, table.beliefs, 10)
+  assert.equal([placement?.replica, placement?.reusedBlocks], ['engine-1', 4])
+  table.onFailed('engine-1')
+  assert.not(isBelievedHeld(table.find('engine-1') as never, 'a', 10))
+  assert.is(new TieredPlacementPolicy().place(request, table.beliefs, 10)?.replica, 'engine-0')
+})
+
+test('should leave it to the events whether blocks are held once a request has ended', () => {
+  const table = createTable()
+  table.onDispatched('engine-0', 8_000, 8_000, blockKeys, 0)
+  table.onFinished('engine-0', blockKeys, 500)
+  assert.equal([600, 5_000].map(now => isBelievedHeld(table.find('engine-0') as never, 'a', now)), [true, false])
+})
+
+test('should correct a lagged report by what was sent since and by what was worked off', () => {
+  const table = createTable()
+  const report = { incarnation: 1, sequence: 1, runningRequests: 0, queuedRequests: 1, queuedPromptTokens: 10_000 }
+  table.onLoadReport('engine-0', report, 1_000)
+  table.onDispatched('engine-0', 9_000, 4_000, [], 1_000)
+  const belief = table.find('engine-0') as never
+  assert.is(queuedPromptTokens(belief, 2_000, 1_000), 14_000)
+  assert.is(queuedPromptTokens(belief, 2_000, 3_000), 10_000)
+})
+
+test('should drop late events of an old incarnation, and start the new one empty', () => {
+  const table = createTable()
+  table.onCacheSnapshot('engine-0', { incarnation: 1, sequence: 1, blockKeys })
+  table.onCacheEvents('engine-0', { incarnation: 2, events: [], lastSequence: 0 })
+  table.onCacheEvents('engine-0', { incarnation: 1, events: [{ sequence: 2, change: 'stored', blockKey: 'e' }], lastSequence: 2 })
+  assert.is(table.find('engine-0')?.blockKeys.size, 0)
+})
+
+test.run()
--- a/packages/coordination/src/routing/routingPolicy.ts
+++ b/packages/coordination/src/routing/routingPolicy.ts
@@ -1,5 +1,6 @@
 /** Chooses the replica with the least predicted time to first token. */
 import type { Milliseconds } from '../common/index.js'
+import type { LinkEstimates, ImportTable } from '../cache/index.js'
 import type { ReplicaBelief } from './replicaTable.js'
 
 const MILLISECONDS_PER_SECOND = 1_000
@@ -15,6 +16,19 @@
   /** Blocks that some store holds, with the predicted speed of its link. */
   storedBlockKeys: ReadonlySet<string>
   linkBytesPerSecond: number
+  /** For each stored block the names of the links that lead to a store holding it. */
+  linksOfBlocks: ReadonlyMap<string, readonly string[]>
+  links: LinkEstimates
+  imports: ImportTable
+  /** 0 weighs only time to first token, 1 weighs only the share of recomputed prompt work. */
+  recomputeWeight: number
+}
+
+/** A block to import, and the link to import it over. */
+export interface BlockImport {
+  blockKey: string
+  /** Empty where the import runs already and is to be waited for. */
+  link: string
 }
 
 /** Where a prompt goes, and which blocks are imported there first. */
@@ -23,6 +37,8 @@
   /** Whole blocks at the prompt's start that the replica is believed to hold. */
   reusedBlocks: number
   importBlockKeys: string[]
+  /** The imports with their links, where the policy chose them; in the order of the prompt. */
+  imports?: BlockImport[]
   predictedFirstToken: Milliseconds
 }
 
@@ -69,7 +85,8 @@
   return Math.max(0, tokens) / request.prefillTokensPerSecond * MILLISECONDS_PER_SECOND
 }
 
-function countLeadingBlocks (blockKeys: readonly string[], held: ReadonlySet<string>): number {
+/** Count of a prompt's leading blocks that are held. */
+export function countLeadingBlocks (blockKeys: readonly string[], held: ReadonlySet<string>): number {
   let count = 0
   while (count < blockKeys.length && held.has(blockKeys[count] as string)) count += 1
   return count
--- /dev/null
+++ b/packages/coordination/src/routing/tieredPlacementPolicy.ts
@@ -0,0 +1,105 @@
+/**
+ * Chooses a replica and a cut of the prompt: blocks before the cut are reused or imported, the rest is computed. Imports
+ * go on while the prompt waits in the queue, and share each link with what is under way on it.
+ */
+import { ImportForecast } from '../cache/index.js'
+import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../common/index.js'
+import { isBelievedHeld, queuedPromptTokens, type ReplicaBelief } from './replicaTable.js'
+import { RoutingPolicy, type BlockImport, type Placement, type PlacementRequest } from './routingPolicy.js'
+
+/** Time that one running request adds to a prompt's wait. */
+const RUNNING_REQUEST_COST: Milliseconds = 10
+/** Share of a recompute that is charged for work that later prompts then have to wait for. */
+const LOAD_PRICE = 0.25
+
+/** The policy for memory and disk tiers behind shared links. */
+export class TieredPlacementPolicy extends RoutingPolicy {
+  override place (
+    request: PlacementRequest, replicas: readonly ReplicaBelief[], now: Milliseconds
+  ): Placement | undefined {
+    const forecast = new ImportForecast(request.blockKeys, request.linksOfBlocks, request.links, request.blockBytes, now)
+    let best: ScoredCut | undefined
+    for (const replica of replicas) {
+      if (!replica.acceptsWork) continue
+      const candidate = bestCutOn(request, replica, forecast, now)
+      if (best === undefined || candidate.score < best.score) best = candidate
+    }
+    return best === undefined ? undefined : toPlacement(request, best, forecast, now)
+  }
+}
+
+/** A replica with the count of blocks that it holds, and of those after them that are to be imported. */
+interface ScoredCut {
+  replica: ReplicaBelief
+  reusedBlocks: number
+  importedBlocks: number
+  predictedFirstToken: Milliseconds
+  score: number
+}
+
+/** Tries every cut, up to the first block that no store holds. */
+function bestCutOn (
+  request: PlacementRequest, replica: ReplicaBelief, forecast: ImportForecast, now: Milliseconds
+): ScoredCut {
+  const reusedBlocks = countHeldBlocks(request.blockKeys, replica, now)
+  const queue = queueTime(request, replica, now)
+  let importTime: Milliseconds = 0
+  let best = scoreCut(request, replica, reusedBlocks, 0, queue)
+  forecast.reset()
+  for (let block = reusedBlocks; block < request.blockKeys.length; block++) {
+    const endsAfter = importEnd(request, replica, block, forecast, now)
+    if (endsAfter === undefined) break
+    importTime = Math.max(importTime, endsAfter)
+    const candidate = scoreCut(request, replica, reusedBlocks, block + 1 - reusedBlocks, Math.max(queue, importTime))
+    if (candidate.score < best.score) best = candidate
+  }
+  return best
+}
+
+/** The end of a block's import; one that runs already is waited for and takes no more of the link. */
+function importEnd (
+  request: PlacementRequest, replica: ReplicaBelief, block: number, forecast: ImportForecast, now: Milliseconds
+): Milliseconds | undefined {
+  const running = request.imports.remainingTime(replica.name, request.blockKeys[block] as string, now)
+  return running ?? forecast.plan(block)?.endsAfter
+}
+
+function scoreCut (
+  request: PlacementRequest, replica: ReplicaBelief, reusedBlocks: number, importedBlocks: number, wait: Milliseconds
+): ScoredCut {
+  const readyTokens = (reusedBlocks + importedBlocks) * request.blockTokens
+  const recomputeTime = prefillTime(request, request.promptTokens - readyTokens)
+  const predictedFirstToken = wait + recomputeTime
+  const { recomputeWeight } = request
+  const score = (1 - recomputeWeight) * predictedFirstToken + (recomputeWeight + LOAD_PRICE) * recomputeTime
+  return { replica, reusedBlocks, importedBlocks, predictedFirstToken, score }
+}
+
+function toPlacement (request: PlacementRequest, cut: ScoredCut, forecast: ImportForecast, now: Milliseconds): Placement {
+  const { replica, reusedBlocks, importedBlocks, predictedFirstToken } = cut
+  const imports: BlockImport[] = []
+  forecast.reset()
+  for (let block = reusedBlocks; block < reusedBlocks + importedBlocks; block++) {
+    const blockKey = request.blockKeys[block] as string
+    const isRunning = request.imports.remainingTime(replica.name, blockKey, now) !== undefined
+    imports.push({ blockKey, link: isRunning ? '' : forecast.plan(block)?.link ?? '' })
+  }
+  const importBlockKeys = imports.map(({ blockKey }) => blockKey)
+  return { replica: replica.name, reusedBlocks, importBlockKeys, imports, predictedFirstToken }
+}
+
+function countHeldBlocks (blockKeys: readonly string[], replica: ReplicaBelief, now: Milliseconds): number {
+  let count = 0
+  while (count < blockKeys.length && isBelievedHeld(replica, blockKeys[count] as string, now)) count += 1
+  return count
+}
+
+function queueTime (request: PlacementRequest, replica: ReplicaBelief, now: Milliseconds): Milliseconds {
+  const running = Math.max(replica.load?.runningRequests ?? 0, replica.ownRunning)
+  const queued = prefillTime(request, queuedPromptTokens(replica, request.prefillTokensPerSecond, now))
+  return queued + running * RUNNING_REQUEST_COST
+}
+
+function prefillTime (request: PlacementRequest, tokens: number): Milliseconds {
+  return Math.max(0, tokens) / request.prefillTokensPerSecond * MILLISECONDS_PER_SECOND
+}
--- /dev/null
+++ b/packages/daemon/src/backends/blockTransfers.ts
@@ -0,0 +1,163 @@
+/** Moves cache blocks between engines and stores: look-ups, imports and exports, by the decisions of the cache slice. */
+import {
+  BlockValues, ExportQueue, ImportTable, LinkEstimates, PlatformRefusedError, storeForBlock, storesForPrompt,
+  type BlockExport, type BlockImport, type LinkTransfer, type PlatformError, type StoredBlock
+} from '@wasabihead/coordination'
+import type { Clock } from '../instance/clock.js'
+import type { BackendFleet, EngineReplica, StoreReplica } from './backendFleet.js'
+
+const MAXIMUM_EXPORTS = 1_000
+const MAXIMUM_BLOCKS = 50_000
+const MAXIMUM_WORKSPACES = 500
+
+/** A committed block and the store that holds it. */
+export interface LocatedBlock {
+  block: StoredBlock
+  store: StoreReplica
+}
+
+/** The committed blocks of a prompt: block keys to where they are held. */
+export type LocatedBlocks = ReadonlyMap<string, readonly LocatedBlock[]>
+
+/** Blocks of one prompt to export after its answer. */
+export interface ExportCandidates {
+  workspace: string
+  blockKeys: readonly string[]
+  replica: EngineReplica
+  blockBytes: number
+  /** Time that computing one block takes. */
+  recomputeMilliseconds: number
+  onExported: (bytes: number) => void
+}
+
+/** Performs transfers. A store that is full, slow or gone is a miss, never an error. */
+export class BlockTransfers {
+  readonly links = new LinkEstimates()
+  readonly imports = new ImportTable()
+  private readonly _values = new BlockValues(MAXIMUM_BLOCKS, MAXIMUM_WORKSPACES)
+  private readonly _exports = new ExportQueue(MAXIMUM_EXPORTS)
+  private readonly _running = new Map<string, Promise<boolean>>()
+
+  /** @param _dataCentre the data centre of this instance */
+  constructor (
+    private readonly _fleet: BackendFleet,
+    private readonly _dataCentre: string,
+    private readonly _clock: Clock
+  ) {}
+
+  /** Looks the blocks up in the prompt's stores; only committed blocks are found. */
+  async locate (blockKeys: readonly string[]): Promise<LocatedBlocks> {
+    this._configureLinks()
+    const located = new Map<string, LocatedBlock[]>()
+    await Promise.all(this._storesFor(blockKeys).map(async store => {
+      const found = await store.store.lookUp(blockKeys)
+      for (const block of found.unwrapOr([])) {
+        located.set(block.blockKey, [...located.get(block.blockKey) ?? [], { block, store }])
+      }
+    }))
+    return located
+  }
+
+  /** Imports the blocks side by side; gives how many came. One that is freed or does not match its digest is a miss. */
+  async importBlocks (
+    replica: EngineReplica, imports: readonly BlockImport[], located: LocatedBlocks, onImported: (bytes: number) => void
+  ): Promise<number> {
+    const outcomes = await Promise.all(imports.map(async ({ blockKey, link }) => {
+      const running = this._running.get(transferKey(replica, blockKey))
+      if (running !== undefined) return await running
+      const place = located.get(blockKey)?.find(({ store }) => store.configuration.name === link)
+      return place !== undefined && await this._startImport(replica, place, onImported)
+    }))
+    return outcomes.filter(isImported => isImported).length
+  }
+
+  /** Queues the blocks that no store holds, and exports while the links are quiet. */
+  async exportBlocks (candidates: ExportCandidates): Promise<void> {
+    const { workspace, blockKeys, replica } = candidates
+    this._values.onUsed(workspace, blockKeys)
+    const stores = this._storesFor(blockKeys).map(({ configuration }) => configuration.name)
+    const located = await this.locate(blockKeys)
+    const missing = blockKeys.filter(blockKey => !located.has(blockKey))
+    this._exports.add(missing.flatMap(blockKey => {
+      const link = storeForBlock(blockKey, stores)
+      if (link === undefined) return []
+      const value = this._values.valueOf(workspace, blockKey, candidates.recomputeMilliseconds, candidates.blockBytes)
+      return [{ blockKey, replica: replica.configuration.name, link, sizeBytes: candidates.blockBytes, value }]
+    }), this._clock.monotonic())
+    await Promise.all(stores.map(async link => { await this._exportOver(link, candidates.onExported) }))
+  }
+
+  private async _startImport (
+    replica: EngineReplica, place: LocatedBlock, onImported: (bytes: number) => void
+  ): Promise<boolean> {
+    const key = transferKey(replica, place.block.blockKey)
+    const running = this._import(replica, place, onImported)
+    this._running.set(key, running)
+    try {
+      return await running
+    } finally {
+      this._running.delete(key)
+    }
+  }
+
+  private async _import (
+    replica: EngineReplica, { block, store }: LocatedBlock, onImported: (bytes: number) => void
+  ): Promise<boolean> {
+    const { name, address } = store.configuration
+    const startedAt = this._clock.monotonic()
+    const predictedEnd = startedAt + this.links.predict(name, block.sizeBytes, startedAt)
+    this.imports.begin(replica.configuration.name, block.blockKey, predictedEnd, startedAt)
+    const transfer = this.links.onStarted(name, block.sizeBytes, startedAt)
+    const imported = await replica.engine.importBlock(block, address)
+    const now = this._clock.monotonic()
+    this.imports.end(replica.configuration.name, block.blockKey)
+    if (imported.isErr) {
+      this._endBroken(transfer, imported.error)
+      return false
+    }
+    this.links.onFinished(transfer, now)
+    onImported(block.sizeBytes)
+    return true
+  }
+
+  private async _exportOver (link: string, onExported: (bytes: number) => void): Promise<void> {
+    for (;;) {
+      const next = this._exports.next(link, this.links, this._clock.monotonic())
+      if (next === undefined) return
+      await this._export(next, onExported)
+    }
+  }
+
+  private async _export (next: BlockExport, onExported: (bytes: number) => void): Promise<void> {
+    const replica = this._fleet.findEngine(next.replica)
+    const store = this._fleet.stores.find(({ configuration }) => configuration.name === next.link)
+    if (replica === undefined || store === undefined) return
+    const transfer = this.links.onStarted(next.link, next.sizeBytes, this._clock.monotonic())
+    const exported = await replica.engine.exportBlock(next.blockKey, store.configuration.address)
+    if (exported.isErr) return this._endBroken(transfer, exported.error)
+    this.links.onFinished(transfer, this._clock.monotonic())
+    onExported(exported.value.sizeBytes)
+  }
+
+  /** A refusal means that the block was evicted, freed or other than expected: a miss, not the link's fault. */
+  private _endBroken (transfer: LinkTransfer, error: PlatformError): void {
+    if (error instanceof PlatformRefusedError) this.links.onRefused(transfer)
+    else this.links.onFailed(transfer, this._clock.monotonic())
+  }
+
+  private _storesFor (blockKeys: readonly string[]): StoreReplica[] {
+    const [first] = blockKeys
+    if (first === undefined) return []
+    const names = storesForPrompt(first, this._fleet.stores.map(({ configuration }) => configuration), this._dataCentre)
+    return this._fleet.stores.filter(({ configuration }) => names.includes(configuration.name))
+  }
+
+  private _configureLinks (): void {
+    this.links.configure(this._fleet.stores.map(({ configuration }) =>
+      ({ name: configuration.name, bytesPerSecond: configuration.linkBytesPerSecond })))
+  }
+}
+
+function transferKey (replica: EngineReplica, blockKey: string): string {
+  return `${replica.configuration.name}\n${blockKey}`
+}
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -4,7 +4,7 @@
   type Member, type Milliseconds
 } from '@wasabihead/coordination'
 import { EtcdKeyValueService } from '../adapters/index.js'
-import { BackendFleet } from '../backends/index.js'
+import { BackendFleet, BlockTransfers } from '../backends/index.js'
 import { CallerServer, RequestReader } from '../callers/index.js'
 import { ClaimCoordinator, ClaimPeerClient, ClaimPeerRoutes } from '../claims/index.js'
 import {
@@ -118,7 +118,8 @@
     })
     const claims = new ClaimCoordinator(
       settings.environment, keyValue, members, new ClaimPeerClient(this._connections), clock, this._logger)
-    const placer = new PromptPlacer(this._fleet, settings.workspaceSecret, this._metrics)
+    const transfers = new BlockTransfers(this._fleet, settings.dataCentre, clock)
+    const placer = new PromptPlacer(this._fleet, transfers, settings.workspaceSecret, clock, this._metrics)
     const models = new ModelRunner(placer, configuration, clock, random, this._metrics, this._logger)
     const services = new ServiceRunner(this._fleet)
     const claimed = new ClaimedRunner(members.identity, claims, models, services, clock, this._logger)
--- a/packages/daemon/src/serving/modelRunner.ts
+++ b/packages/daemon/src/serving/modelRunner.ts
@@ -87,7 +87,8 @@
         model,
         weightVersion,
         adapter: target.adapter,
-        prompt: request.modelInput.prompt
+        prompt: request.modelInput.prompt,
+        recomputeWeight: request.workspace.recomputeWeight
       },
       assembler: new AnswerAssembler(weightVersion),
       text: '',
--- a/packages/daemon/src/serving/promptPlacer.ts
+++ b/packages/daemon/src/serving/promptPlacer.ts
@@ -1,9 +1,10 @@
 /** Places prompts: finds their blocks, chooses a replica, imports blocks there first, and exports new ones after. */
 import {
-  blockKeysOf, estimateTokens, PredictedFirstTokenPolicy,
-  type ModelConfiguration, type Placement, type StoredBlock
+  blockKeysOf, estimateTokens, MILLISECONDS_PER_SECOND, TieredPlacementPolicy,
+  type ModelConfiguration, type Placement
 } from '@wasabihead/coordination'
-import type { BackendFleet, EngineReplica, StoreReplica } from '../backends/index.js'
+import type { BackendFleet, BlockTransfers, EngineReplica, LocatedBlocks } from '../backends/index.js'
+import type { Clock } from '../instance/clock.js'
 import type { Metrics } from '../telemetry/index.js'
 
 /** A prompt to place, with what separates its blocks from others'. */
@@ -15,6 +16,8 @@
   weightVersion: string
   adapter: string | undefined
   prompt: string
+  /** 0 weighs only time to first token, 1 weighs only the share of recomputed prompt work. */
+  recomputeWeight: number
 }
 
 /** A replica chosen for one attempt, with the prompt's blocks ready or on their way there. */
@@ -24,42 +27,48 @@
   importedBlocks: number
 }
 
-interface LocatedBlock {
-  block: StoredBlock
-  store: StoreReplica
-}
-
 /** Places prompts. Every `prepare` that gives a replica is paired with one `finish` or `fail`. */
 export class PromptPlacer {
-  private readonly _policy = new PredictedFirstTokenPolicy()
+  private readonly _policy = new TieredPlacementPolicy()
 
   constructor (
     private readonly _fleet: BackendFleet,
+    private readonly _transfers: BlockTransfers,
     private readonly _workspaceSecret: string,
+    private readonly _clock: Clock,
     private readonly _metrics: Metrics
   ) {}
 
   /** Chooses a replica and imports blocks there; undefined where no replica accepts work. */
   async prepare (prompt: PlacedPrompt, excludedReplicas: ReadonlySet<string>): Promise<PreparedReplica | undefined> {
     const blockKeys = this._blockKeysOf(prompt)
-    const located = await this._locateBlocks(blockKeys)
+    const located = await this._transfers.locate(blockKeys)
     const placement = this._place(prompt, blockKeys, located, excludedReplicas)
     const replica = placement === undefined ? undefined : this._fleet.findEngine(placement.replica)
     if (placement === undefined || replica === undefined) return undefined
-    this._fleet.replicas.onDispatched(placement.replica, estimateTokens(prompt.prompt))
-    const importedBlocks = await this._importBlocks(prompt, placement, replica, located)
+    this._countDispatch(prompt, placement, blockKeys)
+    const importedBlocks = await this._transfers.importBlocks(replica, placement.imports ?? [], located, bytes => {
+      this._metrics.count('imported-bytes', prompt.workspace, prompt.requestKind, bytes)
+    })
     return { replica, blockKeys, importedBlocks }
   }
 
   /** Ends an attempt whose answer is whole, and exports the blocks that no store holds yet. */
   finish (prompt: PlacedPrompt, prepared: PreparedReplica): void {
-    this._fleet.replicas.onFinished(prepared.replica.configuration.name)
-    this._exportBlocks(prompt, prepared).catch(() => {})
+    this._fleet.replicas.onFinished(prepared.replica.configuration.name, prepared.blockKeys, this._clock.monotonic())
+    this._transfers.exportBlocks({
+      workspace: prompt.workspace,
+      blockKeys: prepared.blockKeys,
+      replica: prepared.replica,
+      blockBytes: prompt.model.blockBytes,
+      recomputeMilliseconds: prompt.model.blockTokens / prompt.model.prefillTokensPerSecond * MILLISECONDS_PER_SECOND,
+      onExported: bytes => { this._metrics.count('exported-bytes', prompt.workspace, prompt.requestKind, bytes) }
+    }).catch(() => {})
   }
 
   /** Ends an attempt that broke. */
   fail (prepared: PreparedReplica): void {
-    this._fleet.replicas.onFinished(prepared.replica.configuration.name)
+    this._fleet.replicas.onFinished(prepared.replica.configuration.name, prepared.blockKeys, this._clock.monotonic())
     this._fleet.replicas.onFailed(prepared.replica.configuration.name)
   }
 
@@ -75,10 +84,9 @@
   }
 
   private _place (
-    prompt: PlacedPrompt, blockKeys: readonly string[], located: ReadonlyMap<string, LocatedBlock>,
+    prompt: PlacedPrompt, blockKeys: readonly string[], located: LocatedBlocks,
     excludedReplicas: ReadonlySet<string>
   ): Placement | undefined {
-    const speeds = [...located.values()].map(({ store }) => store.configuration.linkBytesPerSecond)
     const beliefs = this._fleet.beliefsFor(prompt.model.name)
     const preferred = beliefs.filter(belief => !excludedReplicas.has(belief.name))
     return this._policy.place({
@@ -88,45 +96,19 @@
       blockBytes: prompt.model.blockBytes,
       prefillTokensPerSecond: prompt.model.prefillTokensPerSecond,
       storedBlockKeys: new Set(located.keys()),
-      linkBytesPerSecond: speeds.length === 0 ? 1 : Math.min(...speeds)
-    }, preferred.length === 0 ? beliefs : preferred)
-  }
-
-  private async _locateBlocks (blockKeys: readonly string[]): Promise<Map<string, LocatedBlock>> {
-    const located = new Map<string, LocatedBlock>()
-    if (blockKeys.length === 0) return located
-    await Promise.all(this._fleet.stores.map(async store => {
-      const found = await store.store.lookUp(blockKeys)
-      if (found.isErr) return
-      for (const block of found.value) located.set(block.blockKey, { block, store })
-    }))
-    return located
-  }
-
-  /** Imports in order and stops at the first failure: a later block is of no use without the earlier one. */
-  private async _importBlocks (
-    prompt: PlacedPrompt, placement: Placement, replica: EngineReplica, located: ReadonlyMap<string, LocatedBlock>
-  ): Promise<number> {
-    let importedBlocks = 0
-    for (const blockKey of placement.importBlockKeys) {
-      const place = located.get(blockKey)
-      if (place === undefined) return importedBlocks
-      const imported = await replica.engine.importBlock(place.block, place.store.configuration.address)
-      if (imported.isErr) return importedBlocks
-      importedBlocks += 1
-      this._metrics.count('imported-bytes', prompt.workspace, prompt.requestKind, place.block.sizeBytes)
-    }
-    return importedBlocks
+      linkBytesPerSecond: 0,
+      linksOfBlocks: new Map([...located].map(([blockKey, places]) =>
+        [blockKey, places.map(({ store }) => store.configuration.name)])),
+      links: this._transfers.links,
+      imports: this._transfers.imports,
+      recomputeWeight: prompt.recomputeWeight
+    }, preferred.length === 0 ? beliefs : preferred, this._clock.monotonic())
   }
 
-  private async _exportBlocks (prompt: PlacedPrompt, prepared: PreparedReplica): Promise<void> {
-    const [store] = this._fleet.stores
-    if (store === undefined) return
-    const located = await this._locateBlocks(prepared.blockKeys)
-    for (const blockKey of prepared.blockKeys.filter(key => !located.has(key))) {
-      const exported = await prepared.replica.engine.exportBlock(blockKey, store.configuration.address)
-      if (exported.isErr) return
-      this._metrics.count('exported-bytes', prompt.workspace, prompt.requestKind, exported.value.sizeBytes)
-    }
+  private _countDispatch (prompt: PlacedPrompt, placement: Placement, blockKeys: readonly string[]): void {
+    const promptTokens = estimateTokens(prompt.prompt)
+    const readyBlocks = placement.reusedBlocks + placement.importBlockKeys.length
+    const computedTokens = Math.max(0, promptTokens - readyBlocks * prompt.model.blockTokens)
+    this._fleet.replicas.onDispatched(placement.replica, promptTokens, computedTokens, blockKeys, this._clock.monotonic())
   }
 }
--- a/packages/experiments/src/index.ts
+++ b/packages/experiments/src/index.ts
@@ -2,5 +2,6 @@
 export * from './coordination/index.js'
 export * from './demonstration/index.js'
 export * from './load/index.js'
+export * from './measurement/index.js'
 export * from './processes/index.js'
 export * from './simulation/index.js'
--- /dev/null
+++ b/packages/experiments/src/measurement/index.ts
@@ -0,0 +1,8 @@
+export { EngineModel, type EngineTask } from './engineModel.js'
+export { faultNames, type ReplayFault } from './faults.js'
+export { boundOfRecomputedShare } from './knowingBound.js'
+export { createPolicies, MeasuredPolicy } from './measuredPolicy.js'
+export { Replay, type ReplayCounts } from './replay.js'
+export { StoreModel } from './storeModel.js'
+export { makeTrace, type TraceRequest } from './trace.js'
+export { workloads, type Workload } from './workload.js'
--- /dev/null
+++ b/packages/experiments/src/measurement/knowingBound.ts
@@ -0,0 +1,51 @@
+/** The bound of an all-knowing policy: the least share of prompt work that any policy could have recomputed. */
+import type { TraceRequest } from './trace.js'
+import type { Workload } from './workload.js'
+
+/**
+ * Share of prompt tokens that must be computed when all tiers are one cache that frees the block whose next use is
+ * furthest away, every block can be reused on every replica, and nothing is ever in the wrong place.
+ */
+export function boundOfRecomputedShare (workload: Workload, trace: readonly TraceRequest[]): number {
+  const capacity = workload.replicas * workload.engineCacheBlocks +
+    workload.stores * (workload.storeMemoryBlocks + workload.storeDiskBlocks)
+  const nextUses = findNextUses(trace)
+  const held = new Map<string, number>()
+  let promptTokens = 0
+  let recomputedTokens = 0
+  trace.forEach((request, index) => {
+    const missing = request.blockKeys.findIndex(blockKey => !held.has(blockKey))
+    const reused = missing === -1 ? request.blockKeys.length : missing
+    if (request.at >= workload.warmUp) {
+      promptTokens += request.promptTokens
+      recomputedTokens += request.promptTokens - reused * workload.blockTokens
+    }
+    const next = nextUses[index] as number[]
+    request.blockKeys.forEach((blockKey, block) => { hold(held, blockKey, next[block] as number) })
+    if (held.size > capacity) freeFurthest(held, capacity)
+  })
+  return recomputedTokens / promptTokens
+}
+
+/** For each request and block, the index of the next request that uses it. */
+function findNextUses (trace: readonly TraceRequest[]): number[][] {
+  const upcoming = new Map<string, number>()
+  const nextUses: number[][] = new Array<number[]>(trace.length)
+  for (let index = trace.length - 1; index >= 0; index--) {
+    const { blockKeys } = trace[index] as TraceRequest
+    nextUses[index] = blockKeys.map(blockKey => upcoming.get(blockKey) ?? Infinity)
+    for (const blockKey of blockKeys) upcoming.set(blockKey, index)
+  }
+  return nextUses
+}
+
+/** A block that is never used again need not be held. */
+function hold (held: Map<string, number>, blockKey: string, nextUse: number): void {
+  if (nextUse === Infinity) held.delete(blockKey)
+  else held.set(blockKey, nextUse)
+}
+
+function freeFurthest (held: Map<string, number>, capacity: number): void {
+  const byNextUse = [...held].sort((left, right) => right[1] - left[1])
+  for (const [blockKey] of byNextUse.slice(0, held.size - capacity)) held.delete(blockKey)
+}
