--- /dev/null
+++ b/tests/promises/blocks/proofs.ts
@@ -0,0 +1,40 @@
+/** The proofs about cache blocks: whole, of one workspace, and of one weight version. */
+import { Proof, type ProofRun, type Violation } from '../proof.js'
+import { findMixedVersions, findSharedBlocks, findWrongBlocks, type BlockRead } from './blockHistory.js'
+import { BlockRun, faithful, type BlockRunVariant } from './blockRun.js'
+
+const failures = [
+  'blocks freed between look-up and read, their places given to blocks of the same length', 'exports that never commit',
+  'replicas that restart empty under the same address', 'late events of old incarnations', 'weight swaps under running requests'
+]
+
+/** A proof whose runs are those of blocks; they differ in what is checked. */
+export class BlockProof extends Proof {
+  override readonly failures = failures
+
+  constructor (
+    override readonly name: string,
+    override readonly promise: string,
+    private readonly _check: (history: readonly BlockRead[]) => Violation[],
+    private readonly _variant: BlockRunVariant = faithful
+  ) {
+    super()
+  }
+
+  override run (seed: number): ProofRun {
+    const { history, counts } = new BlockRun(seed, this._variant).run()
+    return { counts: { ...counts, reads: history.length }, violations: this._check(history) }
+  }
+}
+
+/** The proofs of this folder, each of a variant of the run. */
+export function blockProofs (variant: BlockRunVariant = faithful): BlockProof[] {
+  return [
+    new BlockProof('blocks', 'No request ever reads a block that has been freed or is only partly written',
+      findWrongBlocks, variant),
+    new BlockProof('workspaces-apart', 'The cache of each workspace stays apart from every other workspace\'s',
+      findSharedBlocks, variant),
+    new BlockProof('weight-versions', 'A new request never uses blocks from another weight version',
+      findMixedVersions, variant)
+  ]
+}
