--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -4,7 +4,7 @@
   type Member, type Milliseconds
 } from '@wasabihead/coordination'
 import { BudgetedKeyValueService, CallAccount, EtcdKeyValueService } from '../adapters/index.js'
-import { BackendFleet } from '../backends/index.js'
+import { BackendFleet, BlockTransfers } from '../backends/index.js'
 import { CallerServer, RequestReader } from '../callers/index.js'
 import { ClaimCoordinator, ClaimDirectory, ClaimPeerClient, ClaimPeerRoutes, ClaimRoutes } from '../claims/index.js'
 import {
@@ -131,7 +131,8 @@
     const claimStore = new BudgetedKeyValueService(service, calls, 'claims')
     const claims = new ClaimCoordinator(
       settings.environment, claimStore, members, new ClaimPeerClient(this._connections), clock, this._logger)
-    const placer = new PromptPlacer(this._fleet, settings.workspaceSecret, this._metrics)
+    const transfers = new BlockTransfers(this._fleet, settings.dataCentre, clock)
+    const placer = new PromptPlacer(this._fleet, transfers, settings.workspaceSecret, clock, this._metrics)
     const budgets = new RetryBudgets(RETRY_BUDGETS)
     const models = new ModelRunner(placer, configuration, budgets, clock, random, this._metrics, this._logger)
     const services = new ServiceRunner(this._fleet, budgets, clock, random, this._metrics)
--- a/packages/daemon/src/serving/modelRunner.ts
+++ b/packages/daemon/src/serving/modelRunner.ts
@@ -77,7 +77,8 @@
         model,
         weightVersion: model.activeWeightVersion,
         adapter: target.adapter,
-        prompt: request.modelInput.prompt
+        prompt: request.modelInput.prompt,
+        recomputeWeight: request.workspace.recomputeWeight
       }
     })
   }
--- a/packages/experiments/src/demonstration/demonstration.ts
+++ b/packages/experiments/src/demonstration/demonstration.ts
@@ -4,10 +4,10 @@
 import { join } from 'node:path'
 import { randomUUID } from 'node:crypto'
 import { answerTokens } from '@wasabihead/standins'
-import { Caller, Fleet, HARROWGATE_TOKEN, type RunningInstance } from '../processes/index.js'
+import { Caller, Fleet, HARROWGATE_TOKEN, waitUntil, type RunningInstance } from '../processes/index.js'
 
 const ANSWER_TOKENS = 12
-const EVICTING_PROMPTS = 6
+const EVICTING_ROUNDS = 50
 const GAP_MILLISECONDS = 1_500
 
 /** What happened to one request. */
@@ -42,7 +42,7 @@
   yield await callOnce(caller, home)
   yield await lookUp(caller, home)
   yield await summarise(caller, home)
-  yield await returnAfterEviction(caller, home)
+  yield await returnAfterEviction(fleet, caller, home)
 }
 
 async function streamPolicy (caller: Caller, address: string, title: string, text: string): Promise<DemonstrationStep> {
@@ -71,17 +71,23 @@
   return { title: 'a policy summary is kept until it is whole', isWhole, detail: JSON.stringify(answer) }
 }
 
-async function returnAfterEviction (caller: Caller, address: string): Promise<DemonstrationStep> {
+async function returnAfterEviction (fleet: Fleet, caller: Caller, address: string): Promise<DemonstrationStep> {
+  const title = 'a prompt returns after eviction and is not computed again'
   const returning = prompt('grant rulebook')
+  const before = new Set(await fleet.engineBlocks())
   await caller.stream(address, 'policy-answer', returning, ANSWER_TOKENS)
-  for (let index = 0; index < EVICTING_PROMPTS; index++) {
-    await caller.stream(address, 'policy-answer', prompt(`other ${index}`), ANSWER_TOKENS)
+  const blocks = (await fleet.engineBlocks()).filter(block => !before.has(block))
+  await waitUntil(async () => (await fleet.storedBlocks(blocks)).length === blocks.length)
+  for (let round = 0; await fleet.holdsAny(blocks); round++) {
+    if (round === EVICTING_ROUNDS) return { title, isWhole: false, detail: 'the engines did not evict the blocks' }
+    await Promise.all(fleet.engines.map(async (_, index) =>
+      await caller.stream(address, 'policy-answer', prompt(`other ${round} ${index}`), ANSWER_TOKENS)))
   }
   // The gap lets the engines' late eviction events arrive, as they have long before a real caller returns.
   await new Promise(resolve => { setTimeout(resolve, GAP_MILLISECONDS) })
   const answer = await caller.stream(address, 'policy-answer', returning, ANSWER_TOKENS)
-  const isWhole = answer.isWhole && (answer.usage?.imported_blocks ?? 0) > 0
-  return { title: 'a prompt returns after eviction and is not computed again', isWhole, detail: JSON.stringify(answer.usage) }
+  const isWhole = answer.isWhole && blocks.length > 0 && answer.usage?.imported_blocks === blocks.length
+  return { title, isWhole, detail: JSON.stringify(answer.usage) }
 }
 
 function prompt (subject: string): string {
--- a/tests/promises/index.ts
+++ b/tests/promises/index.ts
@@ -1,6 +1,7 @@
 import { ConfigurationInForceProof } from './configurationInForce.js'
 import { MembershipProof } from './membership.js'
 import { AtMostOnceProof, DurableWholeProof, NotRunProof } from './claims/index.js'
+import { blockProofs } from './blocks/proofs.js'
 import { OrdersProof } from './orders.js'
 import type { Proof } from './proof.js'
 import { RoleLeaseProof } from './roleLease.js'
@@ -8,6 +9,7 @@
 
 /** Every proof, in the order of the users' list of what must always hold. */
 export const proofs: readonly Proof[] = [
+  ...blockProofs(),
   new WholeAnswerProof(),
   new DurableWholeProof(),
   new NotRunProof(),
