feat(orders): perform orders and leaving in the daemon, and prove leaving

The first choice among the live instances seeks the role's lease and orders what the configuration asks; two readers of the host list in each data centre tell the others which backend servers leave, and those get no new work. Found on the way: an engine that loads was taken to serve; the stand-in now refuses meanwhile.

--- a/packages/coordination/src/leases/heldLease.ts
+++ b/packages/coordination/src/leases/heldLease.ts
@@ -20,6 +20,11 @@
     this._heldUntil = Math.max(this._heldUntil, sentAt + this.timeToLive * (1 - SAFETY_SHARE))
   }
 
+  /** When the lease stops being surely held, on the local monotonic clock. */
+  get heldUntil (): Milliseconds {
+    return this._heldUntil
+  }
+
   /** The service said that the lease has lapsed, or it was given back. */
   lose (): void {
     this._heldUntil = -Infinity
--- a/packages/coordination/src/leases/roleLease.ts
+++ b/packages/coordination/src/leases/roleLease.ts
@@ -72,6 +72,11 @@
     return this._lease.isHeld(now) ? this._view?.record?.epoch : undefined
   }
 
+  /** Until when the role is surely held, on the local monotonic clock. */
+  get heldUntil (): Milliseconds {
+    return this._lease.heldUntil
+  }
+
   /** Takes one message; gives the call to make, if any. */
   handle (message: LeaseMessage, now: Milliseconds): LeaseEffect[] {
     switch (message.kind) {
--- a/packages/coordination/src/membership/index.ts
+++ b/packages/coordination/src/membership/index.ts
@@ -3,3 +3,4 @@
 export type {
   DigestPage, MemberDigest, MembershipEffect, MembershipMessage, PageAnswer
 } from './messages.js'
+export { NewsQueue } from './newsQueue.js'
--- a/packages/daemon/src/backends/backendFleet.ts
+++ b/packages/daemon/src/backends/backendFleet.ts
@@ -30,6 +30,8 @@
 /** Knows the backend servers, and refreshes the beliefs about them. */
 export class BackendFleet {
   readonly replicas = new ReplicaTable()
+  /** Whether a server is leaving and must be given no new work. */
+  isLeaving: (server: string) => boolean = () => false
   private _engines = new Map<string, EngineReplica>()
   private _services = new Map<string, ServiceReplica[]>()
   private _stores: StoreReplica[] = []
@@ -69,14 +71,15 @@
     return this._engines.get(name)
   }
 
-  /** The replicas of a plain service. */
+  /** The replicas of a plain service that may be given new work. */
   servicesOf (name: string): readonly ServiceReplica[] {
-    return this._services.get(name) ?? []
+    return (this._services.get(name) ?? []).filter(replica => !this.isLeaving(replica.name))
   }
 
-  /** Beliefs about the replicas that serve a model. */
+  /** Beliefs about the replicas that serve a model and may be given new work. */
   beliefsFor (model: string): ReplicaBelief[] {
-    return this.replicas.beliefs.filter(belief => this._engines.get(belief.name)?.configuration.model === model)
+    return this.replicas.beliefs.filter(belief =>
+      this._engines.get(belief.name)?.configuration.model === model && !this.isLeaving(belief.name))
   }
 
   /** Reads load and cache news of every engine. */
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -3,15 +3,18 @@
   CallBudget, FLEET_RATES, MemberTable, placementHash, RetryBudgets, SeededRandom,
   type Member, type Milliseconds
 } from '@wasabihead/coordination'
-import { BudgetedKeyValueService, CallAccount, EtcdKeyValueService } from '../adapters/index.js'
+import { BudgetedKeyValueService, CallAccount, EtcdKeyValueService, HttpHostList } from '../adapters/index.js'
 import { BackendFleet, BlockTransfers } from '../backends/index.js'
 import { CallerServer, RequestReader } from '../callers/index.js'
 import { ClaimCoordinator, ClaimDirectory, ClaimPeerClient, ClaimPeerRoutes, ClaimRoutes } from '../claims/index.js'
 import {
   ConfigurationKeeper, ConfigurationPeerClient, ConfigurationPeerRoutes, ConfigurationRoutes
 } from '../configuration/index.js'
+import { LeavingLoop, LeavingPeerClient, LeavingPeerRoutes, LeavingRoutes } from '../leaving/index.js'
+import { RoleLoop } from '../leases/index.js'
 import { MemberRoutes, MembershipLoop, MembershipPeerClient, MembershipPeerRoutes } from '../membership/index.js'
 import { DrainRoutes, OperatorServer, StatusRoutes } from '../operators/index.js'
+import { OrderRoutes, OrdersLoop } from '../orders/index.js'
 import { PeerConnections, PeerServer } from '../peers/index.js'
 import { ClaimedRunner, ModelRunner, PromptPlacer, RequestAdmission, RETRY_BUDGETS, ServiceRunner, waitFor } from '../serving/index.js'
 import type { Settings } from '../settings/index.js'
@@ -70,6 +73,8 @@
     await parts.membership.start()
     parts.claims.start()
     this._fleet.start()
+    parts.orders.start()
+    parts.leaving.start()
     this._logger.info('serving', { ...addresses })
     return addresses
   }
@@ -90,6 +95,8 @@
     await parts.callerServer.stop()
     await this._waitUntilIdle(parts)
     parts.claims.stop()
+    parts.orders.stop()
+    parts.leaving.stop()
     parts.membership.stop()
     parts.configuration.stop()
     this._fleet.stop()
@@ -124,10 +131,17 @@
       logger: this._logger,
       inForce: stored => {
         this._fleet.configure(stored.document)
+        orders.configure(stored.document)
         members.updateSelf({ configurationRevision: stored.revision }, clock.monotonic())
         this._parts?.membership.announce()
       }
     })
+    const role = new RoleLoop(
+      settings.environment, 'orders', new BudgetedKeyValueService(service, calls, 'configuration'), members, clock)
+    const orders = new OrdersLoop(role, this._fleet, clock, this._logger)
+    const leavingPeers = new LeavingPeerClient(this._connections, settings.environment)
+    const leaving = new LeavingLoop(new HttpHostList(settings.hostListAddress), members, leavingPeers, clock, random)
+    this._fleet.isLeaving = server => leaving.isLeaving(server)
     const claimStore = new BudgetedKeyValueService(service, calls, 'claims')
     const claims = new ClaimCoordinator(
       settings.environment, claimStore, members, new ClaimPeerClient(this._connections), clock, this._logger)
@@ -153,6 +167,8 @@
       claims,
       claimed,
       membership,
+      orders,
+      leaving,
       callerServer: new CallerServer({
         reader,
         models,
@@ -168,6 +184,8 @@
         new ConfigurationRoutes(configuration, members),
         new MemberRoutes(members),
         new ClaimRoutes(claims, new ClaimDirectory(settings.environment, claimStore)),
+        new OrderRoutes(orders),
+        new LeavingRoutes(leaving),
         new MetricsRoutes(this._metrics),
         new StatusRoutes({
           environment: settings.environment,
@@ -181,7 +199,8 @@
       peerServer: new PeerServer([
         new MembershipPeerRoutes(settings.environment, membership),
         new ConfigurationPeerRoutes(configuration),
-        new ClaimPeerRoutes(claims)
+        new ClaimPeerRoutes(claims),
+        new LeavingPeerRoutes(settings.environment, leaving)
       ])
     }
   }
@@ -206,6 +225,8 @@
   claims: ClaimCoordinator
   claimed: ClaimedRunner
   membership: MembershipLoop
+  orders: OrdersLoop
+  leaving: LeavingLoop
   callerServer: CallerServer
   operatorServer: OperatorServer
   peerServer: PeerServer
--- /dev/null
+++ b/packages/daemon/src/leases/index.ts
@@ -0,0 +1,1 @@
+export { RoleLoop } from './roleLoop.js'
--- /dev/null
+++ b/packages/daemon/src/orders/index.ts
@@ -0,0 +1,2 @@
+export { OrderRoutes } from './orderRoutes.js'
+export { OrdersLoop } from './ordersLoop.js'
--- a/packages/standins/src/modelEngine/modelEngineStandIn.ts
+++ b/packages/standins/src/modelEngine/modelEngineStandIn.ts
@@ -53,6 +53,7 @@
   private _isRestarting = false
   private _isLoading = false
   private _crashes = 0
+  private _completions = 0
   private _order: Order
 
   constructor (private readonly _settings: ModelEngineSettings) {
@@ -78,7 +79,7 @@
     this.router.post('/cache/import', async context => { await this._import(context) })
     this.router.post('/order', context => { this._takeOrder(context) })
     this.router.get('/state', context => { context.body = this._state() })
-    this.router.get('/standin/counts', context => { context.body = { crashes: this._crashes } })
+    this.router.get('/standin/counts', context => { context.body = { crashes: this._crashes, completions: this._completions } })
   }
 
   private _complete (context: Context): void {
@@ -86,6 +87,8 @@
     if (request.model !== this._order.model || request.weight_version !== this._order.weight_version) {
       return context.throw(409, 'this model or weight version is not loaded')
     }
+    if (this._isLoading) return context.throw(503, 'loading weights')
+    this._completions += 1
     if (request.prompt.includes(CRASH_MARKER)) return this._crash()
     const stream = new PassThrough()
     context.type = 'text/event-stream'
--- a/tests/promises/index.ts
+++ b/tests/promises/index.ts
@@ -2,6 +2,7 @@
 import { MembershipProof } from './membership.js'
 import { AtMostOnceProof, DurableWholeProof, NotRunProof } from './claims/index.js'
 import { blockProofs } from './blocks/proofs.js'
+import { LeavingProof } from './leaving.js'
 import { OrdersProof } from './orders.js'
 import type { Proof } from './proof.js'
 import { RoleLeaseProof } from './roleLease.js'
@@ -14,6 +15,7 @@
   new DurableWholeProof(),
   new NotRunProof(),
   new AtMostOnceProof(),
+  new LeavingProof(),
   new OrdersProof(),
   new ConfigurationInForceProof(),
   new MembershipProof(),
--- /dev/null
+++ b/tests/promises/leaving.spec.ts
@@ -0,0 +1,55 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { LeavingSpread, type LeavingEffect, type LeavingMessage } from '@wasabihead/coordination'
+import { checkLeaving, LeavingProof } from './leaving.js'
+
+const RUNS = 6
+const FORGOTTEN_AFTER = 10_000
+
+test('should find new work at a server long after its leaving was shown', () => {
+  const shown = { kind: 'shown', at: 0, server: 'engine-0' } as const
+  const work = { kind: 'work', server: 'engine-0', instance: 'entry-0' } as const
+  assert.is(checkLeaving([shown, { ...work, at: 5_000 }]).length, 0)
+  assert.is(checkLeaving([shown, { ...work, at: 5_001 }]).length, 1)
+  assert.is(checkLeaving([shown, { kind: 'back', at: 1, server: 'engine-0' }, { ...work, at: 9_000 }]).length, 0)
+})
+
+/** Reads the list and passes nothing on. */
+class SilentSpread extends LeavingSpread {
+  override handle (message: LeavingMessage, now: number): LeavingEffect[] {
+    return super.handle(message, now).filter(effect => effect.kind !== 'tell')
+  }
+}
+
+/** Forgets a word that it was told soon after, before the list that it came from is any younger. */
+class ForgetfulSpread extends LeavingSpread {
+  private readonly _toldAt = new Map<string, number>()
+
+  override handle (message: LeavingMessage, now: number): LeavingEffect[] {
+    for (const server of message.kind === 'heard' ? message.servers : []) this._toldAt.set(server, now)
+    return super.handle(message, now)
+  }
+
+  override isLeaving (server: string, now: number): boolean {
+    return super.isLeaving(server, now) && now - (this._toldAt.get(server) ?? now) < FORGOTTEN_AFTER
+  }
+}
+
+const broken = [
+  { title: 'passes nothing on', make: (random: ConstructorParameters<typeof LeavingSpread>[0]) => new SilentSpread(random) },
+  { title: 'forgets what it heard', make: (random: ConstructorParameters<typeof LeavingSpread>[0]) => new ForgetfulSpread(random) }
+]
+for (const { title, make } of broken) {
+  test(`should fail for a spread that ${title}`, () => {
+    const runs = Array.from({ length: RUNS }, (_, index) => new LeavingProof(make).run(index + 1))
+    assert.ok(runs.some(run => run.violations.length > 0))
+  })
+}
+
+test('should hold over seeded runs that lost words and killed instances', () => {
+  const runs = Array.from({ length: RUNS }, (_, index) => new LeavingProof().run(index + 1))
+  assert.equal(runs.flatMap(run => run.violations), [])
+  for (const count of ['leaving', 'lost', 'killed', 'work']) assert.ok(runs.every(run => (run.counts[count] ?? 0) > 0), count)
+})
+
+test.run()
--- /dev/null
+++ b/tests/promises/leaving.ts
@@ -0,0 +1,175 @@
+/**
+ * Proof: a backend server that is leaving receives no new work after a few seconds, though the platform's list lags and
+ * shows its readers different ages, words are lost, and readers die.
+ */
+import {
+  LEAVING_TICK_INTERVAL, LeavingSpread, SeededRandom, type LeavingEffect, type ListedHost, type Member
+} from '@wasabihead/coordination'
+import { VirtualTime } from '@wasabihead/experiments'
+import { Proof, type ProofRun, type Violation } from './proof.js'
+
+const INSTANCES = 40
+const DATA_CENTRES = 4
+const SERVERS = 20
+const RUN_END = 120_000
+const LAST_CHANGE = 90_000
+const LOSS = 0.3
+const LONGEST_LAG = 3_000
+/** The users' "few seconds", counted from when the list first shows the leaving to anyone. */
+const ALLOWED = 5_000
+
+/** One event of a run. */
+export type LeavingEvent =
+  | { kind: 'shown', at: number, server: string }
+  | { kind: 'back', at: number, server: string }
+  | { kind: 'work', at: number, server: string, instance: string }
+
+/** Judges a history; knows only the promise. */
+export function checkLeaving (history: readonly LeavingEvent[]): Violation[] {
+  const shownAt = new Map<string, number>()
+  return history.flatMap((event): Violation[] => {
+    if (event.kind === 'shown') shownAt.set(event.server, event.at)
+    if (event.kind === 'back') shownAt.delete(event.server)
+    const shown = shownAt.get(event.server)
+    if (event.kind !== 'work' || shown === undefined || event.at - shown <= ALLOWED) return []
+    return [{ problem: `new work ${event.at - shown} ms after the leaving was shown`, evidence: [JSON.stringify(event)] }]
+  })
+}
+
+/** What is proved of an instance's decisions; broken variants are made in the spec. */
+export type SpreadMaker = (random: SeededRandom) => Pick<LeavingSpread, 'handle' | 'isLeaving'>
+
+interface SimulatedInstance {
+  member: Member
+  spread: ReturnType<SpreadMaker>
+  /** The age of the list that this instance is shown. */
+  lag: number
+  isDead: boolean
+}
+
+class LeavingWorld {
+  readonly history: LeavingEvent[] = []
+  readonly counts = { work: 0, leaving: 0, told: 0, lost: 0, killed: 0 }
+  private readonly _time = new VirtualTime()
+  private readonly _random: SeededRandom
+  private readonly _instances: SimulatedInstance[]
+  private readonly _changes: Array<{ at: number, server: string, state: ListedHost['state'] }> = []
+
+  constructor (seed: number, makeSpread: SpreadMaker) {
+    this._random = new SeededRandom(seed)
+    this._instances = Array.from({ length: INSTANCES }, (_, index) => ({
+      member: memberOf(index),
+      spread: makeSpread(new SeededRandom(seed * 1_000 + index)),
+      lag: this._random.next() * LONGEST_LAG,
+      isDead: false
+    }))
+  }
+
+  run (): void {
+    this._every(LEAVING_TICK_INTERVAL, () => { this._tickAll() })
+    this._every(15_000, () => { this._changeList() })
+    this._every(25_000, () => { this._killOne() })
+    this._every(250, () => { this._dispatch() })
+    this._time.runUntil(RUN_END)
+  }
+
+  private _every (interval: number, perform: () => void): void {
+    this._time.after(interval, () => {
+      perform()
+      this._every(interval, perform)
+    })
+  }
+
+  private _live (): SimulatedInstance[] {
+    return this._instances.filter(instance => !instance.isDead)
+  }
+
+  private _tickAll (): void {
+    const live = this._live()
+    const members = live.map(({ member }) => member)
+    for (const instance of live) this._tell(instance, { kind: 'tick', self: instance.member, live: members })
+  }
+
+  private _tell (instance: SimulatedInstance, message: Parameters<LeavingSpread['handle']>[0]): void {
+    if (instance.isDead) return
+    for (const effect of instance.spread.handle(message, this._time.now)) this._perform(instance, effect)
+  }
+
+  private _perform (instance: SimulatedInstance, effect: LeavingEffect): void {
+    if (effect.kind === 'read-list') return this._tell(instance, { kind: 'listed', hosts: this._listFor(instance) })
+    this.counts.told += 1
+    if (this._random.next() < LOSS) {
+      this.counts.lost += 1
+      return
+    }
+    const target = this._instances.find(({ member }) => member.host === effect.target.host) as SimulatedInstance
+    this._time.after(this._random.next() * 100, () => { this._tell(target, { kind: 'heard', servers: effect.servers }) })
+  }
+
+  private _listFor (instance: SimulatedInstance): ListedHost[] {
+    const seen = this._time.now - instance.lag
+    return Array.from({ length: SERVERS }, (_, index) => {
+      const name = `engine-${index}`
+      const last = this._changes.filter(change => change.server === name && change.at <= seen).at(-1)
+      return { name, address: `http://${name}`, state: last?.state ?? 'live' }
+    })
+  }
+
+  private _changeList (): void {
+    if (this._time.now > LAST_CHANGE) return
+    const server = `engine-${this._random.integer(SERVERS)}`
+    const isLeaving = this._changes.filter(change => change.server === server).at(-1)?.state === 'leaving'
+    this._changes.push({ at: this._time.now, server, state: isLeaving ? 'live' : 'leaving' })
+    if (isLeaving) {
+      this.history.push({ kind: 'back', at: this._time.now, server })
+      return
+    }
+    this.counts.leaving += 1
+    this._time.after(LONGEST_LAG, () => { this.history.push({ kind: 'shown', at: this._time.now, server }) })
+  }
+
+  private _killOne (): void {
+    this.counts.killed += 1
+    this._random.pick(this._live()).isDead = true
+  }
+
+  private _dispatch (): void {
+    for (const instance of this._live()) {
+      const server = `engine-${this._random.integer(SERVERS)}`
+      if (instance.spread.isLeaving(server, this._time.now)) continue
+      this.counts.work += 1
+      this.history.push({ kind: 'work', at: this._time.now, server, instance: instance.member.host })
+    }
+  }
+}
+
+function memberOf (index: number): Member {
+  const host = `entry-${index}`
+  return {
+    host,
+    incarnation: 1,
+    version: 1,
+    dataCentre: `data-centre-${index % DATA_CENTRES}`,
+    peerAddress: `http://${host}`,
+    callerAddress: `http://${host}`,
+    state: 'alive',
+    configurationRevision: 1
+  }
+}
+
+/** The proof. */
+export class LeavingProof extends Proof {
+  override readonly name = 'leaving'
+  override readonly promise = 'A backend server that is leaving receives no new work after a few seconds'
+  override readonly failures = ['a list that lags by up to 3 s, differently for each reader', '30% of words lost', 'instances killed']
+
+  constructor (private readonly _makeSpread: SpreadMaker = random => new LeavingSpread(random)) {
+    super()
+  }
+
+  override run (seed: number): ProofRun {
+    const world = new LeavingWorld(seed, this._makeSpread)
+    world.run()
+    return { counts: world.counts, violations: checkLeaving(world.history) }
+  }
+}
