--- a/packages/experiments/src/capacity/index.ts
+++ b/packages/experiments/src/capacity/index.ts
@@ -1,10 +1,14 @@
+import { AdmissionRole } from './admissionRole.js'
 import type { CapacityRole } from './capacityRole.js'
+import { MembershipRole } from './membershipRole.js'
 import { OrdersRole } from './ordersRole.js'
 import { PeerCallRole } from './peerCallRole.js'
 
 /** Every role that is measured. */
 export const capacityRoles: readonly CapacityRole[] = [
   new PeerCallRole(),
+  new MembershipRole(),
+  new AdmissionRole(),
   new OrdersRole()
 ]
 
