feat(homes): keep the placements of a prompt on its home

Cause: an instance sees another's placement only once the replica's cache events tell of it, which lag. Ways: spreading cache events to all hosts grows with replicas times hosts; one home for each prompt divides the state.

--- /dev/null
+++ b/packages/coordination/src/homes/index.ts
@@ -0,0 +1,3 @@
+export { withHint } from './hintedBelief.js'
+export { HomeDirectory, shortBlockKeys, type PromptPlacement, type ReplicaHint } from './homeDirectory.js'
+export { affinityOf, homeOf, type HomedPrompt } from './homeOf.js'
