--- a/packages/experiments/src/capacity/index.ts
+++ b/packages/experiments/src/capacity/index.ts
@@ -1,5 +1,6 @@
 import { AdmissionRole } from './admissionRole.js'
 import type { CapacityRole } from './capacityRole.js'
+import { HomeRole } from './homeRole.js'
 import { MembershipRole } from './membershipRole.js'
 import { OrdersRole } from './ordersRole.js'
 import { PeerCallRole } from './peerCallRole.js'
@@ -9,6 +10,7 @@
   new PeerCallRole(),
   new MembershipRole(),
   new AdmissionRole(),
+  new HomeRole(),
   new OrdersRole()
 ]
 
