feat(claims): keep large answers in chunks beside the log

Cause: an answer above 128 KB went to the waiting caller only; its key then said 410 answer-not-kept, which breaks the promise that accepted durable work gets its whole answer. Answers of up to 128 KB also stood in the head, which every group commit writes again. Change: an answer above 16 KB (16,384 UTF-16 units) is written in chunks, created if absent under a name of attempt and digest, before the record that names them; it is read back and checked by its digest, and removed after the head that forgets its claim. The chunks of an attempt that came second are removed only once another answer is recorded for good: until then a late copy of its report could still name them. Above 32 chunks of 196,608 units the answer is not kept, as said to the caller. Ruled out: removing chunks on any refused report (the variant in the spec loses answers), and one chunk name for each attempt (an attempt granted again after a release may give another answer). The checker is stricter: it counts the parts of an answer and calls an answer that is not kept within its time a breach.

--- a/packages/coordination/src/claims/claimDecisions.ts
+++ b/packages/coordination/src/claims/claimDecisions.ts
@@ -52,6 +52,7 @@
 }
 
 function replyOfDone (known: Claim): ClaimReply {
+  if (known.storedAnswer !== undefined) return { kind: 'done-stored', storedAnswer: known.storedAnswer }
   return known.answer === undefined ? { kind: 'answer-not-kept' } : { kind: 'done', answer: known.answer }
 }
 
@@ -95,6 +96,7 @@
     ...kept,
     ...(isRequestNeeded ? { request } : {}),
     state: report.state,
-    ...(report.answer === undefined ? {} : { answer: report.answer })
+    ...(report.answer === undefined ? {} : { answer: report.answer }),
+    ...(report.storedAnswer === undefined ? {} : { storedAnswer: report.storedAnswer })
   }
 }
--- a/packages/coordination/src/claims/claimPlacement.ts
+++ b/packages/coordination/src/claims/claimPlacement.ts
@@ -19,6 +19,11 @@
   return `wasabihead/${environment}/claims/${shard}/head`
 }
 
+/** The key of one chunk of a stored answer, under the environment's prefix. */
+export function answerChunkKey (environment: string, shard: number, name: string, index: number): string {
+  return `wasabihead/${environment}/claims/${shard}/answers/${name}/${index}`
+}
+
 /** The key of a closed segment, under the environment's prefix. */
 export function segmentKey (environment: string, shard: number, name: string): string {
   return `wasabihead/${environment}/claims/${shard}/segments/${name}`
--- a/packages/coordination/src/claims/claimShard.spec.ts
+++ b/packages/coordination/src/claims/claimShard.spec.ts
@@ -145,6 +145,30 @@
   assert.equal(refused.map(effect => effect.kind === 'reply' && effect.reply.kind), ['unavailable'])
 })
 
+test('should remove a stored answer only after the head that forgets its claim was won', () => {
+  const forget = CLAIM_LIMITS.retentionWindow + CLAIM_LIMITS.windowMargin + 10
+  const storedAnswer = { name: 'answer-1', status: 200, digest: 'digest', chunkCount: 2 }
+  const shard = new ClaimShard({ host: 'entry-0', incarnation: 1 }, { ...CLAIM_LIMITS, closeAtBytes: 1 })
+  shard.handle({ kind: 'take-over' }, 0)
+  shard.handle({ kind: 'head-read', head: undefined, revision: 0 }, 0)
+  shard.handle({ kind: 'head-written', revision: 1 }, 0)
+  let now = 0
+  const settle = (key: string, wall: number, answer: Partial<ClaimReport>): ClaimEffect[] => {
+    shard.handle({ kind: 'tick', wall, live }, (now += 1_000))
+    shard.handle({ kind: 'claim', callId: 1, request: { ...request, idempotencyKey: key, recordedAt: wall } }, (now += 1_000))
+    shard.handle({ kind: 'head-written', revision: 2 }, (now += 1_000))
+    shard.handle({ kind: 'report', callId: 2, report: { ...report, idempotencyKey: key, ...answer } }, (now += 1_000))
+    const closing = shard.handle({ kind: 'head-written', revision: 3 }, (now += 1_000))
+    const write = closing.find(effect => effect.kind === 'write-segment')
+    if (write?.kind !== 'write-segment') throw new Error('no segment was written')
+    assert.equal(shard.handle({ kind: 'segment-written', name: write.name }, (now += 1_000)).map(({ kind }) => kind), ['write-head'])
+    return shard.handle({ kind: 'head-written', revision: 4 }, (now += 1_000))
+  }
+  assert.equal(settle('key-1', 1, { storedAnswer }).filter(({ kind }) => kind === 'remove-answer'), [])
+  const removed = settle('key-2', forget, {}).filter(({ kind }) => kind === 'remove-answer')
+  assert.equal(removed, [{ kind: 'remove-answer', storedAnswer }])
+})
+
 const DAY = 86_400_000
 const keys = [
   { title: 'a key older than the window', key: keyOf(DAY), reply: 'expired' },
--- a/packages/coordination/src/claims/claimShard.ts
+++ b/packages/coordination/src/claims/claimShard.ts
@@ -213,8 +213,10 @@
     const plan = this._closing
     if (plan?.segment.name.name !== name) return []
     this._closing = undefined
-    const afterwards = plan.dropped.map((dropped): ClaimEffect => ({ kind: 'remove-segment', name: dropped }))
-    this._pacer.take(now, plan.dropped.length)
+    const segments = plan.dropped.map((dropped): ClaimEffect => ({ kind: 'remove-segment', name: dropped }))
+    const answers = plan.droppedAnswers.map((storedAnswer): ClaimEffect => ({ kind: 'remove-answer', storedAnswer }))
+    const afterwards = [...segments, ...answers]
+    this._pacer.take(now, segments.length + plan.droppedAnswers.reduce((sum, { chunkCount }) => sum + chunkCount, 0))
     return this._write({ open: plan.open, segments: plan.segments, plan, afterwards }, now)
   }
 
--- a/packages/coordination/src/claims/claimStore.ts
+++ b/packages/coordination/src/claims/claimStore.ts
@@ -2,7 +2,7 @@
 import { contentDigest, type Milliseconds } from '../common/index.js'
 import { claimId } from './claimDecisions.js'
 import type { ClaimLimits } from './claimLimits.js'
-import type { Claim, SegmentName, ShardHead } from './messages.js'
+import type { Claim, SegmentName, ShardHead, StoredAnswer } from './messages.js'
 import { isForgettable } from './retention.js'
 
 /** A closed segment with its records. */
@@ -20,6 +20,8 @@
   segments: ClosedSegment[]
   /** Names that the next head no longer holds. */
   dropped: string[]
+  /** Answers in chunks that no record names any more. */
+  droppedAnswers: StoredAnswer[]
 }
 
 /** Holds the records of one shard. */
@@ -101,6 +103,7 @@
     const carried = expired === undefined ? [] : this._keptOf(expired, true, wall)
     const claims = [...carried, ...merged, ...settled]
     const text = JSON.stringify(claims)
+    const droppedSegments = [...merging, ...(expired === undefined ? [] : [expired])]
     const closed: ClosedSegment = {
       name: { name, digest: contentDigest(text), count: claims.length, sizeBytes: text.length, closedAt: wall }, claims
     }
@@ -109,7 +112,8 @@
       text,
       open: this.open.filter(claim => claim.state === 'claimed'),
       segments: [...rest.filter(segment => segment !== expired), closed],
-      dropped: [...merging, ...(expired === undefined ? [] : [expired])].map(segment => segment.name.name)
+      dropped: droppedSegments.map(segment => segment.name.name),
+      droppedAnswers: this._forgottenAnswers(droppedSegments, new Set(claims))
     }
   }
 
@@ -140,6 +144,14 @@
     })
   }
 
+  private _forgottenAnswers (dropped: readonly ClosedSegment[], kept: ReadonlySet<Claim>): StoredAnswer[] {
+    const forgotten = dropped.flatMap(({ claims }) => claims).filter(claim => {
+      const id = claimId(claim)
+      return !kept.has(claim) && !this._open.has(id) && this._closed.get(id) === claim
+    })
+    return forgotten.flatMap(({ storedAnswer }) => storedAnswer ?? [])
+  }
+
   /** The oldest segment, if it is past the window and what it must hand on is small enough. */
   private _expiredOf (segments: readonly ClosedSegment[], wall: Milliseconds): ClosedSegment | undefined {
     const oldest = segments[0]
--- a/packages/coordination/src/claims/claimedAttempt.ts
+++ b/packages/coordination/src/claims/claimedAttempt.ts
@@ -3,10 +3,8 @@
  * It sends only in the same turn in which a grant arrives or a delay ends, after its deadline was checked.
  */
 import type { Milliseconds } from '../common/index.js'
-import type { ClaimReply, ClaimReport, ClaimRequest, KeptAnswer } from './messages.js'
-
-/** An answer above this size goes to the caller who waits and is not kept. */
-export const KEPT_ANSWER_MAXIMUM_BYTES = 131_072
+import type { ClaimReply, ClaimReport, ClaimRequest, KeptAnswer, StoredAnswer } from './messages.js'
+import { ANSWER_LIMITS, describeAnswer, divideAnswer, type AnswerLimits } from './storedAnswer.js'
 
 const FIRST_DELAY: Milliseconds = 500
 const LONGEST_DELAY: Milliseconds = 10_000
@@ -18,7 +16,7 @@
 /** Why an attempt gave its caller no answer. */
 export type AttemptRefusal =
   | 'deadline-exceeded' | 'not-recorded' | 'not-sent' | 'overloaded' | 'in-progress' | 'conflict' | 'expired'
-  | 'outcome-unknown' | 'answer-not-kept'
+  | 'outcome-unknown' | 'answer-not-kept' | 'answer-unreadable'
 
 /** What the caller is told. */
 export type AttemptOutcome =
@@ -33,7 +31,12 @@
   | { kind: 'claim-replied', reply: ClaimReply }
   | { kind: 'call-ended', end: CallEnd }
   | { kind: 'report-replied', reply: ClaimReply }
-  /** The delay of `send-after` or `report-after` is over. */
+  /** Whether every chunk is written. */
+  | { kind: 'answer-stored', isWhole: boolean }
+  /** The whole answer, or `undefined` where it is no longer kept. */
+  | { kind: 'answer-read', answer: KeptAnswer | undefined }
+  | { kind: 'answer-read-failed' }
+  /** The delay of `send-after`, `store-after` or `report-after` is over. */
   | { kind: 'delay-over' }
   /** The deadline has come; the caller who waits is answered at once. */
   | { kind: 'deadline-reached' }
@@ -43,6 +46,12 @@
   | { kind: 'claim', request: ClaimRequest }
   | { kind: 'send' }
   | { kind: 'send-after', delay: Milliseconds }
+  /** Create each chunk if absent. A chunk that exists already has the same text, since the name holds the digest. */
+  | { kind: 'store-answer', storedAnswer: StoredAnswer, chunks: readonly string[] }
+  | { kind: 'store-after', delay: Milliseconds }
+  | { kind: 'read-answer', storedAnswer: StoredAnswer }
+  /** No record names the chunks, and none ever will. */
+  | { kind: 'remove-answer', storedAnswer: StoredAnswer }
   | { kind: 'report', report: ClaimReport }
   | { kind: 'report-after', delay: Milliseconds }
   | { kind: 'answer', outcome: AttemptOutcome }
@@ -58,16 +67,23 @@
 
 /** Decides for one attempt. */
 export class ClaimedAttempt {
-  private _phase: 'new' | 'claiming' | 'sending' | 'waiting-to-send' | 'reporting' | 'ended' = 'new'
+  private _phase: 'new' | 'claiming' | 'sending' | 'waiting-to-send' | 'storing' | 'reporting' | 'reading' | 'ended' = 'new'
   private _isAnswered = false
   private _report: ClaimReport | undefined
+  private _ownAnswer: KeptAnswer | undefined
+  private _stored: { storedAnswer: StoredAnswer, chunks: readonly string[] } | undefined
   private _delay: Milliseconds = FIRST_DELAY
 
   /**
    * @param _request the claim to ask for, with the attempt's own token
    * @param _rules what the attempt may do
+   * @param _limits sizes of kept answers
    */
-  constructor (private readonly _request: ClaimRequest, private readonly _rules: AttemptRules) {}
+  constructor (
+    private readonly _request: ClaimRequest,
+    private readonly _rules: AttemptRules,
+    private readonly _limits: AnswerLimits = ANSWER_LIMITS
+  ) {}
 
   /** Whether nothing is left to do. */
   get isEnded (): boolean {
@@ -82,6 +98,10 @@
       case 'claim-replied': return this._phase === 'claiming' ? this._onClaimReply(message.reply, now) : []
       case 'call-ended': return this._phase === 'sending' ? this._onCallEnd(message.end, now) : []
       case 'report-replied': return this._phase === 'reporting' ? this._onReportReply(message.reply) : []
+      case 'answer-stored': return this._phase === 'storing' ? this._onAnswerStored(message.isWhole) : []
+      case 'answer-read': return this._phase === 'reading' ? this._onAnswerRead(message.answer) : []
+      case 'answer-read-failed':
+        return this._phase === 'reading' ? this._finish('answer-unreadable', false, RETRY_AFTER) : []
       case 'delay-over': return this._onDelayOver(now)
       case 'deadline-reached': return this._onDeadline()
     }
@@ -100,7 +120,8 @@
   private _onClaimReply (reply: ClaimReply, now: Milliseconds): AttemptEffect[] {
     switch (reply.kind) {
       case 'granted': return this._send(now)
-      case 'done': return [...this._answer({ kind: 'answered', answer: reply.answer }), ...this._end()]
+      case 'done': return [...this._removeUnused(), ...this._answer({ kind: 'answered', answer: reply.answer }), ...this._end()]
+      case 'done-stored': return this._read(reply.storedAnswer)
       case 'in-progress': return this._finish('in-progress', 'unknown', RETRY_AFTER)
       case 'unknown': return this._finish('outcome-unknown', 'unknown')
       case 'expired': return this._finish('expired', 'unknown')
@@ -129,10 +150,45 @@
 
   /** A durable answer goes out only once it is recorded: the first one recorded is what everyone gets. */
   private _onAnswer (answer: KeptAnswer): AttemptEffect[] {
-    const isKept = answer.body.length <= KEPT_ANSWER_MAXIMUM_BYTES
-    const effects = this._sendReport({ state: 'done', ...(isKept ? { answer } : {}) })
-    if (this._isDurable && isKept) return effects
-    return [...this._answer({ kind: 'answered', answer }), ...effects]
+    this._ownAnswer = answer
+    const { recordMaximumLength, chunkLength, maximumChunks } = this._limits
+    if (answer.body.length <= recordMaximumLength) {
+      return [...this._answerUnlessDurable(answer), ...this._sendReport({ state: 'done', answer })]
+    }
+    const chunks = divideAnswer(answer.body, chunkLength)
+    if (chunks.length > maximumChunks) {
+      return [...this._answer({ kind: 'answered', answer }), ...this._sendReport({ state: 'done' })]
+    }
+    this._stored = { storedAnswer: describeAnswer(this._request.attemptToken, answer, chunks), chunks }
+    this._phase = 'storing'
+    this._delay = FIRST_DELAY
+    return [...this._answerUnlessDurable(answer), { kind: 'store-answer', ...this._stored }]
+  }
+
+  private _answerUnlessDurable (answer: KeptAnswer): AttemptEffect[] {
+    return this._isDurable ? [] : this._answer({ kind: 'answered', answer })
+  }
+
+  /** The record may name the chunks only once all of them are there. */
+  private _onAnswerStored (isWhole: boolean): AttemptEffect[] {
+    if (!isWhole || this._stored === undefined) return [{ kind: 'store-after', delay: this._nextDelay() }]
+    return this._sendReport({ state: 'done', storedAnswer: this._stored.storedAnswer })
+  }
+
+  private _read (storedAnswer: StoredAnswer): AttemptEffect[] {
+    const unused = storedAnswer.name === this._stored?.storedAnswer.name ? [] : this._removeUnused()
+    this._phase = 'reading'
+    return [...unused, { kind: 'read-answer', storedAnswer }]
+  }
+
+  private _onAnswerRead (answer: KeptAnswer | undefined): AttemptEffect[] {
+    if (answer === undefined) return this._finish('answer-not-kept', false)
+    return [...this._answer({ kind: 'answered', answer }), ...this._end()]
+  }
+
+  /** Another answer is recorded for good, so no late copy of this attempt's report can still name its chunks. */
+  private _removeUnused (): AttemptEffect[] {
+    return this._stored === undefined ? [] : [{ kind: 'remove-answer', storedAnswer: this._stored.storedAnswer }]
   }
 
   private _waitToSend (): AttemptEffect[] {
@@ -150,7 +206,7 @@
     return [...refusal, ...this._sendReport({ state: 'released', abandoned: this._request })]
   }
 
-  private _sendReport (outcome: Pick<ClaimReport, 'state' | 'answer' | 'abandoned'>): AttemptEffect[] {
+  private _sendReport (outcome: Pick<ClaimReport, 'state' | 'answer' | 'storedAnswer' | 'abandoned'>): AttemptEffect[] {
     const { workspace, idempotencyKey, attemptToken } = this._request
     this._phase = 'reporting'
     this._delay = FIRST_DELAY
@@ -169,12 +225,13 @@
   }
 
   private _onRecorded (): AttemptEffect[] {
-    const answer = this._report?.answer
+    const answer = this._report?.state === 'done' ? this._ownAnswer : undefined
     return [...(answer === undefined ? [] : this._answer({ kind: 'answered', answer })), ...this._end()]
   }
 
   private _onDelayOver (now: Milliseconds): AttemptEffect[] {
     if (this._phase === 'reporting' && this._report !== undefined) return [{ kind: 'report', report: this._report }]
+    if (this._phase === 'storing' && this._stored !== undefined) return [{ kind: 'store-answer', ...this._stored }]
     if (this._phase !== 'waiting-to-send') return []
     if (this._isDurable || now < this._rules.deadline) return this._send(now)
     return this._reportUnknown()
@@ -185,7 +242,9 @@
       case 'claiming': return this._isDurable && this._report !== undefined ? [] : this._release('deadline-exceeded')
       case 'sending':
       case 'waiting-to-send':
+      case 'storing':
       case 'reporting': return this._refuse(this._isDurable ? 'in-progress' : 'outcome-unknown', 'unknown', RETRY_AFTER)
+      case 'reading': return this._refuse('answer-unreadable', false, RETRY_AFTER)
       default: return []
     }
   }
--- a/packages/coordination/src/claims/messages.ts
+++ b/packages/coordination/src/claims/messages.ts
@@ -10,6 +10,17 @@
 /** A kept answer, whole. */
 export type KeptAnswer = z.infer<typeof keptAnswerSchema>
 
+/** An answer kept in chunks beside the log. */
+export const storedAnswerSchema = z.strictObject({
+  /** Names the chunks; it never comes again with other contents. */
+  name: z.string().min(1),
+  status: z.number().int(),
+  digest: z.string(),
+  chunkCount: z.number().int().positive()
+})
+/** An answer kept in chunks beside the log. */
+export type StoredAnswer = z.infer<typeof storedAnswerSchema>
+
 /** One claim as recorded in the log. */
 export const claimSchema = z.strictObject({
   workspace: z.string(),
@@ -29,6 +40,8 @@
   request: z.string().optional(),
   /** Absent for a claim that is done where the answer was too large to keep, or an operator resolved it without one. */
   answer: keptAnswerSchema.optional(),
+  /** In place of `answer` where the answer is large. */
+  storedAnswer: storedAnswerSchema.optional(),
   /** Wall-clock time after which the attempt no longer sends; an operator waits for it before `not-run`. */
   deadlineAt: z.number().optional(),
   /** Rises each time durable work is handed to another instance. */
@@ -93,6 +106,8 @@
   /** `released` only if the attempt was never sent and never will be. */
   state: 'released' | 'done' | 'unknown'
   answer?: KeptAnswer
+  /** In place of `answer` where the answer is large; its chunks are written already. */
+  storedAnswer?: StoredAnswer
   /** With `released`: the request of an attempt that may never have been recorded, or may be recorded only later. */
   abandoned?: ClaimRequest
 }
@@ -111,6 +126,8 @@
   | { kind: 'granted' }
   | { kind: 'recorded' }
   | { kind: 'done', answer: KeptAnswer }
+  /** The answer is kept in chunks, which the caller of the log reads. */
+  | { kind: 'done-stored', storedAnswer: StoredAnswer }
   | { kind: 'in-progress', executor: InstanceIdentity }
   | { kind: 'unknown' }
   /** The key is older than the retention window, so whether it ran is no longer known; it is never run. */
@@ -166,6 +183,8 @@
   | { kind: 'write-segment', name: string, text: string }
   /** No head names the segment any more. A removal that fails leaves an unused key behind and nothing worse. */
   | { kind: 'remove-segment', name: string }
+  /** The record that named the answer is forgotten. A removal that fails leaves unused keys behind and nothing worse. */
+  | { kind: 'remove-answer', storedAnswer: StoredAnswer }
   | { kind: 'reply', callId: number, reply: ClaimReply }
   /** Ask the claim's executor whether it knows the attempt; only a denial is told back. */
   | { kind: 'ask-executor', claim: Claim }
--- a/packages/daemon/src/claims/claimConversions.ts
+++ b/packages/daemon/src/claims/claimConversions.ts
@@ -2,12 +2,13 @@
 import { create } from '@bufbuild/protobuf'
 import {
   claimSchema,
-  type Claim, type ClaimReply, type ClaimReport, type ClaimRequest, type ClaimResolution, type Milliseconds
+  type Claim, type ClaimReply, type ClaimReport, type ClaimRequest, type ClaimResolution, type Milliseconds, type StoredAnswer
 } from '@wasabihead/coordination'
 import { instanceFromWire, instanceToWire } from '../peers/index.js'
 import {
   ClaimCallRequestSchema, ClaimCallResponseSchema, ReportClaimRequestSchema, ReportedState, ResolveClaimRequestSchema, Treatment,
-  type ClaimCallRequest, type ClaimCallResponse, type ReportClaimRequest, type ResolveClaimRequest
+  type ClaimCallRequest, type ClaimCallResponse, type ReportClaimRequest, type ResolveClaimRequest,
+  type StoredAnswer as WireStoredAnswer
 } from '../peers/gen/wasabihead/v1/claims_pb.js'
 
 const RETRY_AFTER_MILLISECONDS = 1_000
@@ -66,6 +67,7 @@
     attemptToken: report.attemptToken,
     state: REPORTED_FROM_WIRE[report.state] ?? 'unknown',
     ...(report.answer === undefined ? {} : { answer: { status: report.answer.status, body: report.answer.body } }),
+    ...(report.storedAnswer === undefined ? {} : { storedAnswer: storedAnswerFromWire(report.storedAnswer) }),
     ...(report.abandoned === undefined ? {} : { abandoned: claimRequestFromWire(report.abandoned) })
   }
 }
@@ -93,6 +95,7 @@
     case 'granted': return create(ClaimCallResponseSchema, { reply: { case: 'granted', value: {} } })
     case 'recorded': return create(ClaimCallResponseSchema, { reply: { case: 'recorded', value: {} } })
     case 'done': return create(ClaimCallResponseSchema, { reply: { case: 'done', value: reply.answer } })
+    case 'done-stored': return create(ClaimCallResponseSchema, { reply: { case: 'doneStored', value: reply.storedAnswer } })
     case 'in-progress':
       return create(ClaimCallResponseSchema, { reply: { case: 'inProgress', value: instanceToWire(reply.executor) } })
     case 'unknown': return create(ClaimCallResponseSchema, { reply: { case: 'unknown', value: {} } })
@@ -120,6 +123,7 @@
     case 'granted': return { kind: 'granted' }
     case 'recorded': return { kind: 'recorded' }
     case 'done': return { kind: 'done', answer: { status: reply.value.status, body: reply.value.body } }
+    case 'doneStored': return { kind: 'done-stored', storedAnswer: storedAnswerFromWire(reply.value) }
     case 'inProgress': return { kind: 'in-progress', executor: instanceFromWire(reply.value) }
     case 'unknown': return { kind: 'unknown' }
     case 'conflict': return { kind: 'conflict' }
@@ -135,6 +139,10 @@
   }
 }
 
+function storedAnswerFromWire ({ name, status, digest, chunkCount }: WireStoredAnswer): StoredAnswer {
+  return { name, status, digest, chunkCount }
+}
+
 function delayToWire (delay: Milliseconds): { retryAfterMilliseconds: number } {
   return { retryAfterMilliseconds: Math.ceil(delay) }
 }
--- a/packages/daemon/src/claims/claimCoordinator.ts
+++ b/packages/daemon/src/claims/claimCoordinator.ts
@@ -4,10 +4,12 @@
   ABSENT_REVISION, CLAIM_SHARD_COUNT, claimLayoutKey, ClaimShard, claimShardOf, firstByRendezvous, isSameInstance, RemediedError,
   segmentKey, shardHeadKey, shardHeadSchema,
   type Claim, type ClaimEffect, type ClaimMessage, type ClaimReply, type ClaimReport, type ClaimRequest,
-  type ClaimResolution, type InstanceIdentity, type KeyValueService, type MemberTable, type Milliseconds, type ShardHead
+  type ClaimResolution, type InstanceIdentity, type KeptAnswer, type KeyValueService, type MemberTable,
+  type Milliseconds, type PlatformError, type ShardHead, type StoredAnswer
 } from '@wasabihead/coordination'
 import type { Clock } from '../instance/clock.js'
 import type { Logger } from '../telemetry/index.js'
+import { AnswerStore } from './answerStore.js'
 import type { ClaimPeerClient } from './claimPeers.js'
 
 const RETRY_AFTER: Milliseconds = 1_000
@@ -29,6 +31,7 @@
   /** Whether an attempt of this instance runs or has an outcome that is not yet recorded. */
   knowsAttempt: (attemptToken: string) => boolean = () => true
 
+  private readonly _answers: AnswerStore
   private readonly _shards: ClaimShard[]
   private readonly _waitingCalls = new Map<number, (reply: ClaimReply) => void>()
   private _isLayoutChecked = false
@@ -43,6 +46,7 @@
     private readonly _clock: Clock,
     private readonly _logger: Logger
   ) {
+    this._answers = new AnswerStore(_environment, _keyValue)
     this._shards = Array.from({ length: CLAIM_SHARD_COUNT }, () => new ClaimShard(_members.identity))
   }
 
@@ -80,6 +84,21 @@
       async address => await this._peers.find(address, workspace, idempotencyKey))
   }
 
+  /** Writes the chunks of a claim's answer; whether all of them are there. */
+  async storeAnswer (claim: ClaimPlace, storedAnswer: StoredAnswer, chunks: readonly string[]): Promise<boolean> {
+    return await this._answers.write(shardOf(claim), storedAnswer, chunks)
+  }
+
+  /** Reads a claim's answer from its chunks; `undefined` where it is no longer kept. */
+  async readAnswer (claim: ClaimPlace, storedAnswer: StoredAnswer): Promise<Result<KeptAnswer | undefined, PlatformError>> {
+    return await this._answers.read(shardOf(claim), storedAnswer)
+  }
+
+  /** Removes the chunks of an answer that no record names. */
+  async removeAnswer (claim: ClaimPlace, storedAnswer: StoredAnswer): Promise<void> {
+    await this._answers.remove(shardOf(claim), storedAnswer)
+  }
+
   /** Records a claim as the owner of its shard. */
   async claimHere (request: ClaimRequest): Promise<ClaimReply> {
     return await this._submit(shardOf(request), callId => ({ kind: 'claim', callId, request }))
@@ -161,6 +180,7 @@
       case 'write-head': return this._guard(shard, this._writeHead(shard, effect.head, effect.expectedRevision))
       case 'read-segment': return this._guard(shard, this._readSegment(shard, effect.name))
       case 'write-segment': return this._guard(shard, this._writeSegment(shard, effect.name, effect.text))
+      case 'remove-answer': return this._guard(shard, this._answers.remove(shard, effect.storedAnswer))
       case 'remove-segment': return this._guard(shard, this._removeSegment(shard, effect.name))
     }
   }
--- a/packages/daemon/src/claims/claimDirectory.ts
+++ b/packages/daemon/src/claims/claimDirectory.ts
@@ -16,7 +16,7 @@
 }
 
 /** A claim without the contents of its request and answer. */
-export type ClaimSummary = Omit<Claim, 'request' | 'answer'> & { isAnswerKept: boolean }
+export type ClaimSummary = Omit<Claim, 'request' | 'answer' | 'storedAnswer'> & { isAnswerKept: boolean }
 
 /** The claims found; `isComplete` is false where the limit or the bound on reads left some out. */
 export interface ClaimListing {
@@ -64,8 +64,8 @@
 }
 
 /** A claim as operators see it. */
-export function summaryOf ({ request, answer, ...claim }: Claim): ClaimSummary {
-  return { ...claim, isAnswerKept: answer !== undefined }
+export function summaryOf ({ request, answer, storedAnswer, ...claim }: Claim): ClaimSummary {
+  return { ...claim, isAnswerKept: answer !== undefined || storedAnswer !== undefined }
 }
 
 function addMatching (listing: ClaimListing, claims: readonly Claim[], seen: Set<string>, filter: ClaimFilter): void {
--- a/packages/daemon/src/serving/claimedRefusals.ts
+++ b/packages/daemon/src/serving/claimedRefusals.ts
@@ -46,6 +46,12 @@
     status: 410,
     problem: 'The request ran, and its answer is not kept',
     remedy: 'Look the result up at the service itself'
+  },
+  'answer-unreadable': {
+    kind: 'service-unavailable',
+    status: 503,
+    problem: 'The request ran, and its answer is kept but cannot be read now',
+    remedy: `${SEND_AGAIN} for its answer`
   }
 }
 
--- a/packages/daemon/src/serving/claimedRunner.ts
+++ b/packages/daemon/src/serving/claimedRunner.ts
@@ -4,7 +4,7 @@
 import {
   ClaimedAttempt, contentDigest, PlatformRefusedError, RefusalError,
   type AttemptEffect, type AttemptMessage, type AttemptOutcome, type CallEnd, type Claim, type ClaimRequest,
-  type ConfigurationDocument, type InstanceIdentity, type KeptAnswer, type Milliseconds
+  type ConfigurationDocument, type InstanceIdentity, type KeptAnswer, type Milliseconds, type StoredAnswer
 } from '@wasabihead/coordination'
 import type { ClaimCoordinator } from '../claims/index.js'
 import type { Clock } from '../instance/clock.js'
@@ -24,7 +24,7 @@
 
 interface RunningAttempt {
   request: AcceptedRequest
-  attemptToken: string
+  claim: ClaimRequest
   attempt: ClaimedAttempt
   answer: (outcome: AttemptOutcome) => void
 }
@@ -110,7 +110,7 @@
     request: AcceptedRequest, claim: ClaimRequest, first: AttemptMessage, answer: (outcome: AttemptOutcome) => void
   ): void {
     const rules = { deadline: request.deadline, isResendable: this._isResendable(request) }
-    const running = { request, attemptToken: claim.attemptToken, attempt: new ClaimedAttempt(claim, rules), answer }
+    const running = { request, claim, attempt: new ClaimedAttempt(claim, rules), answer }
     this._attempts.set(claim.attemptToken, running.attempt)
     this._tell(running, first)
     const untilDeadline = Math.max(0, request.deadline - this._clock.monotonic())
@@ -132,6 +132,15 @@
     switch (effect.kind) {
       case 'claim':
         return this._follow(running, this._claims.claim(effect.request), reply => ({ kind: 'claim-replied', reply }))
+      case 'store-answer':
+        return this._follow(running, this._claims.storeAnswer(running.claim, effect.storedAnswer, effect.chunks),
+          isWhole => ({ kind: 'answer-stored', isWhole }))
+      case 'read-answer':
+        return this._follow(running, this._claims.readAnswer(running.claim, effect.storedAnswer), read => read.match({
+          Ok: (answer): AttemptMessage => ({ kind: 'answer-read', answer }),
+          Err: (): AttemptMessage => ({ kind: 'answer-read-failed' })
+        }))
+      case 'remove-answer': return this._remove(running.claim, effect.storedAnswer)
       case 'report':
         return this._follow(running, this._claims.report(effect.report), reply => ({ kind: 'report-replied', reply }))
       case 'send':
@@ -141,12 +150,19 @@
           requestId: running.request.requestId, workspace: running.request.workspace.name
         })
         return this._tellAfter(running, effect.delay)
+      case 'store-after':
       case 'report-after': return this._tellAfter(running, effect.delay)
       case 'answer': return running.answer(effect.outcome)
-      case 'end': this._attempts.delete(running.attemptToken)
+      case 'end': this._attempts.delete(running.claim.attemptToken)
     }
   }
 
+  private _remove (claim: ClaimRequest, storedAnswer: StoredAnswer): void {
+    this._claims.removeAnswer(claim, storedAnswer).catch(error => {
+      this._logger.warn('an unused answer was not removed', { problem: String(error) })
+    })
+  }
+
   private _tellAfter (running: RunningAttempt, delay: Milliseconds): void {
     setTimeout(() => { this._tell(running, { kind: 'delay-over' }) }, delay)
   }
--- a/tests/promises/claims/claimHistory.ts
+++ b/tests/promises/claims/claimHistory.ts
@@ -1,5 +1,5 @@
 /** What happened in a run of the claim log, and the checks of it. The checks know only the promises. */
-import type { KeptAnswer } from '@wasabihead/coordination'
+import type { KeptAnswer, Milliseconds } from '@wasabihead/coordination'
 import type { Violation } from '../proof.js'
 
 const SHOWN_EVENTS = 60
@@ -31,18 +31,30 @@
   })
 }
 
-/** An accepted key is answered in the end, whole, and everyone gets the same answer. */
-export function checkDurableWhole (history: readonly ClaimEvent[], isDurable: (key: string) => boolean): Violation[] {
+/** An accepted key is answered in the end, whole, and everyone gets the same answer for as long as it is kept. */
+export function checkDurableWhole (
+  history: readonly ClaimEvent[], isDurable: (key: string) => boolean, keptFor: Milliseconds = Infinity
+): Violation[] {
   return breachesByKey(history, isDurable, events => {
     const answers = events.flatMap(event => event.kind === 'answered' ? [event.answer.body] : [])
     const key = events[0]?.key ?? ''
-    if (answers.some(body => !body.startsWith(`answer of ${key}:`) || !body.endsWith('.'))) return 'an answer is not whole'
+    if (!answers.every(body => isWhole(key, body))) return 'an answer is not whole'
     if (new Set(answers).size > 1) return 'callers got different answers'
+    const keptUntil = (events[0]?.at ?? 0) + keptFor
+    const isLost = events.some(event => event.kind === 'refused' && event.reason === 'answer-not-kept' && event.at < keptUntil)
+    if (isLost) return 'its answer was not kept'
     const isAccepted = events.some(({ kind }) => kind === 'accepted')
     return isAccepted && answers.length === 0 ? 'it was accepted and never answered' : undefined
   })
 }
 
+/** The answers of the run count their parts, so that a part that is missing or twice is seen. */
+function isWhole (key: string, body: string): boolean {
+  if (!body.startsWith(`answer of ${key}:`) || !body.endsWith('.')) return false
+  const [, parts] = body.slice(0, -1).split(', parts ')
+  return parts === undefined || parts.split(' ').every((part, index) => part === String(index + 1))
+}
+
 /** The first events and the last: callers that come back every second fill the middle. */
 function evidenceOf (events: ClaimEvent[]): string[] {
   const shown = events.length <= SHOWN_EVENTS ? events : [...events.slice(0, SHOWN_EVENTS - 5), ...events.slice(-5)]
--- a/tests/promises/claims/claimInstance.ts
+++ b/tests/promises/claims/claimInstance.ts
@@ -1,9 +1,9 @@
 /** One instance of the claim log in virtual time: it drives the real decisions and can freeze between any two steps. */
 import {
-  ABSENT_REVISION, shardHeadSchema,
+  ABSENT_REVISION, joinAnswer, shardHeadSchema,
   type AttemptEffect, type AttemptMessage, type AttemptOutcome, type AttemptRules, type CallEnd, type Claim,
   type ClaimedAttempt, type ClaimEffect, type ClaimMessage, type ClaimReply, type ClaimReport, type ClaimRequest,
-  type ClaimShard, type InstanceIdentity, type Milliseconds
+  type ClaimShard, type InstanceIdentity, type Milliseconds, type StoredAnswer
 } from '@wasabihead/coordination'
 import type { SimulatedAnswer, SimulatedKeyValue, VirtualTime } from '@wasabihead/experiments'
 
@@ -117,7 +117,12 @@
         })
       case 'report': return this._around.callOwner(this, effect.report, reply => { tell({ kind: 'report-replied', reply }) })
       case 'send': return this._around.callService(this, claim, end => { tell({ kind: 'call-ended', end }) })
+      case 'store-answer':
+        return this._storeChunks(effect.storedAnswer, effect.chunks, isWhole => { tell({ kind: 'answer-stored', isWhole }) })
+      case 'read-answer': return this._readChunks(effect.storedAnswer, [], tell)
+      case 'remove-answer': return this._removeChunks(effect.storedAnswer)
       case 'send-after':
+      case 'store-after':
       case 'report-after': return this._after(effect.delay, () => { tell({ kind: 'delay-over' }) })
       case 'answer': return answered(effect.outcome)
       case 'end': this._attempts.delete(claim.attemptToken)
@@ -158,10 +163,38 @@
       case 'write-segment':
         return keyValue.compareAndSwap({ key: effect.name, value: effect.text, expectedRevision: ABSENT_REVISION },
           this._answer(() => ({ kind: 'segment-written', name: effect.name }), { kind: 'segment-write-failed', name: effect.name }))
+      case 'remove-answer': return this._removeChunks(effect.storedAnswer)
       case 'remove-segment': return this._remove(effect.name)
     }
   }
 
+  /** One chunk after the other, as the daemon does; the instance may freeze or die between any two. */
+  private _storeChunks (stored: StoredAnswer, chunks: readonly string[], ended: (isWhole: boolean) => void, index = 0): void {
+    const value = chunks[index]
+    if (value === undefined) return ended(true)
+    this._around.keyValue.compareAndSwap({ key: chunkKey(stored, index), value, expectedRevision: ABSENT_REVISION }, answer => {
+      this._freezeMaybe()
+      this.step(() => {
+        if (answer.kind === 'answered') this._storeChunks(stored, chunks, ended, index + 1)
+        else ended(false)
+      })
+    })
+  }
+
+  private _readChunks (stored: StoredAnswer, chunks: Array<string | undefined>, tell: (message: AttemptMessage) => void): void {
+    if (chunks.length === stored.chunkCount) return tell({ kind: 'answer-read', answer: joinAnswer(stored, chunks) })
+    this._around.keyValue.read(chunkKey(stored, chunks.length), answer => {
+      this.step(() => {
+        if (answer.kind === 'answered') this._readChunks(stored, [...chunks, answer.value?.value], tell)
+        else tell({ kind: 'answer-read-failed' })
+      })
+    })
+  }
+
+  private _removeChunks (stored: StoredAnswer): void {
+    for (let index = 0; index < stored.chunkCount; index++) this._remove(chunkKey(stored, index))
+  }
+
   private _remove (name: string): void {
     this._around.keyValue.read(name, answer => {
       if (answer.kind !== 'answered' || answer.value === undefined) return
@@ -195,3 +228,7 @@
     if (!this.isFrozen && this._around.freezes()) this.isFrozen = true
   }
 }
+
+function chunkKey (stored: StoredAnswer, index: number): string {
+  return `answer/${stored.name}/${index}`
+}
--- a/tests/promises/claims/claimRun.ts
+++ b/tests/promises/claims/claimRun.ts
@@ -1,7 +1,8 @@
 /** A seeded run of the claim log: callers, instances, the key-value service and the service behind, all with faults. */
 import {
   CLAIM_LIMITS, ClaimedAttempt, ClaimShard, SeededRandom,
-  type AttemptOutcome, type AttemptRules, type CallEnd, type ClaimLimits, type ClaimReply, type ClaimReport, type ClaimRequest,
+  type AnswerLimits, type AttemptOutcome, type AttemptRules, type CallEnd, type ClaimLimits,
+  type ClaimReply, type ClaimReport, type ClaimRequest,
   type InstanceIdentity, type Milliseconds
 } from '@wasabihead/coordination'
 import { FAULTLESS, SimulatedKeyValue, VirtualTime } from '@wasabihead/experiments'
@@ -29,6 +30,10 @@
   largestPause: 200_000
 }
 
+/** Small sizes, so that every third answer is kept in chunks. */
+export const RUN_ANSWER_LIMITS: AnswerLimits = { recordMaximumLength: 100, chunkLength: 50, maximumChunks: 8 }
+const LARGE_ANSWER_PARTS = 60
+
 /** The parts that a deliberately broken variant replaces. */
 export interface ClaimParts {
   createShard (identity: InstanceIdentity): ClaimShard
@@ -38,7 +43,7 @@
 /** The real parts. */
 export const REAL_PARTS: ClaimParts = {
   createShard: identity => new ClaimShard(identity, RUN_LIMITS),
-  createAttempt: (request, rules) => new ClaimedAttempt(request, rules)
+  createAttempt: (request, rules) => new ClaimedAttempt(request, rules, RUN_ANSWER_LIMITS)
 }
 
 /** What a run gave. */
@@ -59,7 +64,10 @@
   private readonly _keyValue: SimulatedKeyValue
   private readonly _instances = new Map<string, ClaimInstance>()
   private readonly _history: ClaimEvent[] = []
-  private readonly _counts = { asked: 0, ran: 0, freezes: 0, kills: 0, lostMessages: 0, outages: 0, resolutions: 0, segments: 0 }
+  private readonly _counts = {
+    asked: 0, ran: 0, freezes: 0, kills: 0, lostMessages: 0, outages: 0, resolutions: 0, segments: 0, chunks: 0, largeAnswers: 0
+  }
+
   private readonly _callOfToken = new Map<string, string>()
   private readonly _answered = new Set<string>()
   private _nextIncarnation = 1
@@ -79,7 +87,9 @@
     this._every(20_000, () => { this._resolveSomething() })
     this._time.after(FAULTS_END, () => { this._endFaults() })
     this._time.runUntil(RUN_END)
-    this._counts.segments = this._keyValue.keys().length - 1
+    const keys = this._keyValue.keys()
+    this._counts.chunks = keys.filter(key => key.startsWith('answer/')).length
+    this._counts.segments = keys.length - this._counts.chunks - 1
     return { history: this._history, counts: this._counts }
   }
 
@@ -208,7 +218,8 @@
     const run = this._counts.ran
     this._record({ kind: 'ran', key: claim.idempotencyKey, call: this._callOf(claim), host: from.identity.host })
     const isLost = this._hasFaults && this._random.next() < 0.1
-    const answer = { status: 200, body: `answer of ${claim.idempotencyKey}: run ${run}.` }
+    const parts = Array.from({ length: run % 3 === 0 ? LARGE_ANSWER_PARTS : 1 }, (_, index) => index + 1).join(' ')
+    const answer = { status: 200, body: `answer of ${claim.idempotencyKey}: run ${run}, parts ${parts}.` }
     this._time.after(this._random.next() * 2_000, () => { end(isLost ? { kind: 'ambiguous' } : { kind: 'answered', answer }) })
   }
 
@@ -265,6 +276,7 @@
 
   private _recordOutcome (key: string, call: string, outcome: AttemptOutcome): void {
     if (outcome.kind === 'answered') {
+      if (outcome.answer.body.length > RUN_ANSWER_LIMITS.recordMaximumLength) this._counts.largeAnswers += 1
       this._answered.add(key)
       return this._record({ kind: 'answered', key, call, answer: outcome.answer })
     }
--- a/tests/promises/claims/claims.spec.ts
+++ b/tests/promises/claims/claims.spec.ts
@@ -6,7 +6,7 @@
 } from '@wasabihead/coordination'
 import type { Proof } from '../proof.js'
 import { checkAtMostOnce, checkDurableWhole, checkNotRun, type ClaimEvent } from './claimHistory.js'
-import { REAL_PARTS, RUN_LIMITS, type ClaimParts } from './claimRun.js'
+import { REAL_PARTS, RUN_ANSWER_LIMITS, RUN_LIMITS, type ClaimParts } from './claimRun.js'
 import { AtMostOnceProof, DurableWholeProof, NotRunProof } from './index.js'
 
 const RUNS = 6
@@ -26,6 +26,16 @@
   { title: 'an unknown outcome that ran', check: () => checkNotRun([{ ...refused, notRun: 'unknown' }, ran]), isBroken: false },
   { title: 'an accepted request without answer', check: () => checkDurableWhole([accepted], every), isBroken: true },
   { title: 'a cut answer', check: () => checkDurableWhole([accepted, answeredBy('answer of a: r')], every), isBroken: true },
+  {
+    title: 'an answer without a part',
+    check: () => checkDurableWhole([answeredBy('answer of a: run 1, parts 1 3.')], every),
+    isBroken: true
+  },
+  {
+    title: 'an answer not kept within its time',
+    check: () => checkDurableWhole([accepted, { ...refused, reason: 'answer-not-kept' }, answeredBy('answer of a: run 1.')], every),
+    isBroken: true
+  },
   {
     title: 'two answers to one key',
     check: () => checkDurableWhole([answeredBy('answer of a: run 1.'), answeredBy('answer of a: run 2.')], every),
@@ -89,10 +99,32 @@
   }
 }
 
+/** Reports an answer before its chunks are written. */
+class EarlyReportingAttempt extends ClaimedAttempt {
+  override handle (message: AttemptMessage, now: number): AttemptEffect[] {
+    const effects = super.handle(message, now)
+    if (!effects.some(({ kind }) => kind === 'store-answer')) return effects
+    return [...effects, ...super.handle({ kind: 'answer-stored', isWhole: true }, now)]
+  }
+}
+
+/** Removes its chunks although its report may still be recorded. */
+class HastyRemovingAttempt extends ClaimedAttempt {
+  private _removal: AttemptEffect[] = []
+
+  override handle (message: AttemptMessage, now: number): AttemptEffect[] {
+    const effects = super.handle(message, now)
+    const stored = effects.find(effect => effect.kind === 'store-answer')
+    if (stored !== undefined) this._removal = [{ kind: 'remove-answer', storedAnswer: stored.storedAnswer }]
+    const isUnsure = message.kind === 'report-replied' && message.reply.kind === 'ambiguous'
+    return isUnsure ? [...this._removal, ...effects] : effects
+  }
+}
+
 const shardWith = (Shard: typeof ClaimShard, limits = RUN_LIMITS): ClaimParts =>
   ({ ...REAL_PARTS, createShard: identity => new Shard(identity, limits) })
 const attemptWith = (Attempt: typeof ClaimedAttempt): ClaimParts =>
-  ({ ...REAL_PARTS, createAttempt: (request, rules) => new Attempt(request, rules) })
+  ({ ...REAL_PARTS, createAttempt: (request, rules) => new Attempt(request, rules, RUN_ANSWER_LIMITS) })
 
 const broken: Array<{ title: string, proof: Proof }> = [
   { title: 'grants before its write is won', proof: new AtMostOnceProof(shardWith(EarlyGrantingShard)) },
@@ -104,6 +136,15 @@
   { title: 'releases after sending', proof: new AtMostOnceProof(attemptWith(ForgetfulAttempt)) },
   { title: 'calls a lost answer not run', proof: new NotRunProof(attemptWith(ForgetfulAttempt)) },
   { title: 'sends after its refusal', proof: new NotRunProof(attemptWith(LateSendingAttempt)) },
+  {
+    title: 'keeps no answer above the size of a record',
+    proof: new DurableWholeProof({
+      ...REAL_PARTS,
+      createAttempt: (request, rules) => new ClaimedAttempt(request, rules, { ...RUN_ANSWER_LIMITS, maximumChunks: 0 })
+    })
+  },
+  { title: 'records an answer before its chunks are written', proof: new DurableWholeProof(attemptWith(EarlyReportingAttempt)) },
+  { title: 'removes chunks that may still be recorded', proof: new DurableWholeProof(attemptWith(HastyRemovingAttempt)) },
   { title: 'never hands durable work over', proof: new DurableWholeProof(shardWith(TrustingShard)) }
 ]
 for (const { title, proof } of broken) {
--- a/tests/promises/claims/index.ts
+++ b/tests/promises/claims/index.ts
@@ -1,11 +1,11 @@
 /** The proofs about claimed requests. */
 import { Proof, type ProofRun } from '../proof.js'
 import { checkAtMostOnce, checkDurableWhole, checkNotRun, type ClaimEvent } from './claimHistory.js'
-import { ClaimRun, isAtMostOnceKey, REAL_PARTS, type ClaimParts } from './claimRun.js'
+import { ClaimRun, isAtMostOnceKey, REAL_PARTS, RUN_LIMITS, type ClaimParts } from './claimRun.js'
 
 const FAILURES = [
   'instances killed and restarted', 'freezes between a decision and its effect', 'wrong beliefs about the owner and the members',
-  'messages lost and late', 'key-value outages, lost answers, writes that land late', 'service calls lost and unanswered',
+  'messages lost and late', 'answers in chunks whose writes and reads fail half way', 'key-value outages, lost answers, writes that land late', 'service calls lost and unanswered',
   'the same key at two hosts at once and after the window', 'wall clocks that differ', 'operators resolving claims'
 ]
 
@@ -52,7 +52,7 @@
   override readonly promise = 'An accepted durable request gets its whole answer in the end, and everyone gets the same'
 
   override check (history: readonly ClaimEvent[]): ProofRun['violations'] {
-    return checkDurableWhole(history, key => !isAtMostOnceKey(key))
+    return checkDurableWhole(history, key => !isAtMostOnceKey(key), RUN_LIMITS.retentionWindow)
   }
 }
 
