fix(claims): end an attempt whose claim, report or read failed inside

Cause: an exception inside a claim or report was logged and told to nobody, so that the attempt stayed open for good: its caller waited to the deadline and its claim blocked the key. Change: such a claim or report counts as ambiguous. What was never sent is released until the log has it, a report is sent again, an at-most-once call that may have been sent is unknown, durable work is sent again. Seen: the new spec hangs without the change (0 passed, exiting early) and passes with it (6 passed).

--- /dev/null
+++ b/packages/daemon/src/serving/claimedRunner.spec.ts
@@ -0,0 +1,82 @@
+import { Result } from 'true-myth'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import {
+  type ClaimReply, type ClaimReport, type ClaimRequest, type ConfigurationDocument, type KeptAnswer, type RefusalError
+} from '@wasabihead/coordination'
+import type { ClaimCoordinator } from '../claims/index.js'
+import { SystemClock } from '../instance/clock.js'
+import { Logger } from '../telemetry/index.js'
+import type { AcceptedRequest } from './acceptedRequest.js'
+import { ClaimedRunner } from './claimedRunner.js'
+import type { ModelRunner } from './modelRunner.js'
+import type { ServiceRunner } from './serviceRunner.js'
+
+const clock = new SystemClock()
+const document = { workspaces: [{ name: 'harrowgate' }], kinds: [], services: [] } as unknown as ConfigurationDocument
+const answer = { status: 200, body: 'an answer' }
+
+function createRequest (treatment: 'durable' | 'at-most-once'): AcceptedRequest {
+  const kind = { name: 'uniform-order', treatment, target: { service: 'checklist', path: '/orders' } }
+  const request = { requestId: 'request-1', workspace: { name: 'harrowgate' }, kind, body: '{}', idempotencyKey: 'key-1' }
+  return { ...request, receivedAt: 0, deadline: clock.monotonic() + 60_000 } as AcceptedRequest
+}
+
+interface Fakes {
+  claim?: (request: ClaimRequest) => Promise<ClaimReply>
+  report?: (report: ClaimReport, earlier: number) => Promise<ClaimReply>
+  call?: () => Promise<Result<KeptAnswer, RefusalError>>
+}
+
+function createRunner (fakes: Fakes): { runner: ClaimedRunner, ended: Promise<ClaimReport> } {
+  let earlier = 0
+  let resolveEnded = (_report: ClaimReport): void => {}
+  const ended = new Promise<ClaimReport>(resolve => { resolveEnded = resolve })
+  const claims = {
+    claim: fakes.claim ?? (async () => ({ kind: 'granted' })),
+    report: async (report: ClaimReport) => {
+      const reply = await (fakes.report ?? (async () => ({ kind: 'recorded' })))(report, earlier++)
+      resolveEnded(report)
+      return reply
+    }
+  } as unknown as ClaimCoordinator
+  const call = fakes.call ?? (async () => Result.ok(answer))
+  const services = { callOnce: call, callWithRetries: call } as unknown as ServiceRunner
+  const runner = new ClaimedRunner(
+    { host: 'entry-0', incarnation: 1 }, claims, {} as ModelRunner, services, () => document, clock, new Logger('entry-0', 'none'))
+  return { runner, ended }
+}
+
+const fail = async (): Promise<never> => { throw new Error('inside') }
+
+for (const treatment of ['durable', 'at-most-once'] as const) {
+  test(`should release a ${treatment} request whose claim failed inside, since it is never sent`, async () => {
+    let calls = 0
+    const { runner, ended } = createRunner({ claim: fail, call: async () => { calls++; return Result.ok(answer) } })
+    const outcome = await runner.run(createRequest(treatment))
+    assert.is(outcome.isErr && outcome.error.notRun, treatment === 'durable' ? 'unknown' : true)
+    assert.equal([(await ended).state, calls], ['released', 0])
+  })
+
+  test(`should report a ${treatment} request again whose report failed inside`, async () => {
+    const { runner, ended } = createRunner({ report: async (_report, earlier) => earlier === 0 ? await fail() : { kind: 'recorded' } })
+    const outcome = await runner.run(createRequest(treatment))
+    assert.equal(outcome, Result.ok(answer))
+    assert.is((await ended).state, 'done')
+  })
+}
+
+test('should call an at-most-once request whose call failed inside unknown', async () => {
+  const { runner, ended } = createRunner({ call: fail })
+  const outcome = await runner.run(createRequest('at-most-once'))
+  assert.is(outcome.isErr && outcome.error.notRun, 'unknown')
+  assert.is((await ended).state, 'unknown')
+})
+
+test('should send durable work again whose call failed inside', async () => {
+  let calls = 0
+  const { runner } = createRunner({ call: async () => calls++ === 0 ? await fail() : Result.ok(answer) })
+  assert.equal(await runner.run(createRequest('durable')), Result.ok(answer))
+})
+
+test.run()
--- a/packages/daemon/src/serving/claimedRunner.ts
+++ b/packages/daemon/src/serving/claimedRunner.ts
@@ -3,7 +3,7 @@
 import { v4 as createToken } from 'uuid'
 import {
   ClaimedAttempt, contentDigest, PlatformRefusedError, RefusalError,
-  type AttemptEffect, type AttemptMessage, type AttemptOutcome, type CallEnd, type Claim, type ClaimRequest,
+  type AttemptEffect, type AttemptMessage, type AttemptOutcome, type CallEnd, type Claim, type ClaimReply, type ClaimRequest,
   type ConfigurationDocument, type InstanceIdentity, type KeptAnswer, type Milliseconds, type StoredAnswer
 } from '@wasabihead/coordination'
 import type { ClaimCoordinator } from '../claims/index.js'
@@ -21,6 +21,9 @@
 const MAXIMUM_ATTEMPTS = 2_000
 const FIRST_SERVER_ERROR_STATUS = 500
 const OVERLOADED_RETRY_AFTER: Milliseconds = 1_000
+/** What a claim or report that failed inside counts as: it may be recorded, now or later. */
+const FAILED_INSIDE: ClaimReply = { kind: 'ambiguous', retryAfter: OVERLOADED_RETRY_AFTER }
+const AMBIGUOUS_CALL: AttemptMessage = { kind: 'call-ended', end: { kind: 'ambiguous' } }
 
 interface RunningAttempt {
   request: AcceptedRequest
@@ -131,20 +134,22 @@
   private _perform (running: RunningAttempt, effect: AttemptEffect): void {
     switch (effect.kind) {
       case 'claim':
-        return this._follow(running, this._claims.claim(effect.request), reply => ({ kind: 'claim-replied', reply }))
+        return this._follow(running, this._claims.claim(effect.request),
+          reply => ({ kind: 'claim-replied', reply }), { kind: 'claim-replied', reply: FAILED_INSIDE })
       case 'store-answer':
         return this._follow(running, this._claims.storeAnswer(running.claim, effect.storedAnswer, effect.chunks),
-          isWhole => ({ kind: 'answer-stored', isWhole }))
+          isWhole => ({ kind: 'answer-stored', isWhole }), { kind: 'answer-stored', isWhole: false })
       case 'read-answer':
         return this._follow(running, this._claims.readAnswer(running.claim, effect.storedAnswer), read => read.match({
           Ok: (answer): AttemptMessage => ({ kind: 'answer-read', answer }),
           Err: (): AttemptMessage => ({ kind: 'answer-read-failed' })
-        }))
+        }), { kind: 'answer-read-failed' })
       case 'remove-answer': return this._remove(running.claim, effect.storedAnswer)
       case 'report':
-        return this._follow(running, this._claims.report(effect.report), reply => ({ kind: 'report-replied', reply }))
+        return this._follow(running, this._claims.report(effect.report),
+          reply => ({ kind: 'report-replied', reply }), { kind: 'report-replied', reply: FAILED_INSIDE })
       case 'send':
-        return this._follow(running, this._send(running.request), end => ({ kind: 'call-ended', end }))
+        return this._follow(running, this._send(running.request), end => ({ kind: 'call-ended', end }), AMBIGUOUS_CALL)
       case 'send-after':
         this._logger.warn('a claimed request is sent again', {
           requestId: running.request.requestId, workspace: running.request.workspace.name
@@ -167,10 +172,18 @@
     setTimeout(() => { this._tell(running, { kind: 'delay-over' }) }, delay)
   }
 
-  private _follow<Value> (running: RunningAttempt, value: Promise<Value>, toMessage: (value: Value) => AttemptMessage): void {
+  /** A step that fails inside must not leave the attempt open for good: the attempt is told what is certain, which is nothing. */
+  private _follow<Value> (
+    running: RunningAttempt, value: Promise<Value>, toMessage: (value: Value) => AttemptMessage, failed: AttemptMessage
+  ): void {
     value.then(
       settled => { this._tell(running, toMessage(settled)) },
-      error => { this._logger.error('a claimed request failed inside', { problem: String(error) }) })
+      error => {
+        this._logger.error('a claimed request failed inside', {
+          requestId: running.request.requestId, step: failed.kind, problem: String(error)
+        })
+        this._tell(running, failed)
+      })
   }
 
   private async _send (request: AcceptedRequest): Promise<CallEnd> {
