fix(claims): end durable work whose workspace or kind the document has dropped

Cause: such work was logged when it was handed over and then forgotten, so that its executor denied it, and the audit handed it over again every 30 s, each time with a write, for good. Change: its attempt stays known and is tried again, with growing delays, until a document has its workspace and kind; after 15 minutes without, or with a recorded request that cannot be read, a refusal (410, work-dropped) is recorded as its answer and logged as an error; the listing of claims shows the status of kept answers. The 15 minutes count anew at each executor.

--- a/packages/daemon/src/claims/claimDirectory.ts
+++ b/packages/daemon/src/claims/claimDirectory.ts
@@ -16,7 +16,7 @@
 }
 
 /** A claim without the contents of its request and answer. */
-export type ClaimSummary = Omit<Claim, 'request' | 'answer' | 'storedAnswer'> & { isAnswerKept: boolean }
+export type ClaimSummary = Omit<Claim, 'request' | 'answer' | 'storedAnswer'> & { isAnswerKept: boolean, answerStatus?: number }
 
 /** The claims found; `isComplete` is false where the limit or the bound on reads left some out. */
 export interface ClaimListing {
@@ -65,7 +65,8 @@
 
 /** A claim as operators see it. */
 export function summaryOf ({ request, answer, storedAnswer, ...claim }: Claim): ClaimSummary {
-  return { ...claim, isAnswerKept: answer !== undefined || storedAnswer !== undefined }
+  const status = (answer ?? storedAnswer)?.status
+  return { ...claim, isAnswerKept: status !== undefined, ...(status === undefined ? {} : { answerStatus: status }) }
 }
 
 function addMatching (listing: ClaimListing, claims: readonly Claim[], seen: Set<string>, filter: ClaimFilter): void {
--- a/packages/daemon/src/serving/claimedRefusals.ts
+++ b/packages/daemon/src/serving/claimedRefusals.ts
@@ -1,5 +1,5 @@
 /** What callers are told when a claimed request gives no answer. */
-import { RefusalError, type AttemptOutcome, type AttemptRefusal, type RefusalKind } from '@wasabihead/coordination'
+import { RefusalError, type AttemptOutcome, type AttemptRefusal, type KeptAnswer, type RefusalKind } from '@wasabihead/coordination'
 
 interface RefusalText {
   kind: RefusalKind
@@ -55,6 +55,19 @@
   }
 }
 
+/** What is recorded as the answer of durable work whose workspace or kind the document has dropped. */
+export const DROPPED_ANSWER: KeptAnswer = {
+  status: 410,
+  body: JSON.stringify({
+    error: {
+      type: 'work-dropped',
+      message: 'The operators removed the workspace or kind of this request before it was finished',
+      remedy: 'Ask your operator whether it is served elsewhere, then send it with a new key',
+      notRun: 'unknown'
+    }
+  })
+}
+
 /** The refusal of an attempt. */
 export function refusalOf (outcome: Extract<AttemptOutcome, { kind: 'refused' }>): RefusalError {
   const { kind, status, problem, remedy } = TEXTS[outcome.reason]
--- a/packages/daemon/src/serving/claimedRunner.spec.ts
+++ b/packages/daemon/src/serving/claimedRunner.spec.ts
@@ -1,8 +1,8 @@
 import { Result } from 'true-myth'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import {
-  type ClaimReply, type ClaimReport, type ClaimRequest, type ConfigurationDocument, type KeptAnswer, type RefusalError
+import type {
+  Claim, ClaimReply, ClaimReport, ClaimRequest, ConfigurationDocument, KeptAnswer, KindConfiguration, RefusalError
 } from '@wasabihead/coordination'
 import type { ClaimCoordinator } from '../claims/index.js'
 import { SystemClock } from '../instance/clock.js'
@@ -13,7 +13,7 @@
 import type { ServiceRunner } from './serviceRunner.js'
 
 const clock = new SystemClock()
-const document = { workspaces: [{ name: 'harrowgate' }], kinds: [], services: [] } as unknown as ConfigurationDocument
+const document = { workspaces: [{ name: 'harrowgate' }], kinds: [{ name: 'uniform-order', target: { service: 'checklist', path: '/' } }], services: [] } as unknown as ConfigurationDocument
 const answer = { status: 200, body: 'an answer' }
 
 function createRequest (treatment: 'durable' | 'at-most-once'): AcceptedRequest {
@@ -25,6 +25,7 @@
 interface Fakes {
   claim?: (request: ClaimRequest) => Promise<ClaimReply>
   report?: (report: ClaimReport, earlier: number) => Promise<ClaimReply>
+  keepDroppedFor?: number
   call?: () => Promise<Result<KeptAnswer, RefusalError>>
 }
 
@@ -43,7 +44,8 @@
   const call = fakes.call ?? (async () => Result.ok(answer))
   const services = { callOnce: call, callWithRetries: call } as unknown as ServiceRunner
   const runner = new ClaimedRunner(
-    { host: 'entry-0', incarnation: 1 }, claims, {} as ModelRunner, services, () => document, clock, new Logger('entry-0', 'none'))
+    { host: 'entry-0', incarnation: 1 }, claims, {} as ModelRunner, services, () => document, clock, new Logger('entry-0', 'none'),
+    fakes.keepDroppedFor)
   return { runner, ended }
 }
 
@@ -79,4 +81,41 @@
   assert.equal(await runner.run(createRequest('durable')), Result.ok(answer))
 })
 
+const resumed: Claim = {
+  workspace: 'harrowgate',
+  idempotencyKey: 'key-1',
+  kind: 'uniform-order',
+  treatment: 'durable',
+  requestDigest: 'digest',
+  attemptToken: 'attempt-1',
+  executor: { host: 'entry-0', incarnation: 1 },
+  state: 'claimed',
+  recordedAt: 0,
+  request: '{}'
+}
+const dropped = [
+  { title: 'answer work of a kind that the document dropped with a recorded refusal', kind: 'letter', status: 410 },
+  { title: 'run work of a kind that the document has', kind: 'uniform-order', status: 200 }
+]
+for (const { title, kind, status } of dropped) {
+  test(`should ${title}`, async () => {
+    const { runner, ended } = createRunner({ keepDroppedFor: 0 })
+    runner.resume({ ...resumed, kind })
+    assert.ok(runner.knows('attempt-1'))
+    const { state, answer: recorded } = await ended
+    assert.equal([state, recorded?.status], ['done', status])
+  })
+}
+
+test('should keep dropped work open and known until a document has its kind again', async () => {
+  const { runner, ended } = createRunner({ keepDroppedFor: 60_000 })
+  const letter = { name: 'letter', target: { service: 'checklist', path: '/' } } as KindConfiguration
+  runner.resume({ ...resumed, kind: letter.name })
+  await new Promise(resolve => { setImmediate(resolve) })
+  assert.ok(runner.knows('attempt-1'))
+  document.kinds.push(letter)
+  assert.equal((await ended).answer, answer)
+  document.kinds.pop()
+})
+
 test.run()
--- a/packages/daemon/src/serving/claimedRunner.ts
+++ b/packages/daemon/src/serving/claimedRunner.ts
@@ -10,7 +10,7 @@
 import type { Clock } from '../instance/clock.js'
 import type { Logger } from '../telemetry/index.js'
 import type { AcceptedRequest } from './acceptedRequest.js'
-import { refusalOf } from './claimedRefusals.js'
+import { DROPPED_ANSWER, refusalOf } from './claimedRefusals.js'
 import { readDurableRequest } from './durableRequest.js'
 import type { ModelRunner } from './modelRunner.js'
 import type { ServiceRunner } from './serviceRunner.js'
@@ -21,13 +21,19 @@
 const MAXIMUM_ATTEMPTS = 2_000
 const FIRST_SERVER_ERROR_STATUS = 500
 const OVERLOADED_RETRY_AFTER: Milliseconds = 1_000
+/** Time for which durable work waits for a document that has its workspace and kind again. */
+const KEEP_DROPPED_FOR: Milliseconds = 900_000
 /** What a claim or report that failed inside counts as: it may be recorded, now or later. */
 const FAILED_INSIDE: ClaimReply = { kind: 'ambiguous', retryAfter: OVERLOADED_RETRY_AFTER }
 const AMBIGUOUS_CALL: AttemptMessage = { kind: 'call-ended', end: { kind: 'ambiguous' } }
 
 interface RunningAttempt {
-  request: AcceptedRequest
+  /** Absent for work of another instance that no document in force here could read yet. */
+  request: AcceptedRequest | undefined
   claim: ClaimRequest
+  deadline: Milliseconds
+  /** Since when no document has had the workspace and kind of durable work, or its recorded request could not be read. */
+  droppedSince?: Milliseconds | undefined
   attempt: ClaimedAttempt
   answer: (outcome: AttemptOutcome) => void
 }
@@ -43,7 +49,8 @@
     private readonly _services: ServiceRunner,
     private readonly _document: () => ConfigurationDocument | undefined,
     private readonly _clock: Clock,
-    private readonly _logger: Logger
+    private readonly _logger: Logger,
+    private readonly _keepDroppedFor: Milliseconds = KEEP_DROPPED_FOR
   ) {}
 
   /** Claimed requests that still run or whose outcome is not yet recorded. */
@@ -68,14 +75,7 @@
 
   /** Runs durable work that the log now names as this instance's own. */
   resume (claim: Claim): void {
-    const request = readDurableRequest(claim, this._document(), this._clock.monotonic())
-    if (request === undefined) {
-      this._logger.error('durable work cannot be run under the document in force', {
-        workspace: claim.workspace, requestKind: claim.kind
-      })
-      return
-    }
-    this._begin(request, claim, { kind: 'resume' }, () => {})
+    this._begin(this._readDurable(claim), claim, { kind: 'resume' }, () => {})
   }
 
   private _refusalBefore (request: AcceptedRequest): RefusalError | undefined {
@@ -110,13 +110,14 @@
   }
 
   private _begin (
-    request: AcceptedRequest, claim: ClaimRequest, first: AttemptMessage, answer: (outcome: AttemptOutcome) => void
+    request: AcceptedRequest | undefined, claim: ClaimRequest, first: AttemptMessage, answer: (outcome: AttemptOutcome) => void
   ): void {
-    const rules = { deadline: request.deadline, isResendable: this._isResendable(request) }
-    const running = { request, claim, attempt: new ClaimedAttempt(claim, rules), answer }
+    const deadline = request?.deadline ?? this._clock.monotonic()
+    const rules = { deadline, isResendable: request !== undefined && this._isResendable(request) }
+    const running = { request, claim, deadline, attempt: new ClaimedAttempt(claim, rules), answer }
     this._attempts.set(claim.attemptToken, running.attempt)
     this._tell(running, first)
-    const untilDeadline = Math.max(0, request.deadline - this._clock.monotonic())
+    const untilDeadline = Math.max(0, deadline - this._clock.monotonic())
     setTimeout(() => { this._tell(running, { kind: 'deadline-reached' }) }, untilDeadline).unref()
   }
 
@@ -149,10 +150,10 @@
         return this._follow(running, this._claims.report(effect.report),
           reply => ({ kind: 'report-replied', reply }), { kind: 'report-replied', reply: FAILED_INSIDE })
       case 'send':
-        return this._follow(running, this._send(running.request), end => ({ kind: 'call-ended', end }), AMBIGUOUS_CALL)
+        return this._follow(running, this._send(running), end => ({ kind: 'call-ended', end }), AMBIGUOUS_CALL)
       case 'send-after':
         this._logger.warn('a claimed request is sent again', {
-          requestId: running.request.requestId, workspace: running.request.workspace.name
+          requestId: running.request?.requestId, workspace: running.claim.workspace
         })
         return this._tellAfter(running, effect.delay)
       case 'store-after':
@@ -180,13 +181,16 @@
       settled => { this._tell(running, toMessage(settled)) },
       error => {
         this._logger.error('a claimed request failed inside', {
-          requestId: running.request.requestId, step: failed.kind, problem: String(error)
+          requestId: running.request?.requestId, step: failed.kind, problem: String(error)
         })
         this._tell(running, failed)
       })
   }
 
-  private async _send (request: AcceptedRequest): Promise<CallEnd> {
+  private async _send (running: RunningAttempt): Promise<CallEnd> {
+    if (running.claim.treatment === 'durable') this._refreshDurable(running)
+    const { request } = running
+    if (request === undefined) return this._endWithoutRequest(running)
     try {
       return request.kind.treatment === 'durable' ? await this._sendDurable(request) : await this._sendOnce(request)
     } catch (error) {
@@ -195,6 +199,36 @@
     }
   }
 
+  /** The document may have dropped or brought back the workspace or kind since the last try. */
+  private _refreshDurable (running: RunningAttempt): void {
+    const document = this._document()
+    if (document === undefined) return
+    const isServed = document.workspaces.some(({ name }) => name === running.claim.workspace) &&
+      document.kinds.some(({ name }) => name === running.claim.kind)
+    running.request = isServed ? running.request ?? this._readDurable(running.claim) : undefined
+    running.droppedSince = running.request === undefined ? running.droppedSince ?? this._clock.monotonic() : undefined
+  }
+
+  /** Durable work that nobody may run any more ends with a recorded refusal; until then the document may bring it back. */
+  private _endWithoutRequest ({ claim, droppedSince }: RunningAttempt): CallEnd {
+    const fields = { workspace: claim.workspace, requestKind: claim.kind }
+    if (droppedSince === undefined || this._clock.monotonic() - droppedSince < this._keepDroppedFor) {
+      this._logger.warn('durable work waits for a document with its workspace and kind', fields)
+      return { kind: 'ambiguous' }
+    }
+    this._logger.error('durable work was refused, since the document has dropped its workspace or kind', fields)
+    return { kind: 'answered', answer: DROPPED_ANSWER }
+  }
+
+  private _readDurable (claim: ClaimRequest): AcceptedRequest | undefined {
+    try {
+      return readDurableRequest(claim, this._document(), this._clock.monotonic())
+    } catch (error) {
+      this._logger.error('a recorded request cannot be read', { workspace: claim.workspace, problem: String(error) })
+      return undefined
+    }
+  }
+
   private async _sendOnce (request: AcceptedRequest): Promise<CallEnd> {
     const answer = await this._services.callOnce(request, new AbortController().signal)
     if (answer.isOk) return { kind: 'answered', answer: answer.value }
--- a/packages/daemon/src/serving/durableRequest.ts
+++ b/packages/daemon/src/serving/durableRequest.ts
@@ -1,7 +1,7 @@
 /** Reads a durable request back from the log, so that any instance can run it. */
 import { v4 as createRequestId } from 'uuid'
 import { z } from 'zod'
-import type { Claim, ConfigurationDocument, Milliseconds } from '@wasabihead/coordination'
+import type { ClaimRequest, ConfigurationDocument, Milliseconds } from '@wasabihead/coordination'
 import type { AcceptedRequest } from './acceptedRequest.js'
 
 const DEFAULT_ANSWER_TOKENS = 16
@@ -13,7 +13,7 @@
 
 /** The request of a claim; `undefined` where the document has dropped its workspace or kind. */
 export function readDurableRequest (
-  claim: Claim, document: ConfigurationDocument | undefined, now: Milliseconds
+  claim: ClaimRequest, document: ConfigurationDocument | undefined, now: Milliseconds
 ): AcceptedRequest | undefined {
   const workspace = document?.workspaces.find(({ name }) => name === claim.workspace)
   const kind = document?.kinds.find(({ name }) => name === claim.kind)
