fix(http): answer kept-alive connections while leaving

Cause: once idle, an instance that leaves stopped its caller server, which closes idle kept-alive connections at once. A caller that has just had an answer sends its next request on that same connection; where the two cross, the caller reads ECONNRESET and cannot tell whether its request ran. gracefulStop.spec.ts does this: each durable completion follows a whole one on its connection, at the moment when the host becomes idle.

Ruled out: the fixture. Its requests are what callers with a pool send, and the focused test needs no process and no timing.

Change: from the moment of leaving, each answer whose headers are not yet out carries `Connection: close`; the server goes on answering (with the refusal that names the other hosts) for a grace of 2 s before it stops listening. A draining instance therefore ends at least 2 s later than before.

The failure of the whole-process spec itself was not reproduced before the mend; what ties it to this cause is the order of its requests.

callerServer.spec.ts: gives the grace as 0 so that stopping its server takes no time, and now also checks `Connection: close`.

Left: a server that closes a connection after the grace can still cross with a request on a connection that had been idle; HTTP/1.1 has no way to rule that out.

--- a/packages/daemon/src/callers/callerServer.spec.ts
+++ b/packages/daemon/src/callers/callerServer.spec.ts
@@ -56,7 +56,7 @@
     clock: new SystemClock(),
     metrics: new Metrics(),
     logger: new Logger('entry-0', 'error')
-  }, { headers: 200, request: 400, check: 20 })
+  }, { headers: 200, request: 400, check: 20, leavingGrace: 0 })
   address = `http://127.0.0.1:${await server.start('127.0.0.1', 0)}`
 })
 test.after.each(async () => { await server.stop() })
@@ -198,7 +198,7 @@
   assert.equal([...await hosts()].sort(), ['http://entry-0:8080', 'http://entry-1:8080'])
   server.leave()
   const response = await send('/v1/completions', { json: CHECK })
-  assert.is(response.status, 503)
+  assert.equal([response.status, response.headers.connection], [503, 'close'])
   assert.match(JSON.parse(response.text).error.remedy, 'http://entry-1:8080')
 })
 
--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -42,7 +42,7 @@
   private _isLeaving = false
 
   /** @param _parts collaborators */
-  constructor (private readonly _parts: CallerServerParts, timeouts?: ServerTimeouts) {
+  constructor (private readonly _parts: CallerServerParts, timeouts?: Partial<ServerTimeouts>) {
     const application = new Koa()
     application.silent = true
     application.use(async (context, next) => { await this._answerRefusals(context, next) })
@@ -59,9 +59,10 @@
   /** Refuses new work from now on. */
   leave (): void {
     this._isLeaving = true
+    this._server.leave()
   }
 
-  /** Closes once what runs has ended. */
+  /** Closes once what runs has ended and callers with a connection have had time to hear that this host leaves. */
   async stop (): Promise<void> {
     await this._server.finish()
   }
--- /dev/null
+++ b/packages/daemon/src/http/guardedServer.spec.ts
@@ -0,0 +1,72 @@
+import net from 'node:net'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { GuardedServer } from './index.js'
+
+const REQUEST = 'GET / HTTP/1.1\r\nhost: entry-0\r\n\r\n'
+const LONG_GRACE = 60_000
+let server: GuardedServer
+let connection: net.Socket
+let release: Array<() => void>
+let isHeld: boolean
+
+test.before.each(async () => {
+  release = []
+  isHeld = false
+  server = new GuardedServer((_, response) => {
+    const answer = (): void => { response.end('whole') }
+    if (isHeld) release.push(answer)
+    else answer()
+  }, () => ({}), { leavingGrace: LONG_GRACE })
+  connection = net.connect(await server.start('127.0.0.1', 0), '127.0.0.1')
+  connection.setEncoding('utf8')
+})
+test.after.each(async () => {
+  connection.destroy()
+  await server.close()
+})
+
+/** Reads one answer; what had come before the connection ended, if it ended first. */
+async function readAnswer (): Promise<string> {
+  return await new Promise(resolve => {
+    let text = ''
+    connection.on('data', chunk => {
+      text += String(chunk)
+      if (text.endsWith('whole')) resolve(text)
+    })
+    connection.on('error', () => { resolve(text) })
+    connection.on('close', () => { resolve(text) })
+  })
+}
+
+async function ask (): Promise<string> {
+  connection.write(REQUEST)
+  return await readAnswer()
+}
+
+test('should answer a request on a kept-alive connection that comes while the server finishes, and close it then', async () => {
+  assert.match(await ask(), 'Connection: keep-alive')
+  server.finish().catch(() => {})
+  const late = await ask()
+  assert.match(late, '200 OK')
+  assert.match(late, /connection: close/i)
+})
+
+test('should close the connection of a request that was running when the server began to leave', async () => {
+  isHeld = true
+  const running = ask()
+  while (release.length === 0) await new Promise(resolve => { setImmediate(resolve) })
+  server.leave()
+  release.forEach(answer => { answer() })
+  assert.match(await running, /connection: close/i)
+})
+
+test('should stop listening and end once the grace is over', async () => {
+  const short = new GuardedServer((_, response) => { response.end() }, () => ({}), { leavingGrace: 1 })
+  const port = await short.start('127.0.0.1', 0)
+  await short.finish()
+  const refused = await new Promise(resolve => { net.connect(port, '127.0.0.1').on('error', resolve).on('connect', resolve) })
+  assert.is((refused as NodeJS.ErrnoException).code, 'ECONNREFUSED')
+})
+
+test.run()
--- a/packages/daemon/src/http/guardedServer.ts
+++ b/packages/daemon/src/http/guardedServer.ts
@@ -8,6 +8,7 @@
 const REQUEST_TIMEOUT_MILLISECONDS = 30_000
 const TIMEOUT_CHECK_MILLISECONDS = 1_000
 const IDLE_CHECK_MILLISECONDS = 100
+const LEAVING_GRACE_MILLISECONDS = 2_000
 
 /** Why a request was refused before any handler saw it whole. */
 export type TransportFault = 'headers-too-large' | 'request-too-slow' | 'malformed'
@@ -17,6 +18,8 @@
   headers: number
   request: number
   check: number
+  /** How long a server that finishes still answers; a caller that just had its answer sends its next request meanwhile. */
+  leavingGrace: number
 }
 
 const STATUS_LINES: Record<TransportFault, string> = {
@@ -25,27 +28,38 @@
   malformed: '400 Bad Request'
 }
 const DEFAULT_TIMEOUTS: ServerTimeouts = {
-  headers: HEADERS_TIMEOUT_MILLISECONDS, request: REQUEST_TIMEOUT_MILLISECONDS, check: TIMEOUT_CHECK_MILLISECONDS
+  headers: HEADERS_TIMEOUT_MILLISECONDS,
+  request: REQUEST_TIMEOUT_MILLISECONDS,
+  check: TIMEOUT_CHECK_MILLISECONDS,
+  leavingGrace: LEAVING_GRACE_MILLISECONDS
 }
 
 /** Listens, and stops either at once or when the last answer is out. */
 export class GuardedServer {
   private readonly _server: http.Server
   private readonly _answers = new WeakMap<Duplex, http.ServerResponse>()
+  private readonly _running = new Set<http.ServerResponse>()
+  private readonly _leavingGrace: number
+  private _isLeaving = false
 
   /**
    * @param handler handles each request
    * @param toBody the answer's body for a request that no handler saw whole
    */
-  constructor (handler: http.RequestListener, toBody: (fault: TransportFault) => object, timeouts = DEFAULT_TIMEOUTS) {
+  constructor (handler: http.RequestListener, toBody: (fault: TransportFault) => object, timeouts: Partial<ServerTimeouts> = {}) {
+    const { headers, request, check, leavingGrace } = { ...DEFAULT_TIMEOUTS, ...timeouts }
+    this._leavingGrace = leavingGrace
     this._server = http.createServer({
       maxHeaderSize: MAXIMUM_HEADER_BYTES,
-      headersTimeout: timeouts.headers,
-      requestTimeout: timeouts.request,
-      connectionsCheckingInterval: timeouts.check
+      headersTimeout: headers,
+      requestTimeout: request,
+      connectionsCheckingInterval: check
     })
     this._server.on('request', (request, response) => {
       this._answers.set(request.socket, response)
+      this._running.add(response)
+      response.once('close', () => { this._running.delete(response) })
+      if (this._isLeaving) closeWithAnswer(response)
       handler(request, response)
     })
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
@@ -62,8 +76,19 @@
     return (this._server.address() as AddressInfo).port
   }
 
-  /** Stops listening; resolves when the last answer is out. Connections that fall idle are closed. */
+  /** From now on each answer closes its connection, so that no caller reuses one that is about to go. */
+  leave (): void {
+    this._isLeaving = true
+    for (const response of this._running) closeWithAnswer(response)
+  }
+
+  /**
+   * Leaves, stops listening once the grace is over, and resolves when the last answer is out. A connection that is closed
+   * while its caller's next request is under way cuts that request short, so requests are still answered in the grace.
+   */
   async finish (): Promise<void> {
+    this.leave()
+    await new Promise<void>(resolve => { setTimeout(resolve, this._leavingGrace).unref() })
     const timer = setInterval(() => { this._server.closeIdleConnections() }, IDLE_CHECK_MILLISECONDS)
     await new Promise<void>(resolve => { this._server.close(() => { resolve() }) })
     clearInterval(timer)
@@ -89,6 +114,11 @@
   }
 }
 
+/** An answer whose headers are out keeps its connection; the next request on it is answered with the close. */
+function closeWithAnswer (response: http.ServerResponse): void {
+  if (!response.headersSent) response.setHeader('connection', 'close')
+}
+
 function toFault (error: NodeJS.ErrnoException): TransportFault {
   if (error.code === 'HPE_HEADER_OVERFLOW') return 'headers-too-large'
   return error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 'request-too-slow' : 'malformed'
--- a/packages/daemon/src/operators/operatorServer.ts
+++ b/packages/daemon/src/operators/operatorServer.ts
@@ -24,7 +24,7 @@
    * @param _tokenDigest SHA-256 of the operators' token, in hexadecimal
    * @param routes the routes of the slices
    */
-  constructor (private readonly _tokenDigest: string, routes: readonly OperatorRoutes[], timeouts?: ServerTimeouts) {
+  constructor (private readonly _tokenDigest: string, routes: readonly OperatorRoutes[], timeouts?: Partial<ServerTimeouts>) {
     const application = new Koa()
     application.silent = true
     application.use(answerFailures)
