feat(callers): look a claimed request up by its key

GET /v1/requests/KEY answers state and kept answer of a durable or at-most-once request of the caller's own workspace, and runs nothing. A caller that came back with its key could only learn this by sending the request again. Claims are filed under the workspace of the token, so another workspace's key is a 404 like a key never used. A 404 says `notRun: "unknown"`, because a key past the retention window may have run. Attempt tokens and executors are not shown.

--- a/packages/daemon/src/callers/callerServer.spec.ts
+++ b/packages/daemon/src/callers/callerServer.spec.ts
@@ -6,12 +6,12 @@
 import { Result } from 'true-myth'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { MemberTable, RefusalError, SeededRandom, type ConfigurationDocument, type Member } from '@wasabihead/coordination'
+import { MemberTable, RefusalError, SeededRandom, type Claim, type ClaimReply, type ConfigurationDocument, type Member } from '@wasabihead/coordination'
 import { checkSource } from '../configuration/configurationKeeper.js'
 import { SystemClock } from '../instance/clock.js'
 import { RequestAdmission, type AcceptedRequest, type ModelAnswer } from '../serving/index.js'
 import { Logger, Metrics } from '../telemetry/index.js'
-import { CallerServer, RequestReader } from './index.js'
+import { CallerServer, RequestLookup, RequestReader } from './index.js'
 
 const TOKENS = { harrowgate: 'change-me-harrowgate', trent: 'change-me-trent' }
 const EXAMPLE = readFileSync(new URL('../../../../examples/document.yaml', import.meta.url), 'utf8')
@@ -22,6 +22,7 @@
 let address: string
 let document: ConfigurationDocument | undefined
 let ran: AcceptedRequest[]
+let find: (workspace: string, key: string) => Promise<ClaimReply>
 let runModel: (request: AcceptedRequest, signal: AbortSignal) => Promise<Result<ModelAnswer, RefusalError>>
 
 function member (host: string, state: Member['state']): Member {
@@ -51,6 +52,7 @@
     },
     services: { callWithRetries: keep },
     claimed: { run: keep },
+    lookup: new RequestLookup(async (workspace, key) => await find(workspace, key)),
     members,
     admission: new RequestAdmission(8, new SeededRandom(1), new SystemClock()),
     clock: new SystemClock(),
@@ -202,6 +204,30 @@
   assert.match(JSON.parse(response.text).error.remedy, 'http://entry-1:8080')
 })
 
+const claim = { kind: 'uniform-order', treatment: 'at-most-once', state: 'done', answer: { status: 201, body: '{"order":7}' } }
+for (const [title, found, options, status, expected] of [
+  ['a request that is done', claim, {}, 200, claim],
+  ['a request whose answer is not kept', { ...claim, answer: undefined }, {}, 200, { ...claim, answer: undefined }],
+  ['a request of unknown outcome', { ...claim, state: 'unknown', answer: undefined }, {}, 200, { state: 'unknown' }],
+  ['another workspace\'s key', claim, trent, 404, { type: 'not-found', notRun: 'unknown' }],
+  ['a key without a token', claim, { headers: { authorization: '' } }, 401, { type: 'unauthorized' }],
+  ['any key while the log cannot be read', undefined, {}, 503, { type: 'service-unavailable', notRun: 'unknown', retryAfterMilliseconds: 700 }]
+] as Array<[string, object | undefined, OptionsInit, number, Record<string, unknown>]>) {
+  test(`should look up ${title}, and run nothing`, async () => {
+    find = async (workspace, key) => {
+      if (found === undefined) return { kind: 'unavailable', retryAfter: 700 }
+      const isKept = workspace === 'harrowgate' && key === 'order/1'
+      return { kind: 'found', claim: isKept ? { ...found, attemptToken: 'hidden', executor: 'hidden' } as unknown as Claim : undefined }
+    }
+    const response = await send('/v1/requests/order%2F1', { method: 'GET', ...options })
+    const body = JSON.parse(response.text)
+    assert.is(response.status, status, response.text)
+    for (const [field, value] of Object.entries(expected)) assert.equal((body.error ?? body)[field], value)
+    assert.not.match(response.text, 'hidden')
+    assert.equal(ran, [])
+  })
+}
+
 test('should answer any malformed input with a typed refusal that is no failure of its own, and go on serving', async () => {
   const path = fc.oneof(fc.constantFrom('/v1/completions', '/v1/chat/completions', '/v1/calls/checklist-lookup', '/v1/calls/%E0%A4%A', '//'),
     fc.webPath())
--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -14,6 +14,7 @@
 import {
   answerRefusal, leavingRefusal, notFoundRefusal, refusalBody, toRefusal, transportRefusalBody, unwrap
 } from './refusals.js'
+import type { RequestLookup } from './requestLookup.js'
 import type { AuthenticatedCaller, RequestReader } from './requestReader.js'
 import { TokenTimes } from './tokenTimes.js'
 
@@ -25,6 +26,7 @@
   models: Pick<ModelRunner, 'run'>
   services: Pick<ServiceRunner, 'callWithRetries'>
   claimed: Pick<ClaimedRunner, 'run'>
+  lookup: RequestLookup
   members: MemberTable
   admission: RequestAdmission
   clock: Clock
@@ -86,6 +88,9 @@
     router.post('/v1/calls/:kind', authenticate, readBody, async context => {
       await this._call(context, String(context.params.kind))
     })
+    router.get('/v1/requests/:key', authenticate, async context => {
+      context.body = await this._parts.lookup.read((context.state as CallerState).caller.workspace, String(context.params.key))
+    })
     return router.routes() as unknown as Koa.Middleware
   }
 
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -5,7 +5,7 @@
 } from '@wasabihead/coordination'
 import { BudgetedKeyValueService, CallAccount, EtcdKeyValueService, HttpHostList } from '../adapters/index.js'
 import { BackendFleet, BlockTransfers } from '../backends/index.js'
-import { CallerServer, RequestReader } from '../callers/index.js'
+import { CallerServer, RequestLookup, RequestReader } from '../callers/index.js'
 import { ClaimCoordinator, ClaimDirectory, ClaimPeerClient, ClaimPeerRoutes, ClaimRoutes } from '../claims/index.js'
 import {
   ConfigurationKeeper, ConfigurationPeerClient, ConfigurationPeerRoutes, ConfigurationRoutes
@@ -177,6 +177,7 @@
         models,
         services,
         claimed,
+        lookup: new RequestLookup(async (workspace, key) => await claims.find(workspace, key)),
         members,
         admission: this._admission,
         clock,
