fix(serving): tell a request that is sent again by its fields, not their order

Cause: the digest that tells two requests with one idempotency key apart was taken over the body's text as it came. A caller whose library writes the fields in another order was told that its key belongs to another request (422). The digest is now taken over canonical JSON; the body that goes to the service stays as the caller wrote it.

Claims recorded before this change have another digest: the same key sent again across the change is a conflict.

--- a/packages/daemon/src/serving/acceptedRequest.ts
+++ b/packages/daemon/src/serving/acceptedRequest.ts
@@ -12,7 +12,7 @@
   requestId: string
   workspace: WorkspaceConfiguration
   kind: KindConfiguration
-  /** The request's body as canonical JSON; its digest tells two requests with one idempotency key apart. */
+  /** The request's body as JSON; the digest of its canonical form tells two requests with one idempotency key apart. */
   body: string
   /** Set where the kind's target is a model. */
   modelInput?: ModelInput
--- a/packages/daemon/src/serving/claimedRunner.ts
+++ b/packages/daemon/src/serving/claimedRunner.ts
@@ -10,6 +10,7 @@
 import type { Clock } from '../instance/clock.js'
 import type { Logger } from '../telemetry/index.js'
 import type { AcceptedRequest } from './acceptedRequest.js'
+import { canonicalJson } from './canonicalJson.js'
 import { refusalOf } from './claimedRefusals.js'
 import { readDurableRequest } from './durableRequest.js'
 import type { ModelRunner } from './modelRunner.js'
@@ -97,7 +98,7 @@
       idempotencyKey: request.idempotencyKey as string,
       kind: request.kind.name,
       treatment: isDurable ? 'durable' : 'at-most-once',
-      requestDigest: contentDigest(`${request.kind.name}\n${request.body}`),
+      requestDigest: contentDigest(`${request.kind.name}\n${canonicalJson(request.body)}`),
       attemptToken: createToken(),
       executor: this._identity,
       recordedAt: wall,
