feat(serving): answer durable completions in the shape they were asked in

Cause: a durable completion was answered with a shape of its own ({text, tokenCount, weightVersion}), on both routes. What was recorded was the caller's body, and the hand-over to another instance read it as {prompt, max_tokens}: for a chat body, whose field is `messages`, that reading throws, so the work of an instance that died was never taken up.

The log now records what the model is asked and the shape ({prompt, maximumTokens, shape}); the shapes moved from callers to serving, because whoever runs the request makes the answer. The 128 KiB limit now counts what is recorded.

A hand-over of a chat completion between daemons was not run; the failure of the old reading was read from the code, not run. Durable work recorded before this change cannot be read after it; there is no deployment to carry over.

Test changes: the demonstration's durable step reads choices[0].text in place of text, and compares the same text.

--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -4,12 +4,12 @@
 import { rankHosts, type MemberTable, type RefusalError } from '@wasabihead/coordination'
 import { GuardedServer, jsonBody, type ServerTimeouts } from '../http/index.js'
 import type { Clock } from '../instance/clock.js'
-import type {
-  AcceptedRequest, ClaimedRunner, ModelAnswer, ModelRunner, RequestAdmission, ServiceRunner
+import {
+  completionShapeOf,
+  type AcceptedRequest, type ClaimedRunner, type ModelAnswer, type ModelRunner, type RequestAdmission, type ServiceRunner
 } from '../serving/index.js'
 import type { LogFields, Logger, Metrics } from '../telemetry/index.js'
 import { readChatBody, readTextBody, type CompletionBody } from './completionBody.js'
-import { ChatCompletionShape, TextCompletionShape, type CompletionShape } from './completionShapes.js'
 import { abortWithCaller, EventStream } from './eventStream.js'
 import {
   answerRefusal, leavingRefusal, notFoundRefusal, refusalBody, toRefusal, transportRefusalBody, unwrap
@@ -80,10 +80,10 @@
     const readBody = jsonBody(BODY_LIMIT)
     router.get('/v1/hosts', context => { this._answerHosts(context) })
     router.post('/v1/completions', authenticate, readBody, async context => {
-      await this._complete(context, unwrap(readTextBody(context.request.body)), new TextCompletionShape())
+      await this._complete(context, unwrap(readTextBody(context.request.body)))
     })
     router.post('/v1/chat/completions', authenticate, readBody, async context => {
-      await this._complete(context, unwrap(readChatBody(context.request.body)), new ChatCompletionShape())
+      await this._complete(context, unwrap(readChatBody(context.request.body)))
     })
     router.post('/v1/calls/:kind', authenticate, readBody, async context => {
       await this._call(context, String(context.params.kind))
@@ -103,14 +103,14 @@
     })
   }
 
-  private async _complete (context: Context, body: CompletionBody, shape: CompletionShape): Promise<void> {
+  private async _complete (context: Context, body: CompletionBody): Promise<void> {
     const { reader, clock } = this._parts
     const { caller } = context.state as CallerState
     const request = unwrap(reader.readCompletion(context, caller, body, clock.monotonic()))
     await this._admitted(context, request, async () => {
       if (request.kind.treatment !== 'idempotent') await this._answerClaimed(context, request)
-      else if (body.isStreamed) await this._answerStreamed(context, request, shape)
-      else context.body = shape.whole(request, await this._runWhole(context, request))
+      else if (body.isStreamed) await this._answerStreamed(context, request)
+      else context.body = completionShapeOf(request).whole(request, await this._runWhole(context, request))
     })
   }
 
@@ -160,7 +160,8 @@
     return unwrap(await this._parts.models.run(request, () => { times.onToken() }, abortWithCaller(context)))
   }
 
-  private async _answerStreamed (context: Context, request: AcceptedRequest, shape: CompletionShape): Promise<void> {
+  private async _answerStreamed (context: Context, request: AcceptedRequest): Promise<void> {
+    const shape = completionShapeOf(request)
     const stream = new EventStream(context)
     const times = new TokenTimes(this._parts.clock, this._parts.metrics, request)
     const deliver = (part: { text: string }): void => {
--- a/packages/daemon/src/callers/completionBody.ts
+++ b/packages/daemon/src/callers/completionBody.ts
@@ -2,6 +2,7 @@
 import { Result } from 'true-myth'
 import { z } from 'zod'
 import { RefusalError } from '@wasabihead/coordination'
+import type { CompletionShapeName } from '../serving/index.js'
 
 const MAXIMUM_ANSWER_TOKENS = 4_096
 const DEFAULT_ANSWER_TOKENS = 16
@@ -26,13 +27,14 @@
   prompt: string
   maximumTokens: number
   isStreamed: boolean
+  shape: CompletionShapeName
 }
 
 /** Reads the body of `/v1/completions`. */
 export function readTextBody (body: unknown): Result<CompletionBody, RefusalError> {
   const parsed = textSchema.safeParse(body)
   if (!parsed.success) return Result.err(invalidBody(parsed.error))
-  return Result.ok(toBody(parsed.data, parsed.data.prompt))
+  return Result.ok(toBody(parsed.data, parsed.data.prompt, 'text'))
 }
 
 /** Reads the body of `/v1/chat/completions`; its messages become one prompt. */
@@ -40,11 +42,11 @@
   const parsed = chatSchema.safeParse(body)
   if (!parsed.success) return Result.err(invalidBody(parsed.error))
   const turns = parsed.data.messages.map(message => `${message.role}: ${message.content}\n`)
-  return Result.ok(toBody(parsed.data, `${turns.join('')}assistant:`))
+  return Result.ok(toBody(parsed.data, `${turns.join('')}assistant:`, 'chat'))
 }
 
-function toBody (data: z.infer<z.ZodObject<typeof common>>, prompt: string): CompletionBody {
-  return { kind: data.kind, model: data.model, prompt, maximumTokens: data.max_tokens, isStreamed: data.stream }
+function toBody (data: z.infer<z.ZodObject<typeof common>>, prompt: string, shape: CompletionShapeName): CompletionBody {
+  return { kind: data.kind, model: data.model, prompt, maximumTokens: data.max_tokens, isStreamed: data.stream, shape }
 }
 
 function invalidBody (error: z.ZodError): RefusalError {
--- a/packages/daemon/src/callers/requestReader.ts
+++ b/packages/daemon/src/callers/requestReader.ts
@@ -60,7 +60,7 @@
       return Result.err(new RefusalError('body-too-large', 413, true,
         `The prompt has ${promptBytes} bytes, more than the model takes`, `Send at most ${model.maximumPromptBytes} bytes of prompt`))
     }
-    const modelInput = { prompt: body.prompt, maximumTokens: body.maximumTokens }
+    const modelInput = { prompt: body.prompt, maximumTokens: body.maximumTokens, shape: body.shape }
     return accept(context, caller, kind, context.request.body, now, modelInput)
   }
 
--- a/packages/daemon/src/serving/acceptedRequest.ts
+++ b/packages/daemon/src/serving/acceptedRequest.ts
@@ -1,11 +1,17 @@
 /** A caller's request after authentication and checks. */
+import { z } from 'zod'
 import type { KindConfiguration, Milliseconds, WorkspaceConfiguration } from '@wasabihead/coordination'
 
-/** What a model is asked. */
-export interface ModelInput {
-  prompt: string
-  maximumTokens: number
-}
+/** What a model is asked and in which shape its answer goes to the caller; recorded for durable requests. */
+export const modelInputSchema = z.strictObject({
+  prompt: z.string(),
+  maximumTokens: z.number().int().positive(),
+  shape: z.enum(['text', 'chat'])
+})
+/** What a model is asked and in which shape its answer goes to the caller. */
+export type ModelInput = z.infer<typeof modelInputSchema>
+/** The shapes of completion answers. */
+export type CompletionShapeName = ModelInput['shape']
 
 /** A caller's request after authentication and checks. */
 export interface AcceptedRequest {
--- a/packages/daemon/src/serving/claimedRunner.ts
+++ b/packages/daemon/src/serving/claimedRunner.ts
@@ -11,8 +11,9 @@
 import type { Logger } from '../telemetry/index.js'
 import type { AcceptedRequest } from './acceptedRequest.js'
 import { canonicalJson } from './canonicalJson.js'
+import { completionShapeOf } from './completionShapes.js'
 import { refusalOf } from './claimedRefusals.js'
-import { readDurableRequest } from './durableRequest.js'
+import { readDurableRequest, recordDurableRequest } from './durableRequest.js'
 import type { ModelRunner } from './modelRunner.js'
 import type { ServiceRunner } from './serviceRunner.js'
 
@@ -81,7 +82,7 @@
       return new RefusalError('idempotency-key-missing', 400, true,
         `The kind "${request.kind.name}" needs an idempotency key`, 'Send the header Idempotency-Key with a new UUID for each request')
     }
-    if (request.kind.treatment === 'durable' && Buffer.byteLength(request.body) > DURABLE_BODY_MAXIMUM_BYTES) {
+    if (request.kind.treatment === 'durable' && Buffer.byteLength(recordDurableRequest(request)) > DURABLE_BODY_MAXIMUM_BYTES) {
       return new RefusalError('body-too-large', 413, true,
         'The body is too large to be kept', `Send at most ${DURABLE_BODY_MAXIMUM_BYTES} bytes`)
     }
@@ -103,7 +104,7 @@
       executor: this._identity,
       recordedAt: wall,
       deadlineAt: wall + request.deadline - this._clock.monotonic(),
-      ...(isDurable ? { request: request.body, maximumBacklog: request.workspace.maximumBacklog } : {})
+      ...(isDurable ? { request: recordDurableRequest(request), maximumBacklog: request.workspace.maximumBacklog } : {})
     }
   }
 
@@ -184,9 +185,6 @@
     const signal = new AbortController().signal
     if ('service' in request.kind.target) return await this._services.callWithRetries(request, signal)
     const answer = await this._models.run(request, () => {}, signal)
-    return answer.map(whole => ({
-      status: 200,
-      body: JSON.stringify({ text: whole.text, tokenCount: whole.tokenCount, weightVersion: whole.weightVersion })
-    }))
+    return answer.map(whole => ({ status: 200, body: JSON.stringify(completionShapeOf(request).whole(request, whole)) }))
   }
 }
--- a/packages/daemon/src/callers/completionShapes.ts
+++ b/packages/daemon/src/serving/completionShapes.ts
@@ -1,5 +1,6 @@
 /** Answers in the shapes that users of completion APIs know. */
-import type { AcceptedRequest, ModelAnswer } from '../serving/index.js'
+import type { AcceptedRequest, CompletionShapeName } from './acceptedRequest.js'
+import type { ModelAnswer } from './modelRunner.js'
 
 /** One shape of answers. */
 export abstract class CompletionShape {
@@ -58,6 +59,13 @@
   }
 }
 
+const SHAPES: Record<CompletionShapeName, CompletionShape> = { text: new TextCompletionShape(), chat: new ChatCompletionShape() }
+
+/** The shape that a request is answered in; text where it names none. */
+export function completionShapeOf (request: AcceptedRequest): CompletionShape {
+  return SHAPES[request.modelInput?.shape ?? 'text']
+}
+
 function countsOf (answer: ModelAnswer): object {
   return {
     weight_version: answer.weightVersion,
--- a/packages/daemon/src/serving/index.ts
+++ b/packages/daemon/src/serving/index.ts
@@ -1,4 +1,5 @@
-export { type AcceptedRequest, type ModelInput } from './acceptedRequest.js'
+export { type AcceptedRequest, type CompletionShapeName, type ModelInput } from './acceptedRequest.js'
+export { completionShapeOf, type CompletionShape } from './completionShapes.js'
 export { ClaimedRunner } from './claimedRunner.js'
 export { ModelRunner, type ModelAnswer } from './modelRunner.js'
 export { PromptPlacer, type PlacedPrompt, type PreparedReplica } from './promptPlacer.js'
--- a/packages/experiments/src/demonstration/demonstration.ts
+++ b/packages/experiments/src/demonstration/demonstration.ts
@@ -67,7 +67,8 @@
 async function summarise (caller: Caller, address: string): Promise<DemonstrationStep> {
   const text = prompt('safety policy')
   const answer = await caller.complete(address, 'policy-summary', text, ANSWER_TOKENS, randomUUID())
-  const isWhole = (answer.body as { text?: string }).text === answerTokens(text, ANSWER_TOKENS).join('')
+  const { choices } = answer.body as { choices?: Array<{ text: string }> }
+  const isWhole = choices?.[0]?.text === answerTokens(text, ANSWER_TOKENS).join('')
   return { title: 'a policy summary is kept until it is whole', isWhole, detail: JSON.stringify(answer) }
 }
 
