--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -4,16 +4,17 @@
 import { rankHosts, type MemberTable, type RefusalError } from '@wasabihead/coordination'
 import { GuardedServer, jsonBody, type ServerTimeouts } from '../http/index.js'
 import type { Clock } from '../instance/clock.js'
-import type {
-  AcceptedRequest, ClaimedRunner, ModelAnswer, ModelRunner, RequestAdmission, ServiceRunner
+import {
+  completionShapeOf,
+  type AcceptedRequest, type ClaimedRunner, type ModelAnswer, type ModelRunner, type RequestAdmission, type ServiceRunner
 } from '../serving/index.js'
 import type { LogFields, Logger, Metrics } from '../telemetry/index.js'
 import { readChatBody, readTextBody, type CompletionBody } from './completionBody.js'
-import { ChatCompletionShape, TextCompletionShape, type CompletionShape } from './completionShapes.js'
 import { abortWithCaller, EventStream } from './eventStream.js'
 import {
   answerRefusal, leavingRefusal, notFoundRefusal, refusalBody, toRefusal, transportRefusalBody, unwrap
 } from './refusals.js'
+import type { RequestLookup } from './requestLookup.js'
 import type { AuthenticatedCaller, RequestReader } from './requestReader.js'
 import { TokenTimes } from './tokenTimes.js'
 
@@ -25,6 +26,7 @@
   models: Pick<ModelRunner, 'run'>
   services: Pick<ServiceRunner, 'callWithRetries'>
   claimed: Pick<ClaimedRunner, 'run'>
+  lookup: RequestLookup
   members: MemberTable
   admission: RequestAdmission
   clock: Clock
@@ -42,7 +44,7 @@
   private _isLeaving = false
 
   /** @param _parts collaborators */
-  constructor (private readonly _parts: CallerServerParts, timeouts?: ServerTimeouts) {
+  constructor (private readonly _parts: CallerServerParts, timeouts?: Partial<ServerTimeouts>) {
     const application = new Koa()
     application.silent = true
     application.use(async (context, next) => { await this._answerRefusals(context, next) })
@@ -59,9 +61,10 @@
   /** Refuses new work from now on. */
   leave (): void {
     this._isLeaving = true
+    this._server.leave()
   }
 
-  /** Closes once what runs has ended. */
+  /** Closes once what runs has ended and callers with a connection have had time to hear that this host leaves. */
   async stop (): Promise<void> {
     await this._server.finish()
   }
@@ -77,14 +80,17 @@
     const readBody = jsonBody(BODY_LIMIT)
     router.get('/v1/hosts', context => { this._answerHosts(context) })
     router.post('/v1/completions', authenticate, readBody, async context => {
-      await this._complete(context, unwrap(readTextBody(context.request.body)), new TextCompletionShape())
+      await this._complete(context, unwrap(readTextBody(context.request.body)))
     })
     router.post('/v1/chat/completions', authenticate, readBody, async context => {
-      await this._complete(context, unwrap(readChatBody(context.request.body)), new ChatCompletionShape())
+      await this._complete(context, unwrap(readChatBody(context.request.body)))
     })
     router.post('/v1/calls/:kind', authenticate, readBody, async context => {
       await this._call(context, String(context.params.kind))
     })
+    router.get('/v1/requests/:key', authenticate, async context => {
+      context.body = await this._parts.lookup.read((context.state as CallerState).caller.workspace, String(context.params.key))
+    })
     return router.routes() as unknown as Koa.Middleware
   }
 
@@ -97,14 +103,14 @@
     })
   }
 
-  private async _complete (context: Context, body: CompletionBody, shape: CompletionShape): Promise<void> {
+  private async _complete (context: Context, body: CompletionBody): Promise<void> {
     const { reader, clock } = this._parts
     const { caller } = context.state as CallerState
     const request = unwrap(reader.readCompletion(context, caller, body, clock.monotonic()))
     await this._admitted(context, request, async () => {
       if (request.kind.treatment !== 'idempotent') await this._answerClaimed(context, request)
-      else if (body.isStreamed) await this._answerStreamed(context, request, shape)
-      else context.body = shape.whole(request, await this._runWhole(context, request))
+      else if (body.isStreamed) await this._answerStreamed(context, request)
+      else context.body = completionShapeOf(request).whole(request, await this._runWhole(context, request))
     })
   }
 
@@ -154,7 +160,8 @@
     return unwrap(await this._parts.models.run(request, () => { times.onToken() }, abortWithCaller(context)))
   }
 
-  private async _answerStreamed (context: Context, request: AcceptedRequest, shape: CompletionShape): Promise<void> {
+  private async _answerStreamed (context: Context, request: AcceptedRequest): Promise<void> {
+    const shape = completionShapeOf(request)
     const stream = new EventStream(context)
     const times = new TokenTimes(this._parts.clock, this._parts.metrics, request)
     const deliver = (part: { text: string }): void => {
