--- a/packages/coordination/src/streams/answerRun.ts
+++ b/packages/coordination/src/streams/answerRun.ts
@@ -72,6 +72,7 @@
       case 'part': return this._onPart(message.part, now)
       case 'attempt-ended': return this._onAttemptEnded(message.failure ?? 'broken', now)
       case 'probe-ended': return this._onProbeEnded(message.isAnswered, now)
+      case 'forbidden': return this._onForbidden(message.refusal)
       case 'wake': return this._onWake(now)
       case 'caller-left': return this._onCallerLeft()
     }
@@ -220,6 +221,13 @@
       ...this._refuse('deadline-exceeded', 499, 'The caller went away', 'Send the request again', 0)]
   }
 
+  private _onForbidden ({ kind, status, problem, remedy, retryAfter }: RefusalError): AnswerRunEffect[] {
+    const cancelled = this._cancelRunning()
+    this._phase = 'ended'
+    const notRun: NotRun = this._mayHaveRun ? 'unknown' : true
+    return [...cancelled, { kind: 'refuse', refusal: new RefusalError(kind, status, notRun, problem, remedy, retryAfter) }]
+  }
+
   private _cancelRunning (): AnswerRunEffect[] {
     if (this._phase !== 'streaming' || this._attempt === undefined) return []
     this._mayHaveRun = true
--- a/packages/coordination/src/streams/messages.ts
+++ b/packages/coordination/src/streams/messages.ts
@@ -19,6 +19,8 @@
   | { kind: 'part', attempt: number, part: EnginePart }
   | { kind: 'attempt-ended', attempt: number, failure?: AttemptFailure }
   | { kind: 'probe-ended', attempt: number, isAnswered: boolean }
+  /** The request may not run on; `notRun` of the refusal is true only where no attempt was sent. */
+  | { kind: 'forbidden', attempt: number, refusal: RefusalError }
   | { kind: 'wake' }
   | { kind: 'caller-left' }
 
