feat(daemon): hold requests that crash replicas to one trial, and quarantine them everywhere

Each run asks for leave before every attempt. A broken stream counts as a crash when the replica fails a probe on a new connection or answers as another incarnation. The first peers are told before the caller gets its refusal, so that a re-send at another host meets the news. Without the key-value service the first instance of the model's rendezvous order alone runs suspects. Operators list and release entries.

--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -17,6 +17,9 @@
 import { OrderRoutes, OrdersLoop } from '../orders/index.js'
 import { PeerConnections, PeerServer } from '../peers/index.js'
 import { ClaimedRunner, ModelRunner, PromptPlacer, RequestAdmission, RETRY_BUDGETS, ServiceRunner, waitFor } from '../serving/index.js'
+import {
+  QuarantineKeeper, QuarantinePeerClient, QuarantinePeerRoutes, QuarantineRoutes, QuarantineStore
+} from '../quarantine/index.js'
 import type { Settings } from '../settings/index.js'
 import { Logger, Metrics, MetricsRoutes } from '../telemetry/index.js'
 import { SystemClock, type Clock } from './clock.js'
@@ -71,6 +74,7 @@
       this._settings.peerAddress ?? addresses.peer, this._settings.callerAddress ?? addresses.caller, this._clock.monotonic())
     await parts.configuration.start()
     await parts.membership.start()
+    await parts.quarantine.start()
     parts.claims.start()
     this._fleet.start()
     parts.orders.start()
@@ -97,6 +101,7 @@
     parts.claims.stop()
     parts.orders.stop()
     parts.leaving.stop()
+    parts.quarantine.stop()
     parts.membership.stop()
     parts.configuration.stop()
     this._fleet.stop()
@@ -148,7 +153,15 @@
     const transfers = new BlockTransfers(this._fleet, settings.dataCentre, clock)
     const placer = new PromptPlacer(this._fleet, transfers, settings.workspaceSecret, clock, this._metrics)
     const budgets = new RetryBudgets(RETRY_BUDGETS)
-    const models = new ModelRunner(placer, configuration, budgets, clock, random, this._metrics, this._logger)
+    const quarantine = new QuarantineKeeper({
+      store: new QuarantineStore(settings.environment, new BudgetedKeyValueService(service, calls, 'configuration')),
+      peers: new QuarantinePeerClient(this._connections, settings.environment),
+      members,
+      clock,
+      random,
+      logger: this._logger
+    })
+    const models = new ModelRunner(placer, configuration, budgets, clock, random, this._metrics, this._logger, quarantine)
     const services = new ServiceRunner(this._fleet, budgets, clock, random, this._metrics)
     const claimed = new ClaimedRunner(
       members.identity, claims, models, services, () => configuration.document, clock, this._logger)
@@ -169,6 +182,7 @@
       membership,
       orders,
       leaving,
+      quarantine,
       callerServer: new CallerServer({
         reader,
         models,
@@ -186,6 +200,7 @@
         new ClaimRoutes(claims, new ClaimDirectory(settings.environment, claimStore)),
         new OrderRoutes(orders),
         new LeavingRoutes(leaving),
+        new QuarantineRoutes(quarantine),
         new MetricsRoutes(this._metrics),
         new StatusRoutes({
           environment: settings.environment,
@@ -200,7 +215,8 @@
         new MembershipPeerRoutes(settings.environment, membership),
         new ConfigurationPeerRoutes(configuration),
         new ClaimPeerRoutes(claims),
-        new LeavingPeerRoutes(settings.environment, leaving)
+        new LeavingPeerRoutes(settings.environment, leaving),
+        new QuarantinePeerRoutes(settings.environment, quarantine)
       ])
     }
   }
@@ -227,6 +243,7 @@
   membership: MembershipLoop
   orders: OrdersLoop
   leaving: LeavingLoop
+  quarantine: QuarantineKeeper
   callerServer: CallerServer
   operatorServer: OperatorServer
   peerServer: PeerServer
--- /dev/null
+++ b/packages/daemon/src/quarantine/index.ts
@@ -0,0 +1,5 @@
+export { CrashGuard } from './crashGuard.js'
+export { QuarantineKeeper } from './quarantineKeeper.js'
+export { QuarantinePeerClient, QuarantinePeerRoutes } from './quarantinePeers.js'
+export { QuarantineRoutes } from './quarantineRoutes.js'
+export { QuarantineStore } from './quarantineStore.js'
--- a/packages/daemon/src/serving/answerDriver.ts
+++ b/packages/daemon/src/serving/answerDriver.ts
@@ -2,14 +2,17 @@
 import { Result } from 'true-myth'
 import { v4 as createNonce } from 'uuid'
 import {
-  PlatformRefusedError, WeightVersionRefusedError,
+  PlatformRefusedError, RefusalError, WeightVersionRefusedError,
   type AnswerEnd, type AnswerRun, type AnswerRunEffect, type AnswerRunMessage, type AttemptFailure, type EngineRequest,
-  type Milliseconds, type OrderedPart, type RefusalError
+  type Milliseconds, type OrderedPart
 } from '@wasabihead/coordination'
 import type { Clock } from '../instance/clock.js'
+import type { CrashGuard } from '../quarantine/index.js'
 import type { PlacedPrompt, PreparedReplica, PromptPlacer } from './promptPlacer.js'
 import type { ReplicaProber } from './replicaProber.js'
 
+const TRIAL_RETRY_AFTER: Milliseconds = 2_000
+
 /** How a run ended well. */
 export interface DrivenAnswer {
   end: AnswerEnd
@@ -22,6 +25,7 @@
 export interface AnswerDriverParts {
   placer: PromptPlacer
   prober: ReplicaProber
+  guard: CrashGuard
   clock: Clock
   activeWeightVersion: () => string
   deliver: (part: OrderedPart) => void
@@ -35,6 +39,8 @@
 
 interface RunningAttempt {
   prepared: PreparedReplica
+  /** Incarnation of the replica as it was believed when the attempt began; 0 where it is not known. */
+  incarnation: number
   aborter: AbortController
 }
 
@@ -42,6 +48,8 @@
 export class AnswerDriver {
   private readonly _attempts = new Map<number, RunningAttempt>()
   private _timer: NodeJS.Timeout | undefined
+  private _trialTimer: NodeJS.Timeout | undefined
+  private _isWhole = false
   private _importedBlocks = 0
   private _resolve: (result: Result<DrivenAnswer, RefusalError>) => void = () => {}
 
@@ -56,14 +64,19 @@
   async drive (signal: AbortSignal): Promise<Result<DrivenAnswer, RefusalError>> {
     const onAbort = () => { this._handle({ kind: 'caller-left' }) }
     try {
-      return await new Promise(resolve => {
+      const result = await new Promise<Result<DrivenAnswer, RefusalError>>(resolve => {
         this._resolve = resolve
         signal.addEventListener('abort', onAbort, { once: true })
         this._handle(signal.aborted ? { kind: 'caller-left' } : { kind: 'start' })
       })
+      // Other hosts must know of a crash before the caller can send the request there.
+      if (result.isErr) await this._parts.guard.settle()
+      return result
     } finally {
       signal.removeEventListener('abort', onAbort)
       clearTimeout(this._timer)
+      clearTimeout(this._trialTimer)
+      this._parts.guard.close(this._isWhole).catch(() => {})
       for (const attempt of this._attempts.keys()) this._release(attempt)
     }
   }
@@ -89,17 +102,42 @@
 
   private _prepare ({ attempt, weightVersion, excludedReplicas }: EffectOf<'prepare-attempt'>): void {
     this._releaseBefore(attempt)
-    this._parts.placer.prepare({ ...this._prompt, weightVersion }, excludedReplicas).then(
+    this._admitAndPlace(attempt, weightVersion, excludedReplicas).then(
       prepared => { this._onPrepared(attempt, prepared) },
       () => { this._onPrepared(attempt, undefined) })
   }
 
+  /** Undefined where no replica accepts work; a request that may not run is refused at once. */
+  private async _admitAndPlace (
+    attempt: number, weightVersion: string, excludedReplicas: ReadonlySet<string>
+  ): Promise<PreparedReplica | undefined> {
+    const refusal = await this._parts.guard.admit()
+    if (refusal !== undefined) this._handle({ kind: 'forbidden', attempt, refusal })
+    if (this._run.isEnded) return undefined
+    this._boundTrial(attempt)
+    return await this._parts.placer.prepare({ ...this._prompt, weightVersion }, excludedReplicas)
+  }
+
+  private _boundTrial (attempt: number): void {
+    clearTimeout(this._trialTimer)
+    const { trialEndsAt } = this._parts.guard
+    if (trialEndsAt === Infinity) return
+    const delay = Math.max(0, trialEndsAt - this._parts.clock.monotonic())
+    this._trialTimer = setTimeout(() => { this._forbidLateTrial(attempt) }, delay)
+  }
+
+  private _forbidLateTrial (attempt: number): void {
+    const refusal = new RefusalError('quarantined', 503, true, 'The trial of this request took too long',
+      'Send it again after the time given', TRIAL_RETRY_AFTER)
+    this._handle({ kind: 'forbidden', attempt, refusal })
+  }
+
   private _onPrepared (attempt: number, prepared: PreparedReplica | undefined): void {
     const activeWeightVersion = this._parts.activeWeightVersion()
     if (prepared === undefined) return this._handle({ kind: 'no-replica', attempt, activeWeightVersion })
     this._importedBlocks += prepared.importedBlocks
     const replica = prepared.replica.configuration.name
-    this._attempts.set(attempt, { prepared, aborter: new AbortController() })
+    this._attempts.set(attempt, { prepared, incarnation: prepared.incarnation, aborter: new AbortController() })
     this._handle({ kind: 'attempt-prepared', attempt, nonce: createNonce(), replica, activeWeightVersion })
     // The run may have moved on or ended while the replica was prepared.
     if (this._run.isEnded) this._release(attempt)
@@ -109,14 +147,24 @@
     const { attempt } = effect
     const running = this._attempts.get(attempt)
     if (running === undefined) return
+    // A paused instance may wake here after another one took the trial over.
+    if (this._parts.clock.monotonic() >= this._parts.guard.trialEndsAt) return this._forbidLateTrial(attempt)
     this._stream(running, effect).then(
       () => { this._handle({ kind: 'attempt-ended', attempt }) },
       (error: unknown) => {
-        if (this._attempts.has(attempt)) this._parts.onAttemptFailed(effect.replica, attempt, String(error))
-        this._handle({ kind: 'attempt-ended', attempt, failure: sortAttemptFailure(error) })
+        const failure = sortAttemptFailure(error)
+        if (this._attempts.has(attempt)) this._noteFailure(running, attempt, failure, error)
+        this._handle({ kind: 'attempt-ended', attempt, failure })
       })
   }
 
+  private _noteFailure (running: RunningAttempt, attempt: number, failure: AttemptFailure, error: unknown): void {
+    this._parts.onAttemptFailed(running.prepared.replica.configuration.name, attempt, String(error))
+    // A stream that this run has cut itself tells nothing about the replica.
+    if (failure !== 'broken' || running.aborter.signal.aborted) return
+    this._parts.guard.noteBroken(running.prepared.replica, running.incarnation)
+  }
+
   private async _stream (running: RunningAttempt, effect: EffectOf<'open-stream'>): Promise<void> {
     const parts = running.prepared.replica.engine.run({
       ...this._ask,
@@ -140,7 +188,10 @@
     if (running === undefined) return
     this._parts.onAttemptFailed(replica, attempt, 'no progress within the idle bound; probed on a new connection')
     this._parts.prober.probe(running.prepared.replica, timeout).then(
-      isAnswered => { this._handle({ kind: 'probe-ended', attempt, isAnswered }) },
+      isAnswered => {
+        if (!isAnswered) this._parts.guard.noteSilent()
+        this._handle({ kind: 'probe-ended', attempt, isAnswered })
+      },
       () => { this._handle({ kind: 'probe-ended', attempt, isAnswered: false }) })
   }
 
@@ -177,6 +228,7 @@
       this._attempts.delete(attempt)
       this._parts.placer.finish({ ...this._prompt, weightVersion }, prepared)
     }
+    this._isWhole = true
     this._resolve(Result.ok({ end, weightVersion, replica, importedBlocks: this._importedBlocks }))
   }
 }
--- a/packages/daemon/src/serving/modelRunner.ts
+++ b/packages/daemon/src/serving/modelRunner.ts
@@ -1,11 +1,12 @@
 /** Runs a prompt to its whole answer: streams from one replica, and resumes on another when the stream breaks. */
 import { Result } from 'true-myth'
 import {
-  AnswerRun, RefusalError, RetryBudgets, SeededRandom,
+  AnswerRun, fingerprintOf, RefusalError, RetryBudgets, SeededRandom,
   type AnswerEnd, type IdleBounds, type ModelConfiguration, type OrderedPart
 } from '@wasabihead/coordination'
 import type { ConfigurationKeeper } from '../configuration/index.js'
 import type { Clock } from '../instance/clock.js'
+import { CrashGuard, type QuarantineKeeper } from '../quarantine/index.js'
 import type { Logger, Metrics } from '../telemetry/index.js'
 import type { AcceptedRequest, ModelInput } from './acceptedRequest.js'
 import { AnswerDriver, type DrivenAnswer } from './answerDriver.js'
@@ -40,7 +41,8 @@
     private readonly _clock: Clock,
     private readonly _random: SeededRandom,
     private readonly _metrics: Metrics,
-    private readonly _logger: Logger
+    private readonly _logger: Logger,
+    private readonly _quarantine: QuarantineKeeper
   ) {}
 
   /**
@@ -97,6 +99,7 @@
     return new AnswerDriver(this._createRun(request, input, prompt), prompt, ask, {
       placer: this._placer,
       prober: this._prober,
+      guard: this._createGuard(request, prompt.model.name),
       clock: this._clock,
       activeWeightVersion: () => this._findModel(prompt.model.name)?.activeWeightVersion ?? prompt.weightVersion,
       deliver,
@@ -104,6 +107,11 @@
     })
   }
 
+  private _createGuard ({ workspace, kind, body }: AcceptedRequest, model: string): CrashGuard {
+    const fingerprint = fingerprintOf(workspace.name, kind.name, body)
+    return new CrashGuard(this._quarantine, { fingerprint, workspace: workspace.name, kind: kind.name, model }, this._clock)
+  }
+
   private _createRun (request: AcceptedRequest, input: ModelInput, prompt: PlacedPrompt): AnswerRun {
     const { workspace, kind } = request
     const now = this._clock.monotonic()
--- a/packages/daemon/src/serving/promptPlacer.ts
+++ b/packages/daemon/src/serving/promptPlacer.ts
@@ -25,6 +25,8 @@
   replica: EngineReplica
   blockKeys: readonly string[]
   importedBlocks: number
+  /** Incarnation of the replica as it is believed; 0 where it is not known. */
+  incarnation: number
 }
 
 /** Places prompts. Every `prepare` that gives a replica is paired with one `finish`, `release` or `fail`. */
@@ -50,7 +52,8 @@
     const importedBlocks = await this._transfers.importBlocks(replica, placement.imports ?? [], located, bytes => {
       this._metrics.count('imported-bytes', prompt.workspace, prompt.requestKind, bytes)
     })
-    return { replica, blockKeys, importedBlocks }
+    const incarnation = this._fleet.replicas.find(placement.replica)?.incarnation ?? 0
+    return { replica, blockKeys, importedBlocks, incarnation }
   }
 
   /** Ends an attempt whose answer is whole, and exports the blocks that no store holds yet. */
