feat(daemon): answer the caller of quarantined durable work at once

Cause: kept work that is quarantined is tried again until an operator releases it, and its caller waited for its deadline. The caller now gets the refusal at the first such try, with notRun unknown, since the kept work runs once it is released. Ruled out: recording the refusal as the answer, which a release could not undo.

--- a/packages/daemon/src/serving/claimedRunner.ts
+++ b/packages/daemon/src/serving/claimedRunner.ts
@@ -26,9 +26,12 @@
   request: AcceptedRequest
   attemptToken: string
   attempt: ClaimedAttempt
-  answer: (outcome: AttemptOutcome) => void
+  /** Answers the caller; only the first answer counts. */
+  answer: AnswerCaller
 }
 
+type AnswerCaller = (answer: Result<KeptAnswer, RefusalError>) => void
+
 /** Runs claimed requests. */
 export class ClaimedRunner {
   private readonly _attempts = new Map<string, ClaimedAttempt>()
@@ -57,10 +60,9 @@
   async run (request: AcceptedRequest): Promise<Result<KeptAnswer, RefusalError>> {
     const refusal = this._refusalBefore(request)
     if (refusal !== undefined) return Result.err(refusal)
-    const outcome = await new Promise<AttemptOutcome>(resolve => {
+    return await new Promise(resolve => {
       this._begin(request, this._claimRequest(request), { kind: 'start' }, resolve)
     })
-    return outcome.kind === 'answered' ? Result.ok(outcome.answer) : Result.err(refusalOf(outcome))
   }
 
   /** Runs durable work that the log now names as this instance's own. */
@@ -107,7 +109,7 @@
   }
 
   private _begin (
-    request: AcceptedRequest, claim: ClaimRequest, first: AttemptMessage, answer: (outcome: AttemptOutcome) => void
+    request: AcceptedRequest, claim: ClaimRequest, first: AttemptMessage, answer: AnswerCaller
   ): void {
     const rules = { deadline: request.deadline, isResendable: this._isResendable(request) }
     const running = { request, attemptToken: claim.attemptToken, attempt: new ClaimedAttempt(claim, rules), answer }
@@ -135,14 +137,14 @@
       case 'report':
         return this._follow(running, this._claims.report(effect.report), reply => ({ kind: 'report-replied', reply }))
       case 'send':
-        return this._follow(running, this._send(running.request), end => ({ kind: 'call-ended', end }))
+        return this._follow(running, this._send(running), end => ({ kind: 'call-ended', end }))
       case 'send-after':
         this._logger.warn('a claimed request is sent again', {
           requestId: running.request.requestId, workspace: running.request.workspace.name
         })
         return this._tellAfter(running, effect.delay)
       case 'report-after': return this._tellAfter(running, effect.delay)
-      case 'answer': return running.answer(effect.outcome)
+      case 'answer': return running.answer(toAnswer(effect.outcome))
       case 'end': this._attempts.delete(running.attemptToken)
     }
   }
@@ -157,9 +159,9 @@
       error => { this._logger.error('a claimed request failed inside', { problem: String(error) }) })
   }
 
-  private async _send (request: AcceptedRequest): Promise<CallEnd> {
+  private async _send ({ request, answer }: RunningAttempt): Promise<CallEnd> {
     try {
-      return request.kind.treatment === 'durable' ? await this._sendDurable(request) : await this._sendOnce(request)
+      return request.kind.treatment === 'durable' ? await this._sendDurable(request, answer) : await this._sendOnce(request)
     } catch (error) {
       this._logger.error('a call ended with an unexpected error', { requestId: request.requestId, problem: String(error) })
       return { kind: 'ambiguous' }
@@ -173,8 +175,11 @@
   }
 
   /** A server error is no answer to durable work, which is sent again. */
-  private async _sendDurable (request: AcceptedRequest): Promise<CallEnd> {
+  private async _sendDurable (request: AcceptedRequest, answerCaller: AnswerCaller): Promise<CallEnd> {
     const answer = await this._tryDurable(request)
+    // Kept work waits for an operator's release; its caller need not wait for its deadline to learn that.
+    const isQuarantined = answer.isErr && answer.error.kind === 'quarantined' && answer.error.retryAfter === undefined
+    if (isQuarantined) answerCaller(Result.err(keptInQuarantine(answer.error)))
     if (answer.isErr || answer.value.status >= FIRST_SERVER_ERROR_STATUS) return { kind: 'ambiguous' }
     return { kind: 'answered', answer: answer.value }
   }
@@ -189,3 +194,12 @@
     }))
   }
 }
+
+function toAnswer (outcome: AttemptOutcome): Result<KeptAnswer, RefusalError> {
+  return outcome.kind === 'answered' ? Result.ok(outcome.answer) : Result.err(refusalOf(outcome))
+}
+
+/** Accepted work runs once it is released, so nobody can say that it never will. */
+function keptInQuarantine ({ kind, status, problem, remedy }: RefusalError): RefusalError {
+  return new RefusalError(kind, status, 'unknown', problem, remedy)
+}
--- a/tests/wholeProcess/quarantine.spec.ts
+++ b/tests/wholeProcess/quarantine.spec.ts
@@ -1,4 +1,5 @@
 /** A request that crashes engines, sent again through every host, against real daemons. */
+import { randomUUID } from 'node:crypto'
 import got from 'got'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -10,6 +11,11 @@
 /** The first run and the one trial. */
 const MOST_CRASHES = 2
 
+interface Listed {
+  fingerprint: string
+  state: string
+}
+
 const scenarios = [
   { title: 'with the key-value service up', isServiceDown: false },
   { title: 'with the key-value service down', isServiceDown: true }
@@ -25,7 +31,7 @@
       const caller = new Caller(HARROWGATE_TOKEN)
       const statuses: number[] = []
       for (let send = 0; send < SENDS; send++) statuses.push(await sendOnce(fleet, caller, send))
-      await waitUntil(async () => (await sendOnce(fleet, caller, 0)) === 422 && (await sendOnce(fleet, caller, 1)) === 422)
+      await waitUntil(async () => (await countCrashes(fleet)) > MOST_CRASHES || await isRefusedEverywhere(fleet, caller))
       assert.is(await countCrashes(fleet), MOST_CRASHES, statuses.join(' '))
       const listed = await Promise.all(fleet.instances.map(readQuarantine))
       assert.equal(listed.map(entries => entries.map(({ state }) => state)), [['quarantined'], ['quarantined']])
@@ -37,13 +43,37 @@
   })
 }
 
+test('should answer a durable request that crashes replicas before its deadline, and run the kept one once released', async () => {
+  const fleet = new Fleet()
+  try {
+    await fleet.start({ instances: 2, engines: ENGINES })
+    await fleet.waitForMembers(2)
+    await applyDocument(fleet)
+    const caller = new Caller(HARROWGATE_TOKEN)
+    assert.is(await sendOnce(fleet, caller, 0, 'policy-summary'), 422)
+    assert.is(await sendOnce(fleet, caller, 1, 'policy-summary'), 422)
+    assert.is(await countCrashes(fleet), MOST_CRASHES)
+    const [entry] = await readQuarantine(fleet.instances[1] as RunningInstance)
+    const released = await fleet.operate(fleet.instances[1] as RunningInstance, 'quarantine', 'release', entry?.fingerprint ?? '')
+    assert.is(released.code, 0, released.errors)
+    await waitUntil(async () => (await countCrashes(fleet)) > MOST_CRASHES)
+  } finally {
+    await fleet.stop()
+  }
+})
+
 function addressOf (fleet: Fleet, send: number): string {
   return (fleet.instances[send % fleet.instances.length] as RunningInstance).addresses.caller
 }
 
+async function isRefusedEverywhere (fleet: Fleet, caller: Caller): Promise<boolean> {
+  const statuses = await Promise.all(fleet.instances.map(async (_, index) => await sendOnce(fleet, caller, index)))
+  return statuses.every(status => status === 422)
+}
+
 /** The caller changes hosts with each send and brings a new key. */
-async function sendOnce (fleet: Fleet, caller: Caller, send: number): Promise<number> {
-  const answer = await caller.complete(addressOf(fleet, send), 'policy-answer', CRASHING, 8, `send-${send}-${Date.now()}`)
+async function sendOnce (fleet: Fleet, caller: Caller, send: number, kind = 'policy-answer'): Promise<number> {
+  const answer = await caller.complete(addressOf(fleet, send), kind, CRASHING, 8, randomUUID())
   return answer.status
 }
 
@@ -53,9 +83,9 @@
   return counts.reduce((sum, crashes) => sum + crashes, 0)
 }
 
-async function readQuarantine ({ addresses }: RunningInstance): Promise<Array<{ state: string }>> {
+async function readQuarantine ({ addresses }: RunningInstance): Promise<Listed[]> {
   const headers = { authorization: `Bearer ${OPERATOR_TOKEN}` }
-  return (await got(`${addresses.operator}/v1/quarantine`, { headers }).json<{ entries: Array<{ state: string }> }>()).entries
+  return (await got(`${addresses.operator}/v1/quarantine`, { headers }).json<{ entries: Listed[] }>()).entries
 }
 
 test.run()
