--- a/packages/coordination/src/quarantine/quarantine.spec.ts
+++ b/packages/coordination/src/quarantine/quarantine.spec.ts
@@ -70,6 +70,15 @@
   assert.ok(sends[0] === 1 && sends.at(-1) === 0)
 })
 
+test('should tell the newer entry back to whoever spreads an older one', () => {
+  const table = new QuarantineTable()
+  table.merge([entryOf('quarantined', 2)])
+  while (table.takeNews(340).length > 0);
+  assert.is(table.merge([entryOf('quarantined', 2)]), false)
+  assert.is(table.merge([entryOf('suspect', 1)]), true)
+  assert.equal(table.takeNews(340), [entryOf('quarantined', 2)])
+})
+
 const held: QuarantineRecord = { entries: [entryOf('suspect', 1)], trial: { token: 't', fingerprint: 'f', holder: there } }
 const plans = [
   { title: 'take a free trial', record: undefined, at: [0], kinds: ['write'] },
--- a/packages/coordination/src/quarantine/quarantineTable.ts
+++ b/packages/coordination/src/quarantine/quarantineTable.ts
@@ -43,16 +43,20 @@
     return [...this._entries.values()].filter(entry => entry.model === model)
   }
 
+  /** Everything known, the cleared requests too; what a restarted instance asks for. */
+  get allEntries (): QuarantineEntry[] {
+    return [...this._entries.values()]
+  }
+
   /** What is known of a request. */
   find (fingerprint: string): QuarantineEntry | undefined {
     return this._entries.get(fingerprint)
   }
 
-  /** Takes entries from a peer or the key-value service; whether any was news. */
+  /** Takes entries from a peer or the key-value service; whether there is now something to spread. */
   merge (heard: readonly QuarantineEntry[]): boolean {
-    const news = heard.filter(entry => replacesEntry(entry, this._entries.get(entry.fingerprint)))
-    for (const entry of news) this._put(entry)
-    return news.length > 0
+    const differing = heard.filter(entry => this._takeDiffering(entry))
+    return differing.length > 0
   }
 
   /** Takes a crash of a replica that ran the request: in a trial it is the second one. */
@@ -94,6 +98,18 @@
     return entry
   }
 
+  private _takeDiffering (heard: QuarantineEntry): boolean {
+    const known = this._entries.get(heard.fingerprint)
+    if (replacesEntry(heard, known)) {
+      this._put(heard)
+      return true
+    }
+    // A restarted instance may tell of a first crash what the others know better; they tell it back.
+    if (known === undefined || !replacesEntry(known, heard)) return false
+    this._news.add(known.fingerprint)
+    return true
+  }
+
   private _put (entry: QuarantineEntry): void {
     this._entries.set(entry.fingerprint, entry)
     this._news.add(entry.fingerprint)
--- a/packages/daemon/src/quarantine/quarantineKeeper.ts
+++ b/packages/daemon/src/quarantine/quarantineKeeper.ts
@@ -41,6 +41,7 @@
   private readonly _endedTokens = new Map<string, string | undefined>()
   private _timer: NodeJS.Timeout | undefined
   private _nextListAt: Milliseconds = 0
+  private _hasLearnt = false
 
   constructor (private readonly _parts: QuarantineKeeperParts) {}
 
@@ -49,6 +50,11 @@
     return this._table.entries
   }
 
+  /** Everything known, the cleared requests too. */
+  get allEntries (): QuarantineEntry[] {
+    return this._table.allEntries
+  }
+
   /** What is known of a request. */
   find (fingerprint: string): QuarantineEntry | undefined {
     return this._table.find(fingerprint)
@@ -57,6 +63,7 @@
   /** Reads the records once and begins to spread; a service that is down is asked again. */
   async start (): Promise<void> {
     await this._list()
+    await this._learnFromPeers()
     this._timer = setInterval(() => { this._tick().catch(() => {}) }, TICK_INTERVAL)
   }
 
@@ -140,6 +147,7 @@
   private async _tick (): Promise<void> {
     this._table.expire(this._parts.clock.wall())
     if (this._parts.clock.monotonic() >= this._nextListAt) await this._list()
+    await this._learnFromPeers()
     for (const model of [...this._endedTokens.keys()]) await this._store(model)
     await this._spread()
   }
@@ -147,10 +155,19 @@
   private async _list (): Promise<void> {
     const records = await this._parts.store.list()
     if (records === undefined) return
+    this._hasLearnt = true
     this._nextListAt = this._parts.clock.monotonic() + LIST_INTERVAL * (0.75 + 0.5 * this._parts.random.next())
     this._table.merge(records.flatMap(({ entries }) => entries))
   }
 
+  /** An instance that started without the service learns from peers what they know. */
+  private async _learnFromPeers (): Promise<void> {
+    if (this._hasLearnt) return
+    const answers = await Promise.all(this._chooseTargets().map(async target => await this._parts.peers.fetch(target)))
+    this._hasLearnt = answers.some(entries => entries !== undefined)
+    this._table.merge(answers.flatMap(entries => entries ?? []))
+  }
+
   /** Marks the model's record as behind, and writes it; the tick tries again until it stands. */
   private _storeSoon (model: string): void {
     this._endedTokens.set(model, this._endedTokens.get(model))
@@ -175,12 +192,14 @@
   }
 
   private async _spread (): Promise<void> {
-    const { members, random, peers } = this._parts
-    const others = members.live.filter(({ host }) => host !== members.self.host)
-    const targets: Member[] = random.shuffle(others).slice(0, FAN_OUT)
-    const news = this._table.takeNews(others.length + 1)
+    const news = this._table.takeNews(this._parts.members.live.length)
     if (news.length === 0) return
-    await Promise.all(targets.map(async target => { await peers.spread(target, news) }))
+    await Promise.all(this._chooseTargets().map(async target => { await this._parts.peers.spread(target, news) }))
+  }
+
+  private _chooseTargets (): Member[] {
+    const { members, random } = this._parts
+    return random.shuffle(members.live.filter(({ host }) => host !== members.self.host)).slice(0, FAN_OUT)
   }
 }
 
--- a/packages/daemon/src/quarantine/quarantinePeers.ts
+++ b/packages/daemon/src/quarantine/quarantinePeers.ts
@@ -18,6 +18,15 @@
       await client.spread({ environment: this._environment, entries: entries.map(entryToWire) }, { timeoutMs: SPREAD_TIMEOUT })
     })
   }
+
+  /** All that one instance knows; undefined where it gives no answer. */
+  async fetch (target: Member): Promise<QuarantineEntry[] | undefined> {
+    const answer = await this._connections.call(QuarantineService, target.peerAddress, async client => {
+      const { entries } = await client.fetchEntries({ environment: this._environment }, { timeoutMs: SPREAD_TIMEOUT })
+      return entries.flatMap(entryFromWire)
+    })
+    return answer.isOk ? answer.value : undefined
+  }
 }
 
 /** Hears entries from other instances. Those of another environment are refused. */
@@ -29,12 +38,19 @@
   override register (router: ConnectRouter): void {
     router.service(QuarantineService, {
       spread: ({ environment, entries }) => {
-        if (environment !== this._environment) {
-          throw new ConnectError(`This instance belongs to "${this._environment}", not "${environment}"`, Code.FailedPrecondition)
-        }
+        this._check(environment)
         this._keeper.hear(entries.flatMap(entryFromWire))
         return {}
+      },
+      fetchEntries: ({ environment }) => {
+        this._check(environment)
+        return { entries: this._keeper.allEntries.map(entryToWire) }
       }
     })
   }
+
+  private _check (environment: string): void {
+    if (environment === this._environment) return
+    throw new ConnectError(`This instance belongs to "${this._environment}", not "${environment}"`, Code.FailedPrecondition)
+  }
 }
