--- a/packages/experiments/src/coordination/index.ts
+++ b/packages/experiments/src/coordination/index.ts
@@ -3,6 +3,7 @@
 import { ClaimTakeoverMeasurement, ClaimWritesMeasurement } from './claims.js'
 import type { CoordinationMeasurement } from './measurement.js'
 import { MembershipMeasurement } from './membershipMeasurement.js'
+import { CrashingRequestMeasurement } from '../quarantine/crashingRequestMeasurement.js'
 import { OverloadMeasurement } from './overload/index.js'
 
 /** Every measurement of the coordination decisions. */
@@ -12,7 +13,8 @@
   new TelemetryMeasurement(),
   new ClaimWritesMeasurement(),
   new ClaimTakeoverMeasurement(),
-  new OverloadMeasurement()
+  new OverloadMeasurement(),
+  new CrashingRequestMeasurement()
 ]
 
 export { CoordinationMeasurement, type MeasurementRow } from './measurement.js'
--- a/tests/promises/index.ts
+++ b/tests/promises/index.ts
@@ -4,6 +4,7 @@
 import { blockProofs } from './blocks/proofs.js'
 import { LeavingProof } from './leaving.js'
 import { OrdersProof } from './orders.js'
+import { CrashingRequestProof } from './crashingRequest.js'
 import type { Proof } from './proof.js'
 import { RoleLeaseProof } from './roleLease.js'
 import { WholeAnswerProof } from './wholeAnswer/wholeAnswer.js'
@@ -19,7 +20,8 @@
   new OrdersProof(),
   new ConfigurationInForceProof(),
   new MembershipProof(),
-  new RoleLeaseProof()
+  new RoleLeaseProof(),
+  new CrashingRequestProof()
 ]
 
 export { Proof, type ProofRun, type Violation } from './proof.js'
