--- a/packages/daemon/src/serving/claimedRunner.ts
+++ b/packages/daemon/src/serving/claimedRunner.ts
@@ -37,9 +37,12 @@
   /** Since when no document has had the workspace and kind of durable work, or its recorded request could not be read. */
   droppedSince?: Milliseconds | undefined
   attempt: ClaimedAttempt
-  answer: (outcome: AttemptOutcome) => void
+  /** Answers the caller; only the first answer counts. */
+  answer: AnswerCaller
 }
 
+type AnswerCaller = (answer: Result<KeptAnswer, RefusalError>) => void
+
 /** Runs claimed requests. */
 export class ClaimedRunner {
   private readonly _attempts = new Map<string, ClaimedAttempt>()
@@ -69,10 +72,9 @@
   async run (request: AcceptedRequest): Promise<Result<KeptAnswer, RefusalError>> {
     const refusal = this._refusalBefore(request)
     if (refusal !== undefined) return Result.err(refusal)
-    const outcome = await new Promise<AttemptOutcome>(resolve => {
+    return await new Promise(resolve => {
       this._begin(request, this._claimRequest(request), { kind: 'start' }, resolve)
     })
-    return outcome.kind === 'answered' ? Result.ok(outcome.answer) : Result.err(refusalOf(outcome))
   }
 
   /** Runs durable work that the log now names as this instance's own. */
@@ -112,7 +114,7 @@
   }
 
   private _begin (
-    request: AcceptedRequest | undefined, claim: ClaimRequest, first: AttemptMessage, answer: (outcome: AttemptOutcome) => void
+    request: AcceptedRequest | undefined, claim: ClaimRequest, first: AttemptMessage, answer: AnswerCaller
   ): void {
     const deadline = request?.deadline ?? this._clock.monotonic()
     const rules = { deadline, isResendable: request !== undefined && this._isResendable(request) }
@@ -160,7 +162,7 @@
         return this._tellAfter(running, effect.delay)
       case 'store-after':
       case 'report-after': return this._tellAfter(running, effect.delay)
-      case 'answer': return running.answer(effect.outcome)
+      case 'answer': return running.answer(toAnswer(effect.outcome))
       case 'end': this._attempts.delete(running.claim.attemptToken)
     }
   }
@@ -191,10 +193,10 @@
 
   private async _send (running: RunningAttempt): Promise<CallEnd> {
     if (running.claim.treatment === 'durable') this._refreshDurable(running)
-    const { request } = running
+    const { request, answer } = running
     if (request === undefined) return this._endWithoutRequest(running)
     try {
-      return request.kind.treatment === 'durable' ? await this._sendDurable(request) : await this._sendOnce(request)
+      return request.kind.treatment === 'durable' ? await this._sendDurable(request, answer) : await this._sendOnce(request)
     } catch (error) {
       this._logger.error('a call ended with an unexpected error', { requestId: request.requestId, problem: String(error) })
       return { kind: 'ambiguous' }
@@ -238,8 +240,11 @@
   }
 
   /** A server error is no answer to durable work, which is sent again. */
-  private async _sendDurable (request: AcceptedRequest): Promise<CallEnd> {
+  private async _sendDurable (request: AcceptedRequest, answerCaller: AnswerCaller): Promise<CallEnd> {
     const answer = await this._tryDurable(request)
+    // Kept work waits for an operator's release; its caller need not wait for its deadline to learn that.
+    const isQuarantined = answer.isErr && answer.error.kind === 'quarantined' && answer.error.retryAfter === undefined
+    if (isQuarantined) answerCaller(Result.err(keptInQuarantine(answer.error)))
     if (answer.isErr || answer.value.status >= FIRST_SERVER_ERROR_STATUS) return { kind: 'ambiguous' }
     return { kind: 'answered', answer: answer.value }
   }
@@ -251,3 +256,12 @@
     return answer.map(whole => ({ status: 200, body: JSON.stringify(completionShapeOf(request).whole(request, whole)) }))
   }
 }
+
+function toAnswer (outcome: AttemptOutcome): Result<KeptAnswer, RefusalError> {
+  return outcome.kind === 'answered' ? Result.ok(outcome.answer) : Result.err(refusalOf(outcome))
+}
+
+/** Accepted work runs once it is released, so nobody can say that it never will. */
+function keptInQuarantine ({ kind, status, problem, remedy }: RefusalError): RefusalError {
+  return new RefusalError(kind, status, 'unknown', problem, remedy)
+}
