--- a/packages/experiments/src/measurement/engineModel.ts
+++ b/packages/experiments/src/measurement/engineModel.ts
@@ -11,7 +11,10 @@
 /** A request in the engine's hands. */
 export interface EngineTask {
   request: TraceRequest
-  onFirstToken: (recomputedTokens: number) => void
+  /** The prefill begins with this many leading blocks held. */
+  onPrefillStarted: (heldBlocks: number) => void
+  /** Told the tokens that were computed, and the time that it took. */
+  onFirstToken: (recomputedTokens: number, computeTime: Milliseconds) => void
   onFinished: () => void
   /** The engine was lost before the first token. */
   onCut: () => void
@@ -21,12 +24,15 @@
   /** Undefined until the prefill begins and the cache is looked at. */
   remainingTokens: number | undefined
   recomputedTokens: number
+  computeTime: Milliseconds
 }
 
 /** One engine replica. */
 export class EngineModel {
   incarnation = 1
   isLost = false
+  /** Time spent on prefill. */
+  busyTime: Milliseconds = 0
   /** Told after each change of load or cache. */
   onChanged: () => void = () => {}
   private _held = new Set<string>()
@@ -81,7 +87,7 @@
 
   /** Takes a request. */
   enqueue (task: EngineTask): void {
-    this._queue.push({ ...task, remainingTokens: undefined, recomputedTokens: 0 })
+    this._queue.push({ ...task, remainingTokens: undefined, recomputedTokens: 0, computeTime: 0 })
     if (!this._isBusy) this._runChunk()
     this.onChanged()
   }
@@ -120,12 +126,17 @@
     if (task.remainingTokens === undefined) {
       task.remainingTokens = this._missingTokens(task)
       task.recomputedTokens = task.remainingTokens
-      this.hold(task.request.blockKeys.slice(0, this._countLeading(task.request.blockKeys)))
+      const heldBlocks = this._countLeading(task.request.blockKeys)
+      this.hold(task.request.blockKeys.slice(0, heldBlocks))
+      task.onPrefillStarted(heldBlocks)
     }
     const tokens = Math.min(this._blockTokens, task.remainingTokens)
     const slowdown = 1 + this._decoding * DECODE_SLOWDOWN
     const { incarnation } = this
-    this._time.after(tokens / this._prefillTokensPerSecond * slowdown * MILLISECONDS_PER_SECOND, () => {
+    const chunkTime = tokens / this._prefillTokensPerSecond * slowdown * MILLISECONDS_PER_SECOND
+    this.busyTime += chunkTime
+    task.computeTime += chunkTime
+    this._time.after(chunkTime, () => {
       if (incarnation === this.incarnation) this._finishChunk(task, tokens)
       this._runChunk()
     })
@@ -136,7 +147,7 @@
     if (task.remainingTokens > 0) return
     this._queue.splice(this._queue.indexOf(task), 1)
     this.hold(task.request.blockKeys)
-    task.onFirstToken(task.recomputedTokens)
+    task.onFirstToken(task.recomputedTokens, task.computeTime)
     this._decoding += 1
     this._time.after(task.request.outputTokens * TIME_PER_OUTPUT_TOKEN, () => {
       this._decoding -= 1
--- a/packages/experiments/src/measurement/knowingBound.ts
+++ b/packages/experiments/src/measurement/knowingBound.ts
@@ -7,24 +7,31 @@
  * furthest away, every block can be reused on every replica, and nothing is ever in the wrong place.
  */
 export function boundOfRecomputedShare (workload: Workload, trace: readonly TraceRequest[]): number {
+  const counted = leastRecomputedTokens(workload, trace).filter(({ request }) => request.at >= workload.warmUp)
+  const promptTokens = counted.reduce((sum, { request }) => sum + request.promptTokens, 0)
+  return counted.reduce((sum, { recomputedTokens }) => sum + recomputedTokens, 0) / promptTokens
+}
+
+/** Prompt tokens that the all-knowing policy computes for a request. */
+export interface LeastRecompute {
+  request: TraceRequest
+  recomputedTokens: number
+}
+
+/** What the all-knowing policy computes for each request, the warm-up included. */
+export function leastRecomputedTokens (workload: Workload, trace: readonly TraceRequest[]): LeastRecompute[] {
   const capacity = workload.replicas * workload.engineCacheBlocks +
     workload.stores * (workload.storeMemoryBlocks + workload.storeDiskBlocks)
   const nextUses = findNextUses(trace)
   const held = new Map<string, number>()
-  let promptTokens = 0
-  let recomputedTokens = 0
-  trace.forEach((request, index) => {
+  return trace.map((request, index) => {
     const missing = request.blockKeys.findIndex(blockKey => !held.has(blockKey))
     const reused = missing === -1 ? request.blockKeys.length : missing
-    if (request.at >= workload.warmUp) {
-      promptTokens += request.promptTokens
-      recomputedTokens += request.promptTokens - reused * workload.blockTokens
-    }
     const next = nextUses[index] as number[]
     request.blockKeys.forEach((blockKey, block) => { hold(held, blockKey, next[block] as number) })
     if (held.size > capacity) freeFurthest(held, capacity)
+    return { request, recomputedTokens: request.promptTokens - reused * workload.blockTokens }
   })
-  return recomputedTokens / promptTokens
 }
 
 /** For each request and block, the index of the next request that uses it. */
--- a/packages/experiments/src/measurement/main.ts
+++ b/packages/experiments/src/measurement/main.ts
@@ -2,6 +2,7 @@
 import { cac } from 'cac'
 import { z } from 'zod'
 import { faultNames } from './faults.js'
+import { floorRow, summarizeExplanation, type ExplanationRow, type FloorRow } from './explanationSummary.js'
 import { boundOfRecomputedShare } from './knowingBound.js'
 import { createPolicies } from './measuredPolicy.js'
 import { Replay } from './replay.js'
@@ -17,6 +18,7 @@
   fault: z.enum(faultNames).default('none'),
   seed: z.coerce.number().int().nonnegative().default(1),
   seeds: z.coerce.number().int().positive().default(1),
+  explain: z.boolean().default(false),
   json: z.boolean().default(false)
 })
 type Options = z.infer<typeof optionsSchema>
@@ -27,6 +29,7 @@
 program.option('--fault <name>', `One of ${faultNames.join(', ')} (default none)`)
 program.option('--seed <number>', 'First seed (default 1)')
 program.option('--seeds <number>', 'Count of successive seeds (default 1)')
+program.option('--explain', 'Also print where the time and the recomputed tokens went')
 program.option('--json', 'Print JSON')
 program.help()
 const parsed = program.parse()
@@ -51,11 +54,18 @@
     const trace = makeTrace(workload, seed, options.fault)
     const bound = round(boundOfRecomputedShare(workload, trace) * 100, 2)
     bounds.push(bound)
+    const explanations: ExplanationRow[] = []
     const rows = createPolicies()
       .filter(({ name }) => options.policy === undefined || options.policy === name)
-      .map(policy => summarize(policy.name, new Replay(workload, trace, policy, options.fault, seed).run()))
+      .map(policy => {
+        const replay = new Replay(workload, trace, policy, options.fault, seed)
+        const counts = replay.run()
+        if (options.explain) explanations.push(summarizeExplanation(policy.name, replay.explanation, counts))
+        return summarize(policy.name, counts)
+      })
     runs.push(...rows)
     print(workload, options, seed, trace.length, bound, rows)
+    if (options.explain) printExplanation(options, floorRow(workload, trace), explanations)
   }
   if (options.seeds > 1) printSpread(workload, options, bounds, runs)
 }
@@ -73,6 +83,17 @@
   console.table(rows)
 }
 
+function printExplanation (options: Options, floor: FloorRow, explanations: readonly ExplanationRow[]): void {
+  if (options.json) {
+    process.stdout.write(`${JSON.stringify({ floor, explanations })}\n`)
+    return
+  }
+  process.stdout.write('Floor: the all-knowing policy\'s own recompute on an idle replica, without queue or import, in ms\n')
+  console.table([floor])
+  process.stdout.write('Means in ms over the slowest twentieth, and recomputed tokens by cause in percent of all prompt tokens\n')
+  console.table(explanations)
+}
+
 function printSpread (workload: Workload, options: Options, bounds: readonly number[], runs: readonly PolicySummary[]): void {
   const policies = [...new Set(runs.map(({ policy }) => policy))]
   const rows = policies.map(policy => {
--- a/packages/experiments/src/measurement/measurement.spec.ts
+++ b/packages/experiments/src/measurement/measurement.spec.ts
@@ -1,6 +1,9 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { boundOfRecomputedShare, createPolicies, faultNames, makeTrace, Replay, workloads, type Workload } from './index.js'
+import {
+  boundOfRecomputedShare, createPolicies, faultNames, leastRecomputedTokens, makeTrace, Replay, workloads,
+  type TraceRequest, type Workload
+} from './index.js'
 
 const SEED = 7
 const small: Workload = {
@@ -32,4 +35,23 @@
   assert.equal(runs[0], runs[1])
 })
 
+test('should find the cause of each recomputed token, and split each time to first token without a rest', () => {
+  const trace = makeTrace(small, SEED, 'none')
+  for (const policy of createPolicies()) {
+    const replay = new Replay(small, trace, policy, 'none', SEED)
+    const { recomputedTokens, firstTokenTimes } = replay.run()
+    const { splits, recomputedTokens: causes } = replay.explanation
+    assert.is([...causes.values()].reduce((sum, tokens) => sum + tokens, 0), recomputedTokens, policy.name)
+    assert.is(splits.length, firstTokenTimes.length, policy.name)
+    assert.ok(splits.every(({ total, importing, queued, computing }) =>
+      queued > -1 && Math.abs(importing + queued + computing - total) < 1), policy.name)
+  }
+})
+
+test('should have an all-knowing policy compute the whole of a first prompt and only the rest of its return', () => {
+  const request = { ...makeTrace(small, SEED, 'none')[0] as TraceRequest, promptTokens: 4_500, blockKeys: ['a', 'b'] }
+  const trace = [request, { ...request, at: request.at + 1, promptTokens: 4_100 }]
+  assert.equal(leastRecomputedTokens(small, trace).map(({ recomputedTokens }) => recomputedTokens), [4_500, 100])
+})
+
 test.run()
--- a/packages/experiments/src/measurement/replay.ts
+++ b/packages/experiments/src/measurement/replay.ts
@@ -6,6 +6,7 @@
 } from '@wasabihead/coordination'
 import { VirtualTime } from '../simulation/index.js'
 import { EngineModel } from './engineModel.js'
+import { Explanation } from './explanation.js'
 import { FAULT_DURATION, SLOW_LINK_SPEED, type ReplayFault } from './faults.js'
 import type { MeasuredPolicy } from './measuredPolicy.js'
 import { ReplayedHost } from './replayedHost.js'
@@ -33,6 +34,8 @@
   /** Requests cut by a lost replica and run again. */
   repeated: number
   unanswered: number
+  /** Share of the replicas' time that went into prefill, the warm-up included. */
+  utilisation: number
 }
 
 /** One replay. */
@@ -50,9 +53,12 @@
     decisionTimes: [],
     linkBytes: [],
     repeated: 0,
-    unanswered: 0
+    unanswered: 0,
+    utilisation: 0
   }
 
+  /** Causes of times and recomputed tokens. */
+  readonly explanation: Explanation
   private readonly _transfers: Transfers
   private _weightVersion = 1
 
@@ -74,6 +80,7 @@
     this._transfers = _policy.createTransfers({
       time: this._time, workload: _workload, engines: this._engines, stores: this._stores
     })
+    this.explanation = new Explanation(this._engines, this._stores, _workload.blockTokens)
     this._connect()
   }
 
@@ -86,6 +93,8 @@
       ({ link: name, importedBytes, exportedBytes }))
     this._counts.unanswered = this._trace.filter(({ at }) => at >= this._workload.warmUp).length -
       this._counts.firstTokenTimes.length
+    this._counts.utilisation = this._engines.reduce((sum, { busyTime }) => sum + busyTime, 0) /
+      (this._engines.length * this._workload.duration)
     return this._counts
   }
 
@@ -163,9 +172,22 @@
 
   private _dispatch (host: ReplayedHost, engine: EngineModel, request: TraceRequest): void {
     if (engine.isLost) return this._repeat(host, engine, request)
+    const enqueuedAt = this._time.now
+    const isCounted = request.at >= this._workload.warmUp
     engine.enqueue({
       request,
-      onFirstToken: recomputedTokens => { this._countFirstToken(request, recomputedTokens) },
+      onPrefillStarted: heldBlocks => { this.explanation.onPrefillStarted(request, engine, heldBlocks, isCounted) },
+      onFirstToken: (recomputedTokens, computing) => {
+        this._countFirstToken(request, recomputedTokens)
+        this.explanation.onFirstToken(request, {
+          total: this._time.now - request.at,
+          importing: enqueuedAt - request.at,
+          queued: this._time.now - enqueuedAt - computing,
+          computing,
+          isReturn: request.isReturn,
+          priority: request.priority
+        }, isCounted)
+      },
       onFinished: () => {
         host.replicas.onFinished(engine.name, request.blockKeys, this._time.now)
         this._transfers.exportBlocks(host, engine, request)
--- a/packages/experiments/src/measurement/storeModel.ts
+++ b/packages/experiments/src/measurement/storeModel.ts
@@ -12,6 +12,7 @@
   exportedBytes = 0
   private _memory = new Set<string>()
   private _disk = new Set<string>()
+  private readonly _everHeld = new Set<string>()
   private _linkFreeAt: Milliseconds = 0
 
   constructor (readonly name: string, private readonly _time: VirtualTime, private readonly _workload: Workload) {}
@@ -21,6 +22,11 @@
     return !this.isLost && (this._memory.has(blockKey) || this._disk.has(blockKey))
   }
 
+  /** Whether the store ever held the block. */
+  hasHeld (blockKey: string): boolean {
+    return this._everHeld.has(blockKey)
+  }
+
   /** Reads a block over the link; tells whether it was still there at the end. */
   read (blockKey: string, done: (isRead: boolean) => void): void {
     const rate = this._memory.has(blockKey) ? Infinity : this._workload.diskBytesPerSecond
@@ -60,6 +66,7 @@
     this._memory.delete(blockKey)
     this._disk.delete(blockKey)
     this._memory.add(blockKey)
+    this._everHeld.add(blockKey)
     if (this._memory.size > this._workload.storeMemoryBlocks) this._disk.add(removeOldest(this._memory))
     if (this._disk.size > this._workload.storeDiskBlocks) removeOldest(this._disk)
   }
