fix(routing): let no idle time before a dispatch work it off

Cause: the queue of a replica was the last report and all that was sent since, less what the replica could have worked off since the report. An idle replica reports nothing new, so a minute of idleness hid a whole batch that was sent to it after. Now each dispatch is worked off from its own time on. The new spec failed on the code before (0 tokens for 40000). Ruled out: saturation (prefill takes 2% of the replicas' time) and blocks on another replica only (0% of the tokens).

--- a/packages/coordination/src/routing/replicaTable.ts
+++ b/packages/coordination/src/routing/replicaTable.ts
@@ -156,11 +156,20 @@
   return belief.blockKeys.has(blockKey) || (belief.expectedBlocks.get(blockKey) ?? 0) > now
 }
 
-/** Prompt tokens that wait on a replica: the last report less what was worked off since, and what was sent since. */
+/**
+ * Prompt tokens that wait on a replica: the last report and what was sent since, each worked off from its own time on. An
+ * idle replica reports seldom, and the time that it was idle works nothing off of what is sent to it later.
+ */
 export function queuedPromptTokens (belief: ReplicaBelief, prefillTokensPerSecond: number, now: Milliseconds): number {
-  const sent = belief.recentDispatches.reduce((sum, dispatch) => sum + dispatch.computedTokens, 0)
-  const workedOff = (now - belief.loadReadAt) / MILLISECONDS_PER_SECOND * prefillTokensPerSecond
-  return Math.max(0, (belief.load?.queuedPromptTokens ?? 0) + sent - workedOff)
+  const tokensPerMillisecond = prefillTokensPerSecond / MILLISECONDS_PER_SECOND
+  let queuedTokens = belief.load?.queuedPromptTokens ?? 0
+  let workedUntil = belief.loadReadAt
+  for (const { computedTokens, sentAt } of belief.recentDispatches) {
+    const sentAfter = Math.max(0, sentAt - workedUntil)
+    queuedTokens = Math.max(0, queuedTokens - sentAfter * tokensPerMillisecond) + computedTokens
+    workedUntil += sentAfter
+  }
+  return Math.max(0, queuedTokens - (now - workedUntil) * tokensPerMillisecond)
 }
 
 function forgetBlock (belief: ReplicaBelief, blockKey: string): void {
--- a/packages/coordination/src/routing/routing.spec.ts
+++ b/packages/coordination/src/routing/routing.spec.ts
@@ -87,6 +87,21 @@
   assert.is(queuedPromptTokens(belief, 2_000, 3_000), 10_000)
 })
 
+test('should not work off what is sent to a replica by the time that it was idle before', () => {
+  const table = createTable()
+  for (const name of ['engine-0', 'engine-1']) {
+    table.onLoadReport(name, { incarnation: 1, sequence: 1, runningRequests: 0, queuedRequests: 0, queuedPromptTokens: 0 }, 0)
+  }
+  const placements = Array.from({ length: 10 }, () => {
+    const placement = new TieredPlacementPolicy().place(createRequest({ linksOfBlocks: new Map() }), table.beliefs, 900_000)
+    table.onDispatched(placement?.replica ?? '', 8_000, 8_000, [], 900_000)
+    return placement?.replica
+  })
+  assert.is(placements.filter(replica => replica === 'engine-0').length, 5)
+  const belief = table.find('engine-0') as never
+  assert.equal([900_000, 901_000, 990_000].map(now => queuedPromptTokens(belief, 8_000, now)), [40_000, 32_000, 0])
+})
+
 test('should drop late events of an old incarnation, and start the new one empty', () => {
   const table = createTable()
   table.onCacheSnapshot('engine-0', { incarnation: 1, sequence: 1, blockKeys })
