feat(measure): show what a pool that cannot know the future would recompute

`--explain` now has a second reference: one pool as large as all tiers together that frees the least recently used block. The decisions are unchanged.

--- a/packages/experiments/src/measurement/explanationSummary.ts
+++ b/packages/experiments/src/measurement/explanationSummary.ts
@@ -1,7 +1,7 @@
-/** Rows that show where the time and the recomputed tokens of a replay went, and the floor below which none can be. */
+/** Rows that show where the time and the recomputed tokens of a replay went, and the references beside them. */
 import { MILLISECONDS_PER_SECOND, type Milliseconds } from '@wasabihead/coordination'
 import { recomputeCauses, type Explanation, type FirstTokenSplit, type RecomputeCause } from './explanation.js'
-import { leastRecomputedTokens, type LeastRecompute } from './knowingBound.js'
+import { leastRecomputedTokens, pooledRecomputedTokens, type LeastRecompute } from './knowingBound.js'
 import type { ReplayCounts } from './replay.js'
 import { percentile, round } from './summary.js'
 import type { TraceRequest } from './trace.js'
@@ -24,8 +24,10 @@
   slowestComputing: Milliseconds
 }
 
-/** Times to first token that no policy can be below at these replicas' speed. */
-export interface FloorRow {
+/** Recomputed share, and times to first token without queue or import at these replicas' speed. */
+export interface ReferenceRow {
+  policy: string
+  recomputedPercent: number
   p50: Milliseconds
   p95: Milliseconds
   p99: Milliseconds
@@ -52,14 +54,24 @@
   }
 }
 
-/** The floor of a trace: each prompt alone on an idle replica that holds all that the all-knowing policy holds. */
-export function floorRow (workload: Workload, trace: readonly TraceRequest[]): FloorRow {
-  const counted = leastRecomputedTokens(workload, trace).filter(({ request }) => request.at >= workload.warmUp)
+/** The references of a trace: each prompt alone on an idle replica that holds all that the pool of all tiers holds. */
+export function referenceRows (workload: Workload, trace: readonly TraceRequest[]): ReferenceRow[] {
+  return [
+    referenceRow('all-knowing', workload, leastRecomputedTokens(workload, trace)),
+    referenceRow('pooled-least-recently-used', workload, pooledRecomputedTokens(workload, trace))
+  ]
+}
+
+function referenceRow (policy: string, workload: Workload, recomputes: readonly LeastRecompute[]): ReferenceRow {
+  const counted = recomputes.filter(({ request }) => request.at >= workload.warmUp)
   const timeOf = ({ recomputedTokens }: LeastRecompute): Milliseconds =>
     recomputedTokens / workload.prefillTokensPerSecond * MILLISECONDS_PER_SECOND
   const times = counted.map(timeOf)
   const returning = counted.filter(({ request }) => request.isReturn).map(timeOf)
+  const promptTokens = counted.reduce((sum, { request }) => sum + request.promptTokens, 0)
   return {
+    policy,
+    recomputedPercent: percentOf(counted.reduce((sum, { recomputedTokens }) => sum + recomputedTokens, 0), promptTokens),
     p50: Math.round(percentile(times, 50)),
     p95: Math.round(percentile(times, 95)),
     p99: Math.round(percentile(times, 99)),
--- a/packages/experiments/src/measurement/index.ts
+++ b/packages/experiments/src/measurement/index.ts
@@ -1,7 +1,7 @@
 export { EngineModel, type EngineTask } from './engineModel.js'
 export { Explanation, recomputeCauses, type FirstTokenSplit, type RecomputeCause } from './explanation.js'
 export { faultNames, type ReplayFault } from './faults.js'
-export { boundOfRecomputedShare, leastRecomputedTokens, type LeastRecompute } from './knowingBound.js'
+export { boundOfRecomputedShare, leastRecomputedTokens, pooledRecomputedTokens, type LeastRecompute } from './knowingBound.js'
 export { createPolicies, MeasuredPolicy } from './measuredPolicy.js'
 export { Replay, type ReplayCounts } from './replay.js'
 export { StoreModel } from './storeModel.js'
--- a/packages/experiments/src/measurement/knowingBound.ts
+++ b/packages/experiments/src/measurement/knowingBound.ts
@@ -20,8 +20,7 @@
 
 /** What the all-knowing policy computes for each request, the warm-up included. */
 export function leastRecomputedTokens (workload: Workload, trace: readonly TraceRequest[]): LeastRecompute[] {
-  const capacity = workload.replicas * workload.engineCacheBlocks +
-    workload.stores * (workload.storeMemoryBlocks + workload.storeDiskBlocks)
+  const capacity = poolCapacity(workload)
   const nextUses = findNextUses(trace)
   const held = new Map<string, number>()
   return trace.map((request, index) => {
@@ -34,6 +33,31 @@
   })
 }
 
+/**
+ * The same for one pool as large that cannot know the future and frees the least recently used block: what is left when
+ * placement, imports and exports are never to blame.
+ */
+export function pooledRecomputedTokens (workload: Workload, trace: readonly TraceRequest[]): LeastRecompute[] {
+  const capacity = poolCapacity(workload)
+  const held = new Set<string>()
+  return trace.map(request => {
+    const missing = request.blockKeys.findIndex(blockKey => !held.has(blockKey))
+    const reused = missing === -1 ? request.blockKeys.length : missing
+    for (const blockKey of request.blockKeys) {
+      held.delete(blockKey)
+      held.add(blockKey)
+    }
+    while (held.size > capacity) held.delete(held.values().next().value as string)
+    return { request, recomputedTokens: request.promptTokens - reused * workload.blockTokens }
+  })
+}
+
+/** Blocks that all tiers hold together. */
+function poolCapacity (workload: Workload): number {
+  return workload.replicas * workload.engineCacheBlocks +
+    workload.stores * (workload.storeMemoryBlocks + workload.storeDiskBlocks)
+}
+
 /** For each request and block, the index of the next request that uses it. */
 function findNextUses (trace: readonly TraceRequest[]): number[][] {
   const upcoming = new Map<string, number>()
--- a/packages/experiments/src/measurement/main.ts
+++ b/packages/experiments/src/measurement/main.ts
@@ -2,7 +2,7 @@
 import { cac } from 'cac'
 import { z } from 'zod'
 import { faultNames } from './faults.js'
-import { floorRow, summarizeExplanation, type ExplanationRow, type FloorRow } from './explanationSummary.js'
+import { referenceRows, summarizeExplanation, type ExplanationRow, type ReferenceRow } from './explanationSummary.js'
 import { boundOfRecomputedShare } from './knowingBound.js'
 import { createPolicies } from './measuredPolicy.js'
 import { Replay } from './replay.js'
@@ -65,7 +65,7 @@
       })
     runs.push(...rows)
     print(workload, options, seed, trace.length, bound, rows)
-    if (options.explain) printExplanation(options, floorRow(workload, trace), explanations)
+    if (options.explain) printExplanation(options, referenceRows(workload, trace), explanations)
   }
   if (options.seeds > 1) printSpread(workload, options, bounds, runs)
 }
@@ -83,13 +83,13 @@
   console.table(rows)
 }
 
-function printExplanation (options: Options, floor: FloorRow, explanations: readonly ExplanationRow[]): void {
+function printExplanation (options: Options, references: readonly ReferenceRow[], explanations: readonly ExplanationRow[]): void {
   if (options.json) {
-    process.stdout.write(`${JSON.stringify({ floor, explanations })}\n`)
+    process.stdout.write(`${JSON.stringify({ references, explanations })}\n`)
     return
   }
-  process.stdout.write('Floor: the all-knowing policy\'s own recompute on an idle replica, without queue or import, in ms\n')
-  console.table([floor])
+  process.stdout.write('References: each prompt\'s recompute alone on an idle replica that holds the pool of all tiers, in ms\n')
+  console.table(references)
   process.stdout.write('Means in ms over the slowest twentieth, and recomputed tokens by cause in percent of all prompt tokens\n')
   console.table(explanations)
 }
--- a/packages/experiments/src/measurement/measurement.spec.ts
+++ b/packages/experiments/src/measurement/measurement.spec.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import {
-  boundOfRecomputedShare, createPolicies, faultNames, leastRecomputedTokens, makeTrace, Replay, workloads,
+  boundOfRecomputedShare, createPolicies, faultNames, leastRecomputedTokens, makeTrace, pooledRecomputedTokens, Replay, workloads,
   type TraceRequest, type Workload
 } from './index.js'
 
@@ -54,4 +54,14 @@
   assert.equal(leastRecomputedTokens(small, trace).map(({ recomputedTokens }) => recomputedTokens), [4_500, 100])
 })
 
+test('should never have a pool that frees the least recently used recompute less than the all-knowing policy in all', () => {
+  const trace = makeTrace(small, SEED, 'none')
+  for (const engineCacheBlocks of [1, 30, 300]) {
+    const workload = { ...small, engineCacheBlocks, storeMemoryBlocks: 0, storeDiskBlocks: 0 }
+    const [least, pooled] = [leastRecomputedTokens, pooledRecomputedTokens].map(recompute =>
+      recompute(workload, trace).reduce((sum, { recomputedTokens }) => sum + recomputedTokens, 0))
+    assert.ok((least as number) <= (pooled as number), `${engineCacheBlocks} blocks`)
+  }
+})
+
 test.run()
