fix(serving): answer a refusal at once, and tell other hosts of a crash beside it

Cause: a run that was given up on waited for the probe and the first peers, up to 1.5 s, before its caller was answered. Ruled out: leaving quarantine weaker, since the next attempt of the same run still waits for the verdict before it may start.

--- a/packages/coordination/src/admission/errors.ts
+++ b/packages/coordination/src/admission/errors.ts
@@ -5,11 +5,31 @@
 export type NotRun = true | false | 'unknown'
 
 /** Names of refusals, stable for programs. */
-export type RefusalKind =
-  | 'unauthorized' | 'invalid-request' | 'unknown-kind' | 'body-too-large' | 'overloaded' | 'no-replica'
-  | 'service-unavailable' | 'deadline-exceeded' | 'idempotency-key-missing' | 'idempotency-key-conflict'
-  | 'idempotency-key-expired' | 'in-progress' | 'outcome-unknown' | 'quarantined' | 'shutting-down' | 'not-configured'
-  | 'not-found' | 'body-too-slow' | 'headers-too-large' | 'answer-not-kept'
+export const REFUSAL_KINDS = [
+  'unauthorized',
+  'invalid-request',
+  'unknown-kind',
+  'body-too-large',
+  'overloaded',
+  'no-replica',
+  'service-unavailable',
+  'deadline-exceeded',
+  'idempotency-key-missing',
+  'idempotency-key-conflict',
+  'idempotency-key-expired',
+  'in-progress',
+  'outcome-unknown',
+  'quarantined',
+  'shutting-down',
+  'not-configured',
+  'not-found',
+  'body-too-slow',
+  'headers-too-large',
+  'answer-not-kept'
+] as const
+
+/** The name of a refusal. */
+export type RefusalKind = typeof REFUSAL_KINDS[number]
 
 /** A refusal: a final answer to a caller, at once. */
 export class RefusalError extends RemediedError {
--- a/packages/daemon/src/serving/answerDriver.ts
+++ b/packages/daemon/src/serving/answerDriver.ts
@@ -64,18 +64,16 @@
   async drive (signal: AbortSignal): Promise<Result<DrivenAnswer, RefusalError>> {
     const onAbort = () => { this._handle({ kind: 'caller-left' }) }
     try {
-      const result = await new Promise<Result<DrivenAnswer, RefusalError>>(resolve => {
+      return await new Promise<Result<DrivenAnswer, RefusalError>>(resolve => {
         this._resolve = resolve
         signal.addEventListener('abort', onAbort, { once: true })
         this._handle(signal.aborted ? { kind: 'caller-left' } : { kind: 'start' })
       })
-      // Other hosts must know of a crash before the caller can send the request there.
-      if (result.isErr) await this._parts.guard.settle()
-      return result
     } finally {
       signal.removeEventListener('abort', onAbort)
       clearTimeout(this._timer)
       clearTimeout(this._trialTimer)
+      // A refusal is not held back until other hosts know of a crash; they are told beside it.
       this._parts.guard.close(this._isWhole).catch(() => {})
       for (const attempt of this._attempts.keys()) this._release(attempt)
     }
