--- a/packages/cli/src/program/table.ts
+++ b/packages/cli/src/program/table.ts
@@ -10,7 +10,7 @@
 /** The rows under a heading of column names; a note where there are none. */
 export function formatTable (columns: readonly string[], rows: readonly TableRow[]): string {
   if (rows.length === 0) return '(none)\n'
-  const lines = [columns.map(column => column.toUpperCase()), ...rows.map(row => columns.map(column => toCell(row[column])))]
+  const lines = [columns.map(toHeading), ...rows.map(row => columns.map(column => toCell(row[column])))]
   const widths = columns.map((_, index) => Math.max(...lines.map(line => (line[index] as string).length)))
   return lines.map(line => `${line.map((cell, index) => cell.padEnd(widths[index] as number)).join(GAP).trimEnd()}\n`).join('')
 }
@@ -22,3 +22,8 @@
   // eslint-disable-next-line no-control-regex
   return text.replaceAll(/[\u0000-\u001f\u007f-\u009f]/g, '?')
 }
+
+/** `dataCentre` becomes DATA CENTRE. */
+function toHeading (column: string): string {
+  return column.replace(/([a-z])([A-Z])/g, '$1 $2').toUpperCase()
+}
