--- a/packages/experiments/src/capacity/index.ts
+++ b/packages/experiments/src/capacity/index.ts
@@ -4,6 +4,7 @@
 import { MembershipRole } from './membershipRole.js'
 import { OrdersRole } from './ordersRole.js'
 import { PeerCallRole } from './peerCallRole.js'
+import { ReplicaPollRole } from './replicaPollRole.js'
 
 /** Every role that is measured. */
 export const capacityRoles: readonly CapacityRole[] = [
@@ -11,7 +12,8 @@
   new MembershipRole(),
   new AdmissionRole(),
   new HomeRole(),
-  new OrdersRole()
+  new OrdersRole(),
+  new ReplicaPollRole()
 ]
 
 export { CAPACITY_FIGURES, CapacityRole, type CapacityFigure, type CapacitySample } from './capacityRole.js'
