--- a/packages/coordination/src/routing/index.ts
+++ b/packages/coordination/src/routing/index.ts
@@ -1,3 +1,4 @@
+export { ReadRotation } from './readRotation.js'
 export { isBelievedHeld, queuedPromptTokens, ReplicaTable, type Dispatch, type ReplicaBelief } from './replicaTable.js'
 export {
   PredictedFirstTokenPolicy, RoutingPolicy, type BlockImport, type Placement, type PlacementRequest
--- /dev/null
+++ b/packages/coordination/src/routing/readRotation.spec.ts
@@ -0,0 +1,26 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { ReadRotation } from './readRotation.js'
+
+const cases = [
+  { title: 'all names where they fit one turn', names: ['a', 'b'], turns: [['a', 'b'], ['a', 'b']] },
+  { title: 'every name in its turn', names: ['a', 'b', 'c', 'd'], turns: [['a', 'b', 'c'], ['d', 'a', 'b'], ['c', 'd', 'a']] },
+  { title: 'nothing where there are none', names: [], turns: [[], []] }
+]
+for (const { title, names, turns } of cases) {
+  test(`should take ${title}`, () => {
+    const rotation = new ReadRotation(3)
+    rotation.configure(names)
+    assert.equal(turns.map(() => rotation.takeTurn()), turns)
+  })
+}
+
+test('should go on with the new names after a change', () => {
+  const rotation = new ReadRotation(2)
+  rotation.configure(['a', 'b', 'c'])
+  rotation.takeTurn()
+  rotation.configure(['d'])
+  assert.equal(rotation.takeTurn(), ['d'])
+})
+
+test.run()
--- a/packages/daemon/src/backends/backendFleet.ts
+++ b/packages/daemon/src/backends/backendFleet.ts
@@ -1,6 +1,6 @@
 /** The backend servers and stores of the configuration in force, with what is believed about each engine. */
 import {
-  ReplicaTable,
+  ReadRotation, ReplicaTable,
   type BackendServerConfiguration, type CacheStore, type ConfigurationDocument, type Milliseconds, type ModelEngine,
   type PlainService, type ReplicaBelief, type StoreConfiguration
 } from '@wasabihead/coordination'
@@ -8,6 +8,8 @@
 import type { Clock } from '../instance/clock.js'
 
 const REFRESH_INTERVAL: Milliseconds = 500
+/** Two calls for each replica and two turns a second: at most 16 calls a second, about 1% of a core. */
+const REPLICAS_PER_REFRESH = 4
 
 /** A model engine replica with its configuration. */
 export interface EngineReplica {
@@ -32,6 +34,7 @@
   readonly replicas = new ReplicaTable()
   /** Whether a server is leaving and must be given no new work. */
   isLeaving: (server: string) => boolean = () => false
+  private readonly _rotation = new ReadRotation(REPLICAS_PER_REFRESH)
   private _engines = new Map<string, EngineReplica>()
   private _services = new Map<string, ServiceReplica[]>()
   private _stores: StoreReplica[] = []
@@ -52,6 +55,7 @@
       [service.name, service.replicas.map(replica => ({ name: replica.name, service: new HttpPlainService(replica.address) }))]))
     this._stores = document.stores.map(store => ({ configuration: store, store: new HttpCacheStore(store.address) }))
     this.replicas.keepOnly(document.backendServers)
+    this._rotation.configure([...this._engines.keys()])
   }
 
   /** Begins to refresh the beliefs. */
@@ -82,9 +86,12 @@
       this._engines.get(belief.name)?.configuration.model === model && !this.isLeaving(belief.name))
   }
 
-  /** Reads load and cache news of every engine. */
+  /** Reads load and cache news of the engines whose turn it is. */
   async refresh (): Promise<void> {
-    await Promise.all([...this._engines.entries()].map(async ([name, { engine }]) => { await this._refreshOne(name, engine) }))
+    await Promise.all(this._rotation.takeTurn().map(async name => {
+      const engine = this._engines.get(name)?.engine
+      if (engine !== undefined) await this._refreshOne(name, engine)
+    }))
   }
 
   private async _refreshOne (name: string, engine: ModelEngine): Promise<void> {
--- a/packages/experiments/src/capacity/replicaPollRole.ts
+++ b/packages/experiments/src/capacity/replicaPollRole.ts
@@ -1,4 +1,4 @@
-/** Reading load and cache events of every replica, as each instance does now. */
+/** Reading load and cache events of all replicas in turn, as each instance does. */
 import { HttpModelEngine } from '@wasabihead/daemon'
 import { startProgram } from '../processes/index.js'
 import { CapacityRole, type CapacitySample } from './capacityRole.js'
@@ -6,17 +6,18 @@
 const STANDIN = 'packages/standins/dist/main.js'
 const ROUNDS = 400
 const WARM_UP_ROUNDS = 100
-/** Two refreshes a second, each with one read of the load and one of the events. */
+/** Two turns a second, each with one read of the load and one of the events for at most four replicas. */
 const CALLS_PER_REPLICA_SECOND = 4
+const MAXIMUM_CALLS_PER_SECOND = 16
 const BYTES_OF_ONE_CALL = 500
 const MICROSECONDS_PER_SECOND = 1_000_000
 
 /** Measures the caller's side of the reads against an engine stand-in in a process of its own. */
 export class ReplicaPollRole extends CapacityRole {
   override readonly name = 'replica polls'
-  override readonly mechanism = 'every instance reads every replica; watchers for each replica are not built yet'
+  override readonly mechanism = 'every instance reads all replicas in turn, at a bounded rate'
   override readonly unit = 'replicas'
-  override readonly sizes = [4, 8, 16] as const
+  override readonly sizes = [4, 64, 380] as const
   override readonly targetSize = 760
 
   override async measure (size: number): Promise<CapacitySample> {
@@ -28,7 +29,7 @@
       await readOften(engine, ROUNDS)
       const { user, system } = process.cpuUsage(before)
       const secondsPerCall = (user + system) / MICROSECONDS_PER_SECOND / (2 * ROUNDS)
-      const callsPerSecond = size * CALLS_PER_REPLICA_SECOND
+      const callsPerSecond = Math.min(size * CALLS_PER_REPLICA_SECOND, MAXIMUM_CALLS_PER_SECOND)
       return {
         size,
         coreShare: secondsPerCall * callsPerSecond,
