fix(claims): bound the bytes of one group commit

Cause: a head write took all waiting reports, each with an answer of up to 16,384 characters, and sizes were counted in characters; many reports at once, or answers outside ASCII, could pass the service's megabyte, and such a write can never be won. Ruled out: refusing reports, since their outcome must be recorded.

--- a/packages/coordination/src/claims/claimShard.spec.ts
+++ b/packages/coordination/src/claims/claimShard.spec.ts
@@ -169,6 +169,36 @@
   assert.equal(removed, [{ kind: 'remove-answer', storedAnswer }])
 })
 
+test('should never write a head above its bound, however many reports wait, and answer them all', () => {
+  const limits = { ...CLAIM_LIMITS, headMaximumBytes: 6_000, closeAtBytes: 3_000 }
+  const shard = new ClaimShard({ host: 'entry-0', incarnation: 1 }, limits)
+  const answered = new Set<number>()
+  let now = 0
+  const pump = (effects: ClaimEffect[]): void => {
+    now += 1_000
+    for (const effect of effects) {
+      if (effect.kind === 'reply') answered.add(effect.callId)
+      if (effect.kind === 'wake-after') pump(shard.handle({ kind: 'wake' }, now + effect.delay))
+      if (effect.kind === 'write-segment') pump(shard.handle({ kind: 'segment-written', name: effect.name }, now))
+      if (effect.kind !== 'write-head') continue
+      assert.ok(Buffer.byteLength(JSON.stringify(effect.head.claims)) <= limits.headMaximumBytes)
+      pump(shard.handle({ kind: 'head-written', revision: now }, now))
+    }
+  }
+  shard.handle({ kind: 'take-over' }, now)
+  pump(shard.handle({ kind: 'head-read', head: undefined, revision: 0 }, now))
+  pump(shard.handle({ kind: 'tick', wall: 1, live }, now))
+  const idempotencyKeys = Array.from({ length: 8 }, (_, index) => `key-${index}`)
+  idempotencyKeys.forEach((idempotencyKey, index) => {
+    pump(shard.handle({ kind: 'claim', callId: index, request: { ...request, idempotencyKey } }, now))
+  })
+  // Each character of the answer takes three bytes in the service.
+  const answer = { status: 200, body: '\u20ac'.repeat(400) }
+  pump(idempotencyKeys.flatMap((idempotencyKey, index) =>
+    shard.handle({ kind: 'report', callId: 100 + index, report: { ...report, idempotencyKey, answer } }, now)))
+  assert.is(answered.size, 2 * idempotencyKeys.length)
+})
+
 const DAY = 86_400_000
 const keys = [
   { title: 'a key older than the window', key: keyOf(DAY), reply: 'expired' },
--- a/packages/coordination/src/claims/claimShard.ts
+++ b/packages/coordination/src/claims/claimShard.ts
@@ -6,7 +6,7 @@
 import { AttemptAudit } from './attemptAudit.js'
 import { claimId, decideClaim, decideReport, decideResolution, type ClaimDecision } from './claimDecisions.js'
 import { CLAIM_LIMITS, type ClaimLimits } from './claimLimits.js'
-import { ClaimStore, headContents, type ClosedSegment, type SegmentPlan } from './claimStore.js'
+import { ClaimStore, headContents, valueBytes, type ClosedSegment, type SegmentPlan } from './claimStore.js'
 import { ExecutorWatch } from './executorWatch.js'
 import type { Claim, ClaimCall, ClaimEffect, ClaimMessage, ClaimReply, ClaimRequest, ShardHead } from './messages.js'
 import { isOutsideWindow, keyTime } from './retention.js'
@@ -228,18 +228,36 @@
   }
 
   private _decideWaiting (now: Milliseconds): ClaimEffect[] {
-    const calls = this._waiting
-    this._waiting = []
+    const calls = this._takeBatch()
     const changed = new Map<string, Claim>()
     const afterwards = this._settleOrphans(changed, now)
     const replies = calls.map(call => ({ callId: call.callId, reply: this._decide(call, changed) }))
     // An executor ends on a conflict, so a deposed owner must not give one from memory: the write proves that it is current.
     const isProofNeeded = calls.some((call, index) => call.kind === 'report' && replies[index]?.reply.kind === 'conflict')
-    if (changed.size === 0 && !isProofNeeded) return replies.map(pending => ({ kind: 'reply', ...pending }))
+    if (changed.size === 0 && !isProofNeeded) {
+      return [...replies.map((pending): ClaimEffect => ({ kind: 'reply', ...pending })), ...this._flushRest(now)]
+    }
     const open = [...new Map([...this._store.open.map(withId), ...changed]).values()]
     return this._write({ open, segments: this._store.segments, replies, afterwards }, now)
   }
 
+  /** Calls that did not fit the last batch go on at once where that wrote nothing. */
+  private _flushRest (now: Milliseconds): ClaimEffect[] {
+    return this._waiting.length === 0 ? [] : this._flush(now)
+  }
+
+  /** As many waiting calls as the head has room for, in their order; at least one, and the rest wait for the next write. */
+  private _takeBatch (): ClaimCall[] {
+    let bytes = this._store.openBytes
+    const end = this._waiting.findIndex((call, index) => {
+      bytes += bytesOf(call)
+      return index > 0 && bytes > this._limits.headMaximumBytes
+    })
+    const batch = end === -1 ? this._waiting : this._waiting.slice(0, end)
+    this._waiting = end === -1 ? [] : this._waiting.slice(end)
+    return batch
+  }
+
   /**
    * Durable work of an executor that is gone is taken over. An at-most-once request of such an executor may have run; one that
    * its executor denies was never sent, since what is sent stays known there until its outcome is recorded.
@@ -292,7 +310,7 @@
   }
 
   private _isFull (request: ClaimRequest, changed: ReadonlyMap<string, Claim>): boolean {
-    const newBytes = [...changed.values(), request].reduce((sum, claim) => sum + JSON.stringify(claim).length, 0)
+    const newBytes = [...changed.values(), request].reduce((sum, claim) => sum + valueBytes(claim), 0)
     if (this._store.openBytes + newBytes > this._limits.headMaximumBytes) return true
     if (request.treatment !== 'durable' || request.maximumBacklog === undefined) return false
     const isBacklog = (claim: Claim): boolean =>
@@ -371,3 +389,13 @@
 function withId (claim: Claim): [string, Claim] {
   return [claimId(claim), claim]
 }
+
+/** What a call may add to the head; a report's record also repeats its claim, which the head holds already. */
+function bytesOf (call: ClaimCall): number {
+  switch (call.kind) {
+    case 'claim': return valueBytes(call.request)
+    case 'report': return valueBytes(call.report)
+    case 'resolve': return valueBytes(call.resolution)
+    case 'find': return 0
+  }
+}
--- a/packages/coordination/src/claims/claimStore.ts
+++ b/packages/coordination/src/claims/claimStore.ts
@@ -5,6 +5,11 @@
 import type { Claim, SegmentName, ShardHead, StoredAnswer } from './messages.js'
 import { isForgettable } from './retention.js'
 
+/** Bytes that a value takes in the key-value service as JSON. */
+export function valueBytes (value: object): number {
+  return Buffer.byteLength(JSON.stringify(value))
+}
+
 /** A closed segment with its records. */
 export interface ClosedSegment {
   name: SegmentName
@@ -105,7 +110,8 @@
     const text = JSON.stringify(claims)
     const droppedSegments = [...merging, ...(expired === undefined ? [] : [expired])]
     const closed: ClosedSegment = {
-      name: { name, digest: contentDigest(text), count: claims.length, sizeBytes: text.length, closedAt: wall }, claims
+      name: { name, digest: contentDigest(text), count: claims.length, sizeBytes: Buffer.byteLength(text), closedAt: wall },
+      claims
     }
     return {
       segment: closed,
@@ -156,7 +162,7 @@
   private _expiredOf (segments: readonly ClosedSegment[], wall: Milliseconds): ClosedSegment | undefined {
     const oldest = segments[0]
     if (oldest === undefined || !isForgettable(oldest.name.closedAt, wall, this._limits)) return undefined
-    const carriedBytes = this._keptOf(oldest, true, wall).reduce((sum, claim) => sum + sizeOf(claim), 0)
+    const carriedBytes = this._keptOf(oldest, true, wall).reduce((sum, claim) => sum + valueBytes(claim), 0)
     return carriedBytes + this._settledBytes + this._limits.segmentTargetBytes > this._limits.segmentMaximumBytes
       ? undefined
       : oldest
@@ -177,7 +183,7 @@
   }
 
   private _count (claim: Claim, sign: 1 | -1): void {
-    const size = sizeOf(claim) * sign
+    const size = valueBytes(claim) * sign
     this._openBytes += size
     if (claim.state !== 'claimed') this._settledBytes += size
   }
@@ -187,7 +193,3 @@
 export function headContents (open: Claim[], segments: readonly ClosedSegment[]): Pick<ShardHead, 'claims' | 'segments'> {
   return { claims: open, segments: segments.map(segment => segment.name) }
 }
-
-function sizeOf (claim: Claim): number {
-  return JSON.stringify(claim).length
-}
