--- a/packages/experiments/src/capacity/admissionRole.ts
+++ b/packages/experiments/src/capacity/admissionRole.ts
@@ -1,7 +1,7 @@
 /** Admission and retry budgets of one instance, with many workspaces that send at once. */
 import { AdmissionQueue, RetryBudgets, SeededRandom, type AdmissionEntry } from '@wasabihead/coordination'
 import { CapacityRole, type CapacitySample } from './capacityRole.js'
-import { measureKeptBytes, measureProcessorTime } from './processCost.js'
+import { measureKeptBytes, measureProcessorTime } from '../process/index.js'
 
 /** The peak of 3,600 requests a second over 340 nodes, four times as many where the load lies unevenly. */
 const REQUESTS_PER_SECOND = 42
--- a/packages/experiments/src/capacity/homeRole.ts
+++ b/packages/experiments/src/capacity/homeRole.ts
@@ -1,7 +1,7 @@
 /** The home of returning prompts: its directory, and finding the home of each prompt that arrives. */
 import { HomeDirectory, homeOf, shortBlockKeys, type Member } from '@wasabihead/coordination'
 import { CapacityRole, type CapacitySample } from './capacityRole.js'
-import { measureKeptBytes, measureProcessorTime } from './processCost.js'
+import { measureKeptBytes, measureProcessorTime } from '../process/index.js'
 
 const TARGET_HOSTS = 340
 const TARGET_PROMPTS = 220_000
--- a/packages/experiments/src/capacity/membershipRole.ts
+++ b/packages/experiments/src/capacity/membershipRole.ts
@@ -2,7 +2,7 @@
 import type { Milliseconds } from '@wasabihead/coordination'
 import { ReplayedFleet } from '../simulation/index.js'
 import { CapacityRole, type CapacitySample } from './capacityRole.js'
-import { measureProcessorTime } from './processCost.js'
+import { measureProcessorTime } from '../process/index.js'
 
 const SEED = 1
 const SETTLING: Milliseconds = 60_000
--- a/packages/experiments/src/capacity/ordersRole.ts
+++ b/packages/experiments/src/capacity/ordersRole.ts
@@ -3,7 +3,7 @@
   ORDERS_TICK_INTERVAL, OrdersHolder, type DesiredState, type EngineState, type OrdersEffect
 } from '@wasabihead/coordination'
 import { CapacityRole, type CapacitySample } from './capacityRole.js'
-import { measureKeptBytes, measureProcessorTime } from './processCost.js'
+import { measureKeptBytes, measureProcessorTime } from '../process/index.js'
 
 const RUN_MILLISECONDS = 120_000
 const BYTES_OF_ONE_READ = 600
--- a/packages/experiments/src/coordination/claims.ts
+++ b/packages/experiments/src/coordination/claims.ts
@@ -1,11 +1,10 @@
 /** What claims cost: writes to the key-value service, takeover of a shard, and memory. */
-import { setFlagsFromString } from 'node:v8'
-import { runInNewContext } from 'node:vm'
 import {
   ABSENT_REVISION, CLAIM_SHARD_COUNT, ClaimShard, claimShardOf, SeededRandom, shardHeadSchema,
   type ClaimEffect, type ClaimMessage, type ClaimReply, type ClaimReport, type ClaimRequest, type InstanceIdentity,
   type Milliseconds
 } from '@wasabihead/coordination'
+import { usedBytes } from '../process/index.js'
 import { SimulatedKeyValue, VirtualTime, type SimulatedAnswer } from '../simulation/index.js'
 import { CoordinationMeasurement, type MeasurementRow } from './measurement.js'
 
@@ -162,7 +161,7 @@
     fill(new ShardDriver(time, keyValue, OWNER, 1), size)
     const readsBefore = keyValue.counts.reads
     const startedAt = time.now
-    const heapBefore = usedHeap()
+    const heapBefore = usedBytes()
     const next = new ShardDriver(time, keyValue, NEXT_OWNER, 1)
     next.takeOver()
     while (!next.isOwner) time.runUntil(time.now + 1)
@@ -176,7 +175,7 @@
       'bytes read': next.bytesRead,
       'virtual ms': Math.round(tookUntil - startedAt),
       'bytes stored per claim': Math.round(stored / size),
-      'heap bytes per claim': Math.round((usedHeap() - heapBefore) / size),
+      'heap bytes per claim': Math.round((usedBytes() - heapBefore) / size),
       'still owner': String(next.isOwner)
     }
   }
@@ -219,13 +218,6 @@
   }
 }
 
-function usedHeap (): number {
-  setFlagsFromString('--expose-gc')
-  const collect = runInNewContext('gc') as () => void
-  collect()
-  return process.memoryUsage().heapUsed
-}
-
 function round (value: number): number {
   return Math.round(value * 100) / 100
 }
--- /dev/null
+++ b/packages/experiments/src/process/index.ts
@@ -0,0 +1,1 @@
+export { measureKeptBytes, measureProcessorTime, usedBytes, type KeptState } from './processCost.js'
--- a/packages/experiments/src/capacity/processCost.ts
+++ b/packages/experiments/src/process/processCost.ts
@@ -27,7 +27,8 @@
   return performance.now() - started
 }
 
-function usedBytes (): number {
+/** Bytes of heap and buffers in use after a collection of garbage. */
+export function usedBytes (): number {
   collectGarbage()
   collectGarbage()
   const { heapUsed, arrayBuffers } = process.memoryUsage()
--- a/packages/experiments/src/telemetry/telemetryMeasurement.ts
+++ b/packages/experiments/src/telemetry/telemetryMeasurement.ts
@@ -1,10 +1,9 @@
 /** `--topic telemetry`: memory and time of the histograms and counters at the target's workspaces. */
 import { performance } from 'node:perf_hooks'
-import { setFlagsFromString } from 'node:v8'
-import { runInNewContext } from 'node:vm'
 import { SeededRandom } from '@wasabihead/coordination'
 import { Metrics } from '@wasabihead/daemon'
 import { CoordinationMeasurement, type MeasurementRow } from '../coordination/measurement.js'
+import { usedBytes } from '../process/index.js'
 
 const KINDS = ['lookup', 'answer', 'order'] as const
 const MEASURES = ['first-token', 'between-tokens', 'queue-wait', 'whole-answer'] as const
@@ -20,10 +19,9 @@
   override readonly description = 'memory and time of histograms and counters; 3 kinds, 4 timed measures and 1 count for each workspace'
 
   override run (seed: number): MeasurementRow[] {
-    const collectGarbage = exposeGarbageCollector()
     return [250, 500, 1_000, 2_300].map(workspaces => {
       const random = new SeededRandom(seed)
-      const before = readMemory(collectGarbage)
+      const before = usedBytes()
       const metrics = new Metrics()
       const beganAt = performance.now()
       const records = fill(metrics, workspaces, random)
@@ -34,7 +32,7 @@
         histograms: histograms.length,
         recordsInOther: histograms.filter(({ workspace }) => workspace === 'other').reduce((sum, { count }) => sum + count, 0),
         reckonedMegabytes: round(metrics.bytes / BYTES_PER_MEGABYTE),
-        measuredMegabytes: round((readMemory(collectGarbage) - before) / BYTES_PER_MEGABYTE),
+        measuredMegabytes: round((usedBytes() - before) / BYTES_PER_MEGABYTE),
         microsecondsPerRecord: round(took * MICROSECONDS_PER_MILLISECOND / records)
       }
     })
@@ -61,18 +59,6 @@
   return MEDIAN_MILLISECONDS * Math.exp(SPREAD * spread)
 }
 
-function exposeGarbageCollector (): () => void {
-  setFlagsFromString('--expose_gc')
-  return runInNewContext('gc') as () => void
-}
-
-function readMemory (collectGarbage: () => void): number {
-  collectGarbage()
-  collectGarbage()
-  const { heapUsed, arrayBuffers } = process.memoryUsage()
-  return heapUsed + arrayBuffers
-}
-
 function round (value: number): number {
   return Math.round(value * 100) / 100
 }
