fix(callers): refuse JSON that nests without end as malformed

Cause: writing such a body back to text ran out of stack, so that the caller got status 500 with notRun unknown.

--- a/packages/daemon/src/callers/callerServer.spec.ts
+++ b/packages/daemon/src/callers/callerServer.spec.ts
@@ -90,6 +90,8 @@
   ['a digest for a token', '/v1/completions',
     { headers: { authorization: `Bearer ${createHash('sha256').update(TOKENS.trent).digest('hex')}` }, json: CHECK }, 401, 'unauthorized'],
   ['malformed JSON', '/v1/completions', { body: '{"kind":', headers: { 'content-type': 'application/json' } }, 400, 'invalid-request'],
+  ['JSON nested without end', '/v1/calls/checklist-lookup',
+    { body: `{"a":${'['.repeat(200_000)}${']'.repeat(200_000)}}`, headers: { 'content-type': 'application/json' } }, 400, 'invalid-request'],
   ['JSON that is no object', '/v1/completions', { json: [1] }, 400, 'invalid-request'],
   ['an empty body', '/v1/completions', {}, 400, 'invalid-request'],
   ['an unknown field', '/v1/completions', { json: { ...CHECK, temperature: 1 } }, 400, 'invalid-request'],
--- a/packages/daemon/src/callers/requestReader.ts
+++ b/packages/daemon/src/callers/requestReader.ts
@@ -10,6 +10,7 @@
 import type { AcceptedRequest, ModelInput } from '../serving/index.js'
 import type { CompletionBody } from './completionBody.js'
 import { DocumentIndex } from './documentIndex.js'
+import { isNestedWithin, MAXIMUM_NESTING } from './nesting.js'
 
 const NOT_CONFIGURED_RETRY_AFTER: Milliseconds = 1_000
 const IDEMPOTENCY_KEY = /^[\x21-\x7e]{1,255}$/
@@ -90,6 +91,10 @@
     return Result.err(new RefusalError('invalid-request', 400, true,
       'The idempotency key is malformed', 'Send 1 to 255 printable characters without spaces, such as a UUID'))
   }
+  if (!isNestedWithin(body, MAXIMUM_NESTING)) {
+    return Result.err(new RefusalError('invalid-request', 400, true,
+      'The body nests too deep', `Send JSON that nests at most ${MAXIMUM_NESTING} deep`))
+  }
   return Result.ok({
     requestId: createRequestId(),
     workspace: caller.workspace,
