refactor(instance): assemble the parts duty by duty, apart from starting and stopping them

Cause: one function of a hundred lines put everything together in the class that starts and stops it.

--- /dev/null
+++ b/packages/daemon/src/instance/assembly.ts
@@ -0,0 +1,245 @@
+/** Puts the parts of one instance together. Each function makes the parts of one duty from those that they need. */
+import {
+  CallBudget, FLEET_RATES, HomeDirectory, MemberTable, placementHash, RetryBudgets, SeededRandom,
+  type KeyValueService, type Member
+} from '@wasabihead/coordination'
+import { BudgetedKeyValueService, CallAccount, EtcdKeyValueService, HttpHostList } from '../adapters/index.js'
+import { BlockTransfers, type BackendFleet } from '../backends/index.js'
+import { CallerServer, RequestLookup, RequestReader } from '../callers/index.js'
+import { ClaimCoordinator, ClaimDirectory, ClaimPeerClient, ClaimPeerRoutes, ClaimRoutes } from '../claims/index.js'
+import {
+  ConfigurationKeeper, ConfigurationPeerClient, ConfigurationPeerRoutes, ConfigurationRoutes
+} from '../configuration/index.js'
+import { HomeKeeper, HomePeerClient, HomePeerRoutes } from '../homes/index.js'
+import { LeavingLoop, LeavingPeerClient, LeavingPeerRoutes, LeavingRoutes } from '../leaving/index.js'
+import { RoleLoop } from '../leases/index.js'
+import { MemberRoutes, MembershipLoop, MembershipPeerClient, MembershipPeerRoutes } from '../membership/index.js'
+import { DrainRoutes, OperatorServer, StatusRoutes } from '../operators/index.js'
+import { OrderRoutes, OrdersLoop } from '../orders/index.js'
+import { PeerServer, type PeerConnections } from '../peers/index.js'
+import {
+  QuarantineKeeper, QuarantinePeerClient, QuarantinePeerRoutes, QuarantineRoutes, QuarantineStore
+} from '../quarantine/index.js'
+import {
+  ClaimedRunner, ModelRunner, PromptPlacer, RETRY_BUDGETS, ServiceRunner, type RequestAdmission
+} from '../serving/index.js'
+import type { Settings } from '../settings/index.js'
+import { MetricsRoutes, type Logger, type Metrics } from '../telemetry/index.js'
+import type { Clock } from './clock.js'
+
+/** What an instance has before its parts are put together. */
+export interface AssemblyContext {
+  settings: Settings
+  clock: Clock
+  logger: Logger
+  metrics: Metrics
+  connections: PeerConnections
+  fleet: BackendFleet
+  admission: RequestAdmission
+  /** Begins to leave, as an operator asked. */
+  drain: () => void
+}
+
+/** The parts of one instance. */
+export interface InstanceParts {
+  members: MemberTable
+  configuration: ConfigurationKeeper
+  claims: ClaimCoordinator
+  claimed: ClaimedRunner
+  membership: MembershipLoop
+  orders: OrdersLoop
+  leaving: LeavingLoop
+  quarantine: QuarantineKeeper
+  callerServer: CallerServer
+  operatorServer: OperatorServer
+  peerServer: PeerServer
+}
+
+/** What every duty works with. */
+interface Common extends AssemblyContext {
+  random: SeededRandom
+  members: MemberTable
+  calls: CallAccount
+  /** The key-value service for each priority of calls. */
+  claimStore: KeyValueService
+  configurationStore: KeyValueService
+  membershipStore: KeyValueService
+}
+
+type Serving = Pick<InstanceParts, 'claims' | 'claimed' | 'quarantine'> & {
+  models: ModelRunner
+  services: ServiceRunner
+  homeDirectory: HomeDirectory
+}
+
+/** Puts an instance together; nothing of it runs yet. */
+export function assembleInstance (context: AssemblyContext): InstanceParts {
+  const common = createCommon(context)
+  const orders = createOrders(common)
+  const leaving = createLeaving(common)
+  const configuration = createConfiguration(common, orders, () => { membership.announce() })
+  const membership = createMembership(common, configuration)
+  const serving = createServing(common, configuration)
+  const parts = { ...serving, members: common.members, configuration, membership, orders, leaving }
+  return {
+    ...parts,
+    callerServer: createCallerServer(common, parts),
+    operatorServer: createOperatorServer(common, parts),
+    peerServer: createPeerServer(common, parts)
+  }
+}
+
+function createCommon (context: AssemblyContext): Common {
+  const { settings, clock } = context
+  const service = new EtcdKeyValueService(settings.keyValueAddress)
+  const calls = new CallAccount(new CallBudget(FLEET_RATES, clock.monotonic()), clock)
+  return {
+    ...context,
+    // Hosts that share a seed must still not jitter in step.
+    random: new SeededRandom(placementHash(`${settings.seed}|${settings.host}`)),
+    members: new MemberTable(ownEntry(settings, clock)),
+    calls,
+    claimStore: new BudgetedKeyValueService(service, calls, 'claims'),
+    configurationStore: new BudgetedKeyValueService(service, calls, 'configuration'),
+    membershipStore: new BudgetedKeyValueService(service, calls, 'membership')
+  }
+}
+
+function createOrders ({ settings, configurationStore, members, clock, fleet, logger }: Common): OrdersLoop {
+  const role = new RoleLoop(settings.environment, 'orders', configurationStore, members, clock)
+  return new OrdersLoop(role, fleet, clock, logger)
+}
+
+function createLeaving ({ settings, connections, members, clock, random, fleet }: Common): LeavingLoop {
+  const peers = new LeavingPeerClient(connections, settings.environment)
+  const leaving = new LeavingLoop(new HttpHostList(settings.hostListAddress), members, peers, clock, random)
+  fleet.isLeaving = server => leaving.isLeaving(server)
+  return leaving
+}
+
+function createConfiguration (common: Common, orders: OrdersLoop, announce: () => void): ConfigurationKeeper {
+  const { settings, configurationStore, members, connections, clock, random, logger, fleet } = common
+  return new ConfigurationKeeper({
+    environment: settings.environment,
+    keyValue: configurationStore,
+    members,
+    peers: new ConfigurationPeerClient(connections),
+    clock,
+    random,
+    logger,
+    inForce: stored => {
+      fleet.configure(stored.document)
+      orders.configure(stored.document)
+      members.updateSelf({ configurationRevision: stored.revision }, clock.monotonic())
+      announce()
+    }
+  })
+}
+
+function createMembership (common: Common, configuration: ConfigurationKeeper): MembershipLoop {
+  const { settings, members, membershipStore, connections, clock, random, calls } = common
+  const peers = new MembershipPeerClient(connections, settings.environment)
+  return new MembershipLoop(settings.environment, members, membershipStore, peers, clock, random, {
+    membersChanged: count => { calls.setLiveMembers(count) },
+    revisionSeen: (host, revision) => { configuration.seeRevision(host, revision) }
+  }, settings.knownPeers)
+}
+
+function createQuarantine (common: Common): QuarantineKeeper {
+  const { settings, configurationStore, connections, members, clock, random, logger } = common
+  return new QuarantineKeeper({
+    store: new QuarantineStore(settings.environment, configurationStore),
+    peers: new QuarantinePeerClient(connections, settings.environment),
+    members,
+    clock,
+    random,
+    logger
+  })
+}
+
+function createServing (common: Common, configuration: ConfigurationKeeper): Serving {
+  const { settings, claimStore, members, connections, clock, random, logger, metrics, fleet } = common
+  const homeDirectory = new HomeDirectory()
+  const homes = new HomeKeeper(members, homeDirectory, new HomePeerClient(connections), clock)
+  const transfers = new BlockTransfers(fleet, settings.dataCentre, clock)
+  const placer = new PromptPlacer(fleet, transfers, homes, settings.workspaceSecret, clock, metrics)
+  const budgets = new RetryBudgets(RETRY_BUDGETS)
+  const quarantine = createQuarantine(common)
+  const models = new ModelRunner(placer, configuration, budgets, clock, random, metrics, logger, quarantine)
+  const services = new ServiceRunner(fleet, budgets, clock, random, metrics)
+  const claims = new ClaimCoordinator(
+    settings.environment, claimStore, members, new ClaimPeerClient(connections), clock, logger)
+  const claimed = new ClaimedRunner(members.identity, claims, models, services, () => configuration.document, clock, logger)
+  claims.onDurableWork = claim => { claimed.resume(claim) }
+  claims.knowsAttempt = attemptToken => claimed.knows(attemptToken)
+  return { claims, claimed, quarantine, models, services, homeDirectory }
+}
+
+function createCallerServer (
+  { admission, clock, metrics, logger, members }: Common, { configuration, claims, claimed, models, services }: Serving &
+  Pick<InstanceParts, 'configuration'>
+): CallerServer {
+  return new CallerServer({
+    reader: new RequestReader(() => configuration.documentForNewWork),
+    models,
+    services,
+    claimed,
+    lookup: new RequestLookup(async (workspace, key) => await claims.find(workspace, key)),
+    members,
+    admission,
+    clock,
+    metrics,
+    logger
+  })
+}
+
+function createOperatorServer (
+  { settings, members, metrics, admission, claimStore, drain }: Common,
+  { configuration, claims, claimed, orders, leaving, quarantine }: Omit<InstanceParts, `${string}Server`>
+): OperatorServer {
+  return new OperatorServer(settings.operatorTokenDigest, [
+    new ConfigurationRoutes(configuration, members),
+    new MemberRoutes(members),
+    new ClaimRoutes(claims, new ClaimDirectory(settings.environment, claimStore)),
+    new OrderRoutes(orders),
+    new LeavingRoutes(leaving),
+    new QuarantineRoutes(quarantine),
+    new MetricsRoutes(metrics),
+    new StatusRoutes({
+      environment: settings.environment,
+      members,
+      metrics,
+      configurationVersion: () => configuration.state.version,
+      running: () => Math.max(admission.present, claimed.running)
+    }),
+    new DrainRoutes(settings.host, drain)
+  ])
+}
+
+function createPeerServer (
+  { settings, clock }: Common,
+  { configuration, claims, membership, leaving, quarantine, homeDirectory }: Serving &
+  Pick<InstanceParts, 'configuration' | 'membership' | 'leaving'>
+): PeerServer {
+  return new PeerServer([
+    new MembershipPeerRoutes(settings.environment, membership),
+    new ConfigurationPeerRoutes(configuration),
+    new ClaimPeerRoutes(claims),
+    new LeavingPeerRoutes(settings.environment, leaving),
+    new HomePeerRoutes(homeDirectory, clock),
+    new QuarantinePeerRoutes(settings.environment, quarantine)
+  ])
+}
+
+function ownEntry (settings: Settings, clock: Clock): Member {
+  return {
+    host: settings.host,
+    incarnation: Math.floor(clock.wall()),
+    version: 1,
+    dataCentre: settings.dataCentre,
+    peerAddress: '',
+    callerAddress: '',
+    state: 'alive',
+    configurationRevision: 0
+  }
+}
