--- /dev/null
+++ b/packages/coordination/src/catalog/routeTable.ts
@@ -0,0 +1,60 @@
+/** Finds the route and the workspace of a request. */
+import type { Route, RoutingConfiguration, ServiceDescription, WorkspaceAccess } from './messages.js'
+
+/** Why a request has no way through the configuration. */
+export type RouteRefusal = 'no-route' | 'unknown-key'
+
+/** Where a request may go, and for whom it runs. */
+export interface RouteMatch {
+  route: Route
+  /** Absent on public routes and where the configuration has no workspaces. */
+  workspace?: WorkspaceAccess | undefined
+}
+
+/** An index of one configuration. */
+export class RouteTable {
+  private readonly _routesByHost = new Map<string, Route[]>()
+  private readonly _workspaceByKey = new Map<string, WorkspaceAccess>()
+  private readonly _services = new Map<string, ServiceDescription>()
+
+  /** @param configuration the configuration in force */
+  constructor (readonly configuration: RoutingConfiguration) {
+    for (const route of configuration.routes) {
+      const host = route.host.toLowerCase()
+      const routes = this._routesByHost.get(host) ?? []
+      routes.push(route)
+      this._routesByHost.set(host, routes)
+    }
+    // The longest prefix that begins the path wins.
+    for (const routes of this._routesByHost.values()) routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)
+    for (const workspace of configuration.workspaces ?? []) {
+      for (const key of workspace.keys) this._workspaceByKey.set(key, workspace)
+    }
+    for (const service of configuration.services) this._services.set(service.name, service)
+  }
+
+  /** A service by its name. */
+  service (name: string): ServiceDescription | undefined {
+    return this._services.get(name)
+  }
+
+  /**
+   * The route of a host and path, and the key's workspace.
+   * @param host the Host header; a port is ignored
+   * @param path the path without its query
+   */
+  match (host: string, path: string, key: string | undefined): RouteMatch | RouteRefusal {
+    const routes = this._routesByHost.get(hostWithoutPort(host).toLowerCase())
+    const route = routes?.find(({ pathPrefix }) => path.startsWith(pathPrefix))
+    if (route === undefined) return 'no-route'
+    if (this.configuration.workspaces === undefined) return { route }
+    const workspace = key === undefined ? undefined : this._workspaceByKey.get(key)
+    if (route.isPublic) return { route, workspace }
+    return workspace === undefined ? 'unknown-key' : { route, workspace }
+  }
+}
+
+function hostWithoutPort (host: string): string {
+  const colon = host.lastIndexOf(':')
+  return colon > 0 && /^\d+$/.test(host.slice(colon + 1)) ? host.slice(0, colon) : host
+}
--- /dev/null
+++ b/packages/coordination/src/catalog/serviceCatalog.ts
@@ -0,0 +1,163 @@
+/** What one instance believes of the configuration, the replicas and the named weight versions, and how old that is. */
+import type { Milliseconds } from '../common/index.js'
+import type { CatalogListing, Replica, Revised, RoutingConfiguration } from './messages.js'
+import { RouteTable } from './routeTable.js'
+
+/** Settings of the catalog. */
+export interface CatalogSettings {
+  /** How long entries that lapsed while the store was away may take to return once it answers again. */
+  returnGrace: Milliseconds
+  /** Listings further apart than this leave open what happened between them. */
+  longestGap: Milliseconds
+}
+
+/** A change of a belief, for the log and for those that depend on it. */
+export type CatalogChange =
+  | { kind: 'configuration', version: number, revision: number }
+  | { kind: 'replica-added', replica: Replica }
+  | { kind: 'replica-draining', replica: Replica }
+  | { kind: 'replica-removed', replica: Replica, reason: 'unlisted' | 'restarted' }
+  | { kind: 'weight-version', model: string, version: number }
+
+interface KnownReplica extends Revised<Replica> {
+  /** Set while the entry is missing after the store was away. */
+  missingSince?: Milliseconds | undefined
+}
+
+interface NamedVersion extends Revised<number> {
+  /** When this instance first saw it. */
+  seenAt: Milliseconds
+}
+
+/** Holds the beliefs. A higher revision of the store always wins, whoever told it; nothing goes back within one run. */
+export class ServiceCatalog {
+  private _configuration: Revised<RouteTable> | undefined
+  private readonly _replicas = new Map<string, KnownReplica>()
+  private readonly _weightVersions = new Map<string, NamedVersion>()
+  private _listedAt: Milliseconds = -Infinity
+  private _graceUntil: Milliseconds = -Infinity
+  private _byService = new Map<string, Replica[]>()
+
+  constructor (private readonly _settings: CatalogSettings) {}
+
+  /** The configuration in force; undefined until one is known. */
+  get routes (): RouteTable | undefined {
+    return this._configuration?.value
+  }
+
+  /** The store's revision of the configuration in force; 0 until one is known. */
+  get configurationRevision (): number {
+    return this._configuration?.revision ?? 0
+  }
+
+  /** When the store was last listed. */
+  get listedAt (): Milliseconds {
+    return this._listedAt
+  }
+
+  /** The replicas of a service that may get new requests. */
+  usableReplicas (service: string): readonly Replica[] {
+    return this._byService.get(service) ?? []
+  }
+
+  /** All known replicas. */
+  get replicas (): Replica[] {
+    return [...this._replicas.values()].map(({ value }) => value)
+  }
+
+  /** A replica by its id. */
+  replica (id: string): Replica | undefined {
+    return this._replicas.get(id)?.value
+  }
+
+  /** The named weight version of a model and when it was first seen here. */
+  namedVersion (model: string): { version: number, seenAt: Milliseconds } | undefined {
+    const named = this._weightVersions.get(model)
+    return named === undefined ? undefined : { version: named.value, seenAt: named.seenAt }
+  }
+
+  /** The models with a named weight version. */
+  get namedModels (): string[] {
+    return [...this._weightVersions.keys()]
+  }
+
+  /** Takes a complete listing by the store that was asked for at `askedAt`. */
+  applyListing (listing: CatalogListing, askedAt: Milliseconds, now: Milliseconds): CatalogChange[] {
+    if (now - this._listedAt > this._settings.longestGap) this._graceUntil = now + this._settings.returnGrace
+    this._listedAt = askedAt
+    const changes = this._takeHigher(listing, now)
+    const listed = new Set(listing.replicas.map(({ value }) => value.id))
+    for (const [id, known] of this._replicas) {
+      if (listed.has(id)) {
+        known.missingSince = undefined
+        continue
+      }
+      known.missingSince ??= now
+      if (now < this._graceUntil) continue
+      this._replicas.delete(id)
+      changes.push({ kind: 'replica-removed', replica: known.value, reason: 'unlisted' })
+    }
+    this._index()
+    return changes
+  }
+
+  /** Takes what another instance knows: only what is newer, and no removals. */
+  applyPeerListing (listing: CatalogListing, now: Milliseconds): CatalogChange[] {
+    const changes = this._takeHigher(listing, now)
+    this._index()
+    return changes
+  }
+
+  /** What this instance tells one that starts without the store. */
+  get listing (): CatalogListing {
+    const configuration = this._configuration
+    return {
+      configuration: configuration && { revision: configuration.revision, value: configuration.value.configuration },
+      replicas: [...this._replicas.values()].map(({ revision, value }) => ({ revision, value })),
+      weightVersions: [...this._weightVersions].map(([model, { revision, value }]) => (
+        { revision, value: { model, version: value } }))
+    }
+  }
+
+  private _takeHigher (listing: CatalogListing, now: Milliseconds): CatalogChange[] {
+    const changes: CatalogChange[] = []
+    this._takeConfiguration(listing.configuration, changes)
+    for (const replica of listing.replicas) this._takeReplica(replica, changes)
+    for (const { revision, value: { model, version } } of listing.weightVersions) {
+      const known = this._weightVersions.get(model)
+      if (known !== undefined && known.value >= version) continue
+      this._weightVersions.set(model, { revision, value: version, seenAt: now })
+      changes.push({ kind: 'weight-version', model, version })
+    }
+    return changes
+  }
+
+  private _takeConfiguration (heard: Revised<RoutingConfiguration> | undefined, changes: CatalogChange[]): void {
+    if (heard === undefined || heard.revision <= this.configurationRevision) return
+    this._configuration = { revision: heard.revision, value: new RouteTable(heard.value) }
+    changes.push({ kind: 'configuration', version: heard.value.version, revision: heard.revision })
+  }
+
+  private _takeReplica (heard: Revised<Replica>, changes: CatalogChange[]): void {
+    const { id } = heard.value
+    const known = this._replicas.get(id)
+    if (known !== undefined && known.revision >= heard.revision) return
+    const isRestarted = known !== undefined && known.value.startedAt !== heard.value.startedAt
+    if (isRestarted) changes.push({ kind: 'replica-removed', replica: known.value, reason: 'restarted' })
+    this._replicas.set(id, { revision: heard.revision, value: heard.value })
+    if (known === undefined || isRestarted) changes.push({ kind: 'replica-added', replica: heard.value })
+    if (heard.value.isDraining && !(known?.value.isDraining === true && !isRestarted)) {
+      changes.push({ kind: 'replica-draining', replica: heard.value })
+    }
+  }
+
+  private _index (): void {
+    this._byService = new Map()
+    for (const { value } of this._replicas.values()) {
+      if (value.isDraining) continue
+      const replicas = this._byService.get(value.service) ?? []
+      replicas.push(value)
+      this._byService.set(value.service, replicas)
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/dispatch/index.ts
@@ -0,0 +1,11 @@
+export {
+  decideAfterAttempt, finalVerdict, isRepeatable, type AttemptContext, type AttemptEnd, type AttemptVerdict
+} from './attemptDecision.js'
+export { CachedParts, type PromptPart } from './cachedParts.js'
+export { FleetLoads, type ReplicaLoad } from './fleetLoads.js'
+export { FleetRetryBudget, type FleetRetryBudgetSettings } from './fleetRetryBudget.js'
+export { RepeatedCrashes, type CrashReport } from './repeatedCrashes.js'
+export { ReplicaHealth, type AttemptSign } from './replicaHealth.js'
+export {
+  PREFILL_TOKENS_PER_MILLISECOND, selectReplica, type Prompt, type Selection, type SelectionRequest, type SelectionView
+} from './selectReplica.js'
--- /dev/null
+++ b/packages/coordination/src/fronts/frontDirectory.ts
@@ -0,0 +1,124 @@
+/** Which instances callers may connect to, from the store's records and from direct heartbeats. */
+import type { Milliseconds } from '../common/index.js'
+import type { FrontRecord, Heartbeat } from './messages.js'
+
+/** Settings of the directory. */
+export interface FrontDirectorySettings {
+  /** An instance that was heard and then is silent for this long is left out. */
+  silence: Milliseconds
+  /** A record of the store that was never heard of directly counts for this long. */
+  unheardLifetime: Milliseconds
+  /** An instance that nobody heard for this long is forgotten. */
+  forgetAfter: Milliseconds
+}
+
+interface KnownFront {
+  record: FrontRecord
+  isReady: boolean
+  isListed: boolean
+  firstSeenAt: Milliseconds
+  heardAt: Milliseconds | undefined
+}
+
+/** Where a caller is. */
+export interface CallerPlace {
+  zone: string
+  region: string
+}
+
+/** Most addresses in one answer. */
+const MAXIMUM_ADDRESSES = 64
+
+/** Holds what is known of the other instances. */
+export class FrontDirectory {
+  private readonly _fronts = new Map<string, KnownFront>()
+  private _hasHeardAny = false
+
+  /** @param _self this instance, as it registers itself */
+  constructor (private _self: FrontRecord, private readonly _settings: FrontDirectorySettings) {}
+
+  /** This instance's own record. */
+  get self (): FrontRecord {
+    return this._self
+  }
+
+  /** This instance begins to leave. */
+  leave (): void {
+    this._self = { ...this._self, isLeaving: true }
+  }
+
+  /** Takes the store's records. */
+  applyRecords (records: readonly FrontRecord[], now: Milliseconds): void {
+    const listed = new Set(records.map(({ name }) => name))
+    for (const record of records) {
+      if (record.name === this._self.name) continue
+      const known = this._take(record, now)
+      known.isListed = true
+    }
+    for (const [name, front] of this._fronts) if (!listed.has(name)) front.isListed = false
+    this._expire(now)
+  }
+
+  /** Takes a heartbeat, and the peers that it names. */
+  hear ({ from, isReady, peers }: Heartbeat, now: Milliseconds): void {
+    if (from.name !== this._self.name) {
+      const front = this._take(from, now)
+      if (front.record.incarnation === from.incarnation) {
+        front.heardAt = now
+        front.isReady = isReady
+        this._hasHeardAny = true
+      }
+    }
+    for (const peer of peers) if (peer.name !== this._self.name) this._take(peer, now)
+  }
+
+  /** The other instances that heartbeats are sent to. */
+  get peers (): FrontRecord[] {
+    return [...this._fronts.values()].map(({ record }) => record)
+  }
+
+  /** The peers that are alive and ready as far as this instance knows. */
+  livePeers (now: Milliseconds): FrontRecord[] {
+    return [...this._fronts.values()].filter(front => this._isLive(front, now)).map(({ record }) => record)
+  }
+
+  /** Instances that take part now, this one included; at least 1. */
+  size (now: Milliseconds): number {
+    return this.livePeers(now).length + 1
+  }
+
+  /**
+   * Addresses for a caller. Instances of its own zone come alone where there are at least two of them.
+   * @param isSelfReady whether this instance itself takes callers
+   */
+  addressesFor (_place: CallerPlace, isSelfReady: boolean, now: Milliseconds): string[] {
+    const fronts = this.livePeers(now)
+    if (isSelfReady && !this._self.isLeaving) fronts.push(this._self)
+    return fronts.map(({ frontAddress }) => frontAddress).slice(0, MAXIMUM_ADDRESSES)
+  }
+
+  private _isLive (front: KnownFront, now: Milliseconds): boolean {
+    if (front.record.isLeaving) return false
+    if (front.heardAt !== undefined) return front.isReady && now - front.heardAt <= this._settings.silence
+    // Where no instance is heard at all, this one cannot tell the others' silence from its own deafness.
+    return front.isListed && (!this._hasHeardAny || now - front.firstSeenAt <= this._settings.unheardLifetime)
+  }
+
+  private _take (record: FrontRecord, now: Milliseconds): KnownFront {
+    const known = this._fronts.get(record.name)
+    if (known !== undefined && known.record.incarnation >= record.incarnation) {
+      if (known.record.incarnation === record.incarnation && record.isLeaving) known.record = record
+      return known
+    }
+    const front: KnownFront = { record, isReady: false, isListed: false, firstSeenAt: now, heardAt: undefined }
+    this._fronts.set(record.name, front)
+    return front
+  }
+
+  private _expire (now: Milliseconds): void {
+    for (const [name, front] of this._fronts) {
+      const lastSign = front.heardAt ?? front.firstSeenAt
+      if (!front.isListed && now - lastSign > this._settings.forgetAfter) this._fronts.delete(name)
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/fronts/messages.ts
@@ -0,0 +1,35 @@
+/** What the instances tell the store and each other about themselves. */
+import { z } from 'zod'
+
+/** An instance as it registers itself in the store. */
+export const frontRecordSchema = z.object({
+  name: z.string(),
+  /** Rises with each start on the same host: wall time of the start in milliseconds. */
+  incarnation: z.number(),
+  zone: z.string(),
+  region: z.string(),
+  /** Where callers connect. */
+  frontAddress: z.string(),
+  /** Where other instances ask for the catalog. */
+  controlAddress: z.string(),
+  /** Where heartbeats are sent to, over UDP. */
+  heartbeatAddress: z.string(),
+  isLeaving: z.boolean()
+})
+/** An instance as it registers itself in the store. */
+export type FrontRecord = z.infer<typeof frontRecordSchema>
+
+/** A heartbeat between instances. Names are short since many are sent. */
+export const heartbeatSchema = z.object({
+  /** Who sends it. */
+  from: frontRecordSchema,
+  isReady: z.boolean(),
+  /** Others that the sender hears now, so that a newcomer learns of them without the store. */
+  peers: z.array(frontRecordSchema),
+  /** Load of the sender on each replica: requests, prompt tokens before the first event, memory tokens. */
+  loads: z.record(z.string(), z.tuple([z.number(), z.number(), z.number()])),
+  /** Crashes of replicas, with the request under which they happened. */
+  crashes: z.array(z.object({ fingerprint: z.string(), replicaRun: z.string() }))
+})
+/** A heartbeat between instances. */
+export type Heartbeat = z.infer<typeof heartbeatSchema>
--- /dev/null
+++ b/packages/coordination/src/rollout/index.ts
@@ -0,0 +1,1 @@
+export { RolloutPlanner, type RolloutSettings, type WeightOrder } from './rolloutPlanner.js'
--- /dev/null
+++ b/packages/gateway/src/directory/index.ts
@@ -0,0 +1,1 @@
+export { SmallServer, type QuestionHandler, type SmallAnswer } from './smallServer.js'
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,7 @@
+/** The request path of wasabihead for callers that connect directly. */
+export { type QuestionHandler, type SmallAnswer } from './directory/index.js'
+export { Gateway, type GatewayAdapter, type GatewaySettings } from './process/index.js'
+export {
+  CallerProtocol, CatalogSource, ReplicaProtocol,
+  type AnswerFacts, type CallerHead, type ForwardFields, type HeaderFields, type ReplicaCall, type StoreListing
+} from './protocol/index.js'
--- /dev/null
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -0,0 +1,112 @@
+/** Heartbeats between instances over UDP: who is alive and ready, and what each has sent to which replica. */
+import dgram from 'node:dgram'
+import { heartbeatSchema, type Heartbeat, type Milliseconds, type ReplicaLoad } from '@wasabihead/coordination'
+import type { GatewayState } from '../requests/index.js'
+
+/** Settings of the heartbeats. */
+export interface HeartbeatSettings {
+  interval: Milliseconds
+  /** Most peers that one round is sent to; with more peers, rounds take turns. */
+  fanOut: number
+}
+
+/** A larger datagram would be split on its way. */
+const MAXIMUM_BYTES = 60_000
+/** Peers named in one heartbeat. */
+const NAMED_PEERS = 4
+/** Rounds in which a crash is told. */
+const CRASH_ROUNDS = 12
+
+/** Sends and takes heartbeats. */
+export class Heartbeats {
+  private readonly _socket = dgram.createSocket('udp4')
+  private _timer: NodeJS.Timeout | undefined
+  private _offset = 0
+  private _crashes: { report: Heartbeat['crashes'][number], rounds: number }[] = []
+
+  /** @param _isReady whether this instance takes callers now */
+  constructor (
+    private readonly _state: GatewayState, private readonly _settings: HeartbeatSettings, private readonly _isReady: () => boolean
+  ) {
+    this._socket.on('message', message => { this._take(message) })
+    this._socket.on('error', error => { _state.log.warn('heartbeat-socket-failed', { detail: error.message }) })
+  }
+
+  /** Starts listening and sending. */
+  async start (address: string): Promise<void> {
+    const [host, port] = splitAddress(address)
+    await new Promise<void>(resolve => { this._socket.bind(port, host, resolve) })
+    this._timer = setInterval(() => { this.send() }, this._settings.interval)
+  }
+
+  /** Stops sending. */
+  stop (): void {
+    clearInterval(this._timer)
+    this._socket.close()
+  }
+
+  /** Tells other instances of a crash in the next rounds. */
+  tellCrash (report: Heartbeat['crashes'][number]): void {
+    this._crashes.push({ report, rounds: CRASH_ROUNDS })
+  }
+
+  /** Sends one round. */
+  send (): void {
+    const { fronts, now } = this._state
+    const { peers } = fronts
+    const count = Math.min(peers.length, this._settings.fanOut)
+    if (count === 0) return
+    const live = fronts.livePeers(now())
+    const named = live.slice(0, NAMED_PEERS)
+    const message = Buffer.from(JSON.stringify(this._heartbeat(named)))
+    if (message.length > MAXIMUM_BYTES) return
+    for (let index = 0; index < count; index++) {
+      const peer = peers[(this._offset + index) % peers.length]
+      if (peer === undefined) continue
+      const [host, port] = splitAddress(peer.heartbeatAddress)
+      this._socket.send(message, port, host, () => {
+        // A lost datagram shows at the receiver as silence.
+      })
+    }
+    this._offset = (this._offset + count) % Math.max(1, peers.length)
+    for (const crash of this._crashes) crash.rounds -= 1
+    this._crashes = this._crashes.filter(({ rounds }) => rounds > 0)
+  }
+
+  private _heartbeat (peers: Heartbeat['peers']): Heartbeat {
+    const loads: Heartbeat['loads'] = {}
+    for (const [id, load] of this._state.loads.local) {
+      loads[id] = [load.requests, Math.round(load.prefillTokens), Math.round(load.memoryTokens)]
+    }
+    return { from: this._state.fronts.self, isReady: this._isReady(), peers, loads, crashes: this._crashes.map(({ report }) => report) }
+  }
+
+  private _take (message: Buffer): void {
+    const heartbeat = parseHeartbeat(message)
+    if (heartbeat === undefined) {
+      this._state.log.decision('heartbeat-unreadable', { bytes: message.length })
+      return
+    }
+    const now = this._state.now()
+    this._state.fronts.hear(heartbeat, now)
+    const loads = new Map<string, ReplicaLoad>()
+    for (const [id, [requests, prefillTokens, memoryTokens]] of Object.entries(heartbeat.loads)) {
+      loads.set(id, { requests, prefillTokens, memoryTokens })
+    }
+    this._state.loads.hear(heartbeat.from.name, loads, now)
+    for (const crash of heartbeat.crashes) this._state.crashes.record(crash, now)
+  }
+}
+
+function parseHeartbeat (message: Buffer): Heartbeat | undefined {
+  try {
+    return heartbeatSchema.parse(JSON.parse(message.toString('utf8')))
+  } catch {
+    return undefined
+  }
+}
+
+function splitAddress (address: string): [host: string, port: number] {
+  const colon = address.lastIndexOf(':')
+  return [address.slice(0, colon), Number(address.slice(colon + 1))]
+}
--- /dev/null
+++ b/packages/gateway/src/process/gateway.ts
@@ -0,0 +1,177 @@
+/** One gateway instance: its parts, its start and its end. */
+import {
+  CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, RepeatedCrashes, ReplicaHealth, ServiceCatalog,
+  type CatalogChange, type FrontRecord, type KeyValueService, type Milliseconds
+} from '@wasabihead/coordination'
+import { CatalogLoop, FRONT_KEYS, Registration } from '../catalog/index.js'
+import { ChannelPool } from '../channels/index.js'
+import { SmallServer, type QuestionHandler } from '../directory/index.js'
+import { Heartbeats, LISTING_PATH } from '../peers/index.js'
+import type { CallerProtocol, CatalogSource, ReplicaProtocol } from '../protocol/index.js'
+import { FrontServer, type GatewayState } from '../requests/index.js'
+import { RolloutLoop } from '../rollout/index.js'
+import { DecisionLog, GatewayMetrics } from '../telemetry/index.js'
+import type { GatewaySettings } from './gatewaySettings.js'
+
+/** What the adapter brings. */
+export interface GatewayAdapter {
+  store: KeyValueService
+  catalogSource: CatalogSource
+  callerProtocol: CallerProtocol
+  replicaProtocol: ReplicaProtocol
+  /** Questions of the users' platform, by "METHOD /path", answered from what the gateway knows. */
+  directoryQuestions: (gateway: Gateway) => Map<string, QuestionHandler>
+  readinessQuestions: (gateway: Gateway) => Map<string, QuestionHandler>
+}
+
+/** Steps of the loop that watches for pauses. */
+const TICK_INTERVAL: Milliseconds = 500
+/** A longer gap between two ticks means that the process or its host stood still. */
+const PAUSE: Milliseconds = 1_500
+/** While leaving: between two looks at what still runs. */
+const LEAVING_CHECK: Milliseconds = 50
+
+/** One instance. */
+export class Gateway {
+  readonly state: GatewayState
+  private readonly _front: FrontServer
+  private readonly _catalogLoop: CatalogLoop
+  private readonly _registration: Registration
+  private readonly _heartbeats: Heartbeats
+  private readonly _rollout: RolloutLoop
+  private readonly _directory: SmallServer
+  private readonly _readiness: SmallServer
+  private readonly _control: SmallServer
+  private _isListening = false
+  private _isLeaving = false
+  private _tickedAt: Milliseconds = 0
+
+  constructor (private readonly _settings: GatewaySettings, adapter: GatewayAdapter, now: () => Milliseconds, random: () => number) {
+    const { settings } = { settings: _settings }
+    const self: FrontRecord = { ...settings.self, isLeaving: false }
+    this.state = {
+      catalog: new ServiceCatalog(settings.catalog),
+      fronts: new FrontDirectory(self, settings.directory),
+      loads: new FleetLoads(),
+      health: new ReplicaHealth(),
+      cachedParts: new CachedParts(),
+      retryBudget: new FleetRetryBudget(settings.retryBudget),
+      crashes: new RepeatedCrashes(),
+      channels: new ChannelPool(settings.channels, now),
+      callerProtocol: adapter.callerProtocol,
+      replicaProtocol: adapter.replicaProtocol,
+      log: new DecisionLog({ host: self.name, ...settings.log }),
+      metrics: new GatewayMetrics(),
+      zone: self.zone,
+      now,
+      random
+    }
+    const { ownPrefix } = adapter.catalogSource
+    this._front = new FrontServer(this.state)
+    this._catalogLoop = new CatalogLoop(this.state, adapter.catalogSource, settings.catalogLoop, settings.seeds, change => { this._onChange(change) })
+    this._registration = new Registration(this.state, adapter.store, { key: `${ownPrefix}${FRONT_KEYS}${self.name}`, ...settings.registration })
+    this._heartbeats = new Heartbeats(this.state, settings.heartbeats, () => this.isReady)
+    this._rollout = new RolloutLoop(this.state, adapter.store, { roleKey: `${ownPrefix}rollout`, ...settings.rollout }, () => this._catalogLoop.ownValues)
+    this._directory = new SmallServer(adapter.directoryQuestions(this))
+    this._readiness = new SmallServer(adapter.readinessQuestions(this))
+    this._control = new SmallServer(new Map([
+      [`GET ${LISTING_PATH}`, () => ({ status: 200, contentType: 'application/json', body: JSON.stringify(this.state.catalog.listing) })],
+      ['GET /metrics', () => ({ status: 200, contentType: 'text/plain', body: this.state.metrics.format() })]
+    ]))
+  }
+
+  /** Whether callers may be sent here. */
+  get isReady (): boolean {
+    return this._isListening && !this._isLeaving && this.state.catalog.routes !== undefined
+  }
+
+  /** Starts all parts. */
+  async start (): Promise<void> {
+    const { listen } = this._settings
+    this._catalogLoop.start()
+    await Promise.all([
+      this._front.listen(...splitAddress(listen.front)),
+      this._directory.listen(...splitAddress(listen.directory)),
+      this._readiness.listen(...splitAddress(listen.readiness)),
+      this._control.listen(...splitAddress(listen.control)),
+      this._heartbeats.start(this._settings.self.heartbeatAddress)
+    ])
+    this._isListening = true
+    this._registration.start()
+    this._rollout.start()
+    this._tickedAt = this.state.now()
+    setInterval(() => { this._tick() }, TICK_INTERVAL)
+    this.state.log.change('started', { sinceProcessStart: Math.round(process.uptime() * 1_000) })
+  }
+
+  /** Leaves: others stop sending callers here at once, what was read is answered. Resolves when the process may end. */
+  async stop (): Promise<void> {
+    this._isLeaving = true
+    this.state.fronts.leave()
+    this._heartbeats.send()
+    this._front.leave()
+    this._rollout.stop()
+    this.state.log.change('leaving', { running: this._front.running })
+    const begin = this.state.now()
+    void this._registration.withdraw()
+    await new Promise<void>(resolve => {
+      const timer = setInterval(() => {
+        const elapsed = this.state.now() - begin
+        if (elapsed >= this._settings.leaving.acceptFor) this._front.closeIdle()
+        const isDone = elapsed >= this._settings.leaving.acceptFor && this._front.running === 0
+        if (!isDone && elapsed < this._settings.leaving.longest) return
+        clearInterval(timer)
+        resolve()
+      }, LEAVING_CHECK)
+    })
+    this.state.log.change('stopped', { running: this._front.running })
+    this.state.log.close()
+  }
+
+  private _tick (): void {
+    const now = this.state.now()
+    const gap = now - this._tickedAt
+    this._tickedAt = now
+    if (gap > PAUSE) {
+      this.state.log.change('paused', { gap: Math.round(gap) })
+      this.state.channels.closeIdle()
+    } else {
+      this.state.channels.sweep()
+    }
+    this.state.log.tick()
+  }
+
+  private _onChange (change: CatalogChange): void {
+    const { log, channels, health, cachedParts } = this.state
+    switch (change.kind) {
+      case 'configuration':
+        this._front.applyLimits()
+        log.change('configuration-in-force', { version: change.version, revision: change.revision })
+        break
+      case 'weight-version':
+        log.change('weight-version-named', { model: change.model, version: change.version })
+        break
+      case 'replica-added':
+        log.change(change.kind, describe(change))
+        break
+      case 'replica-draining':
+        channels.forget(change.replica.id)
+        log.change(change.kind, describe(change))
+        break
+      case 'replica-removed':
+        channels.forget(change.replica.id)
+        health.forget(change.replica.id)
+        cachedParts.forget(change.replica.id)
+        log.change(change.kind, { ...describe(change), reason: change.reason })
+    }
+  }
+}
+
+function describe ({ replica }: { replica: { id: string, service: string, address: string } }): { [field: string]: string } {
+  return { replica: replica.id, service: replica.service, address: replica.address }
+}
+
+function splitAddress (address: string): [host: string, port: number] {
+  const colon = address.lastIndexOf(':')
+  return [address.slice(0, colon), Number(address.slice(colon + 1))]
+}
--- /dev/null
+++ b/packages/gateway/src/process/gatewaySettings.ts
@@ -0,0 +1,32 @@
+/** Settings of one gateway instance. Durations are milliseconds. */
+import type {
+  CatalogSettings, FleetRetryBudgetSettings, FrontDirectorySettings, FrontRecord, Milliseconds
+} from '@wasabihead/coordination'
+import type { CatalogLoopSettings, RegistrationSettings } from '../catalog/index.js'
+import type { ChannelPoolSettings } from '../channels/index.js'
+import type { HeartbeatSettings } from '../peers/index.js'
+import type { RolloutLoopSettings } from '../rollout/index.js'
+import type { DecisionLogSettings } from '../telemetry/index.js'
+
+/** Settings of one gateway instance. */
+export interface GatewaySettings {
+  self: Omit<FrontRecord, 'isLeaving'>
+  listen: { front: string, readiness: string, control: string, directory: string }
+  /** Control addresses of other instances, which may be stale. */
+  seeds: readonly string[]
+  catalog: CatalogSettings
+  catalogLoop: CatalogLoopSettings
+  directory: FrontDirectorySettings
+  registration: Omit<RegistrationSettings, 'key'>
+  heartbeats: HeartbeatSettings
+  channels: ChannelPoolSettings
+  retryBudget: FleetRetryBudgetSettings
+  rollout: Omit<RolloutLoopSettings, 'roleKey'>
+  leaving: {
+    /** Callers that have not heard yet still come for this long. */
+    acceptFor: Milliseconds
+    /** Then the process ends whatever still runs. */
+    longest: Milliseconds
+  }
+  log: Omit<DecisionLogSettings, 'host'>
+}
--- /dev/null
+++ b/packages/gateway/src/protocol/replicaProtocol.ts
@@ -0,0 +1,57 @@
+/** How replicas are asked; the names on the wire belong to the adapter. */
+import type { Milliseconds, Replica, WeightOrder } from '@wasabihead/coordination'
+import type { HeaderFields } from './callerProtocol.js'
+
+/** What the gateway adds to a request that it passes on. */
+export interface ForwardFields {
+  /** Only this run of the replica may take the request. */
+  replicaId: string
+  timeLeft: Milliseconds
+  workspace: string | undefined
+  /** 0 is the most urgent. */
+  priority: number | undefined
+  /** Namespace of the cached prompt parts. */
+  salt: string | undefined
+  /** The stream goes on after this event. */
+  lastEventId: string | undefined
+}
+
+/** What the head of a replica's answer says. */
+export interface AnswerFacts {
+  requestId: string | undefined
+  /** The replica states that it did not run the request and never will. */
+  isNotRun: boolean
+  /** Whether the replica put its seal on the answer; one without it is not the replica's. */
+  isSealed: boolean
+  /** Loaded weight version, where the answer names it. */
+  weightVersion: number | undefined
+}
+
+/** A small call to a replica, outside callers' requests. */
+export interface ReplicaCall {
+  method: string
+  path: string
+  headers: [string, string][]
+  body: string
+}
+
+/** Encodes what is sent to replicas and decodes what they answer. */
+export abstract class ReplicaProtocol {
+  /** Headers that are added to a passed-on request. */
+  abstract forwardHeaders (fields: ForwardFields): [string, string][]
+
+  /** Decodes an answer's head. */
+  abstract readAnswer (status: number, headers: HeaderFields): AnswerFacts
+
+  /** Asks for the number of orders that a replica has accepted. */
+  abstract reportCall (replica: Replica): ReplicaCall
+
+  /** Decodes that number; undefined where the body is not a report. */
+  abstract readOrderCount (body: string): number | undefined
+
+  /** The order to load a weight version, valid only while the replica has accepted `orderCount` orders. */
+  abstract orderCall (order: WeightOrder, holder: string, fencingNumber: number, orderCount: number): ReplicaCall
+
+  /** Whether the order is being carried out or already holds. */
+  abstract isOrderAccepted (status: number): boolean
+}
--- /dev/null
+++ b/packages/gateway/src/requests/answerRelay.ts
@@ -0,0 +1,131 @@
+/** Passes a replica's answer on to the caller, unchanged. */
+import type http from 'node:http'
+import type { AnswerHead } from '../channels/index.js'
+import { EventSplitter } from './eventSplitter.js'
+import { passedHeaders } from './passedHeaders.js'
+
+/** Passes one answer on. */
+export abstract class AnswerRelay {
+  abstract readonly kind: 'whole' | 'events'
+
+  /** Whether the caller has got part of the answer, so that no other answer can replace it. */
+  abstract readonly hasBegun: boolean
+
+  /** The last event that the caller has got. */
+  abstract readonly lastEventId: string | undefined
+
+  /** Takes the head of an answer that is to be passed on; a second one goes on with the first one's stream. */
+  abstract onHead (head: AnswerHead): void
+
+  /** Takes a piece of the body; false asks for a pause until the caller has read. */
+  abstract onBody (chunk: Buffer): boolean
+
+  /** The answer has ended in order. */
+  abstract onEnd (): void
+}
+
+/** Passes an answer on once it is whole, so that a broken one can be replaced. Beyond a bound it is passed on as it comes. */
+export class WholeAnswerRelay extends AnswerRelay {
+  private static readonly _maximumHeldBytes = 262_144
+
+  override readonly kind = 'whole'
+  override readonly lastEventId = undefined
+  private _head: AnswerHead | undefined
+  private _held: Buffer[] = []
+  private _heldBytes = 0
+  private _isStreaming = false
+
+  constructor (private readonly _response: http.ServerResponse) {
+    super()
+  }
+
+  /** Writes a whole answer. */
+  static pass (response: http.ServerResponse, head: AnswerHead, body: Buffer): void {
+    const headers = passedHeaders(head.rawHeaders, () => true)
+    const isBodyless = response.req.method === 'HEAD' || head.status === 204 || head.status === 304
+    const declaredLength = head.headers['content-length']
+    if (!isBodyless) headers.push(['Content-Length', String(body.length)])
+    else if (declaredLength !== undefined) headers.push(['Content-Length', String(declaredLength)])
+    response.writeHead(head.status, head.statusText, headers.flat())
+    response.end(body)
+  }
+
+  override get hasBegun (): boolean {
+    return this._isStreaming
+  }
+
+  override onHead (head: AnswerHead): void {
+    this._head = head
+    this._held = []
+    this._heldBytes = 0
+  }
+
+  override onBody (chunk: Buffer): boolean {
+    if (this._isStreaming) return this._response.write(chunk)
+    // The parser's buffer is reused by the socket.
+    this._held.push(Buffer.from(chunk))
+    this._heldBytes += chunk.length
+    if (this._heldBytes <= WholeAnswerRelay._maximumHeldBytes || this._head === undefined) return true
+    this._isStreaming = true
+    const headers = passedHeaders(this._head.rawHeaders, () => true)
+    const length = this._head.headers['content-length']
+    if (length !== undefined) headers.push(['Content-Length', String(length)])
+    this._response.writeHead(this._head.status, this._head.statusText, headers.flat())
+    return this._response.write(Buffer.concat(this._held.splice(0)))
+  }
+
+  override onEnd (): void {
+    if (this._isStreaming) this._response.end()
+    else if (this._head !== undefined) WholeAnswerRelay.pass(this._response, this._head, Buffer.concat(this._held))
+  }
+}
+
+/** Passes events on as they come, whole ones only, and goes on with another replica's stream after a break. */
+export class EventStreamRelay extends AnswerRelay {
+  override readonly kind = 'events'
+  private _splitter = new EventSplitter()
+  private _hasBegun = false
+  private _lastEventId: string | undefined
+
+  /** @param onDrained called when the caller has read what was written */
+  constructor (private readonly _response: http.ServerResponse, resumedAfter: string | undefined, onDrained: () => void) {
+    super()
+    this._lastEventId = resumedAfter
+    _response.on('drain', onDrained)
+  }
+
+  override get hasBegun (): boolean {
+    return this._hasBegun
+  }
+
+  override get lastEventId (): string | undefined {
+    return this._lastEventId
+  }
+
+  override onHead (head: AnswerHead): void {
+    this._splitter = new EventSplitter()
+    if (this._hasBegun) return
+    this._head = head
+  }
+
+  override onBody (chunk: Buffer): boolean {
+    const events = this._splitter.take(Buffer.from(chunk))
+    if (events === undefined) return true
+    this._begin()
+    this._lastEventId = events.lastId ?? this._lastEventId
+    return this._response.write(events.bytes)
+  }
+
+  override onEnd (): void {
+    this._begin()
+    this._response.end(this._splitter.rest())
+  }
+
+  private _head: AnswerHead | undefined
+
+  private _begin (): void {
+    if (this._hasBegun || this._head === undefined) return
+    this._hasBegun = true
+    this._response.writeHead(this._head.status, this._head.statusText, passedHeaders(this._head.rawHeaders, () => true).flat())
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/requests/frontServer.ts
@@ -0,0 +1,163 @@
+/** Takes callers' requests. */
+import http from 'node:http'
+import { createHash } from 'node:crypto'
+import type { Duplex } from 'node:stream'
+import type { Milliseconds, RouteMatch } from '@wasabihead/coordination'
+import type { CallerHead } from '../protocol/index.js'
+import type { GatewayState } from './gatewayState.js'
+import { refuse, type RefusalReason } from './refusals.js'
+import { RequestRun } from './requestRun.js'
+
+/** The parser's own bound; the configuration's bound is checked after it. */
+const PARSED_HEADER_BYTES = 65_536
+/** Waiting for callers before the configuration tells its limits. */
+const DEFAULT_IDLE_TIMEOUT: Milliseconds = 15_000
+/** A caller's own limit ends a little before ours, so that no request crosses our close. */
+const IDLE_MARGIN: Milliseconds = 1_000
+/** What a caller without a time budget may wait, where its route says more. */
+const LONGEST_BUDGET: Milliseconds = 600_000
+
+/** The server that callers connect to. */
+export class FrontServer {
+  private readonly _server: http.Server
+  private readonly _running = new Set<http.ServerResponse>()
+  private _isLeaving = false
+
+  constructor (private readonly _state: GatewayState) {
+    this._server = http.createServer({
+      maxHeaderSize: PARSED_HEADER_BYTES,
+      keepAliveTimeout: DEFAULT_IDLE_TIMEOUT,
+      connectionsCheckingInterval: 1_000
+    }, (request, response) => { this._accept(request, response) })
+    this._server.on('clientError', (error, socket) => { answerMalformed(error, socket) })
+  }
+
+  /** Requests that are not yet answered. */
+  get running (): number {
+    return this._running.size
+  }
+
+  /** Starts listening. */
+  async listen (host: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this._server.once('error', reject)
+      this._server.listen({ host, port, backlog: 1_024 }, resolve)
+    })
+  }
+
+  /** The configuration's limits apply to connections from now on. */
+  applyLimits (): void {
+    const limits = this._state.catalog.routes?.configuration.limits
+    if (limits === undefined) return
+    this._server.keepAliveTimeout = limits.idleTimeout + IDLE_MARGIN
+    this._server.headersTimeout = limits.headerTimeout
+  }
+
+  /** From now on each answer closes its connection. */
+  leave (): void {
+    this._isLeaving = true
+    for (const response of this._running) closeWithAnswer(response)
+  }
+
+  /** Closes connections without a request. */
+  closeIdle (): void {
+    this._server.closeIdleConnections()
+  }
+
+  private _accept (request: http.IncomingMessage, response: http.ServerResponse): void {
+    this._running.add(response)
+    response.once('close', () => { this._running.delete(response) })
+    if (this._isLeaving) closeWithAnswer(response)
+    const state = this._state
+    const receivedAt = state.now()
+    const head = state.callerProtocol.readHead(request.headers)
+    const match = this._match(request, head)
+    if (typeof match === 'string') {
+      state.log.decision('refused', { requestId: head.requestId, reason: match, configurationRevision: state.catalog.configurationRevision })
+      state.metrics.count('requests_total', `refused-${match}`)
+      refuse(response, match, state)
+      request.resume()
+      return
+    }
+    const deadline = receivedAt + Math.min(match.route.timeout, head.timeBudget ?? LONGEST_BUDGET)
+    readBody(request, state.catalog.routes?.configuration.limits.maximumBodyBytes ?? 0, deadline - receivedAt, body => {
+      if (typeof body === 'string') {
+        refuse(response, body, state)
+        return
+      }
+      if (response.destroyed) return
+      const target = request.url ?? '/'
+      new RequestRun(state, {
+        head,
+        method: request.method ?? 'GET',
+        target,
+        rawHeaders: request.rawHeaders,
+        body,
+        route: match.route,
+        workspace: match.workspace,
+        receivedAt,
+        deadline,
+        fingerprint: fingerprintOf(head.apiKey ?? '', `${request.headers.host ?? ''}${target}`, body),
+        response
+      }, () => {}).start()
+    })
+  }
+
+  private _match (request: http.IncomingMessage, head: CallerHead): RouteMatch | RefusalReason {
+    const { routes } = this._state.catalog
+    if (routes === undefined) return 'no-configuration'
+    if (head.requestId === undefined) return 'malformed'
+    if (rawSize(request.rawHeaders) > routes.configuration.limits.maximumHeaderBytes) return 'head-too-large'
+    const path = (request.url ?? '/').split('?', 1)[0] as string
+    return routes.match(request.headers.host ?? '', path, head.apiKey)
+  }
+}
+
+function readBody (
+  request: http.IncomingMessage, limit: number, timeout: Milliseconds, done: (body: Buffer | RefusalReason) => void
+): void {
+  const chunks: Buffer[] = []
+  let length = 0
+  let isDone = false
+  const finish = (body: Buffer | RefusalReason): void => {
+    if (isDone) return
+    isDone = true
+    clearTimeout(timer)
+    if (typeof body === 'string') request.resume()
+    done(body)
+  }
+  const timer = setTimeout(() => { finish('body-not-read') }, timeout)
+  request.on('data', (chunk: Buffer) => {
+    length += chunk.length
+    if (length > limit) finish('body-too-large')
+    else chunks.push(chunk)
+  })
+  request.once('end', () => { finish(chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks)) })
+  // The caller left before its request was whole; nobody waits for an answer.
+  request.once('error', () => { clearTimeout(timer) })
+  request.once('close', () => { clearTimeout(timer) })
+}
+
+function rawSize (rawHeaders: readonly string[]): number {
+  return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
+}
+
+function fingerprintOf (caller: string, target: string, body: Buffer): string {
+  return createHash('sha1').update(`${caller}\n${target}\n`).update(body).digest('base64')
+}
+
+/** An answer whose head is out keeps its connection; the next request on it is answered with the close. */
+function closeWithAnswer (response: http.ServerResponse): void {
+  if (!response.headersSent) response.setHeader('connection', 'close')
+}
+
+function answerMalformed (error: NodeJS.ErrnoException, socket: Duplex): void {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy()
+    return
+  }
+  const isTooLarge = error.code === 'HPE_HEADER_OVERFLOW'
+  const isTooSlow = error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
+  const status = isTooLarge ? '431 Request Header Fields Too Large' : isTooSlow ? '408 Request Timeout' : '400 Bad Request'
+  socket.end(`HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`)
+}
--- /dev/null
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -0,0 +1,27 @@
+/** What the parts of one gateway share. */
+import type {
+  CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, Milliseconds, RepeatedCrashes, ReplicaHealth, ServiceCatalog
+} from '@wasabihead/coordination'
+import type { ChannelPool } from '../channels/index.js'
+import type { CallerProtocol, ReplicaProtocol } from '../protocol/index.js'
+import type { DecisionLog, GatewayMetrics } from '../telemetry/index.js'
+
+/** Beliefs, connections and tools. */
+export interface GatewayState {
+  catalog: ServiceCatalog
+  fronts: FrontDirectory
+  loads: FleetLoads
+  health: ReplicaHealth
+  cachedParts: CachedParts
+  retryBudget: FleetRetryBudget
+  crashes: RepeatedCrashes
+  channels: ChannelPool
+  callerProtocol: CallerProtocol
+  replicaProtocol: ReplicaProtocol
+  log: DecisionLog
+  metrics: GatewayMetrics
+  zone: string
+  now: () => Milliseconds
+  /** At least 0 and below 1. */
+  random: () => number
+}
--- /dev/null
+++ b/packages/gateway/src/requests/index.ts
@@ -0,0 +1,2 @@
+export { FrontServer } from './frontServer.js'
+export { type GatewayState } from './gatewayState.js'
--- /dev/null
+++ b/packages/gateway/src/requests/refusals.ts
@@ -0,0 +1,41 @@
+/** Answers to requests that have not run and never will. */
+import type http from 'node:http'
+import { spreadRetryAfter, type Milliseconds } from '@wasabihead/coordination'
+import type { GatewayState } from './gatewayState.js'
+
+/** Why a request is refused. */
+export type RefusalReason =
+  | 'no-configuration' | 'no-replica' | 'not-run' | 'crashes-replicas' | 'no-time-left' | 'no-route' | 'unknown-key'
+  | 'body-too-large' | 'head-too-large' | 'body-not-read' | 'malformed'
+
+interface Refusal {
+  status: number
+  /** When the caller should come back, at the earliest. */
+  retryAfter?: Milliseconds
+}
+
+const REFUSALS: Record<RefusalReason, Refusal> = {
+  'no-configuration': { status: 503, retryAfter: 300 },
+  'no-replica': { status: 503, retryAfter: 200 },
+  'not-run': { status: 503, retryAfter: 50 },
+  'crashes-replicas': { status: 503, retryAfter: 30_000 },
+  'no-time-left': { status: 503, retryAfter: 50 },
+  'no-route': { status: 404 },
+  'unknown-key': { status: 401 },
+  'body-too-large': { status: 413 },
+  'head-too-large': { status: 431 },
+  'body-not-read': { status: 408, retryAfter: 50 },
+  malformed: { status: 400 }
+}
+
+/** Refuses a request. Only for one that was sent to no replica, or that every replica stated not to have run. */
+export function refuse (response: http.ServerResponse, reason: RefusalReason, state: GatewayState): void {
+  if (response.headersSent || response.destroyed) return
+  const { status, retryAfter } = REFUSALS[reason]
+  const headers: string[] = ['Content-Length', '0']
+  if (retryAfter !== undefined) {
+    headers.push(...state.callerProtocol.retryAfter(spreadRetryAfter(retryAfter, state.random())))
+  }
+  response.writeHead(status, headers)
+  response.end()
+}
--- /dev/null
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -0,0 +1,391 @@
+/** Serves one request: chooses replicas, sends, decides what follows a failure, and passes the answer on. */
+import {
+  decideAfterAttempt, finalVerdict, isRepeatable, selectReplica,
+  type AttemptContext, type AttemptEnd, type AttemptSign, type Milliseconds, type Replica, type Selection
+} from '@wasabihead/coordination'
+import type { AnswerHead, ExchangeFault, ReplicaChannel } from '../channels/index.js'
+import type { AnswerFacts } from '../protocol/index.js'
+import { AnswerRelay, EventStreamRelay, WholeAnswerRelay } from './answerRelay.js'
+import type { CallerRequest } from './callerRequest.js'
+import type { GatewayState } from './gatewayState.js'
+import { passedHeaders } from './passedHeaders.js'
+import { refuse, type RefusalReason } from './refusals.js'
+
+/** Part of the objective after which a repeatable plain request is tried elsewhere; the second try is then still on time. */
+const PLAIN_ATTEMPT_SHARE = 0.6
+/** Times the objective after which a stream that has not begun is tried elsewhere. */
+const FIRST_EVENT_SHARE = 2
+/** Longest silence within a stream that can be resumed elsewhere; callers give up after two seconds or more. */
+const STREAM_SILENCE: Milliseconds = 1_500
+/** An attempt with less time than this left is not worth sending. */
+const SHORTEST_ATTEMPT: Milliseconds = 15
+const SUCCESS_BEGIN = 200
+const FAILURE_BEGIN = 500
+const BAD_GATEWAY = 502
+const GATEWAY_TIMEOUT = 504
+
+interface Attempt {
+  replica: Replica
+  channel: ReplicaChannel
+  sentAt: Milliseconds
+  prefillTokens: number
+  memoryTokens: number
+  hasHead: boolean
+  isOver: boolean
+  silenceTimer: NodeJS.Timeout | undefined
+}
+
+/** One request from its acceptance to its end. */
+export class RequestRun {
+  private readonly _tried = new Set<string>()
+  private readonly _relay: AnswerRelay
+  private readonly _deadlineTimer: NodeJS.Timeout
+  private readonly _salt: string
+  private readonly _service: string
+  private _attempt: Attempt | undefined
+  private _attempts = 0
+  private _possibleRuns = 0
+  private _isOver = false
+  /** The failure that a replica answered with last, passed on where nothing better follows. */
+  private _failure: { head: AnswerHead, body: Buffer[] } | undefined
+
+  constructor (private readonly _state: GatewayState, private readonly _request: CallerRequest, private readonly _onOver: () => void) {
+    const { route, response, head } = _request
+    this._relay = route.kind === 'streaming'
+      ? new EventStreamRelay(response, head.lastEventId, () => { this._attempt?.channel.resume() })
+      : new WholeAnswerRelay(response)
+    this._salt = this._saltOf()
+    this._service = pickService(_request, _state.random())
+    this._deadlineTimer = setTimeout(() => { this._onDeadline() }, Math.max(0, _request.deadline - _state.now()))
+    response.once('close', () => { this._onCallerGone() })
+  }
+
+  /** Begins. */
+  start (): void {
+    const now = this._state.now()
+    if (this._state.crashes.isStopped(this._request.fingerprint, now)) {
+      this._refuse('crashes-replicas')
+      return
+    }
+    this._state.retryBudget.onRequest(this._service, now)
+    this._tryNext()
+  }
+
+  private _tryNext (): void {
+    const selection = this._select()
+    if (selection === undefined) {
+      if (this._possibleRuns === 0) this._refuse('no-replica')
+      else this._fail('no-replica-left')
+      return
+    }
+    this._send(selection)
+  }
+
+  private _select (): Selection | undefined {
+    const { catalog, loads, health, cachedParts, zone, now } = this._state
+    const engine = catalog.routes?.service(this._service)?.engine
+    return selectReplica({
+      candidates: catalog.usableReplicas(this._service),
+      tried: this._tried,
+      prompt: engine === undefined ? undefined : this._request.head.prompt,
+      cacheTokens: engine?.cacheTokens,
+      salt: this._salt
+    }, { loads, health, cachedParts, zone, now: now() })
+  }
+
+  private _send (selection: Selection): void {
+    const { state, request } = { state: this._state, request: this._request }
+    const { replica } = selection
+    const now = state.now()
+    const { prompt } = request.head
+    const channel = state.channels.take(replica, this._isRepeatable)
+    const attempt: Attempt = {
+      replica,
+      channel,
+      sentAt: now,
+      prefillTokens: prompt === undefined ? 0 : Math.max(0, prompt.inputTokens - selection.heldTokens),
+      memoryTokens: prompt === undefined ? 0 : prompt.inputTokens + prompt.maximumOutputTokens,
+      hasHead: false,
+      isOver: false,
+      silenceTimer: undefined
+    }
+    this._attempt = attempt
+    this._attempts += 1
+    this._tried.add(replica.id)
+    this._possibleRuns += 1
+    state.health.onSend(replica.id)
+    state.loads.add(replica.id, { requests: 1, prefillTokens: attempt.prefillTokens, memoryTokens: attempt.memoryTokens })
+    const cacheTokens = state.catalog.routes?.service(this._service)?.engine?.cacheTokens
+    if (prompt !== undefined && cacheTokens !== undefined) {
+      state.cachedParts.onSent(replica.id, this._salt, prompt.parts, cacheTokens)
+    }
+    state.log.decision('attempt', {
+      requestId: request.head.requestId,
+      attempt: this._attempts,
+      route: request.route.name,
+      replica: replica.id,
+      cost: Math.round(selection.cost),
+      heldTokens: selection.heldTokens,
+      isReusedChannel: channel.completed > 0,
+      configurationRevision: state.catalog.configurationRevision,
+      catalogAge: Math.round(now - state.catalog.listedAt)
+    })
+    this._watchSilence(attempt, this._firstSilence())
+    channel.send({
+      method: request.method,
+      target: request.target,
+      headers: this._headersFor(replica, now),
+      body: request.body.length > 0 ? request.body : undefined
+    }, {
+      isExpected: head => this._isExpected(head),
+      onHead: head => { this._onHead(attempt, head) },
+      onBody: chunk => { this._onBody(attempt, chunk) },
+      onEnd: () => { this._onEnd(attempt) },
+      onFault: (fault, detail) => { this._onFault(attempt, fault, detail) }
+    })
+  }
+
+  private _headersFor (replica: Replica, now: Milliseconds): [string, string][] {
+    const { request, state } = { request: this._request, state: this._state }
+    const { prompt, lastEventId } = request.head
+    const headers = passedHeaders(request.rawHeaders, name => state.callerProtocol.isForwarded(name))
+    if (request.body.length > 0 || hasBodyHeaders(request.rawHeaders)) headers.push(['Content-Length', String(request.body.length)])
+    headers.push(...state.replicaProtocol.forwardHeaders({
+      replicaId: replica.id,
+      timeLeft: Math.max(1, Math.floor(request.deadline - now)),
+      workspace: request.workspace?.name,
+      priority: prompt === undefined ? undefined : request.workspace?.priority ?? request.route.priority,
+      salt: prompt === undefined ? undefined : this._salt,
+      lastEventId: this._relay.lastEventId ?? lastEventId
+    }))
+    return headers
+  }
+
+  private _isExpected (head: AnswerHead): boolean {
+    const facts = this._factsOf(head)
+    if (facts.requestId === undefined) return facts.isNotRun
+    return facts.requestId === this._request.head.requestId
+  }
+
+  private _factsOf (head: AnswerHead): AnswerFacts {
+    return this._state.replicaProtocol.readAnswer(head.status, head.headers)
+  }
+
+  private _onHead (attempt: Attempt, head: AnswerHead): void {
+    if (attempt.isOver) return
+    attempt.hasHead = true
+    const facts = this._factsOf(head)
+    if (facts.isNotRun) {
+      this._endAttempt(attempt, 'not-run', `status ${head.status}`)
+      return
+    }
+    if (!facts.isSealed || head.headers['content-encoding'] !== undefined) {
+      this._endAttempt(attempt, 'broken', 'the answer is not the replica\'s own')
+      return
+    }
+    const isFailure = head.status >= FAILURE_BEGIN
+    if (isFailure || (this._relay.hasBegun && head.status >= SUCCESS_BEGIN + 100)) {
+      this._failure = { head, body: [] }
+      return
+    }
+    this._failure = undefined
+    this._relay.onHead(head)
+  }
+
+  private _onBody (attempt: Attempt, chunk: Buffer): void {
+    if (attempt.isOver) return
+    if (this._failure !== undefined) {
+      this._failure.body.push(chunk)
+      return
+    }
+    this._settlePrefill(attempt)
+    if (this._relay.kind === 'events') this._watchSilence(attempt, this._isRepeatable ? STREAM_SILENCE : undefined)
+    const mayGoOn = this._relay.onBody(chunk)
+    if (!mayGoOn) attempt.channel.pause()
+  }
+
+  private _onEnd (attempt: Attempt): void {
+    if (attempt.isOver) return
+    if (this._failure !== undefined) {
+      this._endAttempt(attempt, 'failed', `status ${this._failure.head.status}`)
+      return
+    }
+    this._closeAttempt(attempt, 'answered')
+    this._relay.onEnd()
+    this._finish('answered')
+  }
+
+  private _onFault (attempt: Attempt, fault: ExchangeFault, detail: string): void {
+    if (attempt.isOver) return
+    if (fault === 'connection-ended' && !attempt.hasHead && attempt.channel.completed === 0) {
+      this._state.crashes.record({
+        fingerprint: this._request.fingerprint, replicaRun: `${attempt.replica.id}/${attempt.replica.startedAt}`
+      }, this._state.now())
+    }
+    this._endAttempt(attempt, fault === 'not-connected' ? 'not-sent' : 'broken', `${fault}: ${detail}`)
+  }
+
+  private _endAttempt (attempt: Attempt, end: AttemptEnd, detail: string): void {
+    const now = this._state.now()
+    this._closeAttempt(attempt, this._signOf(attempt, end, now))
+    if (end === 'not-sent' || end === 'not-run') this._possibleRuns -= 1
+    const context: AttemptContext = {
+      kind: this._request.route.kind,
+      isResumable: this._request.route.isResumable,
+      possibleRuns: this._possibleRuns,
+      maximumAttempts: this._request.route.maximumAttempts,
+      hasBegunAnswer: this._relay.hasBegun,
+      hasOtherReplica: this._select() !== undefined,
+      isTimeLeft: this._request.deadline - now > SHORTEST_ATTEMPT
+    }
+    let verdict = decideAfterAttempt(end, context)
+    const isFree = end === 'not-sent'
+    if (verdict === 'try-another' && !isFree &&
+      !this._state.retryBudget.trySpend(this._service, this._state.fronts.size(now), now)) {
+      verdict = finalVerdict(end, context)
+    }
+    this._state.metrics.count('attempt_ends_total', end)
+    this._state.log.decision('attempt-ended', {
+      requestId: this._request.head.requestId,
+      attempt: this._attempts,
+      replica: attempt.replica.id,
+      end,
+      detail,
+      after: Math.round(now - attempt.sentAt),
+      possibleRuns: this._possibleRuns,
+      verdict
+    })
+    switch (verdict) {
+      case 'try-another': return this._tryNext()
+      case 'refuse': return this._refuse('not-run')
+      case 'pass-failure': return this._passFailure()
+      case 'fail': return this._fail(end)
+      case 'break-off': return this._breakOff()
+    }
+  }
+
+  /** A replica that is full because of us is no worse for it. */
+  private _signOf (attempt: Attempt, end: AttemptEnd, now: Milliseconds): AttemptSign | undefined {
+    if (end === 'not-sent' || end === 'timed-out') return 'unreachable'
+    if (end !== 'not-run') return 'failed'
+    return this._state.loads.of(attempt.replica.id, now).requests < attempt.replica.slots ? 'failed' : undefined
+  }
+
+  private _closeAttempt (attempt: Attempt, sign: AttemptSign | undefined): void {
+    if (attempt.isOver) return
+    attempt.isOver = true
+    clearTimeout(attempt.silenceTimer)
+    this._settlePrefill(attempt)
+    this._state.loads.add(attempt.replica.id, { requests: -1, prefillTokens: 0, memoryTokens: -attempt.memoryTokens })
+    if (sign !== undefined) this._state.health.record(attempt.replica.id, sign, this._state.now())
+    // Whatever still comes on it belongs to a request that was given up.
+    if (sign !== 'answered') attempt.channel.abandon()
+    this._attempt = undefined
+  }
+
+  private _settlePrefill (attempt: Attempt): void {
+    if (attempt.prefillTokens === 0) return
+    this._state.loads.add(attempt.replica.id, { requests: 0, prefillTokens: -attempt.prefillTokens, memoryTokens: 0 })
+    attempt.prefillTokens = 0
+  }
+
+  private _watchSilence (attempt: Attempt, silence: Milliseconds | undefined): void {
+    clearTimeout(attempt.silenceTimer)
+    if (silence === undefined) return
+    attempt.silenceTimer = setTimeout(() => {
+      if (attempt.isOver) return
+      if (this._select() === undefined || this._possibleRuns >= this._request.route.maximumAttempts) return
+      this._endAttempt(attempt, 'timed-out', `silent for ${silence} ms`)
+    }, silence)
+  }
+
+  private _firstSilence (): Milliseconds | undefined {
+    const { route } = this._request
+    if (!this._isRepeatable || this._possibleRuns >= route.maximumAttempts) return undefined
+    return route.objective * (route.kind === 'streaming' ? FIRST_EVENT_SHARE : PLAIN_ATTEMPT_SHARE)
+  }
+
+  private get _isRepeatable (): boolean {
+    return isRepeatable(this._request.route.kind, this._request.route.isResumable)
+  }
+
+  private _onDeadline (): void {
+    if (this._isOver) return
+    const attempt = this._attempt
+    if (attempt !== undefined) this._closeAttempt(attempt, this._relay.hasBegun ? undefined : 'failed')
+    if (this._relay.hasBegun) this._breakOff()
+    else if (this._possibleRuns === 0) this._refuse('no-time-left')
+    else this._fail('deadline')
+  }
+
+  private _onCallerGone (): void {
+    if (this._isOver) return
+    const attempt = this._attempt
+    if (attempt !== undefined) this._closeAttempt(attempt, undefined)
+    this._finish('caller-gone')
+  }
+
+  private _refuse (reason: RefusalReason): void {
+    refuse(this._request.response, reason, this._state)
+    this._finish(`refused-${reason}`)
+  }
+
+  private _fail (reason: string): void {
+    const { response } = this._request
+    response.writeHead(reason === 'deadline' ? GATEWAY_TIMEOUT : BAD_GATEWAY, { 'Content-Length': 0 })
+    response.end()
+    this._finish(`failed-${reason}`)
+  }
+
+  private _passFailure (): void {
+    const failure = this._failure
+    if (failure === undefined) return this._fail('failed')
+    WholeAnswerRelay.pass(this._request.response, failure.head, Buffer.concat(failure.body))
+    this._finish('passed-failure')
+  }
+
+  /** The caller must see that the answer is not whole. */
+  private _breakOff (): void {
+    this._request.response.destroy()
+    this._finish('broken-off')
+  }
+
+  private _finish (outcome: string): void {
+    if (this._isOver) return
+    this._isOver = true
+    clearTimeout(this._deadlineTimer)
+    const { request, state } = { request: this._request, state: this._state }
+    const duration = state.now() - request.receivedAt
+    state.metrics.count('requests_total', outcome)
+    state.metrics.time('request', request.route.name, duration)
+    state.log.decision('request-ended', {
+      requestId: request.head.requestId,
+      route: request.route.name,
+      workspace: request.workspace?.name,
+      outcome,
+      attempts: this._attempts,
+      duration: Math.round(duration)
+    })
+    this._onOver()
+  }
+
+  private _saltOf (): string {
+    const { workspace, head } = this._request
+    const wall = workspace?.isIsolated === true ? workspace.name : ''
+    return `${wall}/${head.prompt?.model ?? ''}`
+  }
+}
+
+function pickService ({ route }: CallerRequest, sample: number): string {
+  const total = route.targets.reduce((sum, { weight }) => sum + weight, 0)
+  let left = sample * total
+  for (const { service, weight } of route.targets) {
+    left -= weight
+    if (left < 0) return service
+  }
+  return route.targets.at(-1)?.service ?? ''
+}
+
+function hasBodyHeaders (rawHeaders: readonly string[]): boolean {
+  return rawHeaders.some((name, index) => index % 2 === 0 && /^(content-length|transfer-encoding)$/i.test(name))
+}
--- /dev/null
+++ b/packages/gateway/src/rollout/index.ts
@@ -0,0 +1,1 @@
+export { RolloutLoop, type RolloutLoopSettings } from './rolloutLoop.js'
--- /dev/null
+++ b/packages/gateway/src/rollout/rolloutLoop.ts
@@ -0,0 +1,144 @@
+/** Gives the orders for new weight versions while this instance holds the role. */
+import {
+  LeaseKeeper, RolloutPlanner, roleRecordSchema,
+  type KeyValueService, type LeaseEffect, type LeaseMessage, type Milliseconds, type RolloutSettings, type VersionedValue, type WeightOrder
+} from '@wasabihead/coordination'
+import type { ReplicaCall } from '../protocol/index.js'
+import type { GatewayState } from '../requests/index.js'
+
+/** Settings of the loop. */
+export interface RolloutLoopSettings extends RolloutSettings {
+  roleKey: string
+  roleTimeToLive: Milliseconds
+  /** Orders of two holders keep at least this far apart. */
+  turnInterval: Milliseconds
+  interval: Milliseconds
+  callTimeout: Milliseconds
+}
+
+/** Runs the candidate for the role, and the orders. */
+export class RolloutLoop {
+  private readonly _keeper: LeaseKeeper
+  private readonly _planner: RolloutPlanner
+  private _timer: NodeJS.Timeout | undefined
+  private _epoch: number | undefined
+  private _ordersFrom: Milliseconds = 0
+
+  /** @param _ownValues this project's values at the last listing */
+  constructor (
+    private readonly _state: GatewayState,
+    private readonly _store: KeyValueService,
+    private readonly _settings: RolloutLoopSettings,
+    private readonly _ownValues: () => readonly VersionedValue[]
+  ) {
+    const { name, incarnation } = _state.fronts.self
+    this._keeper = new LeaseKeeper({ host: name, incarnation }, _settings.roleTimeToLive)
+    this._planner = new RolloutPlanner(_settings)
+  }
+
+  /** Whether the replica carries out an order that this instance gave. */
+  isLoading (replicaId: string): boolean {
+    return this._planner.isLoading(replicaId)
+  }
+
+  /** Starts. */
+  start (): void {
+    this._tell({ kind: 'want', isWanted: true })
+    this._timer = setInterval(() => { this._tick() }, this._settings.interval)
+  }
+
+  /** Gives the role back. */
+  stop (): void {
+    clearInterval(this._timer)
+    this._tell({ kind: 'want', isWanted: false })
+  }
+
+  private _tick (): void {
+    this._tell({ kind: 'tick' })
+    const now = this._state.now()
+    const epoch = this._keeper.epoch(now)
+    if (epoch !== this._epoch) {
+      this._epoch = epoch
+      this._state.log.change(epoch === undefined ? 'rollout-role-lost' : 'rollout-role-won', { epoch })
+      // Orders of the last holder may still be on their way; the first holder of all has no one before it.
+      this._ordersFrom = epoch === 1 ? now : now + this._settings.turnInterval
+    }
+    if (epoch === undefined || now < this._ordersFrom) return
+    for (const model of this._state.catalog.namedModels) {
+      const version = this._state.catalog.namedVersion(model)?.version ?? 0
+      for (const order of this._planner.next(this._state.catalog.replicas, model, version, now)) {
+        this._planner.onSent(order, now)
+        void this._give(order, epoch)
+      }
+    }
+  }
+
+  private async _give (order: WeightOrder, epoch: number): Promise<void> {
+    const { log, replicaProtocol, now, fronts } = this._state
+    const { replica } = order
+    const fields = { replica: replica.id, model: order.model, version: order.version, epoch }
+    const report = await this._call(order, replicaProtocol.reportCall(replica))
+    const orderCount = report === undefined ? undefined : replicaProtocol.readOrderCount(report.body)
+    // The role may have been lost while the report was awaited.
+    if (orderCount === undefined || this._keeper.epoch(now()) !== epoch) {
+      log.decision('order-not-sent', fields)
+      this._planner.onRefused(replica.id)
+      return
+    }
+    const answer = await this._call(order, replicaProtocol.orderCall(order, fronts.self.name, epoch, orderCount))
+    log.decision('order-sent', { ...fields, orderCount, status: answer?.status })
+    if (answer !== undefined && !replicaProtocol.isOrderAccepted(answer.status)) this._planner.onRefused(replica.id)
+  }
+
+  private async _call ({ replica }: WeightOrder, call: ReplicaCall): Promise<{ status: number, body: string } | undefined> {
+    return await new Promise(resolve => {
+      const channel = this._state.channels.take(replica, true)
+      const timer = setTimeout(() => {
+        channel.abandon()
+        resolve(undefined)
+      }, this._settings.callTimeout)
+      const chunks: Buffer[] = []
+      let status = 0
+      channel.send({
+        method: call.method,
+        target: call.path,
+        headers: [['Host', replica.address], ...call.headers, ['Content-Length', String(Buffer.byteLength(call.body))]],
+        body: call.body === '' ? undefined : Buffer.from(call.body)
+      }, {
+        isExpected: () => true,
+        onHead: head => { status = head.status },
+        onBody: chunk => { chunks.push(Buffer.from(chunk)) },
+        onEnd: () => {
+          clearTimeout(timer)
+          resolve({ status, body: Buffer.concat(chunks).toString('utf8') })
+        },
+        onFault: (fault, detail) => {
+          clearTimeout(timer)
+          this._state.log.decision('replica-call-failed', { replica: replica.id, path: call.path, fault, detail })
+          resolve(undefined)
+        }
+      })
+    })
+  }
+
+  private _tell (message: LeaseMessage): void {
+    for (const effect of this._keeper.handle(message, this._state.now())) void this._perform(effect)
+  }
+
+  private async _perform (effect: LeaseEffect): Promise<void> {
+    const key = this._settings.roleKey
+    if (effect.kind === 'read-role') {
+      const listed = this._ownValues().find(value => value.key === key)
+      this._tellRead(listed)
+      return
+    }
+    const written = await this._store.compareAndSwap({ key, expectedRevision: effect.expectedRevision, value: JSON.stringify(effect.record) })
+    if (written.isErr) this._tell({ kind: 'call-failed' })
+    else this._tell({ kind: 'role-written', outcome: written.value })
+  }
+
+  private _tellRead (listed: VersionedValue | undefined): void {
+    const record = listed === undefined ? undefined : roleRecordSchema.safeParse(JSON.parse(listed.value))
+    this._tell({ kind: 'role-read', record: record?.data, keyRevision: listed?.revision ?? 0 })
+  }
+}
--- /dev/null
+++ b/utils/bundleGateway.mjs
@@ -0,0 +1,19 @@
+/** Bundles the gateway and its adapter into target/gateway.mjs: one small file starts faster than its many modules. */
+import { build } from 'esbuild'
+
+await build({
+  entryPoints: ['platform/src/main.ts'],
+  outfile: 'target/gateway.mjs',
+  bundle: true,
+  minify: true,
+  keepNames: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  // Some libraries are CommonJS and ask for built-in modules at run time.
+  banner: { js: 'import { createRequire as createRequireOfBundle } from "node:module"; const require = createRequireOfBundle(import.meta.url);' },
+  alias: {
+    '@wasabihead/coordination': './packages/coordination/src/index.ts',
+    '@wasabihead/gateway': './packages/gateway/src/index.ts'
+  }
+})
