fix(gateway): poll rollouts, fetch parts between replicas, and see a reset behind an answer without a length

Leaving waited for requests whose bodies never came. Shared parts that another replica is believed to hold are fetched from it, under a salt that carries the weight version.

--- a/packages/coordination/src/catalog/serviceCatalog.ts
+++ b/packages/coordination/src/catalog/serviceCatalog.ts
@@ -108,6 +108,16 @@
     return changes
   }
 
+  /** An answer or a report of this run of the replica named its weight version, which is newer than its registration. */
+  observeWeightVersion (replica: Replica, model: string, version: number): boolean {
+    const known = this._replicas.get(replica.id)
+    if (known === undefined || known.value.startedAt !== replica.startedAt) return false
+    if ((known.value.weightVersions[model] ?? 0) >= version) return false
+    known.value = { ...known.value, weightVersions: { ...known.value.weightVersions, [model]: version } }
+    this._index()
+    return true
+  }
+
   /** What this instance tells one that starts without the store. */
   get listing (): CatalogListing {
     const configuration = this._configuration
@@ -144,7 +154,8 @@
     if (known !== undefined && known.revision >= heard.revision) return
     const isRestarted = known !== undefined && known.value.startedAt !== heard.value.startedAt
     if (isRestarted) changes.push({ kind: 'replica-removed', replica: known.value, reason: 'restarted' })
-    this._replicas.set(id, { revision: heard.revision, value: heard.value })
+    const value = known === undefined || isRestarted ? heard.value : withHigherVersions(heard.value, known.value.weightVersions)
+    this._replicas.set(id, { revision: heard.revision, value })
     if (known === undefined || isRestarted) changes.push({ kind: 'replica-added', replica: heard.value })
     if (heard.value.isDraining && !(known?.value.isDraining === true && !isRestarted)) {
       changes.push({ kind: 'replica-draining', replica: heard.value })
@@ -161,3 +172,12 @@
     }
   }
 }
+
+/** A registration is written from time to time and may be older than what was observed; weights never go back in one run. */
+function withHigherVersions (replica: Replica, observed: Replica['weightVersions']): Replica {
+  const weightVersions = { ...replica.weightVersions }
+  for (const [model, version] of Object.entries(observed)) {
+    if (version > (weightVersions[model] ?? 0)) weightVersions[model] = version
+  }
+  return { ...replica, weightVersions }
+}
--- a/packages/coordination/src/dispatch/cachedParts.ts
+++ b/packages/coordination/src/dispatch/cachedParts.ts
@@ -16,19 +16,20 @@
 export class CachedParts {
   private readonly _replicas = new Map<string, ReplicaParts>()
 
+  /** Whether the replica holds a part. */
+  holds (replicaId: string, salt: string, partId: string): boolean {
+    return this._replicas.get(replicaId)?.parts.has(keyOf(salt, partId)) ?? false
+  }
+
   /**
-   * Tokens of the prompt's beginning that the replica holds: a part counts only if all before it are held.
+   * Parts of the prompt's beginning that the replica holds: a part counts only if all before it are held.
    * @param salt the namespace under which the parts are cached
    */
-  heldTokens (replicaId: string, salt: string, parts: readonly PromptPart[]): number {
+  heldParts (replicaId: string, salt: string, parts: readonly PromptPart[]): number {
     const held = this._replicas.get(replicaId)
     if (held === undefined) return 0
-    let tokens = 0
-    for (const part of parts) {
-      if (!held.parts.has(keyOf(salt, part.id))) break
-      tokens += part.tokens
-    }
-    return tokens
+    const firstMissing = parts.findIndex(({ id }) => !held.parts.has(keyOf(salt, id)))
+    return firstMissing < 0 ? parts.length : firstMissing
   }
 
   /** A prompt is computed on the replica, so that it holds its parts; what was used longest ago yields. */
--- a/packages/coordination/src/dispatch/selectReplica.ts
+++ b/packages/coordination/src/dispatch/selectReplica.ts
@@ -1,6 +1,6 @@
-/** Chooses the replica for a request. */
+/** Chooses the replica for a request, and where it fetches the prompt parts that it does not hold. */
 import { rankByRendezvous, type Milliseconds } from '../common/index.js'
-import type { Replica } from '../catalog/index.js'
+import type { Engine, Replica } from '../catalog/index.js'
 import type { CachedParts, PromptPart } from './cachedParts.js'
 import type { FleetLoads } from './fleetLoads.js'
 import type { ReplicaHealth } from './replicaHealth.js'
@@ -10,6 +10,7 @@
   model: string
   inputTokens: number
   maximumOutputTokens: number
+  /** The last part belongs to the request alone. */
   parts: readonly PromptPart[]
 }
 
@@ -23,16 +24,22 @@
   now: Milliseconds
 }
 
+/** A prompt on its way to an engine. */
+export interface PromptDemand {
+  prompt: Prompt
+  engine: Engine
+  /** Namespace of the cached parts on a replica with a weight version. */
+  saltFor: (weightVersion: number) => string
+  /** The named weight version, where one has been named long enough ago to matter. */
+  wantedVersion: number | undefined
+}
+
 /** A request that needs a replica. */
 export interface SelectionRequest {
   candidates: readonly Replica[]
   /** Replicas that this request has already been sent to. */
   tried: ReadonlySet<string>
-  prompt?: Prompt | undefined
-  /** Tokens that each candidate's memory holds. */
-  cacheTokens?: number | undefined
-  /** Namespace of the cached parts. */
-  salt: string
+  demand?: PromptDemand | undefined
 }
 
 /** The choice, and what decided it, for the log. */
@@ -40,7 +47,12 @@
   replica: Replica
   /** Predicted milliseconds until the first byte of the answer. */
   cost: number
-  heldTokens: number
+  /** Tokens of the prompt that are neither held nor fetched. */
+  freshTokens: number
+  fetchedTokens: number
+  /** For each part the address that it is fetched from; undefined where no part is fetched. */
+  sources: (string | undefined)[] | undefined
+  salt: string | undefined
 }
 
 /** Prompt tokens that a replica reads in a millisecond; from the users' deployment sheets (38.7 and 42.6). */
@@ -55,8 +67,15 @@
 const SUSPICION_COST: Milliseconds = 1_500
 /** Two crossings between data centres, and the price of the bytes. */
 const OTHER_ZONE_COST: Milliseconds = 6
-/** Keeps the prompts of one group on few replicas while nothing is known of their caches. */
-const AFFINITY_COST: Milliseconds = 12
+/** An answer by replaced weights is worth a fifth less. */
+const OLD_VERSION_COST: Milliseconds = 150
+/** Part of a prompt's shared tokens that is expected on the group's first replica while nothing is known of its cache. */
+const EXPECTED_SHARE = 0.5
+/** Transfers take twice as long between data centres. */
+const OTHER_ZONE_TRANSFERS = 2
+const BITS_PER_BYTE = 8
+/** Bits in a millisecond for each megabit in a second. */
+const BITS_PER_MILLISECOND = 1_000
 
 /** The cheapest replica for the request, or undefined where none can be used. */
 export function selectReplica (request: SelectionRequest, view: SelectionView): Selection | undefined {
@@ -64,43 +83,94 @@
   const open = usable.filter(({ id }) => !view.health.isExcluded(id, view.now))
   // Where every replica was unreachable, trying one is better than refusing.
   const candidates = open.length > 0 ? open : usable
-  const ranks = affinityRanks(request, candidates)
+  const { demand } = request
+  if (demand === undefined) return cheapest(candidates.map(replica => weighPlain(replica, view)))
+  const group = groupPart(demand.prompt)
+  const first = group === undefined ? undefined : rankByRendezvous(group, candidates.map(({ id }) => id))[0]
+  return cheapest(candidates.map(replica => weighPrompt(replica, demand, request.candidates, view, replica.id === first)))
+}
+
+function cheapest (selections: readonly Selection[]): Selection | undefined {
   let best: Selection | undefined
-  for (const replica of candidates) {
-    const selection = weigh(replica, request, view, ranks?.get(replica.id) ?? 0)
-    if (best === undefined || selection.cost < best.cost) best = selection
-  }
+  for (const selection of selections) if (best === undefined || selection.cost < best.cost) best = selection
   return best
 }
 
-function affinityRanks ({ prompt }: SelectionRequest, candidates: readonly Replica[]): Map<string, number> | undefined {
-  const group = groupPart(prompt)
-  if (group === undefined) return undefined
-  return new Map(rankByRendezvous(group, candidates.map(({ id }) => id)).map((id, rank) => [id, rank]))
+/** The part before the last is shared by the requests of one group. */
+function groupPart (prompt: Prompt): string | undefined {
+  return prompt.parts.at(-2)?.id ?? prompt.parts.at(-1)?.id
 }
 
-/** The last part belongs to the request alone; the one before it is shared by the requests of one group. */
-function groupPart (prompt: Prompt | undefined): string | undefined {
-  if (prompt === undefined) return undefined
-  return prompt.parts.at(-2)?.id ?? prompt.parts.at(-1)?.id
+function commonCost (replica: Replica, view: SelectionView): Milliseconds {
+  const suspicionCost = view.health.suspicion(replica.id, view.now) * SUSPICION_COST
+  return suspicionCost + (replica.zone === view.zone ? 0 : OTHER_ZONE_COST)
 }
 
-function weigh (replica: Replica, request: SelectionRequest, view: SelectionView, rank: number): Selection {
+function weighPlain (replica: Replica, view: SelectionView): Selection {
   const load = view.loads.of(replica.id, view.now)
-  const suspicionCost = view.health.suspicion(replica.id, view.now) * SUSPICION_COST
-  const zoneCost = replica.zone === view.zone ? 0 : OTHER_ZONE_COST
-  const { prompt } = request
-  if (prompt === undefined) {
-    const busyCost = (load.requests / Math.max(1, replica.slots)) * PLAIN_REQUEST_COST
-    return { replica, cost: busyCost + suspicionCost + zoneCost, heldTokens: 0 }
+  const busyCost = (load.requests / Math.max(1, replica.slots)) * PLAIN_REQUEST_COST
+  return {
+    replica, cost: busyCost + commonCost(replica, view), freshTokens: 0, fetchedTokens: 0, sources: undefined, salt: undefined
   }
-  const heldTokens = view.cachedParts.heldTokens(replica.id, request.salt, prompt.parts)
-  const freshTokens = Math.max(0, prompt.inputTokens - heldTokens)
+}
+
+function weighPrompt (
+  replica: Replica, demand: PromptDemand, all: readonly Replica[], view: SelectionView, isGroupsFirst: boolean
+): Selection {
+  const { prompt, engine, wantedVersion } = demand
+  const version = replica.weightVersions[prompt.model] ?? 0
+  const salt = demand.saltFor(version)
+  const load = view.loads.of(replica.id, view.now)
+  const shared = prompt.parts.slice(0, -1)
+  const heldCount = view.cachedParts.heldParts(replica.id, salt, shared)
+  const heldTokens = tokensOf(shared.slice(0, heldCount))
+  const fetches = planFetches(replica, shared, heldCount, salt, all, view)
+  const freshTokens = Math.max(0, prompt.inputTokens - heldTokens - fetches.tokens)
+  const transferCost = fetches.weightedTokens * engine.bytesPerToken * BITS_PER_BYTE /
+    (Math.max(1, engine.linkMegabitsPerSecond) * BITS_PER_MILLISECOND)
+  const sharedFreshTokens = tokensOf(shared) - heldTokens - fetches.tokens
+  const affinityGain = isGroupsFirst ? EXPECTED_SHARE * sharedFreshTokens / PREFILL_TOKENS_PER_MILLISECOND : 0
   const prefillCost = (load.prefillTokens + freshTokens) / PREFILL_TOKENS_PER_MILLISECOND
   const needed = prompt.inputTokens + prompt.maximumOutputTokens
-  const missing = request.cacheTokens === undefined ? 0 : Math.max(0, load.memoryTokens + needed - request.cacheTokens)
-  const memoryCost = MEMORY_WAIT * missing / needed
+  const missing = Math.max(0, load.memoryTokens + needed - engine.cacheTokens)
+  const memoryCost = MEMORY_WAIT * missing / Math.max(1, needed)
   const slotCost = load.requests >= replica.slots ? MEMORY_WAIT : load.requests * RUNNING_REQUEST_COST
-  const affinityCost = Math.min(rank, 3) * AFFINITY_COST
-  return { replica, cost: prefillCost + memoryCost + slotCost + suspicionCost + zoneCost + affinityCost, heldTokens }
+  const versionCost = wantedVersion !== undefined && version < wantedVersion ? OLD_VERSION_COST : 0
+  return {
+    replica,
+    cost: prefillCost + transferCost + memoryCost + slotCost + versionCost + commonCost(replica, view) - affinityGain,
+    freshTokens,
+    fetchedTokens: fetches.tokens,
+    sources: fetches.tokens === 0 ? undefined : [...fetches.sources, undefined],
+    salt
+  }
+}
+
+interface Fetches {
+  sources: (string | undefined)[]
+  tokens: number
+  /** Tokens, counted by how long their transfer takes. */
+  weightedTokens: number
+}
+
+/** Fetches the parts after the held ones, up to the first that no other replica holds. */
+function planFetches (
+  replica: Replica, shared: readonly PromptPart[], heldCount: number, salt: string, all: readonly Replica[], view: SelectionView
+): Fetches {
+  const fetches: Fetches = { sources: shared.map(() => undefined), tokens: 0, weightedTokens: 0 }
+  for (let index = heldCount; index < shared.length; index++) {
+    const part = shared[index] as PromptPart
+    const holders = all.filter(({ id }) => id !== replica.id && view.cachedParts.holds(id, salt, part.id) &&
+      !view.health.isExcluded(id, view.now))
+    const source = holders.find(({ zone }) => zone === replica.zone) ?? holders[0]
+    if (source === undefined) break
+    fetches.sources[index] = source.address
+    fetches.tokens += part.tokens
+    fetches.weightedTokens += part.tokens * (source.zone === replica.zone ? 1 : OTHER_ZONE_TRANSFERS)
+  }
+  return fetches
+}
+
+function tokensOf (parts: readonly PromptPart[]): number {
+  return parts.reduce((sum, { tokens }) => sum + tokens, 0)
 }
--- a/packages/coordination/src/fronts/messages.ts
+++ b/packages/coordination/src/fronts/messages.ts
@@ -28,6 +28,10 @@
   peers: z.array(frontRecordSchema),
   /** Load of the sender on each replica: requests, prompt tokens before the first event, memory tokens. */
   loads: z.record(z.string(), z.tuple([z.number(), z.number(), z.number()])),
+  /** Prompts sent since the last heartbeat: replica, salt, and the parts' ids and tokens. */
+  sent: z.array(z.tuple([z.string(), z.string(), z.array(z.tuple([z.string(), z.number()]))])),
+  /** Replicas that the sender has ordered to load weights. */
+  loading: z.array(z.string()),
   /** Crashes of replicas, with the request under which they happened. */
   crashes: z.array(z.object({ fingerprint: z.string(), replicaRun: z.string() }))
 })
--- a/packages/coordination/src/rollout/index.ts
+++ b/packages/coordination/src/rollout/index.ts
@@ -1,1 +1,4 @@
-export { RolloutPlanner, type RolloutSettings, type WeightOrder } from './rolloutPlanner.js'
+export { LoadingReplicas } from './loadingReplicas.js'
+export {
+  RolloutPlanner, type ReplicaReport, type RolloutSettings, type RolloutStep, type WeightOrder
+} from './rolloutPlanner.js'
--- a/packages/gateway/src/channels/replicaChannel.ts
+++ b/packages/gateway/src/channels/replicaChannel.ts
@@ -35,6 +35,8 @@
 /** The replica announces whole seconds; a request that arrives just as they end would be reset. */
 const KEEP_ALIVE_MARGIN: Milliseconds = 500
 const DEFAULT_KEEP_ALIVE: Milliseconds = 4_000
+/** All channels read into one buffer, since what they read is taken before the next read. */
+const READ_BUFFER = Buffer.allocUnsafe(65_536)
 
 /** One connection. */
 export class ReplicaChannel {
@@ -42,6 +44,8 @@
   private readonly _parser: AnswerParser
   private _listener: ExchangeListener | undefined
   private _isSkipping = false
+  private _isPaused = false
+  private _endsWithConnection = false
   private _mayBeReused = true
   private _isConnected = false
   private _isClosed = false
@@ -69,13 +73,17 @@
       onBody: chunk => { if (!this._isSkipping) this._listener?.onBody(chunk) },
       onEnd: () => { this._takeEnd() }
     })
-    this._socket = net.connect({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)), noDelay: true })
+    this._socket = net.connect({
+      host: address.slice(0, colon),
+      port: Number(address.slice(colon + 1)),
+      noDelay: true,
+      onread: { buffer: READ_BUFFER, callback: (length, buffer) => this._takeBytes(buffer.subarray(0, length) as Buffer) }
+    })
     const timer = setTimeout(() => { this.close() }, connectTimeout)
     this._socket.once('connect', () => {
       clearTimeout(timer)
       this._isConnected = true
     })
-    this._socket.on('data', chunk => { this._takeBytes(chunk) })
     this._socket.once('end', () => { this._takeFinish() })
     // The close event follows and carries the consequence.
     this._socket.on('error', error => { this._endReason = error.message })
@@ -113,11 +121,13 @@
 
   /** Stops reading, so that a slow caller slows the replica. */
   pause (): void {
+    this._isPaused = true
     this._socket.pause()
   }
 
   /** Reads again. */
   resume (): void {
+    this._isPaused = false
     this._socket.resume()
   }
 
@@ -133,17 +143,23 @@
     this._socket.destroy()
   }
 
-  private _takeBytes (chunk: Buffer): void {
+  /** Whether to go on reading at once. */
+  private _takeBytes (chunk: Buffer): boolean {
     // Bytes that nobody asked for belong to no request.
     if (this._listener === undefined) {
       this.close()
-      return
+      return true
     }
     try {
       this._parser.write(chunk)
     } catch (error) {
       this._fail('malformed', String(error))
     }
+    if (!this._endsWithConnection || this._isClosed || this._isPaused) return !this._isPaused
+    // A reset that comes together with bytes is reported as an ordinary end unless reading begins anew after them, and an
+    // answer without a length would then look whole.
+    setImmediate(() => { if (!this._isPaused) this._socket.resume() })
+    return false
   }
 
   private _takeFinish (): void {
@@ -163,6 +179,7 @@
       return
     }
     this._isSkipping = !listener.isExpected(head)
+    this._endsWithConnection = head.endsWithConnection
     if (!head.isKeptAlive || this._isSkipping) this._mayBeReused = false
     const timeout = /timeout=(\d+)/.exec(String(head.headers['keep-alive'] ?? ''))
     if (timeout !== null) this._keepAlive = Number(timeout[1]) * MILLISECONDS_PER_SECOND
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -78,7 +78,16 @@
     for (const [id, load] of this._state.loads.local) {
       loads[id] = [load.requests, Math.round(load.prefillTokens), Math.round(load.memoryTokens)]
     }
-    return { from: this._state.fronts.self, isReady: this._isReady(), peers, loads, crashes: this._crashes.map(({ report }) => report) }
+    const { fronts, sentPrompts, loading, now } = this._state
+    return {
+      from: fronts.self,
+      isReady: this._isReady(),
+      peers,
+      loads,
+      sent: sentPrompts.take().map(({ replicaId, salt, parts }) => [replicaId, salt, parts.map(({ id, tokens }) => [id, tokens])]),
+      loading: loading.toldBy(fronts.self.name, now()),
+      crashes: this._crashes.map(({ report }) => report)
+    }
   }
 
   private _take (message: Buffer): void {
@@ -94,8 +103,18 @@
       loads.set(id, { requests, prefillTokens, memoryTokens })
     }
     this._state.loads.hear(heartbeat.from.name, loads, now)
+    this._state.loading.hear(heartbeat.from.name, heartbeat.loading, now)
+    for (const [replicaId, salt, parts] of heartbeat.sent) this._takeSent(replicaId, salt, parts)
     for (const crash of heartbeat.crashes) this._state.crashes.record(crash, now)
   }
+
+  private _takeSent (replicaId: string, salt: string, parts: [string, number][]): void {
+    const { catalog, cachedParts } = this._state
+    const replica = catalog.replica(replicaId)
+    const engine = replica === undefined ? undefined : catalog.routes?.service(replica.service)?.engine
+    if (engine === undefined) return
+    cachedParts.onSent(replicaId, salt, parts.map(([id, tokens]) => ({ id, tokens })), engine.cacheTokens)
+  }
 }
 
 function parseHeartbeat (message: Buffer): Heartbeat | undefined {
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -1,6 +1,7 @@
 /** One gateway instance: its parts, its start and its end. */
 import {
-  CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, RepeatedCrashes, ReplicaHealth, ServiceCatalog,
+  CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, RepeatedCrashes, ReplicaHealth, SentPrompts,
+  ServiceCatalog,
   type CatalogChange, type FrontRecord, type KeyValueService, type Milliseconds
 } from '@wasabihead/coordination'
 import { CatalogLoop, FRONT_KEYS, Registration } from '../catalog/index.js'
@@ -53,6 +54,8 @@
       catalog: new ServiceCatalog(settings.catalog),
       fronts: new FrontDirectory(self, settings.directory),
       loads: new FleetLoads(),
+      loading: new LoadingReplicas(),
+      sentPrompts: new SentPrompts(),
       health: new ReplicaHealth(),
       cachedParts: new CachedParts(),
       retryBudget: new FleetRetryBudget(settings.retryBudget),
--- a/packages/gateway/src/protocol/replicaProtocol.ts
+++ b/packages/gateway/src/protocol/replicaProtocol.ts
@@ -1,5 +1,5 @@
 /** How replicas are asked; the names on the wire belong to the adapter. */
-import type { Milliseconds, Replica, WeightOrder } from '@wasabihead/coordination'
+import type { Milliseconds, Replica, ReplicaReport, WeightOrder } from '@wasabihead/coordination'
 import type { HeaderFields } from './callerProtocol.js'
 
 /** What the gateway adds to a request that it passes on. */
@@ -12,6 +12,10 @@
   priority: number | undefined
   /** Namespace of the cached prompt parts. */
   salt: string | undefined
+  /** Only a replica with this weight version may take the request. */
+  weightVersion: number | undefined
+  /** For each prompt part the address that it may be fetched from. */
+  sources: readonly (string | undefined)[] | undefined
   /** The stream goes on after this event. */
   lastEventId: string | undefined
 }
@@ -43,11 +47,11 @@
   /** Decodes an answer's head. */
   abstract readAnswer (status: number, headers: HeaderFields): AnswerFacts
 
-  /** Asks for the number of orders that a replica has accepted. */
+  /** Asks a replica for its report. */
   abstract reportCall (replica: Replica): ReplicaCall
 
-  /** Decodes that number; undefined where the body is not a report. */
-  abstract readOrderCount (body: string): number | undefined
+  /** Decodes a report; undefined where the body is none. */
+  abstract readReport (body: string): ReplicaReport | undefined
 
   /** The order to load a weight version, valid only while the replica has accepted `orderCount` orders. */
   abstract orderCall (order: WeightOrder, holder: string, fencingNumber: number, orderCount: number): ReplicaCall
--- a/packages/gateway/src/requests/frontServer.ts
+++ b/packages/gateway/src/requests/frontServer.ts
@@ -20,7 +20,8 @@
 /** The server that callers connect to. */
 export class FrontServer {
   private readonly _server: http.Server
-  private readonly _running = new Set<http.ServerResponse>()
+  private readonly _responses = new Set<http.ServerResponse>()
+  private _running = 0
   private _isLeaving = false
 
   constructor (private readonly _state: GatewayState) {
@@ -32,9 +33,9 @@
     this._server.on('clientError', (error, socket) => { answerMalformed(error, socket) })
   }
 
-  /** Requests that are not yet answered. */
+  /** Requests that were read whole and are not yet answered. */
   get running (): number {
-    return this._running.size
+    return this._running
   }
 
   /** Starts listening. */
@@ -56,7 +57,7 @@
   /** From now on each answer closes its connection. */
   leave (): void {
     this._isLeaving = true
-    for (const response of this._running) closeWithAnswer(response)
+    for (const response of this._responses) closeWithAnswer(response)
   }
 
   /** Closes connections without a request. */
@@ -65,8 +66,8 @@
   }
 
   private _accept (request: http.IncomingMessage, response: http.ServerResponse): void {
-    this._running.add(response)
-    response.once('close', () => { this._running.delete(response) })
+    this._responses.add(response)
+    response.once('close', () => { this._responses.delete(response) })
     if (this._isLeaving) closeWithAnswer(response)
     const state = this._state
     const receivedAt = state.now()
@@ -87,6 +88,7 @@
       }
       if (response.destroyed) return
       const target = request.url ?? '/'
+      this._running += 1
       new RequestRun(state, {
         head,
         method: request.method ?? 'GET',
@@ -99,7 +101,7 @@
         deadline,
         fingerprint: fingerprintOf(head.apiKey ?? '', `${request.headers.host ?? ''}${target}`, body),
         response
-      }, () => {}).start()
+      }, () => { this._running -= 1 }).start()
     })
   }
 
--- a/packages/gateway/src/requests/gatewayState.ts
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -1,6 +1,7 @@
 /** What the parts of one gateway share. */
 import type {
-  CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, Milliseconds, RepeatedCrashes, ReplicaHealth, ServiceCatalog
+  CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, Milliseconds, RepeatedCrashes, ReplicaHealth, SentPrompts,
+  ServiceCatalog
 } from '@wasabihead/coordination'
 import type { ChannelPool } from '../channels/index.js'
 import type { CallerProtocol, ReplicaProtocol } from '../protocol/index.js'
@@ -11,6 +12,8 @@
   catalog: ServiceCatalog
   fronts: FrontDirectory
   loads: FleetLoads
+  loading: LoadingReplicas
+  sentPrompts: SentPrompts
   health: ReplicaHealth
   cachedParts: CachedParts
   retryBudget: FleetRetryBudget
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -1,7 +1,8 @@
 /** Serves one request: chooses replicas, sends, decides what follows a failure, and passes the answer on. */
 import {
   decideAfterAttempt, finalVerdict, isRepeatable, selectReplica,
-  type AttemptContext, type AttemptEnd, type AttemptSign, type Milliseconds, type Replica, type Selection
+  type AttemptContext, type AttemptEnd, type AttemptSign, type Milliseconds, type PromptDemand, type Replica,
+  type Selection
 } from '@wasabihead/coordination'
 import type { AnswerHead, ExchangeFault, ReplicaChannel } from '../channels/index.js'
 import type { AnswerFacts } from '../protocol/index.js'
@@ -19,6 +20,8 @@
 const STREAM_SILENCE: Milliseconds = 1_500
 /** An attempt with less time than this left is not worth sending. */
 const SHORTEST_ATTEMPT: Milliseconds = 15
+/** A replaced version costs nothing for this long after the new one was named; a little earlier, since naming is seen late. */
+const OLD_VERSION_GRACE: Milliseconds = 500
 const SUCCESS_BEGIN = 200
 const FAILURE_BEGIN = 500
 const BAD_GATEWAY = 502
@@ -40,7 +43,8 @@
   private readonly _tried = new Set<string>()
   private readonly _relay: AnswerRelay
   private readonly _deadlineTimer: NodeJS.Timeout
-  private readonly _salt: string
+  /** Workspaces that are not isolated share cached parts. */
+  private readonly _wall: string
   private readonly _service: string
   private _attempt: Attempt | undefined
   private _attempts = 0
@@ -54,7 +58,7 @@
     this._relay = route.kind === 'streaming'
       ? new EventStreamRelay(response, head.lastEventId, () => { this._attempt?.channel.resume() })
       : new WholeAnswerRelay(response)
-    this._salt = this._saltOf()
+    this._wall = _request.workspace?.isIsolated === true ? _request.workspace.name : ''
     this._service = pickService(_request, _state.random())
     this._deadlineTimer = setTimeout(() => { this._onDeadline() }, Math.max(0, _request.deadline - _state.now()))
     response.once('close', () => { this._onCallerGone() })
@@ -82,15 +86,28 @@
   }
 
   private _select (): Selection | undefined {
-    const { catalog, loads, health, cachedParts, zone, now } = this._state
-    const engine = catalog.routes?.service(this._service)?.engine
+    const { catalog, loads, health, cachedParts, loading, zone } = this._state
+    const now = this._state.now()
+    const replicas = catalog.usableReplicas(this._service)
+    const candidates = replicas.filter(({ id }) => !loading.has(id, now))
     return selectReplica({
-      candidates: catalog.usableReplicas(this._service),
+      // A replica that is loading refuses requests until it is done.
+      candidates: candidates.length > 0 ? candidates : replicas,
       tried: this._tried,
-      prompt: engine === undefined ? undefined : this._request.head.prompt,
-      cacheTokens: engine?.cacheTokens,
-      salt: this._salt
-    }, { loads, health, cachedParts, zone, now: now() })
+      demand: this._demand(now)
+    }, { loads, health, cachedParts, zone, now })
+  }
+
+  private _demand (now: Milliseconds): PromptDemand | undefined {
+    const { catalog } = this._state
+    const { prompt } = this._request.head
+    const engine = catalog.routes?.service(this._service)?.engine
+    if (prompt === undefined || engine === undefined) return undefined
+    const named = catalog.namedVersion(prompt.model)
+    const isOverdue = named !== undefined && now - named.seenAt > OLD_VERSION_GRACE
+    return {
+      prompt, engine, saltFor: version => `${this._wall}/${prompt.model}/${version}`, wantedVersion: isOverdue ? named.version : undefined
+    }
   }
 
   private _send (selection: Selection): void {
@@ -103,7 +120,7 @@
       replica,
       channel,
       sentAt: now,
-      prefillTokens: prompt === undefined ? 0 : Math.max(0, prompt.inputTokens - selection.heldTokens),
+      prefillTokens: selection.freshTokens,
       memoryTokens: prompt === undefined ? 0 : prompt.inputTokens + prompt.maximumOutputTokens,
       hasHead: false,
       isOver: false,
@@ -115,17 +132,16 @@
     this._possibleRuns += 1
     state.health.onSend(replica.id)
     state.loads.add(replica.id, { requests: 1, prefillTokens: attempt.prefillTokens, memoryTokens: attempt.memoryTokens })
-    const cacheTokens = state.catalog.routes?.service(this._service)?.engine?.cacheTokens
-    if (prompt !== undefined && cacheTokens !== undefined) {
-      state.cachedParts.onSent(replica.id, this._salt, prompt.parts, cacheTokens)
-    }
+    this._noteSent(selection)
     state.log.decision('attempt', {
       requestId: request.head.requestId,
       attempt: this._attempts,
       route: request.route.name,
       replica: replica.id,
       cost: Math.round(selection.cost),
-      heldTokens: selection.heldTokens,
+      freshTokens: selection.freshTokens,
+      fetchedTokens: selection.fetchedTokens,
+      salt: selection.salt,
       isReusedChannel: channel.completed > 0,
       configurationRevision: state.catalog.configurationRevision,
       catalogAge: Math.round(now - state.catalog.listedAt)
@@ -134,7 +150,7 @@
     channel.send({
       method: request.method,
       target: request.target,
-      headers: this._headersFor(replica, now),
+      headers: this._headersFor(selection, now),
       body: request.body.length > 0 ? request.body : undefined
     }, {
       isExpected: head => this._isExpected(head),
@@ -145,7 +161,16 @@
     })
   }
 
-  private _headersFor (replica: Replica, now: Milliseconds): [string, string][] {
+  private _noteSent ({ replica, salt }: Selection): void {
+    const { catalog, cachedParts, sentPrompts } = this._state
+    const { prompt } = this._request.head
+    const engine = catalog.routes?.service(this._service)?.engine
+    if (prompt === undefined || salt === undefined || engine === undefined) return
+    cachedParts.onSent(replica.id, salt, prompt.parts, engine.cacheTokens)
+    sentPrompts.add({ replicaId: replica.id, salt, parts: prompt.parts })
+  }
+
+  private _headersFor ({ replica, salt, sources }: Selection, now: Milliseconds): [string, string][] {
     const { request, state } = { request: this._request, state: this._state }
     const { prompt, lastEventId } = request.head
     const headers = passedHeaders(request.rawHeaders, name => state.callerProtocol.isForwarded(name))
@@ -155,7 +180,10 @@
       timeLeft: Math.max(1, Math.floor(request.deadline - now)),
       workspace: request.workspace?.name,
       priority: prompt === undefined ? undefined : request.workspace?.priority ?? request.route.priority,
-      salt: prompt === undefined ? undefined : this._salt,
+      salt,
+      // Parts are fetched without a look at their version, so that of the replica has to be the expected one.
+      weightVersion: sources === undefined || prompt === undefined ? undefined : replica.weightVersions[prompt.model],
+      sources,
       lastEventId: this._relay.lastEventId ?? lastEventId
     }))
     return headers
@@ -189,6 +217,10 @@
       return
     }
     this._failure = undefined
+    const { prompt } = this._request.head
+    if (prompt !== undefined && facts.weightVersion !== undefined) {
+      this._state.catalog.observeWeightVersion(attempt.replica, prompt.model, facts.weightVersion)
+    }
     this._relay.onHead(head)
   }
 
@@ -368,12 +400,6 @@
     })
     this._onOver()
   }
-
-  private _saltOf (): string {
-    const { workspace, head } = this._request
-    const wall = workspace?.isIsolated === true ? workspace.name : ''
-    return `${wall}/${head.prompt?.model ?? ''}`
-  }
 }
 
 function pickService ({ route }: CallerRequest, sample: number): string {
--- a/packages/gateway/src/rollout/rolloutLoop.ts
+++ b/packages/gateway/src/rollout/rolloutLoop.ts
@@ -1,7 +1,7 @@
 /** Gives the orders for new weight versions while this instance holds the role. */
 import {
   LeaseKeeper, RolloutPlanner, roleRecordSchema,
-  type KeyValueService, type LeaseEffect, type LeaseMessage, type Milliseconds, type RolloutSettings, type VersionedValue, type WeightOrder
+  type KeyValueService, type LeaseEffect, type LeaseMessage, type Milliseconds, type RolloutSettings, type RolloutStep, type VersionedValue, type WeightOrder
 } from '@wasabihead/coordination'
 import type { ReplicaCall } from '../protocol/index.js'
 import type { GatewayState } from '../requests/index.js'
@@ -36,11 +36,6 @@
     this._planner = new RolloutPlanner(_settings)
   }
 
-  /** Whether the replica carries out an order that this instance gave. */
-  isLoading (replicaId: string): boolean {
-    return this._planner.isLoading(replicaId)
-  }
-
   /** Starts. */
   start (): void {
     this._tell({ kind: 'want', isWanted: true })
@@ -55,39 +50,53 @@
 
   private _tick (): void {
     this._tell({ kind: 'tick' })
-    const now = this._state.now()
+    const state = this._state
+    const now = state.now()
     const epoch = this._keeper.epoch(now)
-    if (epoch !== this._epoch) {
-      this._epoch = epoch
-      this._state.log.change(epoch === undefined ? 'rollout-role-lost' : 'rollout-role-won', { epoch })
-      // Orders of the last holder may still be on their way; the first holder of all has no one before it.
-      this._ordersFrom = epoch === 1 ? now : now + this._settings.turnInterval
+    if (epoch !== this._epoch) this._noteEpoch(epoch, now)
+    const { name } = state.fronts.self
+    if (epoch === undefined || now < this._ordersFrom) {
+      state.loading.hear(name, [], now)
+      return
     }
-    if (epoch === undefined || now < this._ordersFrom) return
-    for (const model of this._state.catalog.namedModels) {
-      const version = this._state.catalog.namedVersion(model)?.version ?? 0
-      for (const order of this._planner.next(this._state.catalog.replicas, model, version, now)) {
-        this._planner.onSent(order, now)
-        void this._give(order, epoch)
-      }
+    const byLoad = state.catalog.replicas
+      .map(replica => ({ replica, requests: state.loads.of(replica.id, now).requests }))
+      .sort((left, right) => left.requests - right.requests)
+      .map(({ replica }) => replica)
+    for (const model of state.catalog.namedModels) {
+      const version = state.catalog.namedVersion(model)?.version ?? 0
+      for (const step of this._planner.next(byLoad, model, version, now)) void this._take(step, epoch)
     }
+    state.loading.hear(name, this._planner.loading, now)
   }
 
-  private async _give (order: WeightOrder, epoch: number): Promise<void> {
-    const { log, replicaProtocol, now, fronts } = this._state
-    const { replica } = order
-    const fields = { replica: replica.id, model: order.model, version: order.version, epoch }
-    const report = await this._call(order, replicaProtocol.reportCall(replica))
-    const orderCount = report === undefined ? undefined : replicaProtocol.readOrderCount(report.body)
-    // The role may have been lost while the report was awaited.
-    if (orderCount === undefined || this._keeper.epoch(now()) !== epoch) {
-      log.decision('order-not-sent', fields)
-      this._planner.onRefused(replica.id)
+  private _noteEpoch (epoch: number | undefined, now: Milliseconds): void {
+    this._epoch = epoch
+    this._planner.clear()
+    // Orders of the last holder may still be on their way; the first holder of all has no one before it.
+    this._ordersFrom = epoch === 1 ? now : now + this._settings.turnInterval
+    this._state.log.change(epoch === undefined ? 'rollout-role-lost' : 'rollout-role-won', { epoch })
+  }
+
+  private async _take (step: RolloutStep, epoch: number): Promise<void> {
+    const { log, replicaProtocol, catalog, now, fronts } = this._state
+    const { order } = step
+    const { replica, model, version } = order
+    const fields = { replica: replica.id, model, version, epoch }
+    const answer = await this._call(order, replicaProtocol.reportCall(replica))
+    const report = answer === undefined ? undefined : replicaProtocol.readReport(answer.body)
+    if (report === undefined) {
+      log.decision('replica-report-missing', { ...fields, status: answer?.status })
       return
     }
-    const answer = await this._call(order, replicaProtocol.orderCall(order, fronts.self.name, epoch, orderCount))
-    log.decision('order-sent', { ...fields, orderCount, status: answer?.status })
-    if (answer !== undefined && !replicaProtocol.isOrderAccepted(answer.status)) this._planner.onRefused(replica.id)
+    const loaded = report.weightVersions[model] ?? 0
+    if (!report.isBusy && catalog.observeWeightVersion(replica, model, loaded)) log.change('replica-loaded', { ...fields, loaded })
+    // The role may have been lost while the report was awaited.
+    if (!this._planner.isNeeded(step, report) || this._keeper.epoch(now()) !== epoch) return
+    this._planner.onSent(order, now())
+    const sent = await this._call(order, replicaProtocol.orderCall(order, fronts.self.name, epoch, report.orderCount))
+    log.change('order-sent', { ...fields, orderCount: report.orderCount, status: sent?.status })
+    if (sent !== undefined && !replicaProtocol.isOrderAccepted(sent.status)) this._planner.onRefused(replica.id)
   }
 
   private async _call ({ replica }: WeightOrder, call: ReplicaCall): Promise<{ status: number, body: string } | undefined> {
