--- a/packages/coordination/src/catalog/serviceCatalog.ts
+++ b/packages/coordination/src/catalog/serviceCatalog.ts
@@ -20,8 +20,8 @@
   | { kind: 'weight-version', model: string, version: number }
 
 interface KnownReplica extends Revised<Replica> {
-  /** Set while the entry is missing after the store was away. */
-  missingSince?: Milliseconds | undefined
+  /** Whether it was listed since the store was last away. */
+  isConfirmed: boolean
 }
 
 interface NamedVersion extends Revised<number> {
@@ -83,17 +83,20 @@
 
   /** Takes a complete listing by the store that was asked for at `askedAt`. */
   applyListing (listing: CatalogListing, askedAt: Milliseconds, now: Milliseconds): CatalogChange[] {
-    if (now - this._listedAt > this._settings.longestGap) this._graceUntil = now + this._settings.returnGrace
+    if (now - this._listedAt > this._settings.longestGap) {
+      this._graceUntil = now + this._settings.returnGrace
+      for (const known of this._replicas.values()) known.isConfirmed = false
+    }
     this._listedAt = askedAt
     const changes = this._takeHigher(listing, now)
     const listed = new Set(listing.replicas.map(({ value }) => value.id))
     for (const [id, known] of this._replicas) {
       if (listed.has(id)) {
-        known.missingSince = undefined
+        known.isConfirmed = true
         continue
       }
-      known.missingSince ??= now
-      if (now < this._graceUntil) continue
+      // An entry that was listed since the store's return did not lapse with it: its replica has left.
+      if (!known.isConfirmed && now < this._graceUntil) continue
       this._replicas.delete(id)
       changes.push({ kind: 'replica-removed', replica: known.value, reason: 'unlisted' })
     }
@@ -155,7 +158,7 @@
     const isRestarted = known !== undefined && known.value.startedAt !== heard.value.startedAt
     if (isRestarted) changes.push({ kind: 'replica-removed', replica: known.value, reason: 'restarted' })
     const value = known === undefined || isRestarted ? heard.value : withHigherVersions(heard.value, known.value.weightVersions)
-    this._replicas.set(id, { revision: heard.revision, value })
+    this._replicas.set(id, { revision: heard.revision, value, isConfirmed: false })
     if (known === undefined || isRestarted) changes.push({ kind: 'replica-added', replica: heard.value })
     if (heard.value.isDraining && !(known?.value.isDraining === true && !isRestarted)) {
       changes.push({ kind: 'replica-draining', replica: heard.value })
--- a/packages/coordination/src/dispatch/index.ts
+++ b/packages/coordination/src/dispatch/index.ts
@@ -6,6 +6,7 @@
 export { FleetRetryBudget, type FleetRetryBudgetSettings } from './fleetRetryBudget.js'
 export { RepeatedCrashes, type CrashReport } from './repeatedCrashes.js'
 export { ReplicaHealth, type AttemptSign } from './replicaHealth.js'
+export { type PartSource, type PartStores } from './partStores.js'
 export { SentPrompts, type SentPrompt } from './sentPrompts.js'
 export {
   PREFILL_TOKENS_PER_MILLISECOND, selectReplica, type Prompt, type PromptDemand, type Selection, type SelectionRequest, type SelectionView
--- a/packages/coordination/src/dispatch/selectReplica.ts
+++ b/packages/coordination/src/dispatch/selectReplica.ts
@@ -3,6 +3,7 @@
 import type { Engine, Replica } from '../catalog/index.js'
 import type { CachedParts, PromptPart } from './cachedParts.js'
 import type { FleetLoads } from './fleetLoads.js'
+import type { PartStores } from './partStores.js'
 import type { ReplicaHealth } from './replicaHealth.js'
 
 /** A prompt as the caller describes it. */
@@ -19,6 +20,7 @@
   loads: FleetLoads
   health: ReplicaHealth
   cachedParts: CachedParts
+  stores: PartStores
   /** Data centre of this instance. */
   zone: string
   now: Milliseconds
@@ -52,6 +54,10 @@
   fetchedTokens: number
   /** For each part the address that it is fetched from; undefined where no part is fetched. */
   sources: (string | undefined)[] | undefined
+  /** When the fetches must have ended; undefined where nothing is fetched from a store. */
+  fetchUntil: Milliseconds | undefined
+  /** For each part the store that it is saved to; undefined where no part is saved. */
+  saves: (string | undefined)[] | undefined
   salt: string | undefined
 }
 
@@ -110,7 +116,7 @@
   const load = view.loads.of(replica.id, view.now)
   const busyCost = (load.requests / Math.max(1, replica.slots)) * PLAIN_REQUEST_COST
   return {
-    replica, cost: busyCost + commonCost(replica, view), freshTokens: 0, fetchedTokens: 0, sources: undefined, salt: undefined
+    replica, cost: busyCost + commonCost(replica, view), freshTokens: 0, fetchedTokens: 0, sources: undefined, fetchUntil: undefined, saves: undefined, salt: undefined
   }
 }
 
@@ -142,6 +148,8 @@
     freshTokens,
     fetchedTokens: fetches.tokens,
     sources: fetches.tokens === 0 ? undefined : [...fetches.sources, undefined],
+    fetchUntil: fetches.until,
+    saves: planSaves(shared, salt, view),
     salt
   }
 }
@@ -151,19 +159,23 @@
   tokens: number
   /** Tokens, counted by how long their transfer takes. */
   weightedTokens: number
+  until: Milliseconds | undefined
 }
 
 /** Fetches the parts after the held ones, up to the first that no other replica holds. */
 function planFetches (
   replica: Replica, shared: readonly PromptPart[], heldCount: number, salt: string, all: readonly Replica[], view: SelectionView
 ): Fetches {
-  const fetches: Fetches = { sources: shared.map(() => undefined), tokens: 0, weightedTokens: 0 }
+  const fetches: Fetches = { sources: shared.map(() => undefined), tokens: 0, weightedTokens: 0, until: undefined }
   for (let index = heldCount; index < shared.length; index++) {
     const part = shared[index] as PromptPart
     const holders = all.filter(({ id }) => id !== replica.id && view.cachedParts.holds(id, salt, part.id) &&
       !view.health.isExcluded(id, view.now))
-    const source = holders.find(({ zone }) => zone === replica.zone) ?? holders[0]
+    const holder = holders.find(({ zone }) => zone === replica.zone) ?? holders[0]
+    const stored = view.stores.sourceOf(salt, part.id, replica.zone, view.now)
+    const source = holder?.zone === replica.zone || stored === undefined ? holder : stored
     if (source === undefined) break
+    if (source === stored) fetches.until = Math.min(fetches.until ?? Infinity, stored.validUntil)
     fetches.sources[index] = source.address
     fetches.tokens += part.tokens
     fetches.weightedTokens += part.tokens * (source.zone === replica.zone ? 1 : OTHER_ZONE_TRANSFERS)
@@ -171,6 +183,12 @@
   return fetches
 }
 
+/** Saves the parts that no store holds yet; the replica sends them once it has them, however it came by them. */
+function planSaves (shared: readonly PromptPart[], salt: string, view: SelectionView): (string | undefined)[] | undefined {
+  const saves = shared.map(part => view.stores.saveTargetOf(salt, part, view.now))
+  return saves.some(address => address !== undefined) ? [...saves, undefined] : undefined
+}
+
 function tokensOf (parts: readonly PromptPart[]): number {
   return parts.reduce((sum, { tokens }) => sum + tokens, 0)
 }
--- /dev/null
+++ b/packages/coordination/src/stores/index.ts
@@ -0,0 +1,1 @@
+export { BELIEF_LIFETIME, StoredParts, type StoreAnswer, type StoreEvent } from './storedParts.js'
--- /dev/null
+++ b/packages/gateway/src/channels/addressCalls.ts
@@ -0,0 +1,50 @@
+/** Small calls to replicas and stores, outside callers' requests. */
+import type { Milliseconds } from '@wasabihead/coordination'
+import type { ReplicaCall } from '../protocol/index.js'
+import type { ChannelPool } from './channelPool.js'
+
+/** The answer to a small call, or why there was none. */
+export type CallOutcome =
+  | { isAnswered: true, status: number, body: string }
+  | { isAnswered: false, reason: string }
+
+/** Where a call goes. */
+export interface CallTarget {
+  id: string
+  /** IP address and port. */
+  address: string
+}
+
+/** Makes one call; never rejects. */
+export async function callAddress (
+  channels: ChannelPool, target: CallTarget, call: ReplicaCall, timeout: Milliseconds
+): Promise<CallOutcome> {
+  return await new Promise(resolve => {
+    const channel = channels.take(target, true)
+    const timer = setTimeout(() => {
+      channel.abandon()
+      resolve({ isAnswered: false, reason: `no answer within ${timeout} ms` })
+    }, timeout)
+    const chunks: Buffer[] = []
+    let status = 0
+    const lengthHeader: [string, string][] = call.body === '' ? [] : [['Content-Length', String(Buffer.byteLength(call.body))]]
+    channel.send({
+      method: call.method,
+      target: call.path,
+      headers: [['Host', target.address], ...call.headers, ...lengthHeader],
+      body: call.body === '' ? undefined : Buffer.from(call.body)
+    }, {
+      isExpected: () => true,
+      onHead: head => { status = head.status },
+      onBody: chunk => { chunks.push(Buffer.from(chunk)) },
+      onEnd: () => {
+        clearTimeout(timer)
+        resolve({ isAnswered: true, status, body: Buffer.concat(chunks).toString('utf8') })
+      },
+      onFault: (fault, detail) => {
+        clearTimeout(timer)
+        resolve({ isAnswered: false, reason: `${fault}: ${detail}` })
+      }
+    })
+  })
+}
--- a/packages/gateway/src/channels/channelPool.ts
+++ b/packages/gateway/src/channels/channelPool.ts
@@ -1,5 +1,6 @@
 /** Keeps idle connections to replicas. */
-import type { Milliseconds, Replica } from '@wasabihead/coordination'
+import type { Milliseconds } from '@wasabihead/coordination'
+import type { CallTarget } from './addressCalls.js'
 import { ReplicaChannel } from './replicaChannel.js'
 
 /** Settings of the pool. */
@@ -24,8 +25,8 @@
   constructor (private readonly _settings: ChannelPoolSettings, private readonly _now: () => Milliseconds) {}
 
   /** An idle connection to the replica, the one used last, or a new one. */
-  take (replica: Replica, isRepeatable: boolean): ReplicaChannel {
-    const channels = this._channelsOf(replica)
+  take (target: CallTarget, isRepeatable: boolean): ReplicaChannel {
+    const channels = this._channelsOf(target)
     const now = this._now()
     for (let channel = channels.idle.pop(); channel !== undefined; channel = channels.idle.pop()) {
       const isFresh = isRepeatable || now - channel.usedAt <= this._settings.longestIdleForUnrepeatable
@@ -35,7 +36,7 @@
     channels.open += 1
     this.opened += 1
     return new ReplicaChannel(
-      replica.address, this._settings.connectTimeout, this._now,
+      target.address, this._settings.connectTimeout, this._now,
       idle => { channels.idle.push(idle) },
       () => { channels.open -= 1 }
     )
@@ -65,12 +66,12 @@
     }
   }
 
-  private _channelsOf (replica: Replica): ReplicaChannels {
-    const known = this._replicas.get(replica.id)
-    if (known !== undefined && known.address === replica.address) return known
-    if (known !== undefined) this.forget(replica.id)
-    const channels = { address: replica.address, idle: [], open: 0 }
-    this._replicas.set(replica.id, channels)
+  private _channelsOf ({ id, address }: CallTarget): ReplicaChannels {
+    const known = this._replicas.get(id)
+    if (known !== undefined && known.address === address) return known
+    if (known !== undefined) this.forget(id)
+    const channels = { address, idle: [], open: 0 }
+    this._replicas.set(id, channels)
     return channels
   }
 }
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -1,7 +1,7 @@
 /** One gateway instance: its parts, its start and its end. */
 import {
   CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, RepeatedCrashes, ReplicaHealth, SentPrompts,
-  ServiceCatalog,
+  ServiceCatalog, StoredParts,
   type CatalogChange, type FrontRecord, type KeyValueService, type Milliseconds
 } from '@wasabihead/coordination'
 import { CatalogLoop, FRONT_KEYS, Registration } from '../catalog/index.js'
@@ -11,6 +11,7 @@
 import type { CallerProtocol, CatalogSource, ReplicaProtocol } from '../protocol/index.js'
 import { FrontServer, type GatewayState } from '../requests/index.js'
 import { RolloutLoop } from '../rollout/index.js'
+import { StoreFollower } from '../stores/index.js'
 import { DecisionLog, GatewayMetrics } from '../telemetry/index.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 
@@ -40,6 +41,7 @@
   private readonly _registration: Registration
   private readonly _heartbeats: Heartbeats
   private readonly _rollout: RolloutLoop
+  private readonly _storeFollower: StoreFollower
   private readonly _directory: SmallServer
   private readonly _readiness: SmallServer
   private readonly _control: SmallServer
@@ -56,6 +58,7 @@
       loads: new FleetLoads(),
       loading: new LoadingReplicas(),
       sentPrompts: new SentPrompts(),
+      storedParts: new StoredParts(),
       health: new ReplicaHealth(),
       cachedParts: new CachedParts(),
       retryBudget: new FleetRetryBudget(settings.retryBudget),
@@ -75,6 +78,7 @@
     this._registration = new Registration(this.state, adapter.store, { key: `${ownPrefix}${FRONT_KEYS}${self.name}`, ...settings.registration })
     this._heartbeats = new Heartbeats(this.state, settings.heartbeats, () => this.isReady)
     this._rollout = new RolloutLoop(this.state, adapter.store, { roleKey: `${ownPrefix}rollout`, ...settings.rollout }, () => this._catalogLoop.ownValues)
+    this._storeFollower = new StoreFollower(this.state, settings.storeFollower)
     this._directory = new SmallServer(adapter.directoryQuestions(this))
     this._readiness = new SmallServer(adapter.readinessQuestions(this))
     this._control = new SmallServer(new Map([
@@ -144,11 +148,18 @@
     this.state.log.tick()
   }
 
+  private _configureStores (): void {
+    const services = this.state.catalog.routes?.configuration.services ?? []
+    this.state.storedParts.configure(services.flatMap(({ cacheStore }) => cacheStore ?? []))
+    this._storeFollower.follow()
+  }
+
   private _onChange (change: CatalogChange): void {
     const { log, channels, health, cachedParts } = this.state
     switch (change.kind) {
       case 'configuration':
         this._front.applyLimits()
+        this._configureStores()
         log.change('configuration-in-force', { version: change.version, revision: change.revision })
         break
       case 'weight-version':
--- a/packages/gateway/src/process/gatewaySettings.ts
+++ b/packages/gateway/src/process/gatewaySettings.ts
@@ -6,6 +6,7 @@
 import type { ChannelPoolSettings } from '../channels/index.js'
 import type { HeartbeatSettings } from '../peers/index.js'
 import type { RolloutLoopSettings } from '../rollout/index.js'
+import type { StoreFollowerSettings } from '../stores/index.js'
 import type { DecisionLogSettings } from '../telemetry/index.js'
 
 /** Settings of one gateway instance. */
@@ -21,6 +22,7 @@
   heartbeats: HeartbeatSettings
   channels: ChannelPoolSettings
   retryBudget: FleetRetryBudgetSettings
+  storeFollower: StoreFollowerSettings
   rollout: Omit<RolloutLoopSettings, 'roleKey'>
   leaving: {
     /** Callers that have not heard yet still come for this long. */
--- a/packages/gateway/src/protocol/replicaProtocol.ts
+++ b/packages/gateway/src/protocol/replicaProtocol.ts
@@ -1,5 +1,5 @@
 /** How replicas are asked; the names on the wire belong to the adapter. */
-import type { Milliseconds, Replica, ReplicaReport, WeightOrder } from '@wasabihead/coordination'
+import type { Milliseconds, Replica, ReplicaReport, StoreAnswer, WeightOrder } from '@wasabihead/coordination'
 import type { HeaderFields } from './callerProtocol.js'
 
 /** What the gateway adds to a request that it passes on. */
@@ -16,6 +16,10 @@
   weightVersion: number | undefined
   /** For each prompt part the address that it may be fetched from. */
   sources: readonly (string | undefined)[] | undefined
+  /** For each prompt part the store that it is saved to. */
+  saves: readonly (string | undefined)[] | undefined
+  /** When fetches must have ended, on the stores' clock. */
+  fetchUntil: Milliseconds | undefined
   /** The stream goes on after this event. */
   lastEventId: string | undefined
 }
@@ -56,6 +60,21 @@
   /** The order to load a weight version, valid only while the replica has accepted `orderCount` orders. */
   abstract orderCall (order: WeightOrder, holder: string, fencingNumber: number, orderCount: number): ReplicaCall
 
+  /** Asks a store for its events from `next` on; it may hold the question until it has some. */
+  abstract storeEventsCall (next: number, wait: Milliseconds): ReplicaCall
+
+  /** Decodes a store's events; undefined where the body is no such answer. */
+  abstract readStoreEvents (body: string): StoreAnswer | undefined
+
+  /** Asks a store for all that it holds. */
+  abstract storeListCall (): ReplicaCall
+
+  /** Decodes a store's list. */
+  abstract readStoreList (body: string): StoreAnswer | undefined
+
+  /** Frees parts of a store, only while it is in the given epoch. */
+  abstract freeCall (parts: readonly (readonly [salt: string, partId: string])[], epoch: number): ReplicaCall
+
   /** Whether the order is being carried out or already holds. */
   abstract isOrderAccepted (status: number): boolean
 }
--- a/packages/gateway/src/requests/gatewayState.ts
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -1,7 +1,7 @@
 /** What the parts of one gateway share. */
 import type {
   CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, Milliseconds, RepeatedCrashes, ReplicaHealth, SentPrompts,
-  ServiceCatalog
+  ServiceCatalog, StoredParts
 } from '@wasabihead/coordination'
 import type { ChannelPool } from '../channels/index.js'
 import type { CallerProtocol, ReplicaProtocol } from '../protocol/index.js'
@@ -14,6 +14,7 @@
   loads: FleetLoads
   loading: LoadingReplicas
   sentPrompts: SentPrompts
+  storedParts: StoredParts
   health: ReplicaHealth
   cachedParts: CachedParts
   retryBudget: FleetRetryBudget
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -95,7 +95,7 @@
       candidates: candidates.length > 0 ? candidates : replicas,
       tried: this._tried,
       demand: this._demand(now)
-    }, { loads, health, cachedParts, zone, now })
+    }, { loads, health, cachedParts, stores: this._state.storedParts, zone, now })
   }
 
   private _demand (now: Milliseconds): PromptDemand | undefined {
@@ -161,16 +161,20 @@
     })
   }
 
-  private _noteSent ({ replica, salt }: Selection): void {
-    const { catalog, cachedParts, sentPrompts } = this._state
+  private _noteSent ({ replica, salt, saves }: Selection): void {
+    const { catalog, cachedParts, sentPrompts, storedParts, now } = this._state
     const { prompt } = this._request.head
     const engine = catalog.routes?.service(this._service)?.engine
     if (prompt === undefined || salt === undefined || engine === undefined) return
     cachedParts.onSent(replica.id, salt, prompt.parts, engine.cacheTokens)
     sentPrompts.add({ replicaId: replica.id, salt, parts: prompt.parts })
+    for (const [index, address] of saves?.entries() ?? []) {
+      const part = prompt.parts[index]
+      if (address !== undefined && part !== undefined) storedParts.onSave(address, salt, part.id, now())
+    }
   }
 
-  private _headersFor ({ replica, salt, sources }: Selection, now: Milliseconds): [string, string][] {
+  private _headersFor ({ replica, salt, sources, saves, fetchUntil }: Selection, now: Milliseconds): [string, string][] {
     const { request, state } = { request: this._request, state: this._state }
     const { prompt, lastEventId } = request.head
     const headers = passedHeaders(request.rawHeaders, name => state.callerProtocol.isForwarded(name))
@@ -182,8 +186,10 @@
       priority: prompt === undefined ? undefined : request.workspace?.priority ?? request.route.priority,
       salt,
       // Parts are fetched without a look at their version, so that of the replica has to be the expected one.
-      weightVersion: sources === undefined || prompt === undefined ? undefined : replica.weightVersions[prompt.model],
+      weightVersion: (sources === undefined && saves === undefined) || prompt === undefined ? undefined : replica.weightVersions[prompt.model],
       sources,
+      saves,
+      fetchUntil: fetchUntil === undefined ? undefined : state.storedParts.storeClockAt(fetchUntil),
       lastEventId: this._relay.lastEventId ?? lastEventId
     }))
     return headers
--- a/packages/gateway/src/rollout/rolloutLoop.ts
+++ b/packages/gateway/src/rollout/rolloutLoop.ts
@@ -3,6 +3,7 @@
   LeaseKeeper, RolloutPlanner, roleRecordSchema,
   type KeyValueService, type LeaseEffect, type LeaseMessage, type Milliseconds, type RolloutSettings, type RolloutStep, type VersionedValue, type WeightOrder
 } from '@wasabihead/coordination'
+import { callAddress } from '../channels/index.js'
 import type { ReplicaCall } from '../protocol/index.js'
 import type { GatewayState } from '../requests/index.js'
 
@@ -100,34 +101,10 @@
   }
 
   private async _call ({ replica }: WeightOrder, call: ReplicaCall): Promise<{ status: number, body: string } | undefined> {
-    return await new Promise(resolve => {
-      const channel = this._state.channels.take(replica, true)
-      const timer = setTimeout(() => {
-        channel.abandon()
-        resolve(undefined)
-      }, this._settings.callTimeout)
-      const chunks: Buffer[] = []
-      let status = 0
-      channel.send({
-        method: call.method,
-        target: call.path,
-        headers: [['Host', replica.address], ...call.headers, ['Content-Length', String(Buffer.byteLength(call.body))]],
-        body: call.body === '' ? undefined : Buffer.from(call.body)
-      }, {
-        isExpected: () => true,
-        onHead: head => { status = head.status },
-        onBody: chunk => { chunks.push(Buffer.from(chunk)) },
-        onEnd: () => {
-          clearTimeout(timer)
-          resolve({ status, body: Buffer.concat(chunks).toString('utf8') })
-        },
-        onFault: (fault, detail) => {
-          clearTimeout(timer)
-          this._state.log.decision('replica-call-failed', { replica: replica.id, path: call.path, fault, detail })
-          resolve(undefined)
-        }
-      })
-    })
+    const outcome = await callAddress(this._state.channels, replica, call, this._settings.callTimeout)
+    if (outcome.isAnswered) return outcome
+    this._state.log.decision('replica-call-failed', { replica: replica.id, path: call.path, reason: outcome.reason })
+    return undefined
   }
 
   private _tell (message: LeaseMessage): void {
--- /dev/null
+++ b/packages/gateway/src/stores/index.ts
@@ -0,0 +1,1 @@
+export { StoreFollower, type StoreFollowerSettings } from './storeFollower.js'
