perf(dispatch): name a store for parts that are believed held

A replica fetches only what it lacks, so each part that a store holds now names it. Ruled out: late fetches (0), full stores (11 parts).

--- a/packages/coordination/src/dispatch/selectReplica.ts
+++ b/packages/coordination/src/dispatch/selectReplica.ts
@@ -147,7 +147,7 @@
     cost: prefillCost + transferCost + memoryCost + slotCost + versionCost + commonCost(replica, view) - affinityGain,
     freshTokens,
     fetchedTokens: fetches.tokens,
-    sources: fetches.tokens === 0 ? undefined : [...fetches.sources, undefined],
+    sources: fetches.sources.some(address => address !== undefined) ? [...fetches.sources, undefined] : undefined,
     fetchUntil: fetches.until,
     saves: planSaves(shared, salt, view),
     salt
@@ -162,27 +162,37 @@
   until: Milliseconds | undefined
 }
 
-/** Fetches the parts after the held ones, up to the first that no other replica holds. */
+/**
+ * Names a source for each part, up to the first missing one that has none. Parts that are believed held get one too, since
+ * the replica fetches only what it lacks and may have dropped them. A store is preferred: it drops nothing by itself.
+ */
 function planFetches (
   replica: Replica, shared: readonly PromptPart[], heldCount: number, salt: string, all: readonly Replica[], view: SelectionView
 ): Fetches {
   const fetches: Fetches = { sources: shared.map(() => undefined), tokens: 0, weightedTokens: 0, until: undefined }
-  for (let index = heldCount; index < shared.length; index++) {
-    const part = shared[index] as PromptPart
-    const holders = all.filter(({ id }) => id !== replica.id && view.cachedParts.holds(id, salt, part.id) &&
-      !view.health.isExcluded(id, view.now))
-    const holder = holders.find(({ zone }) => zone === replica.zone) ?? holders[0]
+  for (const [index, part] of shared.entries()) {
+    const isHeld = index < heldCount
     const stored = view.stores.sourceOf(salt, part.id, replica.zone, view.now)
-    const source = holder?.zone === replica.zone || stored === undefined ? holder : stored
-    if (source === undefined) break
-    if (source === stored) fetches.until = Math.min(fetches.until ?? Infinity, stored.validUntil)
-    fetches.sources[index] = source.address
+    const source = stored ?? (isHeld ? undefined : holderOf(replica, part, salt, all, view))
+    if (source === undefined && !isHeld) break
+    fetches.sources[index] = source?.address
+    if (stored !== undefined) fetches.until = Math.min(fetches.until ?? Infinity, stored.validUntil)
+    if (source === undefined || isHeld) continue
     fetches.tokens += part.tokens
     fetches.weightedTokens += part.tokens * (source.zone === replica.zone ? 1 : OTHER_ZONE_TRANSFERS)
   }
   return fetches
 }
 
+/** Another replica that is believed to hold the part, preferably in the same zone. */
+function holderOf (
+  replica: Replica, part: PromptPart, salt: string, all: readonly Replica[], view: SelectionView
+): Replica | undefined {
+  const holders = all.filter(({ id }) => id !== replica.id && view.cachedParts.holds(id, salt, part.id) &&
+    !view.health.isExcluded(id, view.now))
+  return holders.find(({ zone }) => zone === replica.zone) ?? holders[0]
+}
+
 /** Saves the parts that no store holds yet; the replica sends them once it has them, however it came by them. */
 function planSaves (shared: readonly PromptPart[], salt: string, view: SelectionView): (string | undefined)[] | undefined {
   const saves = shared.map(part => view.stores.saveTargetOf(salt, part, view.now))
