--- a/packages/coordination/src/dispatch/partStores.ts
+++ b/packages/coordination/src/dispatch/partStores.ts
@@ -8,6 +8,8 @@
   zone: string
   /** The fetch must have ended by then, on this instance's clock. */
   validUntil: Milliseconds
+  /** How much longer its fetches take now than without load, as measured lately. */
+  delay: Milliseconds
 }
 
 /** Answers where a part can be fetched from and saved to. */
--- a/packages/coordination/src/dispatch/selectReplica.ts
+++ b/packages/coordination/src/dispatch/selectReplica.ts
@@ -3,7 +3,7 @@
 import type { Engine, Replica } from '../catalog/index.js'
 import type { CachedParts, PromptPart } from './cachedParts.js'
 import type { FleetLoads } from './fleetLoads.js'
-import type { PartStores } from './partStores.js'
+import type { PartSource, PartStores } from './partStores.js'
 import type { ReplicaHealth } from './replicaHealth.js'
 
 /** A prompt as the caller describes it. */
@@ -49,6 +49,8 @@
   replica: Replica
   /** Predicted milliseconds until the first byte of the answer. */
   cost: number
+  /** The part of the cost that is waiting at the replica, without any fetch. */
+  wait: Milliseconds
   /** Tokens of the prompt that are neither held nor fetched. */
   freshTokens: number
   fetchedTokens: number
@@ -79,6 +81,10 @@
 const EXPECTED_SHARE = 0.5
 /** Transfers take twice as long between data centres. */
 const OTHER_ZONE_TRANSFERS = 2
+/** A part that is read again costs more than an answer that is late by less than this. */
+const LONGEST_FETCH_DELAY: Milliseconds = 300
+/** Most parts believed held are held, so that a slow store is not worth naming for them. */
+const LONGEST_DELAY_FOR_HELD_PART: Milliseconds = 100
 const BITS_PER_BYTE = 8
 /** Bits in a millisecond for each megabit in a second. */
 const BITS_PER_MILLISECOND = 1_000
@@ -116,7 +122,7 @@
   const load = view.loads.of(replica.id, view.now)
   const busyCost = (load.requests / Math.max(1, replica.slots)) * PLAIN_REQUEST_COST
   return {
-    replica, cost: busyCost + commonCost(replica, view), freshTokens: 0, fetchedTokens: 0, sources: undefined, fetchUntil: undefined, saves: undefined, salt: undefined
+    replica, cost: busyCost + commonCost(replica, view), wait: busyCost, freshTokens: 0, fetchedTokens: 0, sources: undefined, fetchUntil: undefined, saves: undefined, salt: undefined
   }
 }
 
@@ -141,10 +147,12 @@
   const missing = Math.max(0, load.memoryTokens + needed - engine.cacheTokens)
   const memoryCost = MEMORY_WAIT * missing / Math.max(1, needed)
   const slotCost = load.requests >= replica.slots ? MEMORY_WAIT : load.requests * RUNNING_REQUEST_COST
+  const wait = prefillCost + memoryCost + slotCost
   const versionCost = wantedVersion !== undefined && version < wantedVersion ? OLD_VERSION_COST : 0
   return {
     replica,
-    cost: prefillCost + transferCost + memoryCost + slotCost + versionCost + commonCost(replica, view) - affinityGain,
+    cost: wait + transferCost + fetches.delay + versionCost + commonCost(replica, view) - affinityGain,
+    wait,
     freshTokens,
     fetchedTokens: fetches.tokens,
     sources: fetches.sources.some(address => address !== undefined) ? [...fetches.sources, undefined] : undefined,
@@ -160,6 +168,7 @@
   /** Tokens, counted by how long their transfer takes. */
   weightedTokens: number
   until: Milliseconds | undefined
+  delay: Milliseconds
 }
 
 /**
@@ -169,21 +178,30 @@
 function planFetches (
   replica: Replica, shared: readonly PromptPart[], heldCount: number, salt: string, all: readonly Replica[], view: SelectionView
 ): Fetches {
-  const fetches: Fetches = { sources: shared.map(() => undefined), tokens: 0, weightedTokens: 0, until: undefined }
+  const fetches: Fetches = { sources: shared.map(() => undefined), tokens: 0, weightedTokens: 0, until: undefined, delay: 0 }
   for (const [index, part] of shared.entries()) {
     const isHeld = index < heldCount
-    const stored = view.stores.sourceOf(salt, part.id, replica.zone, view.now)
+    const stored = usableStore(part, salt, replica, isHeld, view)
     const source = stored ?? (isHeld ? undefined : holderOf(replica, part, salt, all, view))
     if (source === undefined && !isHeld) break
     fetches.sources[index] = source?.address
     if (stored !== undefined) fetches.until = Math.min(fetches.until ?? Infinity, stored.validUntil)
     if (source === undefined || isHeld) continue
+    fetches.delay = Math.max(fetches.delay, stored?.delay ?? 0)
     fetches.tokens += part.tokens
     fetches.weightedTokens += part.tokens * (source.zone === replica.zone ? 1 : OTHER_ZONE_TRANSFERS)
   }
   return fetches
 }
 
+function usableStore (
+  part: PromptPart, salt: string, replica: Replica, isHeld: boolean, view: SelectionView
+): PartSource | undefined {
+  const stored = view.stores.sourceOf(salt, part.id, replica.zone, view.now)
+  const longestDelay = isHeld ? LONGEST_DELAY_FOR_HELD_PART : LONGEST_FETCH_DELAY
+  return stored !== undefined && stored.delay <= longestDelay ? stored : undefined
+}
+
 /** Another replica that is believed to hold the part, preferably in the same zone. */
 function holderOf (
   replica: Replica, part: PromptPart, salt: string, all: readonly Replica[], view: SelectionView
--- a/packages/coordination/src/stores/storedParts.ts
+++ b/packages/coordination/src/stores/storedParts.ts
@@ -7,6 +7,7 @@
  */
 import { placementHash, type Milliseconds } from '../common/index.js'
 import type { CacheStoreDescription } from '../catalog/index.js'
+import { FadingAverage } from './fadingAverage.js'
 import type { PartSource, PartStores, PromptPart } from '../dispatch/index.js'
 
 /** Beliefs about a store count for this long after its last answer. */
@@ -15,6 +16,8 @@
 const QUIET_AFTER_RESTART: Milliseconds = 3_000
 /** A part that was sent to be saved is not sent again within this time. */
 const SAVE_INTERVAL: Milliseconds = 2_500
+/** A save to a slower store would hold up the replica's other transfers. */
+const LONGEST_DELAY_FOR_SAVES: Milliseconds = 150
 /** Parts are saved up to this share of a store. */
 const FILL_SHARE = 0.97
 
@@ -47,6 +50,7 @@
   answeredAt: Milliseconds
   savesFrom: Milliseconds
   usedTokens: number
+  delay: FadingAverage
   /** Key to tokens. */
   parts: Map<string, number>
   /** Key to when it was last sent to be saved. */
@@ -56,6 +60,7 @@
 /** Holds the beliefs about all stores. */
 export class StoredParts implements PartStores {
   private readonly _stores = new Map<string, KnownStore>()
+  private readonly _usualExcess = new FadingAverage()
   private _clockOffset: Milliseconds | undefined
 
   /** Takes the configured stores. */
@@ -112,7 +117,7 @@
     for (const [address, store] of this._stores) {
       const validUntil = store.answeredAt + BELIEF_LIFETIME
       if (this._clockOffset === undefined || !store.isListed || now >= validUntil || !store.parts.has(key)) continue
-      const source = { address, zone: store.description.zone, validUntil }
+      const source = { address, zone: store.description.zone, validUntil, delay: this._delayOf(store, now) }
       if (best === undefined || (best.zone !== zone && source.zone === zone)) best = source
     }
     return best
@@ -127,7 +132,7 @@
       const savedAt = store.saves.get(key)
       if (savedAt !== undefined && now - savedAt < SAVE_INTERVAL) return undefined
       const isOpen = store.isListed && now - store.answeredAt < BELIEF_LIFETIME && now >= store.savesFrom &&
-        store.description.isManaged && store.usedTokens + part.tokens <= store.description.capacityTokens * FILL_SHARE
+        store.description.isManaged && this._delayOf(store, now) < LONGEST_DELAY_FOR_SAVES && store.usedTokens + part.tokens <= store.description.capacityTokens * FILL_SHARE
       if (!isOpen) continue
       const weight = rendezvousWeight(`${key}|${address}`, store.description.capacityTokens)
       if (best === undefined || weight > best.weight) best = { address, weight }
@@ -148,6 +153,16 @@
     }
   }
 
+  /** A request that fetched from the store waited for `excess` more than was predicted without the fetch. */
+  onFetched (address: string, excess: Milliseconds, now: Milliseconds): void {
+    this._stores.get(address)?.delay.add(excess, now)
+  }
+
+  /** A request without any fetch waited for `excess` more than was predicted. */
+  onUnfetched (excess: Milliseconds, now: Milliseconds): void {
+    this._usualExcess.add(excess, now)
+  }
+
   /** The parts of a store whose salt is chosen, for freeing. */
   partsOf (address: string, isChosen: (salt: string) => boolean): { epoch: number, parts: [salt: string, partId: string][] } | undefined {
     const store = this._stores.get(address)
@@ -161,6 +176,11 @@
     return { epoch: store.epoch, parts }
   }
 
+  /** What a store's fetches add to the error that predictions have without any. */
+  private _delayOf (store: KnownStore, now: Milliseconds): Milliseconds {
+    return Math.max(0, store.delay.value(now) - this._usualExcess.value(now))
+  }
+
   private _noteEpoch (store: KnownStore, epoch: number, now: Milliseconds): void {
     if (store.epoch === epoch) return
     store.epoch = epoch
@@ -197,6 +217,7 @@
     answeredAt: -Infinity,
     savesFrom: Infinity,
     usedTokens: 0,
+    delay: new FadingAverage(),
     parts: new Map(),
     saves: new Map()
   }
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -33,7 +33,9 @@
   sentAt: Milliseconds
   prefillTokens: number
   memoryTokens: number
+  selection: Selection
   hasHead: boolean
+  hasBody: boolean
   isOver: boolean
   silenceTimer: NodeJS.Timeout | undefined
 }
@@ -122,7 +124,9 @@
       sentAt: now,
       prefillTokens: selection.freshTokens,
       memoryTokens: prompt === undefined ? 0 : prompt.inputTokens + prompt.maximumOutputTokens,
+      selection,
       hasHead: false,
+      hasBody: false,
       isOver: false,
       silenceTimer: undefined
     }
@@ -236,6 +240,7 @@
       this._failure.body.push(chunk)
       return
     }
+    this._noteFirstByte(attempt)
     this._settlePrefill(attempt)
     if (this._relay.kind === 'events') this._watchSilence(attempt, this._isRepeatable ? STREAM_SILENCE : undefined)
     const mayGoOn = this._relay.onBody(chunk)
@@ -321,6 +326,19 @@
     this._attempt = undefined
   }
 
+  /** Fetches are judged by how much longer the first byte took than the replica's queue explains. */
+  private _noteFirstByte (attempt: Attempt): void {
+    if (attempt.hasBody) return
+    attempt.hasBody = true
+    const { selection } = attempt
+    if (selection.salt === undefined) return
+    const now = this._state.now()
+    const excess = now - attempt.sentAt - selection.wait
+    const { storedParts } = this._state
+    if (selection.fetchedTokens === 0) storedParts.onUnfetched(excess, now)
+    else for (const address of new Set(selection.sources)) if (address !== undefined) storedParts.onFetched(address, excess, now)
+  }
+
   private _settlePrefill (attempt: Attempt): void {
     if (attempt.prefillTokens === 0) return
     this._state.loads.add(attempt.replica.id, { requests: 0, prefillTokens: -attempt.prefillTokens, memoryTokens: 0 })
