fix(rollout): take over sooner, tell others what has loaded, and send nothing to replaced weights near the bound

It now counts from the last time at which the former holder may have acted, which it knows from the renewal it saw; the role lives 1.2 s. Loads are told in heartbeats, and from two seconds before the bound only replicas with the named version get requests.

--- a/packages/coordination/src/fronts/messages.ts
+++ b/packages/coordination/src/fronts/messages.ts
@@ -32,6 +32,8 @@
   sent: z.array(z.tuple([z.string(), z.string(), z.array(z.tuple([z.string(), z.number()]))])),
   /** Replicas that the sender has ordered to load weights. */
   loading: z.array(z.string()),
+  /** Replicas that have loaded a weight version lately. */
+  loaded: z.array(z.object({ replicaId: z.string(), model: z.string(), version: z.number() })),
   /** Crashes of replicas, with the request under which they happened. */
   crashes: z.array(z.object({ fingerprint: z.string(), replicaRun: z.string() }))
 })
--- a/packages/coordination/src/leases/heldLease.ts
+++ b/packages/coordination/src/leases/heldLease.ts
@@ -15,9 +15,14 @@
   /** @param timeToLive as granted by the service */
   constructor (readonly timeToLive: Milliseconds) {}
 
+  /** How long a holder believes in a lease after it sent its renewal. */
+  static surelyHeldFor (timeToLive: Milliseconds): Milliseconds {
+    return timeToLive * (1 - SAFETY_SHARE)
+  }
+
   /** The grant or a renewal was answered; `sentAt` is the time before the call was sent. */
   confirm (sentAt: Milliseconds): void {
-    this._heldUntil = Math.max(this._heldUntil, sentAt + this.timeToLive * (1 - SAFETY_SHARE))
+    this._heldUntil = Math.max(this._heldUntil, sentAt + HeldLease.surelyHeldFor(this.timeToLive))
   }
 
   /** When the lease stops being surely held, on the local monotonic clock. */
--- a/packages/coordination/src/leases/roleLease.ts
+++ b/packages/coordination/src/leases/roleLease.ts
@@ -57,6 +57,7 @@
   private _view: RoleView | undefined
   /** Since when this instance has seen the key unchanged. */
   private _unchangedSince: Milliseconds = 0
+  private _formerHeldUntil: Milliseconds = -Infinity
   private _sent: { record: RoleRecord, at: Milliseconds } | undefined
 
   /**
@@ -77,6 +78,11 @@
     return this._lease.heldUntil
   }
 
+  /** Until when the holder before this one may have acted; -Infinity where there was none. */
+  get formerHeldUntil (): Milliseconds {
+    return this._formerHeldUntil
+  }
+
   /** Takes one message; gives the call to make, if any. */
   handle (message: LeaseMessage, now: Milliseconds): LeaseEffect[] {
     switch (message.kind) {
@@ -108,12 +114,19 @@
     if (isOwn) return this._keep(view, view.record as RoleRecord, now)
     const isFree = view.record === undefined || view.record.isReleased || now - this._unchangedSince >= this.timeToLive
     if (isFree) {
+      this._formerHeldUntil = this._actedUntil(view)
       const epoch = (view.record?.epoch ?? 0) + 1
       return this._write(view, { holder: this._self, epoch, renewal: 0, isReleased: false }, now)
     }
     return now >= this._nextReadAt ? this._read(now) : []
   }
 
+  /** A renewal was sent before it was seen; a holder that gives the role back stops before it writes so. */
+  private _actedUntil ({ record }: RoleView): Milliseconds {
+    if (record === undefined) return -Infinity
+    return record.isReleased ? this._unchangedSince : this._unchangedSince + HeldLease.surelyHeldFor(this.timeToLive)
+  }
+
   /** Winning against the revision that was last seen shows that nobody else held the role meanwhile: the epoch stays. */
   private _keep (view: RoleView, own: RoleRecord, now: Milliseconds): LeaseEffect[] {
     const renewed = { ...own, renewal: own.renewal + 1 }
--- a/packages/coordination/src/rollout/index.ts
+++ b/packages/coordination/src/rollout/index.ts
@@ -1,4 +1,4 @@
 export { LoadingReplicas } from './loadingReplicas.js'
 export {
-  RolloutPlanner, type ReplicaReport, type RolloutSettings, type RolloutStep, type WeightOrder
+  RolloutPlanner, type LoadedReplica, type ReplicaReport, type RolloutSettings, type RolloutStep, type WeightOrder
 } from './rolloutPlanner.js'
--- a/packages/coordination/src/rollout/loadingReplicas.ts
+++ b/packages/coordination/src/rollout/loadingReplicas.ts
@@ -1,29 +1,38 @@
 /** Replicas that load new weights, as the instance that orders them tells the others. */
 import type { Milliseconds } from '../common/index.js'
+import type { LoadedReplica } from './rolloutPlanner.js'
 
 /** What was told longer ago no longer counts. */
 const LIFETIME: Milliseconds = 1_000
 
+interface Told {
+  heardAt: Milliseconds
+  loading: ReadonlySet<string>
+  loaded: readonly LoadedReplica[]
+}
+
 /** Holds what each instance told last. */
 export class LoadingReplicas {
-  private readonly _byInstance = new Map<string, { heardAt: Milliseconds, replicaIds: ReadonlySet<string> }>()
+  private readonly _byInstance = new Map<string, Told>()
 
   /** Takes what an instance tells, which replaces what it told before. */
-  hear (instance: string, replicaIds: readonly string[], now: Milliseconds): void {
-    if (replicaIds.length === 0) this._byInstance.delete(instance)
-    else this._byInstance.set(instance, { heardAt: now, replicaIds: new Set(replicaIds) })
+  hear (instance: string, loading: readonly string[], loaded: readonly LoadedReplica[], now: Milliseconds): void {
+    if (loading.length === 0 && loaded.length === 0) this._byInstance.delete(instance)
+    else this._byInstance.set(instance, { heardAt: now, loading: new Set(loading), loaded })
   }
 
   /** What an instance told last. */
-  toldBy (instance: string, now: Milliseconds): string[] {
+  toldBy (instance: string, now: Milliseconds): { loading: string[], loaded: readonly LoadedReplica[] } {
     const told = this._byInstance.get(instance)
-    return told === undefined || now - told.heardAt > LIFETIME ? [] : [...told.replicaIds]
+    return told === undefined || now - told.heardAt > LIFETIME
+      ? { loading: [], loaded: [] }
+      : { loading: [...told.loading], loaded: told.loaded }
   }
 
   /** Whether the replica is loading, so that it refuses requests. */
   has (replicaId: string, now: Milliseconds): boolean {
-    for (const { heardAt, replicaIds } of this._byInstance.values()) {
-      if (now - heardAt <= LIFETIME && replicaIds.has(replicaId)) return true
+    for (const { heardAt, loading } of this._byInstance.values()) {
+      if (now - heardAt <= LIFETIME && loading.has(replicaId)) return true
     }
     return false
   }
--- a/packages/coordination/src/rollout/rolloutPlanner.ts
+++ b/packages/coordination/src/rollout/rolloutPlanner.ts
@@ -35,6 +35,16 @@
   isSent: boolean
 }
 
+/** A replica that has loaded a version. */
+export interface LoadedReplica {
+  replicaId: string
+  model: string
+  version: number
+}
+
+/** Others learn of a loaded replica by its registration after this time at the latest. */
+const LOADED_NEWS: Milliseconds = 3_000
+
 interface OpenOrder {
   order: WeightOrder
   startedAt: number
@@ -45,6 +55,7 @@
 /** Plans the orders for one model after another. */
 export class RolloutPlanner {
   private readonly _open = new Map<string, OpenOrder>()
+  private _loaded: { loaded: LoadedReplica, at: Milliseconds }[] = []
 
   constructor (private readonly _settings: RolloutSettings) {}
 
@@ -94,6 +105,17 @@
     if (open !== undefined) open.sentAt = undefined
   }
 
+  /** A report showed that the replica has loaded a version. */
+  onLoaded (loaded: LoadedReplica, now: Milliseconds): void {
+    this._loaded.push({ loaded, at: now })
+  }
+
+  /** What others may not know yet. */
+  recentlyLoaded (now: Milliseconds): LoadedReplica[] {
+    this._loaded = this._loaded.filter(({ at }) => now - at < LOADED_NEWS)
+    return this._loaded.map(({ loaded }) => loaded)
+  }
+
   /** This instance no longer gives orders. */
   clear (): void {
     this._open.clear()
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -79,13 +79,15 @@
       loads[id] = [load.requests, Math.round(load.prefillTokens), Math.round(load.memoryTokens)]
     }
     const { fronts, sentPrompts, loading, now } = this._state
+    const orders = loading.toldBy(fronts.self.name, now())
     return {
       from: fronts.self,
       isReady: this._isReady(),
       peers,
       loads,
       sent: sentPrompts.take().map(({ replicaId, salt, parts }) => [replicaId, salt, parts.map(({ id, tokens }) => [id, tokens])]),
-      loading: loading.toldBy(fronts.self.name, now()),
+      loading: orders.loading,
+      loaded: [...orders.loaded],
       crashes: this._crashes.map(({ report }) => report)
     }
   }
@@ -103,7 +105,11 @@
       loads.set(id, { requests, prefillTokens, memoryTokens })
     }
     this._state.loads.hear(heartbeat.from.name, loads, now)
-    this._state.loading.hear(heartbeat.from.name, heartbeat.loading, now)
+    this._state.loading.hear(heartbeat.from.name, heartbeat.loading, heartbeat.loaded, now)
+    for (const { replicaId, model, version } of heartbeat.loaded) {
+      const replica = this._state.catalog.replica(replicaId)
+      if (replica !== undefined) this._state.catalog.observeWeightVersion(replica, model, version)
+    }
     for (const [replicaId, salt, parts] of heartbeat.sent) this._takeSent(replicaId, salt, parts)
     for (const crash of heartbeat.crashes) this._state.crashes.record(crash, now)
   }
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -69,6 +69,7 @@
       log: new DecisionLog({ host: self.name, ...settings.log }),
       metrics: new GatewayMetrics(),
       zone: self.zone,
+      oldWeights: settings.oldWeights,
       now,
       random
     }
--- a/packages/gateway/src/process/gatewaySettings.ts
+++ b/packages/gateway/src/process/gatewaySettings.ts
@@ -5,6 +5,7 @@
 import type { CatalogLoopSettings, RegistrationSettings } from '../catalog/index.js'
 import type { ChannelPoolSettings } from '../channels/index.js'
 import type { HeartbeatSettings } from '../peers/index.js'
+import type { OldWeightsSettings } from '../requests/index.js'
 import type { RolloutLoopSettings } from '../rollout/index.js'
 import type { StoreFollowerSettings } from '../stores/index.js'
 import type { DecisionLogSettings } from '../telemetry/index.js'
@@ -22,6 +23,7 @@
   heartbeats: HeartbeatSettings
   channels: ChannelPoolSettings
   retryBudget: FleetRetryBudgetSettings
+  oldWeights: OldWeightsSettings
   storeFollower: StoreFollowerSettings
   rollout: Omit<RolloutLoopSettings, 'roleKey'>
   leaving: {
--- a/packages/gateway/src/requests/gatewayState.ts
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -7,6 +7,14 @@
 import type { CallerProtocol, ReplicaProtocol } from '../protocol/index.js'
 import type { DecisionLog, GatewayMetrics } from '../telemetry/index.js'
 
+/** How requests treat replicas whose weights were replaced. Times count from when the new version was first seen. */
+export interface OldWeightsSettings {
+  /** From then on replicas with the new version are preferred. */
+  avoidAfter: Milliseconds
+  /** From then on only they get requests. */
+  excludeAfter: Milliseconds
+}
+
 /** Beliefs, connections and tools. */
 export interface GatewayState {
   catalog: ServiceCatalog
@@ -25,6 +33,7 @@
   log: DecisionLog
   metrics: GatewayMetrics
   zone: string
+  oldWeights: OldWeightsSettings
   now: () => Milliseconds
   /** At least 0 and below 1. */
   random: () => number
--- a/packages/gateway/src/requests/index.ts
+++ b/packages/gateway/src/requests/index.ts
@@ -1,2 +1,2 @@
 export { FrontServer } from './frontServer.js'
-export { type GatewayState } from './gatewayState.js'
+export { type GatewayState, type OldWeightsSettings } from './gatewayState.js'
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -20,8 +20,6 @@
 const STREAM_SILENCE: Milliseconds = 1_500
 /** An attempt with less time than this left is not worth sending. */
 const SHORTEST_ATTEMPT: Milliseconds = 15
-/** A replaced version costs nothing for this long after the new one was named; a little earlier, since naming is seen late. */
-const OLD_VERSION_GRACE: Milliseconds = 500
 const SUCCESS_BEGIN = 200
 const FAILURE_BEGIN = 500
 const BAD_GATEWAY = 502
@@ -90,23 +88,30 @@
   private _select (): Selection | undefined {
     const { catalog, loads, health, cachedParts, loading, zone } = this._state
     const now = this._state.now()
-    const replicas = catalog.usableReplicas(this._service)
-    const candidates = replicas.filter(({ id }) => !loading.has(id, now))
+    const current = this._withCurrentWeights(catalog.usableReplicas(this._service), now)
+    const candidates = current.filter(({ id }) => !loading.has(id, now))
     return selectReplica({
       // A replica that is loading refuses requests until it is done.
-      candidates: candidates.length > 0 ? candidates : replicas,
+      candidates: candidates.length > 0 ? candidates : current,
       tried: this._tried,
       demand: this._demand(now)
     }, { loads, health, cachedParts, stores: this._state.storedParts, zone, now })
   }
 
+  private _withCurrentWeights (replicas: readonly Replica[], now: Milliseconds): readonly Replica[] {
+    const { prompt } = this._request.head
+    const named = prompt === undefined ? undefined : this._state.catalog.namedVersion(prompt.model)
+    if (prompt === undefined || named === undefined || now - named.seenAt < this._state.oldWeights.excludeAfter) return replicas
+    return replicas.filter(({ weightVersions }) => (weightVersions[prompt.model] ?? 0) >= named.version)
+  }
+
   private _demand (now: Milliseconds): PromptDemand | undefined {
     const { catalog } = this._state
     const { prompt } = this._request.head
     const engine = catalog.routes?.service(this._service)?.engine
     if (prompt === undefined || engine === undefined) return undefined
     const named = catalog.namedVersion(prompt.model)
-    const isOverdue = named !== undefined && now - named.seenAt > OLD_VERSION_GRACE
+    const isOverdue = named !== undefined && now - named.seenAt > this._state.oldWeights.avoidAfter
     return {
       prompt, engine, saltFor: version => `${this._wall}/${prompt.model}/${version}`, wantedVersion: isOverdue ? named.version : undefined
     }
--- a/packages/gateway/src/rollout/rolloutLoop.ts
+++ b/packages/gateway/src/rollout/rolloutLoop.ts
@@ -57,7 +57,7 @@
     if (epoch !== this._epoch) this._noteEpoch(epoch, now)
     const { name } = state.fronts.self
     if (epoch === undefined || now < this._ordersFrom) {
-      state.loading.hear(name, [], now)
+      state.loading.hear(name, [], [], now)
       return
     }
     const byLoad = state.catalog.replicas
@@ -68,14 +68,13 @@
       const version = state.catalog.namedVersion(model)?.version ?? 0
       for (const step of this._planner.next(byLoad, model, version, now)) void this._take(step, epoch)
     }
-    state.loading.hear(name, this._planner.loading, now)
+    state.loading.hear(name, this._planner.loading, this._planner.recentlyLoaded(now), now)
   }
 
   private _noteEpoch (epoch: number | undefined, now: Milliseconds): void {
     this._epoch = epoch
     this._planner.clear()
-    // Orders of the last holder may still be on their way; the first holder of all has no one before it.
-    this._ordersFrom = epoch === 1 ? now : now + this._settings.turnInterval
+    this._ordersFrom = Math.max(now, this._keeper.formerHeldUntil + this._settings.turnInterval)
     this._state.log.change(epoch === undefined ? 'rollout-role-lost' : 'rollout-role-won', { epoch })
   }
 
@@ -91,7 +90,11 @@
       return
     }
     const loaded = report.weightVersions[model] ?? 0
-    if (!report.isBusy && catalog.observeWeightVersion(replica, model, loaded)) log.change('replica-loaded', { ...fields, loaded })
+    if (!report.isBusy && loaded >= version) {
+      log.change('replica-loaded', { ...fields, loaded })
+      this._planner.onLoaded({ replicaId: replica.id, model, version: loaded }, now())
+    }
+    if (!report.isBusy) catalog.observeWeightVersion(replica, model, loaded)
     // The role may have been lost while the report was awaited.
     if (!this._planner.isNeeded(step, report) || this._keeper.epoch(now()) !== epoch) return
     this._planner.onSent(order, now())
