--- a/eslint.config.js
+++ b/eslint.config.js
@@ -35,6 +35,30 @@
       }]
     }
   },
+  {
+    files: ['packages/gateway/src/**/*.ts', 'platform/src/**/*.ts'],
+    ignores: ['**/*.spec.ts'],
+    rules: {
+      'no-restricted-imports': ['error', {
+        paths: ['node:child_process', 'node:cluster', 'node:worker_threads']
+          .map(name => ({ name, message: 'A process starts no other process and keeps to one thread.' })),
+        patterns: [{
+          group: ['@wasabihead/standins', '@wasabihead/experiments', '@wasabihead/tests', '@wasabihead/daemon', '@wasabihead/cli'],
+          message: 'The gateway knows the library alone, and the adapter knows the gateway.'
+        }]
+      }]
+    }
+  },
+  {
+    files: ['packages/{gateway,coordination}/src/**/*.ts'],
+    ignores: ['**/*.spec.ts'],
+    rules: {
+      'no-restricted-syntax': ['error', {
+        selector: 'Literal[value=/x-wasabihead-|api-key|\\bkv-|^op\\/|^servers\\//i]',
+        message: 'Names on the users\' platform are decoded in platform/.'
+      }]
+    }
+  },
   {
     files: ['packages/standins/src/**/*.ts'],
     rules: {
--- /dev/null
+++ b/packages/coordination/src/catalog/catalog.spec.ts
@@ -0,0 +1,109 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { RouteTable, ServiceCatalog, type CatalogListing, type Replica, type Route, type RoutingConfiguration } from './index.js'
+
+const baseRoute: Route = {
+  name: 'r',
+  host: 'h.example',
+  pathPrefix: '/a/',
+  kind: 'safe',
+  targets: [{ service: 's', weight: 1 }],
+  timeout: 1_000,
+  objective: 300,
+  maximumAttempts: 2,
+  priority: 0,
+  isPublic: false,
+  isResumable: false
+}
+const configuration = (version: number, routes: Partial<Route>[]): RoutingConfiguration => ({
+  version,
+  routes: routes.map(route => ({ ...baseRoute, ...route })),
+  services: [],
+  workspaces: [{ name: 'w', keys: ['k'], isIsolated: false }],
+  limits: { maximumHeaderBytes: 1_000, maximumBodyBytes: 1_000, headerTimeout: 1_000, idleTimeout: 1_000 }
+})
+const replica = (id: string, change: Partial<Replica> = {}): Replica => ({
+  id, service: 's', address: '10.0.0.1:80', zone: 'z', slots: 4, isDraining: false, weightVersions: { m: 1 }, startedAt: 1, ...change
+})
+const listing = (replicas: [Replica, revision: number][], rest: Partial<CatalogListing> = {}): CatalogListing => ({
+  replicas: replicas.map(([value, revision]) => ({ value, revision })), weightVersions: [], ...rest
+})
+const settings = { returnGrace: 2_500, longestGap: 3_600 }
+
+const matches = [
+  { title: 'the longest prefix', host: 'h.example', path: '/a/b/c', key: 'k', expected: 'long' },
+  { title: 'a host in other case and with a port', host: 'H.example:8080', path: '/a/x', key: 'k', expected: 'short' },
+  { title: 'no route on another host', host: 'other.example', path: '/a/x', key: 'k', expected: 'no-route' },
+  { title: 'no route where the prefix is cut inside a segment', host: 'h.example', path: '/ab/', key: 'k', expected: 'no-route' },
+  { title: 'an unknown key', host: 'h.example', path: '/a/x', key: 'other', expected: 'unknown-key' },
+  { title: 'a public route without a key', host: 'h.example', path: '/open/x', key: undefined, expected: 'public' }
+]
+for (const { title, host, path, key, expected } of matches) {
+  test(`should find ${title}`, () => {
+    const table = new RouteTable(configuration(1, [
+      { name: 'short' }, { name: 'long', pathPrefix: '/a/b/' }, { name: 'public', pathPrefix: '/open/', isPublic: true }
+    ]))
+    const match = table.match(host, path, key)
+    assert.is(typeof match === 'string' ? match : match.route.name, expected)
+  })
+}
+
+test('should never go back to an older configuration, whoever tells it', () => {
+  const catalog = new ServiceCatalog(settings)
+  catalog.applyListing(listing([], { configuration: { revision: 7, value: configuration(3, []) } }), 0, 0)
+  catalog.applyPeerListing(listing([], { configuration: { revision: 6, value: configuration(2, []) } }), 10)
+  catalog.applyListing(listing([], { configuration: { revision: 5, value: configuration(1, []) } }), 20, 20)
+  assert.is(catalog.routes?.configuration.version, 3)
+})
+
+test('should send nothing to a draining replica', () => {
+  const catalog = new ServiceCatalog(settings)
+  catalog.applyListing(listing([[replica('a'), 1], [replica('b'), 1]]), 0, 0)
+  const changes = catalog.applyListing(listing([[replica('a', { isDraining: true }), 2], [replica('b'), 1]]), 100, 100)
+  assert.equal(changes.map(({ kind }) => kind), ['replica-draining'])
+  assert.equal(catalog.usableReplicas('s').map(({ id }) => id), ['b'])
+})
+
+test('should drop an unlisted replica at once while the store answers', () => {
+  const catalog = new ServiceCatalog(settings)
+  catalog.applyListing(listing([[replica('a'), 1]]), 0, 0)
+  catalog.applyListing(listing([]), 800, 800)
+  assert.equal(catalog.usableReplicas('s'), [])
+})
+
+test('should keep entries that lapsed while the store was away until they had time to return', () => {
+  const catalog = new ServiceCatalog(settings)
+  catalog.applyListing(listing([[replica('a'), 1], [replica('b'), 1]]), 0, 0)
+  catalog.applyListing(listing([[replica('a'), 9]]), 10_000, 10_000)
+  assert.is(catalog.usableReplicas('s').length, 2)
+  catalog.applyListing(listing([[replica('a'), 9]]), 12_600, 12_600)
+  assert.equal(catalog.usableReplicas('s').map(({ id }) => id), ['a'])
+})
+
+// hfs-onboard trouble-2, seed 123215999: an instance that had been frozen kept sending to a replica that left after its return.
+test('should drop a replica that was listed after the return and then left', () => {
+  const catalog = new ServiceCatalog(settings)
+  catalog.applyListing(listing([[replica('a'), 1]]), 0, 0)
+  catalog.applyListing(listing([[replica('a'), 1]]), 10_000, 10_000)
+  catalog.applyListing(listing([]), 10_800, 10_800)
+  assert.equal(catalog.usableReplicas('s'), [])
+})
+
+test('should tell a restart under the same id, and forget the weights of the run before', () => {
+  const catalog = new ServiceCatalog(settings)
+  catalog.applyListing(listing([[replica('a'), 1]]), 0, 0)
+  catalog.observeWeightVersion(replica('a'), 'm', 3)
+  const changes = catalog.applyListing(listing([[replica('a', { startedAt: 2 }), 2]]), 800, 800)
+  assert.equal(changes.map(({ kind }) => kind), ['replica-removed', 'replica-added'])
+  assert.is(catalog.replica('a')?.weightVersions.m, 1)
+})
+
+test('should keep an observed weight version over a registration that is older', () => {
+  const catalog = new ServiceCatalog(settings)
+  catalog.applyListing(listing([[replica('a'), 1]]), 0, 0)
+  assert.ok(catalog.observeWeightVersion(replica('a'), 'm', 2))
+  catalog.applyListing(listing([[replica('a'), 5]]), 800, 800)
+  assert.is(catalog.replica('a')?.weightVersions.m, 2)
+})
+
+test.run()
--- a/packages/coordination/src/catalog/routeTable.ts
+++ b/packages/coordination/src/catalog/routeTable.ts
@@ -26,7 +26,9 @@
       this._routesByHost.set(host, routes)
     }
     // The longest prefix that begins the path wins.
-    for (const routes of this._routesByHost.values()) routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)
+    for (const routes of this._routesByHost.values()) {
+      routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)
+    }
     for (const workspace of configuration.workspaces ?? []) {
       for (const key of workspace.keys) this._workspaceByKey.set(key, workspace)
     }
--- /dev/null
+++ b/packages/coordination/src/dispatch/dispatch.spec.ts
@@ -0,0 +1,139 @@
+import fc from 'fast-check'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { Engine, Replica } from '../catalog/index.js'
+import {
+  CachedParts, decideAfterAttempt, FleetLoads, FleetRetryBudget, RepeatedCrashes, ReplicaHealth, selectReplica,
+  type AttemptContext, type AttemptEnd, type PartStores, type Prompt, type SelectionView
+} from './index.js'
+
+const NO_STORES: PartStores = { sourceOf: () => undefined, saveTargetOf: () => undefined }
+const engine: Engine = { slots: 8, cacheTokens: 50_000, bytesPerToken: 327_680, linkMegabitsPerSecond: 550_000, models: ['m'] }
+const replica = (id: string, change: Partial<Replica> = {}): Replica => ({
+  id, service: 's', address: `10.0.0.1:${id}`, zone: 'z', slots: 8, isDraining: false, weightVersions: { m: 1 }, startedAt: 1, ...change
+})
+const prompt: Prompt = {
+  model: 'm', inputTokens: 9_000, maximumOutputTokens: 20, parts: [{ id: 'a', tokens: 2_500 }, { id: 'b', tokens: 5_000 }, { id: 'own', tokens: 1_500 }]
+}
+const view = (change: Partial<SelectionView> = {}): SelectionView => ({
+  loads: new FleetLoads(), health: new ReplicaHealth(), cachedParts: new CachedParts(), stores: NO_STORES, zone: 'z', now: 0, ...change
+})
+const demand = (wantedVersion?: number) => ({ prompt, engine, saltFor: (version: number) => `/m/${version}`, wantedVersion })
+const candidates = ['1', '2', '3', '4'].map(id => replica(id))
+
+test('should choose the replica that holds the prompt, and another when it is loaded', () => {
+  const chosen = view()
+  chosen.cachedParts.onSent('3', '/m/1', prompt.parts, engine.cacheTokens)
+  assert.is(selectReplica({ candidates, tried: new Set(), demand: demand() }, chosen)?.replica.id, '3')
+  chosen.loads.add('3', { requests: 5, prefillTokens: 40_000, memoryTokens: 45_000 })
+  assert.is.not(selectReplica({ candidates, tried: new Set(), demand: demand() }, chosen)?.replica.id, '3')
+})
+
+test('should name another replica as the source of parts that the chosen one lacks', () => {
+  const chosen = view()
+  chosen.cachedParts.onSent('3', '/m/1', prompt.parts, engine.cacheTokens)
+  const selection = selectReplica({ candidates, tried: new Set(['3']), demand: demand() }, chosen)
+  assert.equal(selection?.sources, ['10.0.0.1:3', '10.0.0.1:3', undefined])
+  assert.is(selection?.fetchedTokens, 7_500)
+})
+
+// hfs-onboard quiet-1: replicas had dropped a third of the parts that were believed held, and read them again.
+test('should name a store for a part that is believed held, and bound the fetch', () => {
+  const stores: PartStores = { ...NO_STORES, sourceOf: () => ({ address: 'store', zone: 'z', validUntil: 700, delay: 0 }) }
+  const chosen = view({ stores })
+  chosen.cachedParts.onSent('3', '/m/1', prompt.parts, engine.cacheTokens)
+  const selection = selectReplica({ candidates: [replica('3')], tried: new Set(), demand: demand() }, chosen)
+  assert.equal([selection?.sources, selection?.fetchedTokens, selection?.fetchUntil], [['store', 'store', undefined], 0, 700])
+})
+
+test('should not fetch from a store that has become slow', () => {
+  const stores: PartStores = { ...NO_STORES, sourceOf: () => ({ address: 'store', zone: 'z', validUntil: 700, delay: 900 }) }
+  assert.is(selectReplica({ candidates, tried: new Set(), demand: demand() }, view({ stores }))?.sources, undefined)
+})
+
+test('should keep the parts of two weight versions apart', () => {
+  const chosen = view()
+  chosen.cachedParts.onSent('3', '/m/1', prompt.parts, engine.cacheTokens)
+  const updated = [replica('1', { weightVersions: { m: 2 } }), replica('3')]
+  const selection = selectReplica({ candidates: updated, tried: new Set(['3']), demand: demand(2) }, chosen)
+  assert.equal([selection?.salt, selection?.sources], ['/m/2', undefined])
+})
+
+test('should try an unreachable replica with one request at a time', () => {
+  const chosen = view()
+  chosen.health.record('1', 'unreachable', 0)
+  const ask = (now: number) => selectReplica({ candidates: [replica('1'), replica('2')], tried: new Set() }, { ...chosen, now })?.replica.id
+  chosen.loads.add('2', { requests: 8, prefillTokens: 0, memoryTokens: 0 })
+  assert.is(ask(100), '2')
+  assert.is(chosen.health.isExcluded('1', 501), false)
+  chosen.health.onSend('1')
+  assert.is(chosen.health.isExcluded('1', 502), true)
+  chosen.health.record('1', 'answered', 510)
+  assert.is(chosen.health.isExcluded('1', 511), false)
+})
+
+const context: AttemptContext = {
+  kind: 'unsafe', isResumable: false, possibleRuns: 1, maximumAttempts: 2, hasBegunAnswer: false, hasOtherReplica: true, isTimeLeft: true
+}
+const decisions: { title: string, end: AttemptEnd, change: Partial<AttemptContext>, expected: string }[] = [
+  { title: 'fail an unsafe request that may have run', end: 'broken', change: {}, expected: 'fail' },
+  { title: 'send an unsafe request on that no replica ran', end: 'not-run', change: { possibleRuns: 0 }, expected: 'try-another' },
+  { title: 'repeat a safe request', end: 'failed', change: { kind: 'safe' }, expected: 'try-another' },
+  { title: 'pass a failure on after the last attempt', end: 'failed', change: { kind: 'safe', possibleRuns: 2 }, expected: 'pass-failure' },
+  { title: 'resume a stream where the route allows it', end: 'broken', change: { kind: 'streaming', isResumable: true, hasBegunAnswer: true }, expected: 'try-another' },
+  { title: 'break a stream off that cannot be resumed', end: 'broken', change: { kind: 'streaming', hasBegunAnswer: true }, expected: 'break-off' },
+  { title: 'refuse what has not run when no replica is left', end: 'not-run', change: { possibleRuns: 0, hasOtherReplica: false }, expected: 'refuse' }
+]
+for (const { title, end, change, expected } of decisions) {
+  test(`should ${title}`, () => { assert.is(decideAfterAttempt(end, { ...context, ...change }), expected) })
+}
+
+test('should promise "not run" only for what cannot have run, and repeat only what may be repeated', () => {
+  fc.assert(fc.property(fc.record({
+    kind: fc.constantFrom('safe' as const, 'unsafe' as const, 'streaming' as const),
+    isResumable: fc.boolean(),
+    possibleRuns: fc.integer({ min: 0, max: 3 }),
+    maximumAttempts: fc.integer({ min: 1, max: 3 }),
+    hasBegunAnswer: fc.boolean(),
+    hasOtherReplica: fc.boolean(),
+    isTimeLeft: fc.boolean()
+  }), fc.constantFrom<AttemptEnd>('not-sent', 'not-run', 'failed', 'broken', 'timed-out'), (any, end) => {
+    const verdict = decideAfterAttempt(end, any)
+    if (verdict === 'refuse') assert.is(any.possibleRuns, 0)
+    if (verdict === 'try-another' && any.possibleRuns > 0) {
+      assert.ok(any.kind === 'safe' || (any.kind === 'streaming' && any.isResumable))
+      assert.ok(any.possibleRuns < any.maximumAttempts)
+    }
+  }), { seed: 8 })
+})
+
+test('should keep the repeats of all instances within the fleet\'s budget', () => {
+  const settings = { ratio: 0.2, allowance: 58, window: 10_000 }
+  const instances = Array.from({ length: 4 }, () => new FleetRetryBudget(settings))
+  let spent = 0
+  for (const instance of instances) {
+    for (let request = 0; request < 100; request++) instance.onRequest('s', request)
+    for (let attempt = 0; attempt < 1_000; attempt++) if (instance.trySpend('s', 4, 200)) spent += 1
+  }
+  assert.ok(spent <= 0.2 * 400 + 58, `${spent} repeats`)
+  assert.ok(spent > 40, `${spent} repeats`)
+})
+
+test('should stop a request after it crashed three replicas, however often each crash is told', () => {
+  const crashes = new RepeatedCrashes()
+  for (const replicaRun of ['a/1', 'a/1', 'b/1']) crashes.record({ fingerprint: 'f', replicaRun }, 0)
+  assert.is(crashes.isStopped('f', 1), false)
+  crashes.record({ fingerprint: 'f', replicaRun: 'a/2' }, 2)
+  assert.is(crashes.isStopped('f', 3), true)
+  assert.is(crashes.isStopped('other', 3), false)
+})
+
+test('should count what other instances told until they fall silent', () => {
+  const loads = new FleetLoads()
+  loads.add('r', { requests: 1, prefillTokens: 10, memoryTokens: 20 })
+  loads.hear('other', new Map([['r', { requests: 2, prefillTokens: 5, memoryTokens: 7 }]]), 0)
+  assert.equal(loads.of('r', 100), { requests: 3, prefillTokens: 15, memoryTokens: 27 })
+  assert.equal(loads.of('r', 5_000), { requests: 1, prefillTokens: 10, memoryTokens: 20 })
+})
+
+test.run()
--- a/packages/coordination/src/dispatch/selectReplica.ts
+++ b/packages/coordination/src/dispatch/selectReplica.ts
@@ -122,7 +122,15 @@
   const load = view.loads.of(replica.id, view.now)
   const busyCost = (load.requests / Math.max(1, replica.slots)) * PLAIN_REQUEST_COST
   return {
-    replica, cost: busyCost + commonCost(replica, view), wait: busyCost, freshTokens: 0, fetchedTokens: 0, sources: undefined, fetchUntil: undefined, saves: undefined, salt: undefined
+    replica,
+    cost: busyCost + commonCost(replica, view),
+    wait: busyCost,
+    freshTokens: 0,
+    fetchedTokens: 0,
+    sources: undefined,
+    fetchUntil: undefined,
+    saves: undefined,
+    salt: undefined
   }
 }
 
--- /dev/null
+++ b/packages/coordination/src/fronts/frontDirectory.spec.ts
@@ -0,0 +1,53 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { FrontDirectory, type FrontRecord, type Heartbeat } from './index.js'
+
+const record = (name: string, change: Partial<FrontRecord> = {}): FrontRecord => ({
+  name, incarnation: 1, zone: 'z', region: 'r', frontAddress: name, controlAddress: name, heartbeatAddress: name, isLeaving: false, ...change
+})
+const heartbeat = (from: FrontRecord, change: Partial<Heartbeat> = {}): Heartbeat => ({
+  from, isReady: true, peers: [], loads: {}, sent: [], loading: [], loaded: [], crashes: [], ...change
+})
+const directory = () => new FrontDirectory(record('self'), { silence: 1_000, unheardLifetime: 3_000, forgetAfter: 30_000 })
+const place = { zone: 'z', region: 'r' }
+
+test('should drop an instance that falls silent within the bound, though the store still lists it', () => {
+  const fronts = directory()
+  fronts.applyRecords([record('a')], 0)
+  fronts.hear(heartbeat(record('a')), 100)
+  assert.equal(fronts.addressesFor(place, true, 1_000), ['a', 'self'])
+  assert.equal(fronts.addressesFor(place, true, 1_101), ['self'])
+})
+
+test('should drop an instance at once that says it leaves or is not ready', () => {
+  for (const change of [{ from: record('a', { isLeaving: true }) }, { isReady: false }]) {
+    const fronts = directory()
+    fronts.hear(heartbeat(record('a')), 0)
+    fronts.hear({ ...heartbeat(record('a')), ...change }, 10)
+    assert.equal(fronts.addressesFor(place, true, 20), ['self'])
+  }
+})
+
+test('should take a new start of a host that left', () => {
+  const fronts = directory()
+  fronts.hear(heartbeat(record('a', { isLeaving: true })), 0)
+  fronts.hear(heartbeat(record('a', { incarnation: 2 })), 10)
+  assert.equal(fronts.addressesFor(place, true, 20), ['a', 'self'])
+})
+
+test('should learn of a peer from another one while the store is away', () => {
+  const fronts = directory()
+  fronts.hear(heartbeat(record('a'), { peers: [record('b')] }), 0)
+  assert.equal(fronts.peers.map(({ name }) => name).sort(), ['a', 'b'])
+  assert.equal(fronts.addressesFor(place, true, 10), ['a', 'self'], 'b was not heard yet')
+})
+
+test('should leave itself out when it is not ready or leaves', () => {
+  const fronts = directory()
+  fronts.hear(heartbeat(record('a')), 0)
+  assert.equal(fronts.addressesFor(place, false, 10), ['a'])
+  fronts.leave()
+  assert.equal(fronts.addressesFor(place, true, 10), ['a'])
+})
+
+test.run()
--- a/packages/coordination/src/fronts/frontDirectory.ts
+++ b/packages/coordination/src/fronts/frontDirectory.ts
@@ -69,7 +69,12 @@
         this._hasHeardAny = true
       }
     }
-    for (const peer of peers) if (peer.name !== this._self.name) this._take(peer, now)
+    this.learn(peers, now)
+  }
+
+  /** Takes instances that another one knows; they count as alive once they are heard. */
+  learn (records: readonly FrontRecord[], now: Milliseconds): void {
+    for (const record of records) if (record.name !== this._self.name) this._take(record, now)
   }
 
   /** The other instances that heartbeats are sent to. */
--- a/packages/coordination/src/rollout/rolloutPlanner.ts
+++ b/packages/coordination/src/rollout/rolloutPlanner.ts
@@ -129,7 +129,9 @@
       const isGone = replica === undefined || replica.startedAt !== open.startedAt
       const isDone = replica !== undefined && (replica.weightVersions[model] ?? 0) >= version
       if (isGone || isDone) this._open.delete(id)
-      else if (open.order.version !== version) this._open.set(id, { ...open, order: { replica, model, version }, sentAt: undefined })
+      else if (open.order.version !== version) {
+        this._open.set(id, { ...open, order: { replica, model, version }, sentAt: undefined })
+      }
     }
   }
 }
--- /dev/null
+++ b/packages/coordination/src/stores/storedParts.spec.ts
@@ -0,0 +1,69 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { BELIEF_LIFETIME, StoredParts, type StoreAnswer, type StoreEvent } from './index.js'
+
+const description = { address: 'a', zone: 'z', capacityTokens: 10_000, linkMegabitsPerSecond: 1, firstDelay: 0, isManaged: true }
+const part = { id: 'p', tokens: 5_000 }
+const added: StoreEvent = { isAdded: true, salt: 's', partId: 'p', tokens: 5_000 }
+const answer = (change: Partial<StoreAnswer> = {}): StoreAnswer => ({
+  epoch: 1, next: 1, events: [], isIncomplete: false, clock: 50_000, ...change
+})
+
+/** A store that was listed empty, long enough ago for saves. */
+function listedStore (): StoredParts {
+  const stores = new StoredParts()
+  stores.configure([description])
+  stores.onList('a', answer(), 0, 0)
+  stores.onEvents('a', answer(), 3_500, 3_500)
+  return stores
+}
+
+test('should fetch only what an event told complete, and only for a while after the store answered', () => {
+  const stores = listedStore()
+  assert.is(stores.sourceOf('s', 'p', 'z', 3_500), undefined)
+  stores.onEvents('a', answer({ events: [added] }), 4_000, 4_100)
+  assert.is(stores.sourceOf('s', 'p', 'z', 4_100)?.validUntil, 4_000 + BELIEF_LIFETIME)
+  assert.is(stores.sourceOf('s', 'p', 'z', 4_000 + BELIEF_LIFETIME), undefined)
+})
+
+test('should save nothing to a restarted store while others may still believe what it held', () => {
+  const stores = listedStore()
+  assert.is(stores.saveTargetOf('s', part, 3_600), 'a')
+  stores.onEvents('a', answer({ epoch: 2 }), 4_000, 4_000)
+  stores.onList('a', answer({ epoch: 2 }), 4_100, 4_100)
+  assert.is(stores.saveTargetOf('s', part, 4_200), undefined)
+  stores.onEvents('a', answer({ epoch: 2 }), 7_000, 7_000)
+  assert.is(stores.saveTargetOf('s', part, 7_000), 'a')
+})
+
+test('should forget all parts of a store that restarted, and of one whose events have a gap', () => {
+  for (const change of [{ epoch: 2 }, { isIncomplete: true }]) {
+    const stores = listedStore()
+    stores.onEvents('a', answer({ events: [added] }), 4_000, 4_000)
+    stores.onEvents('a', answer(change), 4_100, 4_100)
+    assert.is(stores.sourceOf('s', 'p', 'z', 4_200), undefined)
+    assert.ok(stores.question('a').isListNeeded)
+  }
+})
+
+test('should save a part once, and none that a store holds or has no room for', () => {
+  const stores = listedStore()
+  stores.onSave('a', 's', 'p', 3_600)
+  assert.is(stores.saveTargetOf('s', part, 3_700), undefined)
+  stores.onEvents('a', answer({ events: [added] }), 4_000, 4_000)
+  assert.is(stores.saveTargetOf('s', part, 4_000), undefined)
+  assert.is(stores.saveTargetOf('s', { id: 'other', tokens: 6_000 }, 4_000), undefined)
+})
+
+test('should tell how much a slow store delays its fetches, less the usual error', () => {
+  const stores = listedStore()
+  stores.onEvents('a', answer({ events: [added] }), 4_000, 4_000)
+  for (let sample = 0; sample < 20; sample++) {
+    stores.onFetched('a', 500, 4_000)
+    stores.onUnfetched(100, 4_000)
+  }
+  const delay = stores.sourceOf('s', 'p', 'z', 4_000)?.delay ?? 0
+  assert.ok(delay > 350 && delay <= 400, String(delay))
+})
+
+test.run()
--- a/packages/coordination/src/stores/storedParts.ts
+++ b/packages/coordination/src/stores/storedParts.ts
@@ -42,6 +42,12 @@
   clock: Milliseconds | undefined
 }
 
+/** Parts that a store holds while it is in an epoch. */
+export interface StoreParts {
+  epoch: number
+  parts: [salt: string, partId: string][]
+}
+
 interface KnownStore {
   description: CacheStoreDescription
   epoch: number | undefined
@@ -131,8 +137,7 @@
       if (store.parts.has(key)) return undefined
       const savedAt = store.saves.get(key)
       if (savedAt !== undefined && now - savedAt < SAVE_INTERVAL) return undefined
-      const isOpen = store.isListed && now - store.answeredAt < BELIEF_LIFETIME && now >= store.savesFrom &&
-        store.description.isManaged && this._delayOf(store, now) < LONGEST_DELAY_FOR_SAVES && store.usedTokens + part.tokens <= store.description.capacityTokens * FILL_SHARE
+      const isOpen = store.description.isManaged && this._takesSaves(store, part.tokens, now)
       if (!isOpen) continue
       const weight = rendezvousWeight(`${key}|${address}`, store.description.capacityTokens)
       if (best === undefined || weight > best.weight) best = { address, weight }
@@ -163,8 +168,8 @@
     this._usualExcess.add(excess, now)
   }
 
-  /** The parts of a store whose salt is chosen, for freeing. */
-  partsOf (address: string, isChosen: (salt: string) => boolean): { epoch: number, parts: [salt: string, partId: string][] } | undefined {
+  /** The parts of a store whose salt is chosen, for freeing; undefined while what it holds is not known. */
+  partsOf (address: string, isChosen: (salt: string) => boolean): StoreParts | undefined {
     const store = this._stores.get(address)
     if (store?.epoch === undefined || !store.isListed) return undefined
     const parts: [string, string][] = []
@@ -176,6 +181,12 @@
     return { epoch: store.epoch, parts }
   }
 
+  private _takesSaves (store: KnownStore, tokens: number, now: Milliseconds): boolean {
+    const isKnown = store.isListed && now - store.answeredAt < BELIEF_LIFETIME && now >= store.savesFrom
+    const hasRoom = store.usedTokens + tokens <= store.description.capacityTokens * FILL_SHARE
+    return isKnown && hasRoom && this._delayOf(store, now) < LONGEST_DELAY_FOR_SAVES
+  }
+
   /** What a store's fetches add to the error that predictions have without any. */
   private _delayOf (store: KnownStore, now: Milliseconds): Milliseconds {
     return Math.max(0, store.delay.value(now) - this._usualExcess.value(now))
--- a/packages/gateway/src/catalog/catalogLoop.ts
+++ b/packages/gateway/src/catalog/catalogLoop.ts
@@ -42,7 +42,7 @@
 
   /** Starts, and goes on until stopped. */
   start (): void {
-    void this._round()
+    this._state.log.detach('catalog', this._round())
   }
 
   /** Stops after the listing that is under way. */
@@ -57,7 +57,7 @@
     if (this._isStopped) return
     const elapsed = this._state.now() - begin
     const delay = isListed ? Math.max(0, this._settings.interval - elapsed) : this._settings.retryDelay
-    this._timer = setTimeout(() => { void this._round() }, delay)
+    this._timer = setTimeout(() => { this.start() }, delay)
   }
 
   private async _list (askedAt: Milliseconds): Promise<boolean> {
@@ -83,7 +83,8 @@
     if (address === undefined) return
     try {
       const listing = await askPeerListing(address, this._settings.peerTimeout)
-      this._take(catalog.applyPeerListing(listing, now()))
+      fronts.learn(listing.fronts, now())
+      this._take(catalog.applyPeerListing(listing.catalog, now()))
     } catch (error) {
       this._state.log.decision('peer-listing-failed', { address, detail: String(error) })
     }
--- a/packages/gateway/src/catalog/registration.ts
+++ b/packages/gateway/src/catalog/registration.ts
@@ -16,12 +16,14 @@
   private _isStopped = false
 
   constructor (
-    private readonly _state: GatewayState, private readonly _store: KeyValueService, private readonly _settings: RegistrationSettings
+    private readonly _state: GatewayState,
+    private readonly _store: KeyValueService,
+    private readonly _settings: RegistrationSettings
   ) {}
 
   /** Starts, and goes on until stopped. */
   start (): void {
-    void this._round()
+    this._state.log.detach('registration', this._round())
   }
 
   /** Withdraws the registration. */
@@ -35,7 +37,7 @@
   private async _round (): Promise<void> {
     if (this._leaseId === undefined) await this._register()
     else await this._renew(this._leaseId)
-    if (!this._isStopped) this._timer = setTimeout(() => { void this._round() }, this._settings.renewEvery)
+    if (!this._isStopped) this._timer = setTimeout(() => { this.start() }, this._settings.renewEvery)
   }
 
   private async _renew (leaseId: string): Promise<void> {
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -85,7 +85,8 @@
       isReady: this._isReady(),
       peers,
       loads,
-      sent: sentPrompts.take().map(({ replicaId, salt, parts }) => [replicaId, salt, parts.map(({ id, tokens }) => [id, tokens])]),
+      sent: sentPrompts.take().map(({ replicaId, salt, parts }) => (
+        [replicaId, salt, parts.map(({ id, tokens }) => [id, tokens])])),
       loading: orders.loading,
       loaded: [...orders.loaded],
       crashes: this._crashes.map(({ report }) => report)
--- a/packages/gateway/src/peers/peerListing.ts
+++ b/packages/gateway/src/peers/peerListing.ts
@@ -1,13 +1,19 @@
 /** Asks another instance for its catalog, for a start while the store is away. */
 import http from 'node:http'
-import { catalogListingSchema, type CatalogListing, type Milliseconds } from '@wasabihead/coordination'
+import { catalogListingSchema, frontRecordSchema, type Milliseconds } from '@wasabihead/coordination'
+import { z } from 'zod'
+
+/** What an instance tells one that starts. */
+const peerListingSchema = z.object({ catalog: catalogListingSchema, fronts: z.array(frontRecordSchema) })
+/** What an instance tells one that starts. */
+export type PeerListing = z.infer<typeof peerListingSchema>
 
 /** Path of the catalog on the control address. */
 export const LISTING_PATH = '/v1/catalog'
 const MAXIMUM_BYTES = 16_777_216
 
 /** The catalog of the instance at a control address. Rejects where none comes in time. */
-export async function askPeerListing (controlAddress: string, timeout: Milliseconds): Promise<CatalogListing> {
+export async function askPeerListing (controlAddress: string, timeout: Milliseconds): Promise<PeerListing> {
   const body = await new Promise<string>((resolve, reject) => {
     const request = http.get(`http://${controlAddress}${LISTING_PATH}`, { timeout, agent: false }, response => {
       const chunks: Buffer[] = []
@@ -23,5 +29,5 @@
     request.once('timeout', () => { request.destroy(new Error(`no answer within ${timeout} ms`)) })
     request.once('error', reject)
   })
-  return catalogListingSchema.parse(JSON.parse(body))
+  return peerListingSchema.parse(JSON.parse(body))
 }
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -7,12 +7,12 @@
 import { CatalogLoop, FRONT_KEYS, Registration } from '../catalog/index.js'
 import { ChannelPool } from '../channels/index.js'
 import { SmallServer, type QuestionHandler } from '../directory/index.js'
-import { Heartbeats, LISTING_PATH } from '../peers/index.js'
+import { Heartbeats, LISTING_PATH, type PeerListing } from '../peers/index.js'
 import type { CallerProtocol, CatalogSource, ReplicaProtocol } from '../protocol/index.js'
 import { FrontServer, type GatewayState } from '../requests/index.js'
 import { RolloutLoop } from '../rollout/index.js'
 import { StoreFollower } from '../stores/index.js'
-import { DecisionLog, GatewayMetrics } from '../telemetry/index.js'
+import { DecisionLog, describeFailure, GatewayMetrics } from '../telemetry/index.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 
 /** What the adapter brings. */
@@ -49,8 +49,10 @@
   private _isLeaving = false
   private _tickedAt: Milliseconds = 0
 
-  constructor (private readonly _settings: GatewaySettings, adapter: GatewayAdapter, now: () => Milliseconds, random: () => number) {
-    const { settings } = { settings: _settings }
+  constructor (
+    private readonly _settings: GatewaySettings, adapter: GatewayAdapter, now: () => Milliseconds, random: () => number
+  ) {
+    const settings = _settings
     const self: FrontRecord = { ...settings.self, isLeaving: false }
     this.state = {
       catalog: new ServiceCatalog(settings.catalog),
@@ -75,15 +77,19 @@
     }
     const { ownPrefix } = adapter.catalogSource
     this._front = new FrontServer(this.state)
-    this._catalogLoop = new CatalogLoop(this.state, adapter.catalogSource, settings.catalogLoop, settings.seeds, change => { this._onChange(change) })
-    this._registration = new Registration(this.state, adapter.store, { key: `${ownPrefix}${FRONT_KEYS}${self.name}`, ...settings.registration })
+    this._catalogLoop = new CatalogLoop(
+      this.state, adapter.catalogSource, settings.catalogLoop, settings.seeds, change => { this._onChange(change) }
+    )
+    const key = `${ownPrefix}${FRONT_KEYS}${self.name}`
+    this._registration = new Registration(this.state, adapter.store, { key, ...settings.registration })
     this._heartbeats = new Heartbeats(this.state, settings.heartbeats, () => this.isReady)
-    this._rollout = new RolloutLoop(this.state, adapter.store, { roleKey: `${ownPrefix}rollout`, ...settings.rollout }, () => this._catalogLoop.ownValues)
+    const rollout = { roleKey: `${ownPrefix}rollout`, ...settings.rollout }
+    this._rollout = new RolloutLoop(this.state, adapter.store, rollout, () => this._catalogLoop.ownValues)
     this._storeFollower = new StoreFollower(this.state, settings.storeFollower)
     this._directory = new SmallServer(adapter.directoryQuestions(this))
     this._readiness = new SmallServer(adapter.readinessQuestions(this))
     this._control = new SmallServer(new Map([
-      [`GET ${LISTING_PATH}`, () => ({ status: 200, contentType: 'application/json', body: JSON.stringify(this.state.catalog.listing) })],
+      [`GET ${LISTING_PATH}`, () => ({ status: 200, contentType: 'application/json', body: JSON.stringify(this._peerListing()) })],
       ['GET /metrics', () => ({ status: 200, contentType: 'text/plain', body: this.state.metrics.format() })]
     ]))
   }
@@ -93,6 +99,13 @@
     return this._isListening && !this._isLeaving && this.state.catalog.routes !== undefined
   }
 
+  /** Failures that no part handled are logged, so that one bad input does not end the process. */
+  surviveStrayFailures (): void {
+    const note = (error: unknown): void => { this.state.log.warn('unhandled-failure', { detail: describeFailure(error) }) }
+    process.on('uncaughtException', note)
+    process.on('unhandledRejection', note)
+  }
+
   /** Starts all parts. */
   async start (): Promise<void> {
     const { listen } = this._settings
@@ -121,11 +134,12 @@
     this._rollout.stop()
     this.state.log.change('leaving', { running: this._front.running })
     const begin = this.state.now()
-    void this._registration.withdraw()
+    this.state.log.detach('withdrawal', this._registration.withdraw())
     await new Promise<void>(resolve => {
       const timer = setInterval(() => {
         const elapsed = this.state.now() - begin
         if (elapsed >= this._settings.leaving.acceptFor) this._front.closeIdle()
+        if (elapsed >= this._settings.leaving.refuseAfter) this._front.refuseNew()
         const isDone = elapsed >= this._settings.leaving.acceptFor && this._front.running === 0
         if (!isDone && elapsed < this._settings.leaving.longest) return
         clearInterval(timer)
@@ -136,6 +150,11 @@
     this.state.log.close()
   }
 
+  private _peerListing (): PeerListing {
+    const { catalog, fronts, now } = this.state
+    return { catalog: catalog.listing, fronts: [fronts.self, ...fronts.livePeers(now())] }
+  }
+
   private _tick (): void {
     const now = this.state.now()
     const gap = now - this._tickedAt
--- a/packages/gateway/src/process/gatewaySettings.ts
+++ b/packages/gateway/src/process/gatewaySettings.ts
@@ -29,6 +29,8 @@
   leaving: {
     /** Callers that have not heard yet still come for this long. */
     acceptFor: Milliseconds
+    /** From then on new requests are refused, since their answers might not come in time. */
+    refuseAfter: Milliseconds
     /** Then the process ends whatever still runs. */
     longest: Milliseconds
   }
--- a/packages/gateway/src/requests/frontServer.ts
+++ b/packages/gateway/src/requests/frontServer.ts
@@ -23,6 +23,7 @@
   private readonly _responses = new Set<http.ServerResponse>()
   private _running = 0
   private _isLeaving = false
+  private _isRefusing = false
 
   constructor (private readonly _state: GatewayState) {
     this._server = http.createServer({
@@ -60,6 +61,13 @@
     for (const response of this._responses) closeWithAnswer(response)
   }
 
+  /** From now on new requests are refused and new connections are not accepted. */
+  refuseNew (): void {
+    if (this._isRefusing) return
+    this._isRefusing = true
+    this._server.close()
+  }
+
   /** Closes connections without a request. */
   closeIdle (): void {
     this._server.closeIdleConnections()
@@ -106,6 +114,7 @@
   }
 
   private _match (request: http.IncomingMessage, head: CallerHead): RouteMatch | RefusalReason {
+    if (this._isRefusing) return 'leaving'
     const { routes } = this._state.catalog
     if (routes === undefined) return 'no-configuration'
     if (head.requestId === undefined) return 'malformed'
--- a/packages/gateway/src/requests/gatewayState.ts
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -1,7 +1,7 @@
 /** What the parts of one gateway share. */
 import type {
-  CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, Milliseconds, RepeatedCrashes, ReplicaHealth, SentPrompts,
-  ServiceCatalog, StoredParts
+  CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, Milliseconds, RepeatedCrashes,
+  ReplicaHealth, SentPrompts, ServiceCatalog, StoredParts
 } from '@wasabihead/coordination'
 import type { ChannelPool } from '../channels/index.js'
 import type { CallerProtocol, ReplicaProtocol } from '../protocol/index.js'
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -1,7 +1,7 @@
 /** Serves one request: chooses replicas, sends, decides what follows a failure, and passes the answer on. */
 import {
   decideAfterAttempt, finalVerdict, isRepeatable, selectReplica,
-  type AttemptContext, type AttemptEnd, type AttemptSign, type Milliseconds, type PromptDemand, type Replica,
+  type AttemptContext, type AttemptEnd, type AttemptSign, type AttemptVerdict, type Milliseconds, type PromptDemand, type Replica,
   type Selection
 } from '@wasabihead/coordination'
 import type { AnswerHead, ExchangeFault, ReplicaChannel } from '../channels/index.js'
@@ -53,7 +53,9 @@
   /** The failure that a replica answered with last, passed on where nothing better follows. */
   private _failure: { head: AnswerHead, body: Buffer[] } | undefined
 
-  constructor (private readonly _state: GatewayState, private readonly _request: CallerRequest, private readonly _onOver: () => void) {
+  constructor (
+    private readonly _state: GatewayState, private readonly _request: CallerRequest, private readonly _onOver: () => void
+  ) {
     const { route, response, head } = _request
     this._relay = route.kind === 'streaming'
       ? new EventStreamRelay(response, head.lastEventId, () => { this._attempt?.channel.resume() })
@@ -118,7 +120,7 @@
   }
 
   private _send (selection: Selection): void {
-    const { state, request } = { state: this._state, request: this._request }
+    const [state, request] = [this._state, this._request]
     const { replica } = selection
     const now = state.now()
     const { prompt } = request.head
@@ -184,7 +186,7 @@
   }
 
   private _headersFor ({ replica, salt, sources, saves, fetchUntil }: Selection, now: Milliseconds): [string, string][] {
-    const { request, state } = { request: this._request, state: this._state }
+    const [state, request] = [this._state, this._request]
     const { prompt, lastEventId } = request.head
     const headers = passedHeaders(request.rawHeaders, name => state.callerProtocol.isForwarded(name))
     if (request.body.length > 0 || hasBodyHeaders(request.rawHeaders)) headers.push(['Content-Length', String(request.body.length)])
@@ -195,7 +197,7 @@
       priority: prompt === undefined ? undefined : request.workspace?.priority ?? request.route.priority,
       salt,
       // Parts are fetched without a look at their version, so that of the replica has to be the expected one.
-      weightVersion: (sources === undefined && saves === undefined) || prompt === undefined ? undefined : replica.weightVersions[prompt.model],
+      weightVersion: sources === undefined && saves === undefined ? undefined : replica.weightVersions[prompt?.model ?? ''],
       sources,
       saves,
       fetchUntil: fetchUntil === undefined ? undefined : state.storedParts.storeClockAt(fetchUntil),
@@ -277,21 +279,39 @@
     const now = this._state.now()
     this._closeAttempt(attempt, this._signOf(attempt, end, now))
     if (end === 'not-sent' || end === 'not-run') this._possibleRuns -= 1
-    const context: AttemptContext = {
-      kind: this._request.route.kind,
-      isResumable: this._request.route.isResumable,
+    const context = this._contextAt(now)
+    let verdict = decideAfterAttempt(end, context)
+    // Nothing of it arrived anywhere, so that the next attempt is no repeat.
+    const isFree = end === 'not-sent'
+    if (verdict === 'try-another' && !isFree && !this._spendRepeat(now)) verdict = finalVerdict(end, context)
+    this._noteAttemptEnd(attempt, end, detail, verdict)
+    switch (verdict) {
+      case 'try-another': return this._tryNext()
+      case 'refuse': return this._refuse('not-run')
+      case 'pass-failure': return this._passFailure()
+      case 'fail': return this._fail(end)
+      case 'break-off': return this._breakOff()
+    }
+  }
+
+  private _contextAt (now: Milliseconds): AttemptContext {
+    const { route } = this._request
+    return {
+      kind: route.kind,
+      isResumable: route.isResumable,
       possibleRuns: this._possibleRuns,
-      maximumAttempts: this._request.route.maximumAttempts,
+      maximumAttempts: route.maximumAttempts,
       hasBegunAnswer: this._relay.hasBegun,
       hasOtherReplica: this._select() !== undefined,
       isTimeLeft: this._request.deadline - now > SHORTEST_ATTEMPT
     }
-    let verdict = decideAfterAttempt(end, context)
-    const isFree = end === 'not-sent'
-    if (verdict === 'try-another' && !isFree &&
-      !this._state.retryBudget.trySpend(this._service, this._state.fronts.size(now), now)) {
-      verdict = finalVerdict(end, context)
-    }
+  }
+
+  private _spendRepeat (now: Milliseconds): boolean {
+    return this._state.retryBudget.trySpend(this._service, this._state.fronts.size(now), now)
+  }
+
+  private _noteAttemptEnd (attempt: Attempt, end: AttemptEnd, detail: string, verdict: AttemptVerdict): void {
     this._state.metrics.count('attempt_ends_total', end)
     this._state.log.decision('attempt-ended', {
       requestId: this._request.head.requestId,
@@ -299,17 +319,10 @@
       replica: attempt.replica.id,
       end,
       detail,
-      after: Math.round(now - attempt.sentAt),
+      after: Math.round(this._state.now() - attempt.sentAt),
       possibleRuns: this._possibleRuns,
       verdict
     })
-    switch (verdict) {
-      case 'try-another': return this._tryNext()
-      case 'refuse': return this._refuse('not-run')
-      case 'pass-failure': return this._passFailure()
-      case 'fail': return this._fail(end)
-      case 'break-off': return this._breakOff()
-    }
   }
 
   /** A replica that is full because of us is no worse for it. */
@@ -354,12 +367,20 @@
     clearTimeout(attempt.silenceTimer)
     if (silence === undefined) return
     attempt.silenceTimer = setTimeout(() => {
-      if (attempt.isOver) return
-      if (this._select() === undefined || this._possibleRuns >= this._request.route.maximumAttempts) return
-      this._endAttempt(attempt, 'timed-out', `silent for ${silence} ms`)
+      if (!attempt.isOver) this._onSilence(attempt, silence)
     }, silence)
   }
 
+  /** A silent attempt is given up only where another one may follow; else its answer may still come. */
+  private _onSilence (attempt: Attempt, silence: Milliseconds): void {
+    const now = this._state.now()
+    const context = this._contextAt(now)
+    if (decideAfterAttempt('timed-out', context) !== 'try-another' || !this._spendRepeat(now)) return
+    this._closeAttempt(attempt, 'unreachable')
+    this._noteAttemptEnd(attempt, 'timed-out', `silent for ${silence} ms`, 'try-another')
+    this._tryNext()
+  }
+
   private _firstSilence (): Milliseconds | undefined {
     const { route } = this._request
     if (!this._isRepeatable || this._possibleRuns >= route.maximumAttempts) return undefined
@@ -415,7 +436,7 @@
     if (this._isOver) return
     this._isOver = true
     clearTimeout(this._deadlineTimer)
-    const { request, state } = { request: this._request, state: this._state }
+    const [state, request] = [this._state, this._request]
     const duration = state.now() - request.receivedAt
     state.metrics.count('requests_total', outcome)
     state.metrics.time('request', request.route.name, duration)
--- /dev/null
+++ b/packages/gateway/src/requests/requests.spec.ts
@@ -0,0 +1,36 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { EventSplitter } from './eventSplitter.js'
+import { passedHeaders } from './passedHeaders.js'
+
+const STREAM = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda'
+
+for (let cut = 1; cut < STREAM.length; cut++) {
+  test(`should pass whole events on and hold back the rest, cut at byte ${cut}`, () => {
+    const splitter = new EventSplitter()
+    const passed: string[] = []
+    let lastId: string | undefined
+    for (const piece of [STREAM.slice(0, cut), STREAM.slice(cut)]) {
+      const events = splitter.take(Buffer.from(piece))
+      if (events === undefined) continue
+      passed.push(events.bytes.toString())
+      lastId = events.lastId ?? lastId
+    }
+    assert.equal([passed.join(''), lastId, splitter.rest().toString()], [STREAM.slice(0, STREAM.indexOf('id: 3')), '2', 'id: 3\nda'])
+  })
+}
+
+test('should take line ends of both kinds', () => {
+  const events = new EventSplitter().take(Buffer.from('id: 7\r\ndata: a\r\n\r\n'))
+  assert.is(events?.lastId, '7')
+})
+
+test('should pass no header of the connection, nor one that the connection header names', () => {
+  const headers = passedHeaders(
+    ['Host', 'h', 'Connection', 'X-Drop, close', 'X-Drop', '1', 'Transfer-Encoding', 'chunked', 'X-Keep', '2', 'Secret', '3'],
+    name => name !== 'secret'
+  )
+  assert.equal(headers, [['Host', 'h'], ['X-Keep', '2']])
+})
+
+test.run()
--- a/packages/gateway/src/rollout/rolloutLoop.ts
+++ b/packages/gateway/src/rollout/rolloutLoop.ts
@@ -1,7 +1,7 @@
 /** Gives the orders for new weight versions while this instance holds the role. */
 import {
-  LeaseKeeper, RolloutPlanner, roleRecordSchema,
-  type KeyValueService, type LeaseEffect, type LeaseMessage, type Milliseconds, type RolloutSettings, type RolloutStep, type VersionedValue, type WeightOrder
+  LeaseKeeper, RolloutPlanner, roleRecordSchema, type KeyValueService, type LeaseEffect, type LeaseMessage,
+  type Milliseconds, type RolloutSettings, type RolloutStep, type VersionedValue, type WeightOrder
 } from '@wasabihead/coordination'
 import { callAddress } from '../channels/index.js'
 import type { ReplicaCall } from '../protocol/index.js'
@@ -66,7 +66,7 @@
       .map(({ replica }) => replica)
     for (const model of state.catalog.namedModels) {
       const version = state.catalog.namedVersion(model)?.version ?? 0
-      for (const step of this._planner.next(byLoad, model, version, now)) void this._take(step, epoch)
+      for (const step of this._planner.next(byLoad, model, version, now)) this._state.log.detach('order', this._take(step, epoch))
     }
     state.loading.hear(name, this._planner.loading, this._planner.recentlyLoaded(now), now)
   }
@@ -111,7 +111,7 @@
   }
 
   private _tell (message: LeaseMessage): void {
-    for (const effect of this._keeper.handle(message, this._state.now())) void this._perform(effect)
+    for (const effect of this._keeper.handle(message, this._state.now())) this._state.log.detach('rollout-role', this._perform(effect))
   }
 
   private async _perform (effect: LeaseEffect): Promise<void> {
@@ -121,7 +121,8 @@
       this._tellRead(listed)
       return
     }
-    const written = await this._store.compareAndSwap({ key, expectedRevision: effect.expectedRevision, value: JSON.stringify(effect.record) })
+    const { expectedRevision, record } = effect
+    const written = await this._store.compareAndSwap({ key, expectedRevision, value: JSON.stringify(record) })
     if (written.isErr) this._tell({ kind: 'call-failed' })
     else this._tell({ kind: 'role-written', outcome: written.value })
   }
--- a/packages/gateway/src/stores/storeFollower.ts
+++ b/packages/gateway/src/stores/storeFollower.ts
@@ -26,7 +26,7 @@
     for (const address of this._state.storedParts.addresses) {
       if (this._followed.has(address)) continue
       this._followed.add(address)
-      void this._followStore(address)
+      this._state.log.detach('cache-store', this._followStore(address))
     }
   }
 
--- a/packages/gateway/src/telemetry/decisionLog.ts
+++ b/packages/gateway/src/telemetry/decisionLog.ts
@@ -4,6 +4,11 @@
 /** Fields of a line. */
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>
 
+/** What is logged of something that was thrown. */
+export function describeFailure (error: unknown): string {
+  return error instanceof Error ? error.stack ?? error.message : String(error)
+}
+
 /** Settings of the log. */
 export interface DecisionLogSettings {
   host: string
@@ -51,6 +56,11 @@
     this._pino.warn(fields, event)
   }
 
+  /** Lets work go on by itself; a failure that it did not handle is logged. */
+  detach (what: string, work: Promise<unknown>): void {
+    work.catch((error: unknown) => { this.warn('unhandled-failure', { what, detail: describeFailure(error) }) })
+  }
+
   /** Begins a new second: reports what was left out in the last one, and writes what waits. */
   tick (): void {
     for (const [omittedEvent, count] of this._omitted) this._pino.info({ omittedEvent, count }, 'log-lines-omitted')
--- a/packages/gateway/src/telemetry/index.ts
+++ b/packages/gateway/src/telemetry/index.ts
@@ -1,2 +1,2 @@
-export { DecisionLog, type DecisionLogSettings, type LogFields } from './decisionLog.js'
+export { DecisionLog, describeFailure, type DecisionLogSettings, type LogFields } from './decisionLog.js'
 export { GatewayMetrics } from './gatewayMetrics.js'
--- /dev/null
+++ b/packages/standins/src/metadataStore/metadataStoreStandIn.ts
@@ -0,0 +1,102 @@
+/**
+ * Stand-in for the metadata store of the users' platform, by its published protocol: items, ranges, transactions on several
+ * keys and leases. Watches are left out, since nothing of ours uses them.
+ */
+import { z } from 'zod'
+import { StandInServer } from '../common/standInServer.js'
+
+const LEASE_SWEEP_MILLISECONDS = 50
+const PAGE_ITEMS = 500
+
+const transactionSchema = z.object({
+  expected: z.array(z.object({ key: z.string(), revision: z.number() })).default([]),
+  puts: z.array(z.object({ key: z.string(), value: z.string(), lease: z.number().default(0) })).default([]),
+  remove: z.array(z.string()).default([])
+})
+const leaseSchema = z.object({ ttl_ms: z.number().positive() })
+
+interface Item {
+  value: string
+  revision: number
+  created: number
+  lease: number
+}
+
+/** The metadata store. */
+export class MetadataStoreStandIn extends StandInServer {
+  private _revision = 1
+  private _nextLease = 1
+  private readonly _items = new Map<string, Item>()
+  private readonly _leases = new Map<number, { timeToLive: number, endsAt: number }>()
+  private readonly _sweep = setInterval(() => { this._endLeases() }, LEASE_SWEEP_MILLISECONDS)
+
+  constructor () {
+    super()
+    this.router.get('/v1/kv-key', context => {
+      const key = String(context.query.key)
+      const item = this._items.get(key)
+      context.status = item === undefined ? 404 : 200
+      if (item !== undefined) context.body = { key, ...item, current_rev: this._revision }
+    })
+    this.router.get('/v1/kv-range', context => {
+      const { path_prefix: prefix = '', after = '' } = context.query
+      const keys = [...this._items.keys()].filter(key => key.startsWith(String(prefix)) && key > String(after)).sort()
+      const items = keys.slice(0, PAGE_ITEMS).map(key => ({ key, ...this._items.get(key) }))
+      context.body = { items, has_more: keys.length > PAGE_ITEMS, current_rev: this._revision }
+    })
+    this.router.post('/v1/kv-txn', context => {
+      const transaction = transactionSchema.parse(context.request.body)
+      const isHeld = transaction.expected.every(({ key, revision }) => (this._items.get(key)?.revision ?? 0) === revision)
+      context.status = isHeld ? 200 : 412
+      context.body = isHeld ? { revision: this._apply(transaction) } : { items: [] }
+    })
+    this.router.post('/v1/kv-lease', context => {
+      const { ttl_ms: timeToLive } = leaseSchema.parse(context.request.body)
+      const lease = this._nextLease++
+      this._leases.set(lease, { timeToLive, endsAt: performance.now() + timeToLive })
+      context.body = { lease, ttl_ms: timeToLive }
+    })
+    this.router.post('/v1/kv-keep/:id', context => {
+      const lease = this._leases.get(Number(context.params.id))
+      context.status = lease === undefined ? 404 : 200
+      if (lease === undefined) return
+      lease.endsAt = performance.now() + lease.timeToLive
+      context.body = { ttl_ms: lease.timeToLive }
+    })
+  }
+
+  /** Writes a value as the operator or a replica does. */
+  put (key: string, value: object): void {
+    this._apply({ expected: [], puts: [{ key, value: Buffer.from(JSON.stringify(value)).toString('base64'), lease: 0 }], remove: [] })
+  }
+
+  /** Removes a key. */
+  remove (key: string): void {
+    this._apply({ expected: [], puts: [], remove: [key] })
+  }
+
+  override async stop (): Promise<void> {
+    clearInterval(this._sweep)
+    await super.stop()
+  }
+
+  private _apply ({ puts, remove }: z.infer<typeof transactionSchema>): number {
+    this._revision += 1
+    for (const key of remove) this._items.delete(key)
+    for (const { key, value, lease } of puts) {
+      const created = this._items.get(key)?.created ?? this._revision
+      this._items.set(key, { value, lease, created, revision: this._revision })
+    }
+    return this._revision
+  }
+
+  private _endLeases (): void {
+    const now = performance.now()
+    for (const [lease, { endsAt }] of this._leases) {
+      if (now < endsAt) continue
+      this._leases.delete(lease)
+      const keys = [...this._items].filter(([, item]) => item.lease === lease).map(([key]) => key)
+      if (keys.length > 0) this._apply({ expected: [], puts: [], remove: keys })
+    }
+  }
+}
--- /dev/null
+++ b/tests/platform/platformFleet.ts
@@ -0,0 +1,195 @@
+/** A small system on loopback: the metadata store, replicas, and gateways as separate processes. */
+import { spawn, type ChildProcess } from 'node:child_process'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import http from 'node:http'
+import net, { type AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { waitUntil } from '@wasabihead/experiments'
+import { MetadataStoreStandIn } from '@wasabihead/standins'
+
+const ENTRY = fileURLToPath(import.meta.resolve('@wasabihead/platform/main'))
+const LOOPBACK = '127.0.0.1'
+
+/** What a replica got. */
+export interface ReceivedRequest {
+  method: string
+  url: string
+  headers: http.IncomingHttpHeaders
+  body: string
+}
+
+/** Answers requests as a replica of the platform does. */
+export class ReplicaStandIn {
+  readonly received: ReceivedRequest[] = []
+  readonly address: string
+  /** Replaces the usual answer. */
+  respond: (request: ReceivedRequest, response: http.ServerResponse) => void = (request, response) => {
+    response.writeHead(200, this.answerHeaders(request))
+    response.end(`answer of ${this.id}`)
+  }
+
+  private constructor (readonly id: string, private readonly _server: http.Server) {
+    this.address = `${LOOPBACK}:${(_server.address() as AddressInfo).port}`
+  }
+
+  static async start (id: string): Promise<ReplicaStandIn> {
+    const server = http.createServer((request, response) => {
+      const chunks: Buffer[] = []
+      request.on('data', (chunk: Buffer) => { chunks.push(chunk) })
+      request.on('end', () => {
+        replica._take({
+          method: request.method ?? '', url: request.url ?? '', headers: request.headers, body: Buffer.concat(chunks).toString()
+        }, response)
+      })
+    })
+    await new Promise<void>(resolve => { server.listen(0, LOOPBACK, resolve) })
+    const replica = new ReplicaStandIn(id, server)
+    return replica
+  }
+
+  answerHeaders (request: ReceivedRequest): http.OutgoingHttpHeaders {
+    return { 'X-Wasabihead-Attempt-Id': request.headers['x-wasabihead-attempt-id'], 'X-Wasabihead-Server-Seal': `seal-${this.id}` }
+  }
+
+  async stop (): Promise<void> {
+    this._server.closeAllConnections()
+    await new Promise<void>(resolve => { this._server.close(() => { resolve() }) })
+  }
+
+  private _take (request: ReceivedRequest, response: http.ServerResponse): void {
+    this.received.push(request)
+    this.respond(request, response)
+  }
+}
+
+/** One gateway process. */
+export class GatewayProcess {
+  output = ''
+  readonly exited: Promise<number | null>
+
+  constructor (readonly name: string, readonly addresses: Record<'front' | 'ready' | 'control' | 'directory', string>, private readonly _child: ChildProcess) {
+    _child.stdout?.on('data', (data: Buffer) => { this.output += data.toString() })
+    _child.stderr?.on('data', (data: Buffer) => { this.output += data.toString() })
+    this.exited = new Promise(resolve => { _child.once('exit', resolve) })
+  }
+
+  signal (signal: NodeJS.Signals): void {
+    this._child.kill(signal)
+  }
+}
+
+/** An answer as a caller sees it. */
+export interface CallerAnswer {
+  status: number
+  headers: http.IncomingHttpHeaders
+  body: string
+}
+
+/** The whole. */
+export class PlatformFleet {
+  readonly store = new MetadataStoreStandIn()
+  readonly gateways: GatewayProcess[] = []
+  readonly replicas: ReplicaStandIn[] = []
+  storeAddress = ''
+  private readonly _folder = mkdtempSync(join(tmpdir(), 'wasabihead-platform-'))
+
+  async start (gateways: number): Promise<void> {
+    this.storeAddress = (await this.store.start(0)).replace('http://', '')
+    for (let index = 0; index < gateways; index++) await this.startGateway(`gateway-${index}`)
+  }
+
+  async startGateway (name: string): Promise<GatewayProcess> {
+    const [front, ready, control, directory, inner] = await freePorts(5)
+    const addresses = {
+      front: `${LOOPBACK}:${front}`, ready: `${LOOPBACK}:${ready}`, control: `${LOOPBACK}:${control}`, directory: `${LOOPBACK}:${directory}`
+    }
+    const file = join(this._folder, `${name}.json`)
+    writeFileSync(file, JSON.stringify({
+      node_name: name,
+      ip: LOOPBACK,
+      zone: 'zone-a',
+      region: 'region-a',
+      listen: addresses,
+      port_range: [inner, inner],
+      seeds: this.gateways.map(gateway => gateway.addresses.control),
+      heartbeat_ms: 1_200,
+      bounds: { drain_ms: 2_000, config_apply_ms: 2_000, grace_s: 8, lease_ms: 3_000, retry_budget_slack: 50 },
+      provider: { address: this.storeAddress, ttl_min_ms: 1_000 },
+      an_unknown_field: true
+    }))
+    const child = spawn(process.execPath, [ENTRY], { env: { WASABIHEAD_NODE_FILE: file }, stdio: ['ignore', 'pipe', 'pipe'] })
+    const gateway = new GatewayProcess(name, addresses, child)
+    this.gateways.push(gateway)
+    await waitUntil(async () => gateway.output.includes('"event":"started"'))
+    return gateway
+  }
+
+  async addReplica (id: string, service: string): Promise<ReplicaStandIn> {
+    const replica = await ReplicaStandIn.start(id)
+    this.replicas.push(replica)
+    this.register(replica, service)
+    return replica
+  }
+
+  register (replica: ReplicaStandIn, service: string, change: object = {}): void {
+    this.store.put(`servers/${replica.id}`, {
+      service, address: replica.address, zone: 'zone-a', version: 'v1', slots: 4, state: 'ready', cold_left_ms: 0, seq: 1, born: 1_700_000_000_000, ...change
+    })
+  }
+
+  async stop (): Promise<void> {
+    for (const gateway of this.gateways) gateway.signal('SIGKILL')
+    await Promise.all(this.gateways.map(async gateway => await gateway.exited))
+    await Promise.all(this.replicas.map(async replica => { await replica.stop() }))
+    await this.store.stop()
+    rmSync(this._folder, { recursive: true })
+  }
+}
+
+/** A configuration with one route of each kind on `front.example`. */
+export function configurationOf (version: number, change: object = {}): object {
+  const route = { host: 'front.example', timeout_ms: 2_000, target_latency_ms: 300, priority: 0, service: 'desk', max_attempts: 2, public: false, sticky: false }
+  return {
+    version,
+    routes: [
+      { ...route, name: 'safe', path_prefix: '/safe/', kind: 'safe' },
+      { ...route, name: 'unsafe', path_prefix: '/unsafe/', kind: 'unsafe' },
+      { ...route, name: 'events', path_prefix: '/events/', kind: 'streaming', resumable: true },
+      { ...route, name: 'once', path_prefix: '/once/', kind: 'streaming', resumable: false }
+    ],
+    services: [{ name: 'desk', health_path: '/health', max_conns: 20, protocol: 'h1', tls: false }],
+    tenants: [{ name: 'tenant-a', api_keys: ['key-a'], isolated: true }],
+    limits: { max_header_bytes: 8_192, max_body_bytes: 100_000, header_timeout_ms: 2_000, idle_timeout_ms: 4_000 },
+    ...change
+  }
+}
+
+/** Sends one request on a new connection. */
+export async function call (
+  address: string, path: string, { method = 'GET', headers = {}, body = '' }: { method?: string, headers?: http.OutgoingHttpHeaders, body?: string } = {}
+): Promise<CallerAnswer> {
+  return await new Promise((resolve, reject) => {
+    const request = http.request(`http://${address}${path}`, {
+      method,
+      agent: false,
+      headers: { Host: 'front.example', 'Api-Key': 'key-a', 'X-Wasabihead-Attempt-Id': 'attempt-1', 'X-Wasabihead-Deadline-Ms': '3000', ...headers }
+    }, response => {
+      const chunks: Buffer[] = []
+      response.on('data', (chunk: Buffer) => { chunks.push(chunk) })
+      response.once('error', reject)
+      response.once('end', () => { resolve({ status: response.statusCode ?? 0, headers: response.headers, body: Buffer.concat(chunks).toString() }) })
+    })
+    request.once('error', reject)
+    request.end(body)
+  })
+}
+
+async function freePorts (count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => net.createServer())
+  await Promise.all(servers.map(async server => { await new Promise<void>(resolve => { server.listen(0, LOOPBACK, resolve) }) }))
+  const ports = servers.map(server => (server.address() as AddressInfo).port)
+  await Promise.all(servers.map(async server => { await new Promise<void>(resolve => { server.close(() => { resolve() }) }) }))
+  return ports
+}
