perf(dispatch): compare stores with each other, and leave out replicas whose streams all fall silent

A store is now compared with the faster half of the stores and with requests without a fetch. Requests on a dark replica waited 1.6 s; a replica is now left out 0.45 s after its running streams fell silent, and a request is moved only from a replica that sends nothing, not from a busy one.

--- a/packages/coordination/src/dispatch/replicaHealth.ts
+++ b/packages/coordination/src/dispatch/replicaHealth.ts
@@ -16,6 +16,14 @@
 const FIRST_EXCLUSION: Milliseconds = 500
 const LONGEST_EXCLUSION: Milliseconds = 4_000
 
+/** A replica whose running streams all stay silent for this long is taken for dead; an engine's step takes some 60 ms. */
+const LONGEST_SILENCE: Milliseconds = 450
+
+interface Pulse {
+  streams: number
+  lastAt: Milliseconds
+}
+
 interface Trust {
   suspicion: number
   at: Milliseconds
@@ -28,6 +36,7 @@
 /** Holds the trust in each replica. */
 export class ReplicaHealth {
   private readonly _trust = new Map<string, Trust>()
+  private readonly _pulses = new Map<string, Pulse>()
 
   /** Takes the end of an attempt. */
   record (replicaId: string, sign: AttemptSign, now: Milliseconds): void {
@@ -56,6 +65,7 @@
 
   /** Whether the replica is left out: it could not be reached lately, or one request is out to try it again. */
   isExcluded (replicaId: string, now: Milliseconds): boolean {
+    if (this.isSilent(replicaId, now)) return true
     const trust = this._trust.get(replicaId)
     if (trust === undefined || trust.unreachableInARow === 0) return false
     return trust.isOnTrial || now < trust.excludedUntil
@@ -67,9 +77,36 @@
     if (trust !== undefined && trust.unreachableInARow > 0) trust.isOnTrial = true
   }
 
+  /** A stream from the replica began or ended. */
+  onStream (replicaId: string, change: 1 | -1, now: Milliseconds): void {
+    const pulse = this._pulses.get(replicaId) ?? { streams: 0, lastAt: now }
+    pulse.streams = Math.max(0, pulse.streams + change)
+    if (change > 0) pulse.lastAt = now
+    this._pulses.set(replicaId, pulse)
+  }
+
+  /** Bytes came from the replica. */
+  onBytes (replicaId: string, now: Milliseconds): void {
+    const pulse = this._pulses.get(replicaId)
+    if (pulse !== undefined) pulse.lastAt = now
+  }
+
+  /** Whether streams run on the replica and none of them has made progress for long. */
+  isSilent (replicaId: string, now: Milliseconds): boolean {
+    const pulse = this._pulses.get(replicaId)
+    return pulse !== undefined && pulse.streams > 0 && now - pulse.lastAt > LONGEST_SILENCE
+  }
+
+  /** Whether bytes came from the replica at or after a time. */
+  hasSpokenSince (replicaId: string, time: Milliseconds): boolean {
+    const pulse = this._pulses.get(replicaId)
+    return pulse !== undefined && pulse.lastAt >= time
+  }
+
   /** Forgets a replica that is gone. */
   forget (replicaId: string): void {
     this._trust.delete(replicaId)
+    this._pulses.delete(replicaId)
   }
 
   private _current (replicaId: string, now: Milliseconds): Trust {
--- a/packages/coordination/src/stores/storedParts.ts
+++ b/packages/coordination/src/stores/storedParts.ts
@@ -187,9 +187,14 @@
     return isKnown && hasRoom && this._delayOf(store, now) < LONGEST_DELAY_FOR_SAVES
   }
 
-  /** What a store's fetches add to the error that predictions have without any. */
+  /**
+   * How much longer a store's fetches take than others. Under overload all requests wait longer than predicted, so a store
+   * is compared with requests without a fetch and with the faster half of the stores.
+   */
   private _delayOf (store: KnownStore, now: Milliseconds): Milliseconds {
-    return Math.max(0, store.delay.value(now) - this._usualExcess.value(now))
+    const delays = [...this._stores.values()].map(({ delay }) => delay.value(now)).filter(delay => delay > 0)
+    const usual = delays.length > 1 ? delays.sort((left, right) => left - right)[Math.floor((delays.length - 1) / 2)] ?? 0 : 0
+    return Math.max(0, store.delay.value(now) - Math.max(usual, this._usualExcess.value(now)))
   }
 
   private _noteEpoch (store: KnownStore, epoch: number, now: Milliseconds): void {
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -14,10 +14,12 @@
 
 /** Part of the objective after which a repeatable plain request is tried elsewhere; the second try is then still on time. */
 const PLAIN_ATTEMPT_SHARE = 0.6
-/** Times the objective after which a stream that has not begun is tried elsewhere. */
-const FIRST_EVENT_SHARE = 2
+/** Times the objective after which a stream that has not begun is tried elsewhere, if its replica sends nothing at all. */
+const FIRST_EVENT_SHARE = 1.5
 /** Longest silence within a stream that can be resumed elsewhere; callers give up after two seconds or more. */
 const STREAM_SILENCE: Milliseconds = 1_500
+/** Between two looks at a silent attempt. */
+const SILENCE_CHECK: Milliseconds = 200
 /** An attempt with less time than this left is not worth sending. */
 const SHORTEST_ATTEMPT: Milliseconds = 15
 const SUCCESS_BEGIN = 200
@@ -36,6 +38,7 @@
   hasBody: boolean
   isOver: boolean
   silenceTimer: NodeJS.Timeout | undefined
+  silentSince: Milliseconds
 }
 
 /** One request from its acceptance to its end. */
@@ -50,6 +53,7 @@
   private _attempts = 0
   private _possibleRuns = 0
   private _isOver = false
+  private _firstByteAt: Milliseconds | undefined
   /** The failure that a replica answered with last, passed on where nothing better follows. */
   private _failure: { head: AnswerHead, body: Buffer[] } | undefined
 
@@ -135,7 +139,8 @@
       hasHead: false,
       hasBody: false,
       isOver: false,
-      silenceTimer: undefined
+      silenceTimer: undefined,
+      silentSince: now
     }
     this._attempt = attempt
     this._attempts += 1
@@ -153,6 +158,7 @@
       freshTokens: selection.freshTokens,
       fetchedTokens: selection.fetchedTokens,
       salt: selection.salt,
+      wait: Math.round(selection.wait),
       isReusedChannel: channel.completed > 0,
       configurationRevision: state.catalog.configurationRevision,
       catalogAge: Math.round(now - state.catalog.listedAt)
@@ -248,6 +254,7 @@
       return
     }
     this._noteFirstByte(attempt)
+    this._state.health.onBytes(attempt.replica.id, this._state.now())
     this._settlePrefill(attempt)
     if (this._relay.kind === 'events') this._watchSilence(attempt, this._isRepeatable ? STREAM_SILENCE : undefined)
     const mayGoOn = this._relay.onBody(chunk)
@@ -336,6 +343,7 @@
     if (attempt.isOver) return
     attempt.isOver = true
     clearTimeout(attempt.silenceTimer)
+    if (attempt.hasBody && this._relay.kind === 'events') this._state.health.onStream(attempt.replica.id, -1, this._state.now())
     this._settlePrefill(attempt)
     this._state.loads.add(attempt.replica.id, { requests: -1, prefillTokens: 0, memoryTokens: -attempt.memoryTokens })
     if (sign !== undefined) this._state.health.record(attempt.replica.id, sign, this._state.now())
@@ -348,6 +356,8 @@
   private _noteFirstByte (attempt: Attempt): void {
     if (attempt.hasBody) return
     attempt.hasBody = true
+    this._firstByteAt ??= this._state.now()
+    if (this._relay.kind === 'events') this._state.health.onStream(attempt.replica.id, 1, this._state.now())
     const { selection } = attempt
     if (selection.salt === undefined) return
     const now = this._state.now()
@@ -366,9 +376,25 @@
   private _watchSilence (attempt: Attempt, silence: Milliseconds | undefined): void {
     clearTimeout(attempt.silenceTimer)
     if (silence === undefined) return
-    attempt.silenceTimer = setTimeout(() => {
-      if (!attempt.isOver) this._onSilence(attempt, silence)
-    }, silence)
+    attempt.silentSince = this._state.now()
+    attempt.silenceTimer = setTimeout(() => { this._checkSilence(attempt, silence) }, Math.min(silence, SILENCE_CHECK))
+  }
+
+  private _checkSilence (attempt: Attempt, silence: Milliseconds): void {
+    if (attempt.isOver) return
+    const now = this._state.now()
+    const { health, loading } = this._state
+    const { id } = attempt.replica
+    const elapsed = now - attempt.silentSince
+    // After a pause of this process, what the replica sent meanwhile is read before it is judged.
+    const isJudgedLate = elapsed > silence + SILENCE_CHECK
+    const isDead = health.isSilent(id, now) && !loading.has(id, now)
+    // A busy replica keeps a request waiting while it serves others; sending it elsewhere would only add work.
+    const isWaiting = this._relay.kind === 'events' && !attempt.hasBody && health.hasSpokenSince(id, attempt.sentAt)
+    if (!isJudgedLate && (isDead || (elapsed >= silence && !isWaiting))) this._onSilence(attempt, elapsed)
+    if (attempt.isOver) return
+    if (isJudgedLate) attempt.silentSince = now
+    attempt.silenceTimer = setTimeout(() => { this._checkSilence(attempt, silence) }, SILENCE_CHECK)
   }
 
   /** A silent attempt is given up only where another one may follow; else its answer may still come. */
@@ -377,7 +403,7 @@
     const context = this._contextAt(now)
     if (decideAfterAttempt('timed-out', context) !== 'try-another' || !this._spendRepeat(now)) return
     this._closeAttempt(attempt, 'unreachable')
-    this._noteAttemptEnd(attempt, 'timed-out', `silent for ${silence} ms`, 'try-another')
+    this._noteAttemptEnd(attempt, 'timed-out', `silent for ${Math.round(silence)} ms`, 'try-another')
     this._tryNext()
   }
 
@@ -446,6 +472,7 @@
       workspace: request.workspace?.name,
       outcome,
       attempts: this._attempts,
+      firstByte: this._firstByteAt === undefined ? undefined : Math.round(this._firstByteAt - request.receivedAt),
       duration: Math.round(duration)
     })
     this._onOver()
