perf(admission): promise engines no more memory than they have

Ruled out: prefill (36% busy) and fetches. A prompt now waits at most an eighth of its objective for memory and is refused early where much is lacking.

--- a/packages/coordination/src/dispatch/dispatch.spec.ts
+++ b/packages/coordination/src/dispatch/dispatch.spec.ts
@@ -3,7 +3,7 @@
 import * as assert from 'uvu/assert'
 import type { Engine, Replica } from '../catalog/index.js'
 import {
-  CachedParts, decideAfterAttempt, FleetLoads, FleetRetryBudget, RepeatedCrashes, ReplicaHealth, selectReplica,
+  admitPrompt, CachedParts, decideAfterAttempt, FleetLoads, FleetRetryBudget, RepeatedCrashes, ReplicaHealth, selectReplica,
   type AttemptContext, type AttemptEnd, type PartStores, type Prompt, type SelectionView
 } from './index.js'
 
@@ -107,6 +107,29 @@
   }), { seed: 8 })
 })
 
+const pressures = [
+  { title: 'send what fits', crowding: 0, heldFor: 0, isMostUrgent: false, expected: 'send' },
+  { title: 'hold what does not fit', crowding: 0.1, heldFor: 0, isMostUrgent: false, expected: 'hold' },
+  { title: 'send the most urgent beyond what fits', crowding: 0.2, heldFor: 0, isMostUrgent: true, expected: 'send' },
+  { title: 'send what was held while little is lacking', crowding: 0.2, heldFor: 99, isMostUrgent: false, expected: 'send' },
+  { title: 'refuse early where much is lacking', crowding: 0.5, heldFor: 99, isMostUrgent: false, expected: 'refuse' }
+]
+for (const { title, expected, ...pressure } of pressures) {
+  test(`should ${title}`, () => { assert.is(admitPrompt({ ...pressure, objective: 800 }), expected) })
+}
+
+// hfs-onboard scale-1, seed 59352380: requests waited 1.6 s each on engines that had gone dark in the middle of their streams.
+test('should leave out a replica whose running streams have all fallen silent', () => {
+  const health = new ReplicaHealth()
+  health.onStream('a', 1, 0)
+  health.onBytes('a', 100)
+  assert.equal([health.isExcluded('a', 500), health.isExcluded('a', 600)], [false, true])
+  health.onBytes('a', 700)
+  assert.is(health.isExcluded('a', 800), false)
+  health.onStream('a', -1, 800)
+  assert.is(health.isExcluded('a', 5_000), false, 'a replica without streams has nothing to say')
+})
+
 test('should keep the repeats of all instances within the fleet\'s budget', () => {
   const settings = { ratio: 0.2, allowance: 58, window: 10_000 }
   const instances = Array.from({ length: 4 }, () => new FleetRetryBudget(settings))
--- a/packages/coordination/src/dispatch/index.ts
+++ b/packages/coordination/src/dispatch/index.ts
@@ -4,6 +4,7 @@
 export { CachedParts, type PromptPart } from './cachedParts.js'
 export { FleetLoads, type ReplicaLoad } from './fleetLoads.js'
 export { FleetRetryBudget, type FleetRetryBudgetSettings } from './fleetRetryBudget.js'
+export { admitPrompt, type PromptAdmission, type PromptPressure } from './promptAdmission.js'
 export { RepeatedCrashes, type CrashReport } from './repeatedCrashes.js'
 export { ReplicaHealth, type AttemptSign } from './replicaHealth.js'
 export { type PartSource, type PartStores } from './partStores.js'
--- a/packages/coordination/src/dispatch/selectReplica.ts
+++ b/packages/coordination/src/dispatch/selectReplica.ts
@@ -49,6 +49,8 @@
   replica: Replica
   /** Predicted milliseconds until the first byte of the answer. */
   cost: number
+  /** Tokens of memory that the request needs beyond what the replica has left, against the replica's memory. */
+  crowding: number
   /** The part of the cost that is waiting at the replica, without any fetch. */
   wait: Milliseconds
   /** Tokens of the prompt that are neither held nor fetched. */
@@ -69,8 +71,10 @@
 const RUNNING_REQUEST_COST: Milliseconds = 1
 /** Typical service time of a plain request, from the sheets. */
 const PLAIN_REQUEST_COST: Milliseconds = 85
-/** Expected wait until a running request frees its memory, for a request that needs all of it. */
-const MEMORY_WAIT: Milliseconds = 400
+/** Memory that running requests free in a millisecond: some 47,000 tokens within the 3 s that a request runs. */
+const TOKENS_FREED_PER_MILLISECOND = 15
+/** Expected wait for a slot where all are taken. */
+const SLOT_WAIT: Milliseconds = 400
 /** A request that fails costs about its objective. */
 const SUSPICION_COST: Milliseconds = 1_500
 /** Two crossings between data centres, and the price of the bytes. */
@@ -124,6 +128,7 @@
   return {
     replica,
     cost: busyCost + commonCost(replica, view),
+    crowding: 0,
     wait: busyCost,
     freshTokens: 0,
     fetchedTokens: 0,
@@ -153,13 +158,14 @@
   const prefillCost = (load.prefillTokens + freshTokens) / PREFILL_TOKENS_PER_MILLISECOND
   const needed = prompt.inputTokens + prompt.maximumOutputTokens
   const missing = Math.max(0, load.memoryTokens + needed - engine.cacheTokens)
-  const memoryCost = MEMORY_WAIT * missing / Math.max(1, needed)
-  const slotCost = load.requests >= replica.slots ? MEMORY_WAIT : load.requests * RUNNING_REQUEST_COST
+  const memoryCost = missing / TOKENS_FREED_PER_MILLISECOND
+  const slotCost = load.requests >= replica.slots ? SLOT_WAIT : load.requests * RUNNING_REQUEST_COST
   const wait = prefillCost + memoryCost + slotCost
   const versionCost = wantedVersion !== undefined && version < wantedVersion ? OLD_VERSION_COST : 0
   return {
     replica,
     cost: wait + transferCost + fetches.delay + versionCost + commonCost(replica, view) - affinityGain,
+    crowding: missing / Math.max(1, engine.cacheTokens),
     wait,
     freshTokens,
     fetchedTokens: fetches.tokens,
--- a/packages/coordination/src/stores/storedParts.spec.ts
+++ b/packages/coordination/src/stores/storedParts.spec.ts
@@ -66,4 +66,18 @@
   assert.ok(delay > 350 && delay <= 400, String(delay))
 })
 
+// hfs-onboard scale-1, seed 59352380: under overload all stores looked slow, and prompts were read again instead of fetched.
+test('should not take the waits of an overloaded fleet for slow stores', () => {
+  const stores = new StoredParts()
+  stores.configure(['a', 'b', 'c'].map(address => ({ ...description, address })))
+  for (const address of ['a', 'b', 'c']) {
+    stores.onList(address, answer(), 0, 0)
+    stores.onEvents(address, answer({ events: [{ ...added, partId: address }] }), 4_000, 4_000)
+    for (let sample = 0; sample < 20; sample++) stores.onFetched(address, address === 'c' ? 1_500 : 900, 4_000)
+  }
+  const delays = ['a', 'b', 'c'].map(partId => Math.round(stores.sourceOf('s', partId, 'z', 4_000)?.delay ?? NaN))
+  assert.equal(delays.slice(0, 2), [0, 0])
+  assert.ok((delays[2] ?? 0) > 500)
+})
+
 test.run()
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -1,7 +1,7 @@
 /** Serves one request: chooses replicas, sends, decides what follows a failure, and passes the answer on. */
 import {
-  decideAfterAttempt, finalVerdict, isRepeatable, selectReplica,
-  type AttemptContext, type AttemptEnd, type AttemptSign, type AttemptVerdict, type Milliseconds, type PromptDemand, type Replica,
+  admitPrompt, decideAfterAttempt, finalVerdict, isRepeatable, selectReplica,
+  type AttemptContext, type AttemptEnd, type AttemptSign, type AttemptVerdict, type Milliseconds, type PromptAdmission, type PromptDemand, type Replica,
   type Selection
 } from '@wasabihead/coordination'
 import type { AnswerHead, ExchangeFault, ReplicaChannel } from '../channels/index.js'
@@ -20,6 +20,8 @@
 const STREAM_SILENCE: Milliseconds = 1_500
 /** Between two looks at a silent attempt. */
 const SILENCE_CHECK: Milliseconds = 200
+/** Between two looks at a request that waits for memory. */
+const HOLD_CHECK: Milliseconds = 30
 /** An attempt with less time than this left is not worth sending. */
 const SHORTEST_ATTEMPT: Milliseconds = 15
 const SUCCESS_BEGIN = 200
@@ -53,6 +55,7 @@
   private _attempts = 0
   private _possibleRuns = 0
   private _isOver = false
+  private _holdTimer: NodeJS.Timeout | undefined
   private _firstByteAt: Milliseconds | undefined
   /** The failure that a replica answered with last, passed on where nothing better follows. */
   private _failure: { head: AnswerHead, body: Buffer[] } | undefined
@@ -88,7 +91,20 @@
       else this._fail('no-replica-left')
       return
     }
-    this._send(selection)
+    switch (this._admit(selection)) {
+      case 'send': return this._send(selection)
+      case 'hold':
+        this._holdTimer = setTimeout(() => { if (!this._isOver) this._tryNext() }, HOLD_CHECK)
+        return
+      case 'refuse': this._refuse('crowded')
+    }
+  }
+
+  private _admit ({ crowding }: Selection): PromptAdmission {
+    const { route, workspace, receivedAt } = this._request
+    if (this._attempts > 0) return 'send'
+    const isMostUrgent = (workspace?.priority ?? route.priority) === 0
+    return admitPrompt({ crowding, heldFor: this._state.now() - receivedAt, objective: route.objective, isMostUrgent })
   }
 
   private _select (): Selection | undefined {
@@ -462,6 +478,7 @@
     if (this._isOver) return
     this._isOver = true
     clearTimeout(this._deadlineTimer)
+    clearTimeout(this._holdTimer)
     const [state, request] = [this._state, this._request]
     const duration = state.now() - request.receivedAt
     state.metrics.count('requests_total', outcome)
