--- a/packages/coordination/src/catalog/catalog.spec.ts
+++ b/packages/coordination/src/catalog/catalog.spec.ts
@@ -106,4 +106,14 @@
   assert.is(catalog.replica('a')?.weightVersions.m, 2)
 })
 
+// whtt-grants trouble-2, seed 137787582995: VERSION, a newer version lifted what the one before it had asked for.
+test('should keep asking for a version that was named long ago when a newer one is named', () => {
+  const catalog = new ServiceCatalog(settings)
+  const named = (version: number, revision: number) => ({ revision, value: { model: 'm', version } })
+  catalog.applyListing(listing([], { weightVersions: [named(2, 5)] }), 0, 0)
+  catalog.applyListing(listing([], { weightVersions: [named(3, 9)] }), 9_000, 9_000)
+  assert.equal([catalog.versionNamedBefore('m', 3_000), catalog.versionNamedBefore('m', 9_000)], [2, 3])
+  assert.is(catalog.versionNamedBefore('m', -1), undefined)
+})
+
 test.run()
--- a/packages/coordination/src/catalog/serviceCatalog.ts
+++ b/packages/coordination/src/catalog/serviceCatalog.ts
@@ -19,6 +19,9 @@
   | { kind: 'replica-removed', replica: Replica, reason: 'unlisted' | 'restarted' }
   | { kind: 'weight-version', model: string, version: number }
 
+/** Versions kept of each model: the one in force, and those that replicas may still have to reach. */
+const KEPT_VERSIONS = 4
+
 interface KnownReplica extends Revised<Replica> {
   /** Whether it was listed since the store was last away. */
   isConfirmed: boolean
@@ -33,7 +36,8 @@
 export class ServiceCatalog {
   private _configuration: Revised<RouteTable> | undefined
   private readonly _replicas = new Map<string, KnownReplica>()
-  private readonly _weightVersions = new Map<string, NamedVersion>()
+  /** The last versions named of each model, the newest last. */
+  private readonly _weightVersions = new Map<string, NamedVersion[]>()
   private _listedAt: Milliseconds = -Infinity
   private _graceUntil: Milliseconds = -Infinity
   private _byService = new Map<string, Replica[]>()
@@ -72,10 +76,15 @@
 
   /** The named weight version of a model and when it was first seen here. */
   namedVersion (model: string): { version: number, seenAt: Milliseconds } | undefined {
-    const named = this._weightVersions.get(model)
+    const named = this._weightVersions.get(model)?.at(-1)
     return named === undefined ? undefined : { version: named.value, seenAt: named.seenAt }
   }
 
+  /** The newest weight version of a model that was seen at or before a time; a newer one does not lift what it asks for. */
+  versionNamedBefore (model: string, time: Milliseconds): number | undefined {
+    return this._weightVersions.get(model)?.findLast(({ seenAt }) => seenAt <= time)?.value
+  }
+
   /** The models with a named weight version. */
   get namedModels (): string[] {
     return [...this._weightVersions.keys()]
@@ -127,8 +136,8 @@
     return {
       configuration: configuration && { revision: configuration.revision, value: configuration.value.configuration },
       replicas: [...this._replicas.values()].map(({ revision, value }) => ({ revision, value })),
-      weightVersions: [...this._weightVersions].map(([model, { revision, value }]) => (
-        { revision, value: { model, version: value } }))
+      weightVersions: [...this._weightVersions].flatMap(([model, versions]) => (
+        versions.map(({ revision, value }) => ({ revision, value: { model, version: value } }))))
     }
   }
 
@@ -137,9 +146,9 @@
     this._takeConfiguration(listing.configuration, changes)
     for (const replica of listing.replicas) this._takeReplica(replica, changes)
     for (const { revision, value: { model, version } } of listing.weightVersions) {
-      const known = this._weightVersions.get(model)
-      if (known !== undefined && known.value >= version) continue
-      this._weightVersions.set(model, { revision, value: version, seenAt: now })
+      const known = this._weightVersions.get(model) ?? []
+      if ((known.at(-1)?.value ?? 0) >= version) continue
+      this._weightVersions.set(model, [...known.slice(1 - KEPT_VERSIONS), { revision, value: version, seenAt: now }])
       changes.push({ kind: 'weight-version', model, version })
     }
     return changes
--- a/packages/coordination/src/dispatch/dispatch.spec.ts
+++ b/packages/coordination/src/dispatch/dispatch.spec.ts
@@ -155,8 +155,9 @@
   const loads = new FleetLoads()
   loads.add('r', { requests: 1, prefillTokens: 10, memoryTokens: 20 })
   loads.hear('other', new Map([['r', { requests: 2, prefillTokens: 5, memoryTokens: 7 }]]), 0)
-  assert.equal(loads.of('r', 100), { requests: 3, prefillTokens: 15, memoryTokens: 27 })
-  assert.equal(loads.of('r', 5_000), { requests: 1, prefillTokens: 10, memoryTokens: 20 })
+  assert.equal(loads.of('r'), { requests: 3, prefillTokens: 15, memoryTokens: 27 })
+  loads.expire(5_000)
+  assert.equal(loads.of('r'), { requests: 1, prefillTokens: 10, memoryTokens: 20 })
 })
 
 test.run()
--- a/packages/coordination/src/dispatch/selectReplica.ts
+++ b/packages/coordination/src/dispatch/selectReplica.ts
@@ -1,5 +1,5 @@
 /** Chooses the replica for a request, and where it fetches the prompt parts that it does not hold. */
-import { rankByRendezvous, type Milliseconds } from '../common/index.js'
+import { firstByRendezvous, type Milliseconds } from '../common/index.js'
 import type { Engine, Replica } from '../catalog/index.js'
 import type { CachedParts, PromptPart } from './cachedParts.js'
 import type { FleetLoads } from './fleetLoads.js'
@@ -102,8 +102,9 @@
   const { demand } = request
   if (demand === undefined) return cheapest(candidates.map(replica => weighPlain(replica, view)))
   const group = groupPart(demand.prompt)
-  const first = group === undefined ? undefined : rankByRendezvous(group, candidates.map(({ id }) => id))[0]
-  return cheapest(candidates.map(replica => weighPrompt(replica, demand, request.candidates, view, replica.id === first)))
+  const first = group === undefined ? undefined : firstByRendezvous(group, candidates.map(({ id }) => id))
+  const holders = new PartHolders(request.candidates, demand.prompt.parts.slice(0, -1), view)
+  return cheapest(candidates.map(replica => weighPrompt(replica, demand, holders, view, replica.id === first)))
 }
 
 function cheapest (selections: readonly Selection[]): Selection | undefined {
@@ -123,7 +124,7 @@
 }
 
 function weighPlain (replica: Replica, view: SelectionView): Selection {
-  const load = view.loads.of(replica.id, view.now)
+  const load = view.loads.of(replica.id)
   const busyCost = (load.requests / Math.max(1, replica.slots)) * PLAIN_REQUEST_COST
   return {
     replica,
@@ -140,16 +141,16 @@
 }
 
 function weighPrompt (
-  replica: Replica, demand: PromptDemand, all: readonly Replica[], view: SelectionView, isGroupsFirst: boolean
+  replica: Replica, demand: PromptDemand, holders: PartHolders, view: SelectionView, isGroupsFirst: boolean
 ): Selection {
   const { prompt, engine, wantedVersion } = demand
   const version = replica.weightVersions[prompt.model] ?? 0
   const salt = demand.saltFor(version)
-  const load = view.loads.of(replica.id, view.now)
+  const load = view.loads.of(replica.id)
   const shared = prompt.parts.slice(0, -1)
   const heldCount = view.cachedParts.heldParts(replica.id, salt, shared)
   const heldTokens = tokensOf(shared.slice(0, heldCount))
-  const fetches = planFetches(replica, shared, heldCount, salt, all, view)
+  const fetches = planFetches(replica, shared, heldCount, salt, holders)
   const freshTokens = Math.max(0, prompt.inputTokens - heldTokens - fetches.tokens)
   const transferCost = fetches.weightedTokens * engine.bytesPerToken * BITS_PER_BYTE /
     (Math.max(1, engine.linkMegabitsPerSecond) * BITS_PER_MILLISECOND)
@@ -171,7 +172,7 @@
     fetchedTokens: fetches.tokens,
     sources: fetches.sources.some(address => address !== undefined) ? [...fetches.sources, undefined] : undefined,
     fetchUntil: fetches.until,
-    saves: planSaves(shared, salt, view),
+    saves: holders.saves(salt),
     salt
   }
 }
@@ -190,13 +191,13 @@
  * the replica fetches only what it lacks and may have dropped them. A store is preferred: it drops nothing by itself.
  */
 function planFetches (
-  replica: Replica, shared: readonly PromptPart[], heldCount: number, salt: string, all: readonly Replica[], view: SelectionView
+  replica: Replica, shared: readonly PromptPart[], heldCount: number, salt: string, holders: PartHolders
 ): Fetches {
   const fetches: Fetches = { sources: shared.map(() => undefined), tokens: 0, weightedTokens: 0, until: undefined, delay: 0 }
   for (const [index, part] of shared.entries()) {
     const isHeld = index < heldCount
-    const stored = usableStore(part, salt, replica, isHeld, view)
-    const source = stored ?? (isHeld ? undefined : holderOf(replica, part, salt, all, view))
+    const stored = holders.store(index, salt, replica.zone, isHeld)
+    const source = stored ?? (isHeld ? undefined : holders.nearest(replica, index, salt))
     if (source === undefined && !isHeld) break
     fetches.sources[index] = source?.address
     if (stored !== undefined) fetches.until = Math.min(fetches.until ?? Infinity, stored.validUntil)
@@ -208,27 +209,55 @@
   return fetches
 }
 
-function usableStore (
-  part: PromptPart, salt: string, replica: Replica, isHeld: boolean, view: SelectionView
-): PartSource | undefined {
-  const stored = view.stores.sourceOf(salt, part.id, replica.zone, view.now)
-  const longestDelay = isHeld ? LONGEST_DELAY_FOR_HELD_PART : LONGEST_FETCH_DELAY
-  return stored !== undefined && stored.delay <= longestDelay ? stored : undefined
-}
+/** Who holds the shared parts of one prompt; each question is answered once for all candidates. */
+class PartHolders {
+  private readonly _replicas = new Map<string, Replica[]>()
+  private readonly _stored = new Map<string, PartSource | undefined>()
+  private readonly _saves = new Map<string, (string | undefined)[] | undefined>()
 
-/** Another replica that is believed to hold the part, preferably in the same zone. */
-function holderOf (
-  replica: Replica, part: PromptPart, salt: string, all: readonly Replica[], view: SelectionView
-): Replica | undefined {
-  const holders = all.filter(({ id }) => id !== replica.id && view.cachedParts.holds(id, salt, part.id) &&
-    !view.health.isExcluded(id, view.now))
-  return holders.find(({ zone }) => zone === replica.zone) ?? holders[0]
-}
+  constructor (
+    private readonly _all: readonly Replica[],
+    private readonly _shared: readonly PromptPart[],
+    private readonly _view: SelectionView
+  ) {}
 
-/** Saves the parts that no store holds yet; the replica sends them once it has them, however it came by them. */
-function planSaves (shared: readonly PromptPart[], salt: string, view: SelectionView): (string | undefined)[] | undefined {
-  const saves = shared.map(part => view.stores.saveTargetOf(salt, part, view.now))
-  return saves.some(address => address !== undefined) ? [...saves, undefined] : undefined
+  /** Another replica that is believed to hold the part, preferably in the same zone. */
+  nearest (replica: Replica, index: number, salt: string): Replica | undefined {
+    const others = this._replicasWith(index, salt).filter(({ id }) => id !== replica.id)
+    return others.find(({ zone }) => zone === replica.zone) ?? others[0]
+  }
+
+  /** A store that holds the part and is not too slow. */
+  store (index: number, salt: string, zone: string, isHeld: boolean): PartSource | undefined {
+    const key = `${index}|${salt}|${zone}`
+    if (!this._stored.has(key)) {
+      const partId = this._shared[index]?.id ?? ''
+      this._stored.set(key, this._view.stores.sourceOf(salt, partId, zone, this._view.now))
+    }
+    const stored = this._stored.get(key)
+    const longestDelay = isHeld ? LONGEST_DELAY_FOR_HELD_PART : LONGEST_FETCH_DELAY
+    return stored !== undefined && stored.delay <= longestDelay ? stored : undefined
+  }
+
+  /** Saves the parts that no store holds yet; the replica sends them once it has them, however it came by them. */
+  saves (salt: string): (string | undefined)[] | undefined {
+    if (!this._saves.has(salt)) {
+      const saves = this._shared.map(part => this._view.stores.saveTargetOf(salt, part, this._view.now))
+      this._saves.set(salt, saves.some(address => address !== undefined) ? [...saves, undefined] : undefined)
+    }
+    return this._saves.get(salt)
+  }
+
+  private _replicasWith (index: number, salt: string): Replica[] {
+    const key = `${index}|${salt}`
+    const known = this._replicas.get(key)
+    if (known !== undefined) return known
+    const { cachedParts, health, now } = this._view
+    const partId = this._shared[index]?.id ?? ''
+    const found = this._all.filter(({ id }) => cachedParts.holds(id, salt, partId) && !health.isExcluded(id, now))
+    this._replicas.set(key, found)
+    return found
+  }
 }
 
 function tokensOf (parts: readonly PromptPart[]): number {
--- a/packages/coordination/src/fronts/frontDirectory.spec.ts
+++ b/packages/coordination/src/fronts/frontDirectory.spec.ts
@@ -6,7 +6,7 @@
   name, incarnation: 1, zone: 'z', region: 'r', frontAddress: name, controlAddress: name, heartbeatAddress: name, isLeaving: false, ...change
 })
 const heartbeat = (from: FrontRecord, change: Partial<Heartbeat> = {}): Heartbeat => ({
-  from, isReady: true, peers: [], loads: {}, sent: [], loading: [], loaded: [], crashes: [], ...change
+  from, isReady: true, peers: [], loads: {}, sent: [], stores: [], loading: [], loaded: [], crashes: [], ...change
 })
 const directory = () => new FrontDirectory(record('self'), { silence: 1_000, unheardLifetime: 3_000, forgetAfter: 30_000 })
 const place = { zone: 'z', region: 'r' }
--- a/packages/coordination/src/fronts/messages.ts
+++ b/packages/coordination/src/fronts/messages.ts
@@ -30,6 +30,13 @@
   loads: z.record(z.string(), z.tuple([z.number(), z.number(), z.number()])),
   /** Prompts sent since the last heartbeat: replica, salt, and the parts' ids and tokens. */
   sent: z.array(z.tuple([z.string(), z.string(), z.array(z.tuple([z.string(), z.number()]))])),
+  /** Cache stores that the sender asks: epoch, age of the last answer, and events as [salt, part, tokens, is added]. */
+  stores: z.array(z.object({
+    address: z.string(),
+    epoch: z.number(),
+    age: z.number(),
+    events: z.array(z.tuple([z.string(), z.string(), z.number(), z.boolean()]))
+  })),
   /** Replicas that the sender has ordered to load weights. */
   loading: z.array(z.string()),
   /** Replicas that have loaded a weight version lately. */
--- a/packages/coordination/src/stores/storedParts.spec.ts
+++ b/packages/coordination/src/stores/storedParts.spec.ts
@@ -80,4 +80,24 @@
   assert.ok((delays[2] ?? 0) > 500)
 })
 
+test('should learn from another instance what a store holds, and when the store restarted', () => {
+  const [asking, told] = [listedStore(), listedStore()]
+  asking.onEvents('a', answer({ events: [added] }), 4_000, 4_000)
+  for (const news of asking.takeNews(4_100)) told.onNews(news, 9_000)
+  assert.is(told.sourceOf('s', 'p', 'z', 9_000)?.validUntil, 9_000 - 100 - 150 + BELIEF_LIFETIME)
+  assert.equal(told.takeNews(9_100), [], 'what was told is not told on')
+  asking.onEvents('a', answer({ epoch: 2 }), 4_500, 4_500)
+  for (const news of asking.takeNews(4_600)) told.onNews(news, 9_500)
+  assert.equal([told.sourceOf('s', 'p', 'z', 9_500), told.question('a').isListNeeded], [undefined, true])
+})
+
+test('should let few of many instances ask a store, and any that has no list of it', () => {
+  const instances = Array.from({ length: 30 }, (_, index) => `instance-${index}`)
+  const asking = instances.filter(instance => listedStore().asks('a', instance, instances))
+  assert.is(asking.length, 5)
+  const fresh = new StoredParts()
+  fresh.configure([description])
+  assert.ok(instances.every(instance => fresh.asks('a', instance, instances)))
+})
+
 test.run()
--- a/packages/coordination/src/stores/storedParts.ts
+++ b/packages/coordination/src/stores/storedParts.ts
@@ -5,7 +5,7 @@
  * short time after the store last answered, each fetch is bounded by that time, and nothing is saved to a restarted store
  * before every instance's older beliefs and fetches have ended.
  */
-import { placementHash, type Milliseconds } from '../common/index.js'
+import { placementHash, rankByRendezvous, type Milliseconds } from '../common/index.js'
 import type { CacheStoreDescription } from '../catalog/index.js'
 import { FadingAverage } from './fadingAverage.js'
 import type { PartSource, PartStores, PromptPart } from '../dispatch/index.js'
@@ -18,6 +18,12 @@
 const SAVE_INTERVAL: Milliseconds = 2_500
 /** A save to a slower store would hold up the replica's other transfers. */
 const LONGEST_DELAY_FOR_SAVES: Milliseconds = 150
+/** Instances that ask a store for its events; a store holds few questions at once. */
+const FOLLOWERS = 5
+/** Most events that wait to be told; the oldest go first, and their parts may be saved twice. */
+const MAXIMUM_NEWS = 200
+/** What news may have taken to arrive. */
+const RELAY_MARGIN: Milliseconds = 150
 /** Parts are saved up to this share of a store. */
 const FILL_SHARE = 0.97
 
@@ -42,6 +48,15 @@
   clock: Milliseconds | undefined
 }
 
+/** What an instance that asks a store tells the others of its answers. */
+export interface StoreNews {
+  address: string
+  epoch: number
+  /** How long ago the store was asked for its last answer. */
+  age: Milliseconds
+  events: StoreEvent[]
+}
+
 /** Parts that a store holds while it is in an epoch. */
 export interface StoreParts {
   epoch: number
@@ -53,8 +68,12 @@
   epoch: number | undefined
   next: number
   isListed: boolean
+  /** Whether the last answer was told by another instance. */
+  isRelayed: boolean
   answeredAt: Milliseconds
   savesFrom: Milliseconds
+  /** Events of direct answers that the other instances were not told yet. */
+  news: StoreEvent[]
   usedTokens: number
   delay: FadingAverage
   /** Key to tokens. */
@@ -108,9 +127,43 @@
     if (store === undefined) return
     this._noteEpoch(store, answer.epoch, now)
     if (answer.isIncomplete) store.isListed = false
+    store.news = [...store.news, ...answer.events].slice(-MAXIMUM_NEWS)
     this._takeEvents(store, answer, askedAt, now)
   }
 
+  /**
+   * Whether an instance asks a store itself: the first ones by rendezvous do, and any that has no list of it yet.
+   * @param instances names of the live instances, this one included
+   */
+  asks (address: string, instance: string, instances: readonly string[]): boolean {
+    if (instances.length <= FOLLOWERS || this._stores.get(address)?.isListed !== true) return true
+    return rankByRendezvous(address, instances).indexOf(instance) < FOLLOWERS
+  }
+
+  /** What to tell the other instances of the stores that were asked since the last time. */
+  takeNews (now: Milliseconds): StoreNews[] {
+    const news: StoreNews[] = []
+    for (const [address, store] of this._stores) {
+      const age = now - store.answeredAt
+      if (store.epoch === undefined || store.isRelayed || age > BELIEF_LIFETIME) continue
+      news.push({ address, epoch: store.epoch, age, events: store.news })
+      store.news = []
+    }
+    return news
+  }
+
+  /** Takes what another instance tells of a store that it asks. */
+  onNews ({ address, epoch, age, events }: StoreNews, now: Milliseconds): void {
+    const store = this._stores.get(address)
+    const answeredAt = now - age - RELAY_MARGIN
+    if (store === undefined || (store.epoch !== epoch && answeredAt <= store.answeredAt)) return
+    this._noteEpoch(store, epoch, now)
+    this._applyEvents(store, events)
+    if (answeredAt <= store.answeredAt) return
+    store.answeredAt = answeredAt
+    store.isRelayed = true
+  }
+
   /** The stores' clock at a time of this instance's clock; undefined until a store has told it. */
   storeClockAt (time: Milliseconds): Milliseconds | undefined {
     return this._clockOffset === undefined ? undefined : Math.floor(time + this._clockOffset)
@@ -209,7 +262,16 @@
   }
 
   private _takeEvents (store: KnownStore, answer: StoreAnswer, askedAt: Milliseconds, now: Milliseconds): void {
-    for (const { isAdded, salt, partId, tokens } of answer.events) {
+    this._applyEvents(store, answer.events)
+    store.next = answer.next
+    store.isRelayed = false
+    // The store answered at some time after it was asked; only the earlier time is safe.
+    store.answeredAt = askedAt
+    if (answer.clock !== undefined) this._clockOffset = answer.clock - now
+  }
+
+  private _applyEvents (store: KnownStore, events: readonly StoreEvent[]): void {
+    for (const { isAdded, salt, partId, tokens } of events) {
       const key = keyOf(salt, partId)
       store.usedTokens -= store.parts.get(key) ?? 0
       store.parts.delete(key)
@@ -217,10 +279,6 @@
       store.parts.set(key, tokens)
       store.usedTokens += tokens
     }
-    store.next = answer.next
-    // The store answered at some time after it was asked; only the earlier time is safe.
-    store.answeredAt = askedAt
-    if (answer.clock !== undefined) this._clockOffset = answer.clock - now
   }
 }
 
@@ -230,8 +288,10 @@
     epoch: undefined,
     next: 0,
     isListed: false,
+    isRelayed: false,
     answeredAt: -Infinity,
     savesFrom: Infinity,
+    news: [],
     usedTokens: 0,
     delay: new FadingAverage(),
     parts: new Map(),
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -14,6 +14,8 @@
 const MAXIMUM_BYTES = 60_000
 /** Peers named in one heartbeat. */
 const NAMED_PEERS = 4
+/** Peers for which one heartbeat in each interval is affordable. */
+const PEERS_FOR_EACH_ROUND = 20
 /** Rounds in which a crash is told. */
 const CRASH_ROUNDS = 12
 
@@ -22,6 +24,7 @@
   private readonly _socket = dgram.createSocket('udp4')
   private _timer: NodeJS.Timeout | undefined
   private _offset = 0
+  private _round = 0
   private _crashes: { report: Heartbeat['crashes'][number], rounds: number }[] = []
 
   /** @param _isReady whether this instance takes callers now */
@@ -54,6 +57,9 @@
   send (): void {
     const { fronts, now } = this._state
     const { peers } = fronts
+    // With many peers each round costs more, so that rounds are further apart.
+    this._round += 1
+    if (this._round % Math.ceil((peers.length + 1) / PEERS_FOR_EACH_ROUND) !== 0 && !fronts.self.isLeaving) return
     const count = Math.min(peers.length, this._settings.fanOut)
     if (count === 0) return
     const live = fronts.livePeers(now())
@@ -78,7 +84,7 @@
     for (const [id, load] of this._state.loads.local) {
       loads[id] = [load.requests, Math.round(load.prefillTokens), Math.round(load.memoryTokens)]
     }
-    const { fronts, sentPrompts, loading, now } = this._state
+    const { fronts, sentPrompts, storedParts, loading, now } = this._state
     const orders = loading.toldBy(fronts.self.name, now())
     return {
       from: fronts.self,
@@ -87,6 +93,11 @@
       loads,
       sent: sentPrompts.take().map(({ replicaId, salt, parts }) => (
         [replicaId, salt, parts.map(({ id, tokens }) => [id, tokens])])),
+      stores: storedParts.takeNews(now()).map(({ events, age, ...store }) => ({
+        ...store,
+        age: Math.ceil(age),
+        events: events.map(({ salt, partId, tokens, isAdded }) => [salt, partId, tokens, isAdded])
+      })),
       loading: orders.loading,
       loaded: [...orders.loaded],
       crashes: this._crashes.map(({ report }) => report)
@@ -112,6 +123,11 @@
       if (replica !== undefined) this._state.catalog.observeWeightVersion(replica, model, version)
     }
     for (const [replicaId, salt, parts] of heartbeat.sent) this._takeSent(replicaId, salt, parts)
+    for (const { events, ...store } of heartbeat.stores) {
+      this._state.storedParts.onNews({
+        ...store, events: events.map(([salt, partId, tokens, isAdded]) => ({ salt, partId, tokens, isAdded }))
+      }, now)
+    }
     for (const crash of heartbeat.crashes) this._state.crashes.record(crash, now)
   }
 
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -165,6 +165,7 @@
     } else {
       this.state.channels.sweep()
     }
+    this.state.loads.expire(now)
     this.state.log.tick()
   }
 
--- /dev/null
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -0,0 +1,91 @@
+/** Where one request goes: what is known of the replicas, applied to it. */
+import {
+  admitPrompt, selectReplica, type Milliseconds, type PromptAdmission, type PromptDemand, type Replica, type Selection
+} from '@wasabihead/coordination'
+import type { CallerRequest } from './callerRequest.js'
+import type { GatewayState } from './gatewayState.js'
+
+/** Chooses replicas for one request. */
+export class RequestPlacement {
+  /** The service among those of the route that takes the request. */
+  readonly service: string
+  /** Workspaces that are not isolated share cached parts. */
+  private readonly _wall: string
+
+  constructor (private readonly _state: GatewayState, private readonly _request: CallerRequest) {
+    this.service = pickService(_request, _state.random())
+    this._wall = _request.workspace?.isIsolated === true ? _request.workspace.name : ''
+  }
+
+  /** The best replica among those that the request was not sent to yet. */
+  select (tried: ReadonlySet<string>): Selection | undefined {
+    const { catalog, loads, health, cachedParts, loading, storedParts, zone } = this._state
+    const now = this._state.now()
+    const current = this._withCurrentWeights(catalog.usableReplicas(this.service), now)
+    const candidates = current.filter(({ id }) => !loading.has(id, now))
+    return selectReplica({
+      // A replica that is loading refuses requests until it is done.
+      candidates: candidates.length > 0 ? candidates : current,
+      tried,
+      demand: this._demand(now)
+    }, { loads, health, cachedParts, stores: storedParts, zone, now })
+  }
+
+  /** Whether a request that was not sent yet goes to the selected replica now. */
+  admit ({ crowding }: Selection): PromptAdmission {
+    const { route, workspace, receivedAt } = this._request
+    const isMostUrgent = (workspace?.priority ?? route.priority) === 0
+    return admitPrompt({ crowding, heldFor: this._state.now() - receivedAt, objective: route.objective, isMostUrgent })
+  }
+
+  /** The request is being sent: its prompt's parts will be held there, and in the stores that it saves them to. */
+  noteSent ({ replica, salt, saves }: Selection): void {
+    const { catalog, cachedParts, sentPrompts, storedParts, now } = this._state
+    const { prompt } = this._request.head
+    const engine = catalog.routes?.service(this.service)?.engine
+    if (prompt === undefined || salt === undefined || engine === undefined) return
+    cachedParts.onSent(replica.id, salt, prompt.parts, engine.cacheTokens)
+    sentPrompts.add({ replicaId: replica.id, salt, parts: prompt.parts })
+    for (const [index, address] of saves?.entries() ?? []) {
+      const part = prompt.parts[index]
+      if (address !== undefined && part !== undefined) storedParts.onSave(address, salt, part.id, now())
+    }
+  }
+
+  /** The first byte of the answer came: fetches are judged by how much longer it took than the replica's queue explains. */
+  noteFirstByte ({ salt, wait, fetchedTokens, sources }: Selection, sentAt: Milliseconds): void {
+    if (salt === undefined) return
+    const { storedParts } = this._state
+    const now = this._state.now()
+    const excess = now - sentAt - wait
+    if (fetchedTokens === 0) storedParts.onUnfetched(excess, now)
+    else for (const address of new Set(sources)) if (address !== undefined) storedParts.onFetched(address, excess, now)
+  }
+
+  private _withCurrentWeights (replicas: readonly Replica[], now: Milliseconds): readonly Replica[] {
+    const { prompt } = this._request.head
+    if (prompt === undefined) return replicas
+    const required = this._state.catalog.versionNamedBefore(prompt.model, now - this._state.oldWeights.excludeAfter)
+    if (required === undefined) return replicas
+    return replicas.filter(({ weightVersions }) => (weightVersions[prompt.model] ?? 0) >= required)
+  }
+
+  private _demand (now: Milliseconds): PromptDemand | undefined {
+    const { catalog, oldWeights } = this._state
+    const { prompt } = this._request.head
+    const engine = catalog.routes?.service(this.service)?.engine
+    if (prompt === undefined || engine === undefined) return undefined
+    const wantedVersion = catalog.versionNamedBefore(prompt.model, now - oldWeights.avoidAfter)
+    return { prompt, engine, saltFor: version => `${this._wall}/${prompt.model}/${version}`, wantedVersion }
+  }
+}
+
+function pickService ({ route }: CallerRequest, sample: number): string {
+  const total = route.targets.reduce((sum, { weight }) => sum + weight, 0)
+  let left = sample * total
+  for (const { service, weight } of route.targets) {
+    left -= weight
+    if (left < 0) return service
+  }
+  return route.targets.at(-1)?.service ?? ''
+}
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -1,8 +1,7 @@
 /** Serves one request: chooses replicas, sends, decides what follows a failure, and passes the answer on. */
 import {
-  admitPrompt, decideAfterAttempt, finalVerdict, isRepeatable, selectReplica,
-  type AttemptContext, type AttemptEnd, type AttemptSign, type AttemptVerdict, type Milliseconds, type PromptAdmission, type PromptDemand, type Replica,
-  type Selection
+  decideAfterAttempt, finalVerdict, isRepeatable, type AttemptContext, type AttemptEnd, type AttemptSign,
+  type AttemptVerdict, type Milliseconds, type Replica, type Selection
 } from '@wasabihead/coordination'
 import type { AnswerHead, ExchangeFault, ReplicaChannel } from '../channels/index.js'
 import type { AnswerFacts } from '../protocol/index.js'
@@ -10,6 +9,7 @@
 import type { CallerRequest } from './callerRequest.js'
 import type { GatewayState } from './gatewayState.js'
 import { passedHeaders } from './passedHeaders.js'
+import { RequestPlacement } from './requestPlacement.js'
 import { refuse, type RefusalReason } from './refusals.js'
 
 /** Part of the objective after which a repeatable plain request is tried elsewhere; the second try is then still on time. */
@@ -47,10 +47,8 @@
 export class RequestRun {
   private readonly _tried = new Set<string>()
   private readonly _relay: AnswerRelay
+  private readonly _placement: RequestPlacement
   private readonly _deadlineTimer: NodeJS.Timeout
-  /** Workspaces that are not isolated share cached parts. */
-  private readonly _wall: string
-  private readonly _service: string
   private _attempt: Attempt | undefined
   private _attempts = 0
   private _possibleRuns = 0
@@ -67,8 +65,7 @@
     this._relay = route.kind === 'streaming'
       ? new EventStreamRelay(response, head.lastEventId, () => { this._attempt?.channel.resume() })
       : new WholeAnswerRelay(response)
-    this._wall = _request.workspace?.isIsolated === true ? _request.workspace.name : ''
-    this._service = pickService(_request, _state.random())
+    this._placement = new RequestPlacement(_state, _request)
     this._deadlineTimer = setTimeout(() => { this._onDeadline() }, Math.max(0, _request.deadline - _state.now()))
     response.once('close', () => { this._onCallerGone() })
   }
@@ -80,18 +77,18 @@
       this._refuse('crashes-replicas')
       return
     }
-    this._state.retryBudget.onRequest(this._service, now)
+    this._state.retryBudget.onRequest(this._placement.service, now)
     this._tryNext()
   }
 
   private _tryNext (): void {
-    const selection = this._select()
+    const selection = this._placement.select(this._tried)
     if (selection === undefined) {
       if (this._possibleRuns === 0) this._refuse('no-replica')
       else this._fail('no-replica-left')
       return
     }
-    switch (this._admit(selection)) {
+    switch (this._attempts > 0 ? 'send' : this._placement.admit(selection)) {
       case 'send': return this._send(selection)
       case 'hold':
         this._holdTimer = setTimeout(() => { if (!this._isOver) this._tryNext() }, HOLD_CHECK)
@@ -100,45 +97,6 @@
     }
   }
 
-  private _admit ({ crowding }: Selection): PromptAdmission {
-    const { route, workspace, receivedAt } = this._request
-    if (this._attempts > 0) return 'send'
-    const isMostUrgent = (workspace?.priority ?? route.priority) === 0
-    return admitPrompt({ crowding, heldFor: this._state.now() - receivedAt, objective: route.objective, isMostUrgent })
-  }
-
-  private _select (): Selection | undefined {
-    const { catalog, loads, health, cachedParts, loading, zone } = this._state
-    const now = this._state.now()
-    const current = this._withCurrentWeights(catalog.usableReplicas(this._service), now)
-    const candidates = current.filter(({ id }) => !loading.has(id, now))
-    return selectReplica({
-      // A replica that is loading refuses requests until it is done.
-      candidates: candidates.length > 0 ? candidates : current,
-      tried: this._tried,
-      demand: this._demand(now)
-    }, { loads, health, cachedParts, stores: this._state.storedParts, zone, now })
-  }
-
-  private _withCurrentWeights (replicas: readonly Replica[], now: Milliseconds): readonly Replica[] {
-    const { prompt } = this._request.head
-    const named = prompt === undefined ? undefined : this._state.catalog.namedVersion(prompt.model)
-    if (prompt === undefined || named === undefined || now - named.seenAt < this._state.oldWeights.excludeAfter) return replicas
-    return replicas.filter(({ weightVersions }) => (weightVersions[prompt.model] ?? 0) >= named.version)
-  }
-
-  private _demand (now: Milliseconds): PromptDemand | undefined {
-    const { catalog } = this._state
-    const { prompt } = this._request.head
-    const engine = catalog.routes?.service(this._service)?.engine
-    if (prompt === undefined || engine === undefined) return undefined
-    const named = catalog.namedVersion(prompt.model)
-    const isOverdue = named !== undefined && now - named.seenAt > this._state.oldWeights.avoidAfter
-    return {
-      prompt, engine, saltFor: version => `${this._wall}/${prompt.model}/${version}`, wantedVersion: isOverdue ? named.version : undefined
-    }
-  }
-
   private _send (selection: Selection): void {
     const [state, request] = [this._state, this._request]
     const { replica } = selection
@@ -164,7 +122,7 @@
     this._possibleRuns += 1
     state.health.onSend(replica.id)
     state.loads.add(replica.id, { requests: 1, prefillTokens: attempt.prefillTokens, memoryTokens: attempt.memoryTokens })
-    this._noteSent(selection)
+    this._placement.noteSent(selection)
     state.log.decision('attempt', {
       requestId: request.head.requestId,
       attempt: this._attempts,
@@ -194,19 +152,6 @@
     })
   }
 
-  private _noteSent ({ replica, salt, saves }: Selection): void {
-    const { catalog, cachedParts, sentPrompts, storedParts, now } = this._state
-    const { prompt } = this._request.head
-    const engine = catalog.routes?.service(this._service)?.engine
-    if (prompt === undefined || salt === undefined || engine === undefined) return
-    cachedParts.onSent(replica.id, salt, prompt.parts, engine.cacheTokens)
-    sentPrompts.add({ replicaId: replica.id, salt, parts: prompt.parts })
-    for (const [index, address] of saves?.entries() ?? []) {
-      const part = prompt.parts[index]
-      if (address !== undefined && part !== undefined) storedParts.onSave(address, salt, part.id, now())
-    }
-  }
-
   private _headersFor ({ replica, salt, sources, saves, fetchUntil }: Selection, now: Milliseconds): [string, string][] {
     const [state, request] = [this._state, this._request]
     const { prompt, lastEventId } = request.head
@@ -300,7 +245,7 @@
 
   private _endAttempt (attempt: Attempt, end: AttemptEnd, detail: string): void {
     const now = this._state.now()
-    this._closeAttempt(attempt, this._signOf(attempt, end, now))
+    this._closeAttempt(attempt, this._signOf(attempt, end))
     if (end === 'not-sent' || end === 'not-run') this._possibleRuns -= 1
     const context = this._contextAt(now)
     let verdict = decideAfterAttempt(end, context)
@@ -325,13 +270,13 @@
       possibleRuns: this._possibleRuns,
       maximumAttempts: route.maximumAttempts,
       hasBegunAnswer: this._relay.hasBegun,
-      hasOtherReplica: this._select() !== undefined,
+      hasOtherReplica: this._placement.select(this._tried) !== undefined,
       isTimeLeft: this._request.deadline - now > SHORTEST_ATTEMPT
     }
   }
 
   private _spendRepeat (now: Milliseconds): boolean {
-    return this._state.retryBudget.trySpend(this._service, this._state.fronts.size(now), now)
+    return this._state.retryBudget.trySpend(this._placement.service, this._state.fronts.size(now), now)
   }
 
   private _noteAttemptEnd (attempt: Attempt, end: AttemptEnd, detail: string, verdict: AttemptVerdict): void {
@@ -349,10 +294,10 @@
   }
 
   /** A replica that is full because of us is no worse for it. */
-  private _signOf (attempt: Attempt, end: AttemptEnd, now: Milliseconds): AttemptSign | undefined {
+  private _signOf (attempt: Attempt, end: AttemptEnd): AttemptSign | undefined {
     if (end === 'not-sent' || end === 'timed-out') return 'unreachable'
     if (end !== 'not-run') return 'failed'
-    return this._state.loads.of(attempt.replica.id, now).requests < attempt.replica.slots ? 'failed' : undefined
+    return this._state.loads.of(attempt.replica.id).requests < attempt.replica.slots ? 'failed' : undefined
   }
 
   private _closeAttempt (attempt: Attempt, sign: AttemptSign | undefined): void {
@@ -368,19 +313,13 @@
     this._attempt = undefined
   }
 
-  /** Fetches are judged by how much longer the first byte took than the replica's queue explains. */
   private _noteFirstByte (attempt: Attempt): void {
     if (attempt.hasBody) return
     attempt.hasBody = true
-    this._firstByteAt ??= this._state.now()
-    if (this._relay.kind === 'events') this._state.health.onStream(attempt.replica.id, 1, this._state.now())
-    const { selection } = attempt
-    if (selection.salt === undefined) return
     const now = this._state.now()
-    const excess = now - attempt.sentAt - selection.wait
-    const { storedParts } = this._state
-    if (selection.fetchedTokens === 0) storedParts.onUnfetched(excess, now)
-    else for (const address of new Set(selection.sources)) if (address !== undefined) storedParts.onFetched(address, excess, now)
+    this._firstByteAt ??= now
+    if (this._relay.kind === 'events') this._state.health.onStream(attempt.replica.id, 1, now)
+    this._placement.noteFirstByte(attempt.selection, attempt.sentAt)
   }
 
   private _settlePrefill (attempt: Attempt): void {
@@ -496,16 +435,6 @@
   }
 }
 
-function pickService ({ route }: CallerRequest, sample: number): string {
-  const total = route.targets.reduce((sum, { weight }) => sum + weight, 0)
-  let left = sample * total
-  for (const { service, weight } of route.targets) {
-    left -= weight
-    if (left < 0) return service
-  }
-  return route.targets.at(-1)?.service ?? ''
-}
-
 function hasBodyHeaders (rawHeaders: readonly string[]): boolean {
   return rawHeaders.some((name, index) => index % 2 === 0 && /^(content-length|transfer-encoding)$/i.test(name))
 }
--- a/packages/gateway/src/rollout/rolloutLoop.ts
+++ b/packages/gateway/src/rollout/rolloutLoop.ts
@@ -61,7 +61,7 @@
       return
     }
     const byLoad = state.catalog.replicas
-      .map(replica => ({ replica, requests: state.loads.of(replica.id, now).requests }))
+      .map(replica => ({ replica, requests: state.loads.of(replica.id).requests }))
       .sort((left, right) => left.requests - right.requests)
       .map(({ replica }) => replica)
     for (const model of state.catalog.namedModels) {
--- a/packages/gateway/src/stores/storeFollower.ts
+++ b/packages/gateway/src/stores/storeFollower.ts
@@ -33,14 +33,24 @@
   private async _followStore (address: string): Promise<void> {
     let isReachable = true
     while (this._state.storedParts.addresses.includes(address)) {
+      if (!this._isAsking(address)) {
+        await pause(this._settings.wait)
+        continue
+      }
       const isAnswered = await this._ask(address)
       if (isAnswered !== isReachable) this._state.log.change(isAnswered ? 'cache-store-regained' : 'cache-store-lost', { address })
       isReachable = isAnswered
-      await new Promise(resolve => { setTimeout(resolve, isAnswered ? this._settings.interval : this._settings.retryDelay) })
+      await pause(isAnswered ? this._settings.interval : this._settings.retryDelay)
     }
     this._followed.delete(address)
   }
 
+  private _isAsking (address: string): boolean {
+    const { storedParts, fronts, now } = this._state
+    const { name } = fronts.self
+    return storedParts.asks(address, name, [name, ...fronts.livePeers(now()).map(peer => peer.name)])
+  }
+
   private async _ask (address: string): Promise<boolean> {
     const { storedParts, replicaProtocol, channels, now, log } = this._state
     const { wait, callTimeout } = this._settings
@@ -67,3 +77,7 @@
     else storedParts.onEvents(address, answer, askedAt, now())
   }
 }
+
+async function pause (duration: Milliseconds): Promise<void> {
+  await new Promise(resolve => { setTimeout(resolve, duration) })
+}
