--- a/packages/coordination/src/dispatch/dispatch.spec.ts
+++ b/packages/coordination/src/dispatch/dispatch.spec.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { SeededRandom } from '../common/index.js'
 import type { Engine, Replica } from '../catalog/index.js'
 import {
   admitPrompt, CachedParts, decideAfterAttempt, FleetLoads, FleetRetryBudget, RepeatedCrashes, ReplicaHealth, selectReplica,
@@ -16,7 +17,15 @@
   model: 'm', inputTokens: 9_000, maximumOutputTokens: 20, parts: [{ id: 'a', tokens: 2_500 }, { id: 'b', tokens: 5_000 }, { id: 'own', tokens: 1_500 }]
 }
 const view = (change: Partial<SelectionView> = {}): SelectionView => ({
-  loads: new FleetLoads(), health: new ReplicaHealth(), cachedParts: new CachedParts(), stores: NO_STORES, zone: 'z', now: 0, ...change
+  loads: new FleetLoads(),
+  health: new ReplicaHealth(),
+  cachedParts: new CachedParts(),
+  stores: NO_STORES,
+  zone: 'z',
+  instances: 1,
+  random: new SeededRandom(1),
+  now: 0,
+  ...change
 })
 const demand = (wantedVersion?: number) => ({ prompt, engine, saltFor: (version: number) => `/m/${version}`, wantedVersion })
 const candidates = ['1', '2', '3', '4'].map(id => replica(id))
@@ -51,6 +60,17 @@
   assert.is(selectReplica({ candidates, tried: new Set(), demand: demand() }, view({ stores }))?.sources, undefined)
 })
 
+test('should not choose as all other instances do by the same news', () => {
+  const chosen = new Set<string | undefined>()
+  const short = { ...demand(), prompt: { ...prompt, inputTokens: 200, parts: [{ id: 'own', tokens: 200 }] } }
+  for (let seed = 0; seed < 30; seed++) {
+    const own = view({ instances: 34, random: new SeededRandom(seed) })
+    for (const id of ['2', '3', '4']) own.loads.add(id, { requests: 1, prefillTokens: 500, memoryTokens: 500 })
+    chosen.add(selectReplica({ candidates, tried: new Set(), demand: short }, own)?.replica.id)
+  }
+  assert.ok(chosen.size > 1)
+})
+
 test('should keep the parts of two weight versions apart', () => {
   const chosen = view()
   chosen.cachedParts.onSent('3', '/m/1', prompt.parts, engine.cacheTokens)
--- a/packages/coordination/src/dispatch/fleetRetryBudget.ts
+++ b/packages/coordination/src/dispatch/fleetRetryBudget.ts
@@ -25,7 +25,12 @@
 export class FleetRetryBudget {
   private readonly _tallies = new Map<string, Tally>()
 
-  constructor (private readonly _settings: FleetRetryBudgetSettings) {}
+  constructor (private _settings: FleetRetryBudgetSettings) {}
+
+  /** Takes new settings; what was spent stays spent. */
+  configure (settings: FleetRetryBudgetSettings): void {
+    this._settings = settings
+  }
 
   /** A caller's request for the service was read. */
   onRequest (service: string, now: Milliseconds): void {
--- a/packages/coordination/src/dispatch/selectReplica.ts
+++ b/packages/coordination/src/dispatch/selectReplica.ts
@@ -1,5 +1,5 @@
 /** Chooses the replica for a request, and where it fetches the prompt parts that it does not hold. */
-import { firstByRendezvous, type Milliseconds } from '../common/index.js'
+import { firstByRendezvous, type Milliseconds, type SeededRandom } from '../common/index.js'
 import type { Engine, Replica } from '../catalog/index.js'
 import type { CachedParts, PromptPart } from './cachedParts.js'
 import type { FleetLoads } from './fleetLoads.js'
@@ -23,6 +23,9 @@
   stores: PartStores
   /** Data centre of this instance. */
   zone: string
+  /** Instances that choose at the same time, this one included. */
+  instances: number
+  random: SeededRandom
   now: Milliseconds
 }
 
@@ -81,6 +84,13 @@
 const OTHER_ZONE_COST: Milliseconds = 6
 /** An answer by replaced weights is worth a fifth less. */
 const OLD_VERSION_COST: Milliseconds = 150
+/**
+ * Instances that choose by the same news at the same time would all choose the same replica; each adds up to this much for
+ * each other instance, at random.
+ */
+const SPREAD_FOR_EACH_INSTANCE: Milliseconds = 3
+/** Few instances hardly meet on one replica between two heartbeats. */
+const INSTANCES_WITHOUT_SPREAD = 6
 /** Part of a prompt's shared tokens that is expected on the group's first replica while nothing is known of its cache. */
 const EXPECTED_SHARE = 0.5
 /** Transfers take twice as long between data centres. */
@@ -104,7 +114,11 @@
   const group = groupPart(demand.prompt)
   const first = group === undefined ? undefined : firstByRendezvous(group, candidates.map(({ id }) => id))
   const holders = new PartHolders(request.candidates, demand.prompt.parts.slice(0, -1), view)
-  return cheapest(candidates.map(replica => weighPrompt(replica, demand, holders, view, replica.id === first)))
+  const spread = SPREAD_FOR_EACH_INSTANCE * Math.max(0, view.instances - INSTANCES_WITHOUT_SPREAD)
+  return cheapest(candidates.map(replica => {
+    const selection = weighPrompt(replica, demand, holders, view, replica.id === first)
+    return { ...selection, cost: selection.cost + spread * view.random.next() }
+  }))
 }
 
 function cheapest (selections: readonly Selection[]): Selection | undefined {
--- a/packages/coordination/src/leases/leases.spec.ts
+++ b/packages/coordination/src/leases/leases.spec.ts
@@ -101,4 +101,23 @@
   assert.not(budget.take('read', 'claims', 60_000))
 })
 
+test('should count a suspension of the machine, and not a wall clock that is set back', () => {
+  const clock = new SuspensionClock()
+  assert.is(clock.now({ monotonic: 100, wall: 5_000 }), 100)
+  assert.is(clock.now({ monotonic: 200, wall: 5_100 }), 200)
+  assert.is(clock.now({ monotonic: 300, wall: 9_200 }), 4_300)
+  assert.is(clock.now({ monotonic: 400, wall: 2_000 }), 4_400)
+})
+
+test('should tell until when the holder before may have acted', () => {
+  const keeper = new LeaseKeeper({ host: 'b', incarnation: 1 }, 1_000)
+  const record = { holder: { host: 'a', incarnation: 1 }, epoch: 3, renewal: 1, isReleased: false }
+  keeper.handle({ kind: 'want', isWanted: true }, 0)
+  keeper.handle({ kind: 'role-read', record, keyRevision: 7 }, 500)
+  assert.equal(keeper.handle({ kind: 'tick' }, 1_400).map(({ kind }) => kind), ['read-role'])
+  keeper.handle({ kind: 'role-read', record, keyRevision: 7 }, 1_450)
+  assert.equal(keeper.handle({ kind: 'tick' }, 1_500).map(({ kind }) => kind), ['write-role'])
+  assert.is(keeper.formerHeldUntil, 500 + 900)
+})
+
 test.run()
--- a/packages/coordination/src/stores/storedParts.spec.ts
+++ b/packages/coordination/src/stores/storedParts.spec.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { BELIEF_LIFETIME, StoredParts, type StoreAnswer, type StoreEvent } from './index.js'
+import { BELIEF_LIFETIME, saltOf, spaceOf, StoredParts, type StoreAnswer, type StoreEvent } from './index.js'
 
 const description = { address: 'a', zone: 'z', capacityTokens: 10_000, linkMegabitsPerSecond: 1, firstDelay: 0, isManaged: true }
 const part = { id: 'p', tokens: 5_000 }
@@ -100,4 +100,11 @@
   assert.ok(instances.every(instance => fresh.asks('a', instance, instances)))
 })
 
+test('should name spaces so that no workspace or model reads as another', () => {
+  const spaces = [{ wall: '', model: 'a/1', weightVersion: 2 }, { wall: 'a', model: '1', weightVersion: 2 }, { wall: '', model: 'a', weightVersion: 12 }]
+  assert.is(new Set(spaces.map(saltOf)).size, 3)
+  assert.equal(spaces.map(saltOf).map(spaceOf), spaces)
+  assert.is(spaceOf('not ours'), undefined)
+})
+
 test.run()
--- a/packages/gateway/src/catalog/catalogLoop.ts
+++ b/packages/gateway/src/catalog/catalogLoop.ts
@@ -24,14 +24,14 @@
   private _ownValues: readonly VersionedValue[] = []
 
   /**
-   * @param _seeds control addresses that are asked while no peer is known
+   * @param seeds control addresses that are asked while no peer is known
    * @param _onChange told of each changed belief
    */
   constructor (
     private readonly _state: GatewayState,
     private readonly _source: CatalogSource,
     private readonly _settings: CatalogLoopSettings,
-    private readonly _seeds: readonly string[],
+    public seeds: readonly string[],
     private readonly _onChange: (change: CatalogChange) => void
   ) {}
 
@@ -78,9 +78,9 @@
   private async _askPeer (): Promise<void> {
     const { fronts, now, random, catalog } = this._state
     const known = fronts.livePeers(now()).map(({ controlAddress }) => controlAddress)
-    const addresses = (known.length > 0 ? known : this._seeds).filter(address => address !== fronts.self.controlAddress)
-    const address = addresses[Math.floor(random() * addresses.length)]
-    if (address === undefined) return
+    const addresses = (known.length > 0 ? known : this.seeds).filter(address => address !== fronts.self.controlAddress)
+    if (addresses.length === 0) return
+    const address = random.pick(addresses)
     try {
       const listing = await askPeerListing(address, this._settings.peerTimeout)
       fronts.learn(listing.fronts, now())
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -1,7 +1,7 @@
 /** One gateway instance: its parts, its start and its end. */
 import {
-  CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, RepeatedCrashes, ReplicaHealth, SentPrompts,
-  ServiceCatalog, StoredParts,
+  CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, RepeatedCrashes, ReplicaHealth,
+  SeededRandom, SentPrompts, ServiceCatalog, StoredParts,
   type CatalogChange, type FrontRecord, type KeyValueService, type Milliseconds
 } from '@wasabihead/coordination'
 import { CatalogLoop, FRONT_KEYS, Registration } from '../catalog/index.js'
@@ -11,7 +11,7 @@
 import type { CallerProtocol, CatalogSource, ReplicaProtocol } from '../protocol/index.js'
 import { FrontServer, type GatewayState } from '../requests/index.js'
 import { RolloutLoop } from '../rollout/index.js'
-import { StoreFollower } from '../stores/index.js'
+import { StoreCollector, StoreFollower } from '../stores/index.js'
 import { DecisionLog, describeFailure, GatewayMetrics } from '../telemetry/index.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 
@@ -26,6 +26,13 @@
   readinessQuestions: (gateway: Gateway) => Map<string, QuestionHandler>
 }
 
+/** Where a gateway reads the time. */
+export interface GatewayClocks {
+  now: () => Milliseconds
+  /** Counts suspensions of the machine. */
+  leaseNow: () => Milliseconds
+}
+
 /** Steps of the loop that watches for pauses. */
 const TICK_INTERVAL: Milliseconds = 500
 /** A longer gap between two ticks means that the process or its host stood still. */
@@ -42,17 +49,20 @@
   private readonly _heartbeats: Heartbeats
   private readonly _rollout: RolloutLoop
   private readonly _storeFollower: StoreFollower
+  private readonly _storeCollector: StoreCollector
   private readonly _directory: SmallServer
   private readonly _readiness: SmallServer
   private readonly _control: SmallServer
+  private readonly _metricsServer: SmallServer
   private _isListening = false
   private _isLeaving = false
   private _tickedAt: Milliseconds = 0
 
   constructor (
-    private readonly _settings: GatewaySettings, adapter: GatewayAdapter, now: () => Milliseconds, random: () => number
+    private readonly _settings: GatewaySettings, adapter: GatewayAdapter, clocks: GatewayClocks, seed: number
   ) {
     const settings = _settings
+    const { now, leaseNow } = clocks
     const self: FrontRecord = { ...settings.self, isLeaving: false }
     this.state = {
       catalog: new ServiceCatalog(settings.catalog),
@@ -73,7 +83,7 @@
       zone: self.zone,
       oldWeights: settings.oldWeights,
       now,
-      random
+      random: new SeededRandom(seed)
     }
     const { ownPrefix } = adapter.catalogSource
     this._front = new FrontServer(this.state)
@@ -84,12 +94,15 @@
     this._registration = new Registration(this.state, adapter.store, { key, ...settings.registration })
     this._heartbeats = new Heartbeats(this.state, settings.heartbeats, () => this.isReady)
     const rollout = { roleKey: `${ownPrefix}rollout`, ...settings.rollout }
-    this._rollout = new RolloutLoop(this.state, adapter.store, rollout, () => this._catalogLoop.ownValues)
+    this._rollout = new RolloutLoop(this.state, adapter.store, rollout, () => this._catalogLoop.ownValues, leaseNow)
+    this._storeCollector = new StoreCollector(this.state, settings.storeCollector, () => this._rollout.isHolder)
     this._storeFollower = new StoreFollower(this.state, settings.storeFollower)
     this._directory = new SmallServer(adapter.directoryQuestions(this))
     this._readiness = new SmallServer(adapter.readinessQuestions(this))
     this._control = new SmallServer(new Map([
-      [`GET ${LISTING_PATH}`, () => ({ status: 200, contentType: 'application/json', body: JSON.stringify(this._peerListing()) })],
+      [`GET ${LISTING_PATH}`, () => ({ status: 200, contentType: 'application/json', body: JSON.stringify(this._peerListing()) })]
+    ]))
+    this._metricsServer = new SmallServer(new Map([
       ['GET /metrics', () => ({ status: 200, contentType: 'text/plain', body: this.state.metrics.format() })]
     ]))
   }
@@ -115,16 +128,25 @@
       this._directory.listen(...splitAddress(listen.directory)),
       this._readiness.listen(...splitAddress(listen.readiness)),
       this._control.listen(...splitAddress(listen.control)),
+      this._metricsServer.listen(...splitAddress(listen.metrics)),
       this._heartbeats.start(this._settings.self.heartbeatAddress)
     ])
     this._isListening = true
     this._registration.start()
     this._rollout.start()
+    this._storeCollector.start()
     this._tickedAt = this.state.now()
     setInterval(() => { this._tick() }, TICK_INTERVAL)
     this.state.log.change('started', { sinceProcessStart: Math.round(process.uptime() * 1_000) })
   }
 
+  /** Takes settings that may change while the process runs; the others hold until its next start. */
+  reload ({ seeds, retryBudget }: GatewaySettings): void {
+    this._catalogLoop.seeds = seeds
+    this.state.retryBudget.configure(retryBudget)
+    this.state.log.change('settings-reloaded', { seeds: seeds.join(','), retryRatio: retryBudget.ratio, retryAllowance: retryBudget.allowance })
+  }
+
   /** Leaves: others stop sending callers here at once, what was read is answered. Resolves when the process may end. */
   async stop (): Promise<void> {
     this._isLeaving = true
@@ -132,6 +154,7 @@
     this._heartbeats.send()
     this._front.leave()
     this._rollout.stop()
+    this._storeCollector.stop()
     this.state.log.change('leaving', { running: this._front.running })
     const begin = this.state.now()
     this.state.log.detach('withdrawal', this._registration.withdraw())
--- a/packages/gateway/src/process/gatewaySettings.ts
+++ b/packages/gateway/src/process/gatewaySettings.ts
@@ -7,13 +7,13 @@
 import type { HeartbeatSettings } from '../peers/index.js'
 import type { OldWeightsSettings } from '../requests/index.js'
 import type { RolloutLoopSettings } from '../rollout/index.js'
-import type { StoreFollowerSettings } from '../stores/index.js'
+import type { StoreCollectorSettings, StoreFollowerSettings } from '../stores/index.js'
 import type { DecisionLogSettings } from '../telemetry/index.js'
 
 /** Settings of one gateway instance. */
 export interface GatewaySettings {
   self: Omit<FrontRecord, 'isLeaving'>
-  listen: { front: string, readiness: string, control: string, directory: string }
+  listen: { front: string, readiness: string, control: string, directory: string, metrics: string }
   /** Control addresses of other instances, which may be stale. */
   seeds: readonly string[]
   catalog: CatalogSettings
@@ -25,6 +25,7 @@
   retryBudget: FleetRetryBudgetSettings
   oldWeights: OldWeightsSettings
   storeFollower: StoreFollowerSettings
+  storeCollector: StoreCollectorSettings
   rollout: Omit<RolloutLoopSettings, 'roleKey'>
   leaving: {
     /** Callers that have not heard yet still come for this long. */
--- a/packages/gateway/src/requests/gatewayState.ts
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -1,7 +1,7 @@
 /** What the parts of one gateway share. */
 import type {
   CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, Milliseconds, RepeatedCrashes,
-  ReplicaHealth, SentPrompts, ServiceCatalog, StoredParts
+  ReplicaHealth, SeededRandom, SentPrompts, ServiceCatalog, StoredParts
 } from '@wasabihead/coordination'
 import type { ChannelPool } from '../channels/index.js'
 import type { CallerProtocol, ReplicaProtocol } from '../protocol/index.js'
@@ -35,6 +35,5 @@
   zone: string
   oldWeights: OldWeightsSettings
   now: () => Milliseconds
-  /** At least 0 and below 1. */
-  random: () => number
+  random: SeededRandom
 }
--- a/packages/gateway/src/requests/refusals.ts
+++ b/packages/gateway/src/requests/refusals.ts
@@ -36,7 +36,7 @@
   const { status, retryAfter } = REFUSALS[reason]
   const headers: string[] = ['Content-Length', '0']
   if (retryAfter !== undefined) {
-    headers.push(...state.callerProtocol.retryAfter(spreadRetryAfter(retryAfter, state.random())))
+    headers.push(...state.callerProtocol.retryAfter(spreadRetryAfter(retryAfter, state.random.next())))
   }
   response.writeHead(status, headers)
   response.end()
--- a/packages/gateway/src/requests/requestPlacement.ts
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -1,6 +1,6 @@
 /** Where one request goes: what is known of the replicas, applied to it. */
 import {
-  admitPrompt, selectReplica, type Milliseconds, type PromptAdmission, type PromptDemand, type Replica, type Selection
+  admitPrompt, saltOf, selectReplica, type Milliseconds, type PromptAdmission, type PromptDemand, type Replica, type Selection
 } from '@wasabihead/coordination'
 import type { CallerRequest } from './callerRequest.js'
 import type { GatewayState } from './gatewayState.js'
@@ -13,13 +13,13 @@
   private readonly _wall: string
 
   constructor (private readonly _state: GatewayState, private readonly _request: CallerRequest) {
-    this.service = pickService(_request, _state.random())
+    this.service = pickService(_request, _state.random.next())
     this._wall = _request.workspace?.isIsolated === true ? _request.workspace.name : ''
   }
 
   /** The best replica among those that the request was not sent to yet. */
   select (tried: ReadonlySet<string>): Selection | undefined {
-    const { catalog, loads, health, cachedParts, loading, storedParts, zone } = this._state
+    const { catalog, fronts, loads, health, cachedParts, loading, storedParts, zone, random } = this._state
     const now = this._state.now()
     const current = this._withCurrentWeights(catalog.usableReplicas(this.service), now)
     const candidates = current.filter(({ id }) => !loading.has(id, now))
@@ -28,7 +28,7 @@
       candidates: candidates.length > 0 ? candidates : current,
       tried,
       demand: this._demand(now)
-    }, { loads, health, cachedParts, stores: storedParts, zone, now })
+    }, { loads, health, cachedParts, stores: storedParts, zone, instances: fronts.size(now), random, now })
   }
 
   /** Whether a request that was not sent yet goes to the selected replica now. */
@@ -76,7 +76,8 @@
     const engine = catalog.routes?.service(this.service)?.engine
     if (prompt === undefined || engine === undefined) return undefined
     const wantedVersion = catalog.versionNamedBefore(prompt.model, now - oldWeights.avoidAfter)
-    return { prompt, engine, saltFor: version => `${this._wall}/${prompt.model}/${version}`, wantedVersion }
+    const saltFor = (weightVersion: number): string => saltOf({ wall: this._wall, model: prompt.model, weightVersion })
+    return { prompt, engine, saltFor, wantedVersion }
   }
 }
 
--- a/packages/gateway/src/rollout/rolloutLoop.ts
+++ b/packages/gateway/src/rollout/rolloutLoop.ts
@@ -25,18 +25,27 @@
   private _epoch: number | undefined
   private _ordersFrom: Milliseconds = 0
 
-  /** @param _ownValues this project's values at the last listing */
+  /**
+   * @param _ownValues this project's values at the last listing
+   * @param _leaseNow time that counts suspensions of the machine, in which a lease may have ended
+   */
   constructor (
     private readonly _state: GatewayState,
     private readonly _store: KeyValueService,
     private readonly _settings: RolloutLoopSettings,
-    private readonly _ownValues: () => readonly VersionedValue[]
+    private readonly _ownValues: () => readonly VersionedValue[],
+    private readonly _leaseNow: () => Milliseconds
   ) {
     const { name, incarnation } = _state.fronts.self
     this._keeper = new LeaseKeeper({ host: name, incarnation }, _settings.roleTimeToLive)
     this._planner = new RolloutPlanner(_settings)
   }
 
+  /** Whether this instance surely holds the role now. */
+  get isHolder (): boolean {
+    return this._keeper.epoch(this._leaseNow()) !== undefined
+  }
+
   /** Starts. */
   start (): void {
     this._tell({ kind: 'want', isWanted: true })
@@ -53,10 +62,11 @@
     this._tell({ kind: 'tick' })
     const state = this._state
     const now = state.now()
-    const epoch = this._keeper.epoch(now)
-    if (epoch !== this._epoch) this._noteEpoch(epoch, now)
+    const leaseNow = this._leaseNow()
+    const epoch = this._keeper.epoch(leaseNow)
+    if (epoch !== this._epoch) this._noteEpoch(epoch, leaseNow)
     const { name } = state.fronts.self
-    if (epoch === undefined || now < this._ordersFrom) {
+    if (epoch === undefined || leaseNow < this._ordersFrom) {
       state.loading.hear(name, [], [], now)
       return
     }
@@ -96,7 +106,7 @@
     }
     if (!report.isBusy) catalog.observeWeightVersion(replica, model, loaded)
     // The role may have been lost while the report was awaited.
-    if (!this._planner.isNeeded(step, report) || this._keeper.epoch(now()) !== epoch) return
+    if (!this._planner.isNeeded(step, report) || this._keeper.epoch(this._leaseNow()) !== epoch) return
     this._planner.onSent(order, now())
     const sent = await this._call(order, replicaProtocol.orderCall(order, fronts.self.name, epoch, report.orderCount))
     log.change('order-sent', { ...fields, orderCount: report.orderCount, status: sent?.status })
@@ -111,7 +121,7 @@
   }
 
   private _tell (message: LeaseMessage): void {
-    for (const effect of this._keeper.handle(message, this._state.now())) this._state.log.detach('rollout-role', this._perform(effect))
+    for (const effect of this._keeper.handle(message, this._leaseNow())) this._state.log.detach('rollout-role', this._perform(effect))
   }
 
   private async _perform (effect: LeaseEffect): Promise<void> {
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -119,7 +119,7 @@
       provider: { address: this.storeAddress, ttl_min_ms: 1_000 },
       an_unknown_field: true
     }))
-    const child = spawn(process.execPath, [ENTRY], { env: { WASABIHEAD_NODE_FILE: file }, stdio: ['ignore', 'pipe', 'pipe'] })
+    const child = spawn(process.execPath, [ENTRY], { env: { WASABIHEAD_NODE_FILE: file, WASABIHEAD_METRICS_PORT: '0' }, stdio: ['ignore', 'pipe', 'pipe'] })
     const gateway = new GatewayProcess(name, addresses, child)
     this.gateways.push(gateway)
     await waitUntil(async () => gateway.output.includes('"event":"started"'))
