--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -166,23 +166,55 @@
   }
 }
 
+/** What a caller sends, beside its path. */
+export interface CallOptions {
+  method?: string
+  headers?: http.OutgoingHttpHeaders
+  body?: string
+  /** Milliseconds after which the caller closes its connection. */
+  leaveAfter?: number
+}
+
 /** Sends one request on a new connection. */
 export async function call (
-  address: string, path: string, { method = 'GET', headers = {}, body = '' }: { method?: string, headers?: http.OutgoingHttpHeaders, body?: string } = {}
+  address: string, path: string, { method = 'GET', headers = {}, body = '', leaveAfter }: CallOptions = {}
 ): Promise<CallerAnswer> {
   return await new Promise((resolve, reject) => {
     const request = http.request(`http://${address}${path}`, {
       method,
       agent: false,
-      headers: { Host: 'front.example', 'Api-Key': 'key-a', 'X-Wasabihead-Attempt-Id': 'attempt-1', 'X-Wasabihead-Deadline-Ms': '3000', ...headers }
+      headers: {
+        Host: 'front.example',
+        'Api-Key': 'key-a',
+        'X-Wasabihead-Attempt-Id': 'attempt-1',
+        'X-Wasabihead-Deadline-Ms': '3000',
+        ...headers
+      }
     }, response => {
       const chunks: Buffer[] = []
       response.on('data', (chunk: Buffer) => { chunks.push(chunk) })
       response.once('error', reject)
-      response.once('end', () => { resolve({ status: response.statusCode ?? 0, headers: response.headers, body: Buffer.concat(chunks).toString() }) })
+      response.once('end', () => {
+        resolve({ status: response.statusCode ?? 0, headers: response.headers, body: Buffer.concat(chunks).toString() })
+      })
     })
     request.once('error', reject)
     request.end(body)
+    if (leaveAfter !== undefined) setTimeout(() => { request.destroy(new Error('the caller left')) }, leaveAfter)
+  })
+}
+
+/** Sends bytes as they are; gives what was answered until the connection closed. */
+export async function sendBytes (address: string, text: string): Promise<string> {
+  const [host, port] = address.split(':')
+  return await new Promise(resolve => {
+    const socket = net.connect({ host, port: Number(port) })
+    let answer = ''
+    socket.on('data', data => { answer += data.toString('latin1') })
+    // A reset after the answer is as good as an end.
+    socket.on('error', () => {})
+    socket.once('close', () => { resolve(answer) })
+    socket.write(text, 'latin1')
   })
 }
 
--- a/tests/platform/wholePath.spec.ts
+++ b/tests/platform/wholePath.spec.ts
@@ -2,7 +2,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { waitUntil } from '@wasabihead/experiments'
-import { call, configurationOf, PlatformFleet, type GatewayProcess, type ReplicaStandIn } from './platformFleet.js'
+import { call, configurationOf, PlatformFleet, sendBytes, type GatewayProcess, type ReplicaStandIn } from './platformFleet.js'
 
 let fleet: PlatformFleet
 let first: ReplicaStandIn
@@ -156,6 +156,40 @@
   assert.equal(first.received, [])
 })
 
+test('should end the run at the replica when the caller leaves', async () => {
+  let ended = 0
+  for (const replica of [first, second]) {
+    replica.respond = (_request, response) => { response.once('close', () => { ended += 1 }) }
+  }
+  const leaving = call(front(), '/safe/x', { leaveAfter: 100 }).then(() => 'answered', () => 'left')
+  assert.is(await leaving, 'left')
+  await waitUntil(async () => ended >= 1)
+})
+
+const malformed = [
+  'GET /safe/x HTTP/1.1\r\nHost: front.example\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+  'POST /unsafe/x HTTP/1.1\r\nHost: front.example\r\nContent-Length: x\r\n\r\n',
+  'POST /unsafe/x HTTP/1.1\r\nHost: front.example\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n',
+  `GET /${'x'.repeat(70_000)} HTTP/1.1\r\nHost: front.example\r\n\r\n`,
+  '\x00\x01\x02\r\n\r\n'
+]
+for (const [index, text] of malformed.entries()) {
+  test(`should answer malformed bytes with an error and pass nothing on, case ${index}`, async () => {
+    const answer = await sendBytes(front(), text)
+    assert.match(answer, /^HTTP\/1\.1 (400|431) /)
+    assert.equal(received(), [])
+    assert.is((await call(front(), '/safe/x')).status, 200)
+  })
+}
+
+test('should survive registrations and configurations that cannot be read', async () => {
+  fleet.store.put('servers/odd', { service: 'desk', address: 'nowhere', zone: 1, slots: -1, state: 'asleep' })
+  fleet.store.put('op/version/odd', { version: 'new' })
+  fleet.store.put('op/config', { version: 'none' })
+  await waitUntil(async () => gateway().output.includes('"key":"op/config"'))
+  assert.is((await call(front(), '/safe/x')).status, 200)
+})
+
 test('should tell callers of the instances that are ready, and learn from a peer while the store is away', async () => {
   const resolve = async (instance: GatewayProcess): Promise<string[]> => {
     const answer = await call(instance.addresses.directory, '/v1/resolve?name=front.example&region=region-a&zone=zone-a').catch(() => undefined)
