fix(quarantine): tell crashes to other instances, and forget them when the request runs whole

The reports were recorded and never told: nothing called the sender. Crashes on kept connections were not counted at all; only a connection that ends within 10 ms of a request is now taken for one that was closed before it. A lookup without a body has the same fingerprint each time, so a request that ran whole clears its count. refactor: one attempt on a replica is a class of its own.

--- a/packages/coordination/src/dispatch/dispatch.spec.ts
+++ b/packages/coordination/src/dispatch/dispatch.spec.ts
@@ -171,6 +171,22 @@
   assert.is(crashes.isStopped('other', 3), false)
 })
 
+test('should tell other instances of a crash for a while, and not tell on what was heard', () => {
+  const crashes = new RepeatedCrashes()
+  crashes.record({ fingerprint: 'f', replicaRun: 'a/1' }, 0)
+  crashes.hear({ fingerprint: 'f', replicaRun: 'b/1' }, 0)
+  assert.equal(crashes.news(1_000), [{ fingerprint: 'f', replicaRun: 'a/1' }])
+  assert.equal(crashes.news(4_000), [])
+})
+
+test('should not stop a request that ran whole between crashes of other causes', () => {
+  const crashes = new RepeatedCrashes()
+  for (const replicaRun of ['a/1', 'b/1']) crashes.record({ fingerprint: 'f', replicaRun }, 0)
+  crashes.clear('f')
+  crashes.record({ fingerprint: 'f', replicaRun: 'c/1' }, 1)
+  assert.is(crashes.isStopped('f', 2), false)
+})
+
 test('should count what other instances told until they fall silent', () => {
   const loads = new FleetLoads()
   loads.add('r', { requests: 1, prefillTokens: 10, memoryTokens: 20 })
--- a/packages/coordination/src/dispatch/repeatedCrashes.ts
+++ b/packages/coordination/src/dispatch/repeatedCrashes.ts
@@ -5,6 +5,8 @@
 const CRASHES_TO_STOP = 3
 /** A crash that is older than this no longer counts. */
 const CRASH_LIFETIME: Milliseconds = 60_000
+/** A crash is told to the other instances for this long, since heartbeats may be lost. */
+const NEWS_LIFETIME: Milliseconds = 3_000
 /** Most requests that are remembered; the oldest go first. */
 const MAXIMUM_REQUESTS = 1_000
 
@@ -15,21 +17,24 @@
   replicaRun: string
 }
 
-interface Crashes {
-  runs: Map<string, Milliseconds>
-}
-
 /** Holds the crashes that are known. */
 export class RepeatedCrashes {
-  private readonly _requests = new Map<string, Crashes>()
+  /** When each run of a replica ended, by request. */
+  private readonly _requests = new Map<string, Map<string, Milliseconds>>()
+  private _news: { report: CrashReport, at: Milliseconds }[] = []
+
+  /** A replica ended under the request here. */
+  record (report: CrashReport, now: Milliseconds): void {
+    if (this.hear(report, now)) this._news.push({ report, at: now })
+  }
 
-  /** Takes a crash seen here or told by another instance; whether it is news. */
-  record ({ fingerprint, replicaRun }: CrashReport, now: Milliseconds): boolean {
-    const crashes = this._requests.get(fingerprint) ?? { runs: new Map<string, Milliseconds>() }
-    if (crashes.runs.has(replicaRun)) return false
-    crashes.runs.set(replicaRun, now)
+  /** Another instance told of a crash; whether it is news. */
+  hear ({ fingerprint, replicaRun }: CrashReport, now: Milliseconds): boolean {
+    const runs = this._requests.get(fingerprint) ?? new Map<string, Milliseconds>()
+    if (runs.has(replicaRun)) return false
+    runs.set(replicaRun, now)
     this._requests.delete(fingerprint)
-    this._requests.set(fingerprint, crashes)
+    this._requests.set(fingerprint, runs)
     if (this._requests.size > MAXIMUM_REQUESTS) {
       const oldest = this._requests.keys().next()
       if (oldest.done !== true) this._requests.delete(oldest.value)
@@ -37,16 +42,22 @@
     return true
   }
 
-  /** How many replicas the request has crashed lately. */
-  count (fingerprint: string, now: Milliseconds): number {
-    const crashes = this._requests.get(fingerprint)
-    if (crashes === undefined) return 0
-    for (const [run, at] of crashes.runs) if (now - at > CRASH_LIFETIME) crashes.runs.delete(run)
-    return crashes.runs.size
+  /** The request ran whole, so that it was not what ended those replicas. */
+  clear (fingerprint: string): void {
+    this._requests.delete(fingerprint)
+  }
+
+  /** What the other instances should be told now. */
+  news (now: Milliseconds): CrashReport[] {
+    this._news = this._news.filter(({ at }) => now - at < NEWS_LIFETIME)
+    return this._news.map(({ report }) => report)
   }
 
   /** Whether the request may be sent to no replica any more. */
   isStopped (fingerprint: string, now: Milliseconds): boolean {
-    return this.count(fingerprint, now) >= CRASHES_TO_STOP
+    const runs = this._requests.get(fingerprint)
+    if (runs === undefined) return false
+    for (const [run, at] of runs) if (now - at > CRASH_LIFETIME) runs.delete(run)
+    return runs.size >= CRASHES_TO_STOP
   }
 }
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -16,8 +16,6 @@
 const NAMED_PEERS = 4
 /** Peers for which one heartbeat in each interval is affordable. */
 const PEERS_FOR_EACH_ROUND = 20
-/** Rounds in which a crash is told. */
-const CRASH_ROUNDS = 12
 
 /** Sends and takes heartbeats. */
 export class Heartbeats {
@@ -25,7 +23,6 @@
   private _timer: NodeJS.Timeout | undefined
   private _offset = 0
   private _round = 0
-  private _crashes: { report: Heartbeat['crashes'][number], rounds: number }[] = []
 
   /** @param _isReady whether this instance takes callers now */
   constructor (
@@ -48,11 +45,6 @@
     this._socket.close()
   }
 
-  /** Tells other instances of a crash in the next rounds. */
-  tellCrash (report: Heartbeat['crashes'][number]): void {
-    this._crashes.push({ report, rounds: CRASH_ROUNDS })
-  }
-
   /** Sends one round. */
   send (): void {
     const { fronts, now } = this._state
@@ -75,8 +67,6 @@
       })
     }
     this._offset = (this._offset + count) % Math.max(1, peers.length)
-    for (const crash of this._crashes) crash.rounds -= 1
-    this._crashes = this._crashes.filter(({ rounds }) => rounds > 0)
   }
 
   private _heartbeat (peers: Heartbeat['peers']): Heartbeat {
@@ -84,7 +74,7 @@
     for (const [id, load] of this._state.loads.local) {
       loads[id] = [load.requests, Math.round(load.prefillTokens), Math.round(load.memoryTokens)]
     }
-    const { fronts, sentPrompts, storedParts, loading, now } = this._state
+    const { fronts, sentPrompts, storedParts, loading, crashes, now } = this._state
     const orders = loading.toldBy(fronts.self.name, now())
     return {
       from: fronts.self,
@@ -100,7 +90,7 @@
       })),
       loading: orders.loading,
       loaded: [...orders.loaded],
-      crashes: this._crashes.map(({ report }) => report)
+      crashes: crashes.news(now())
     }
   }
 
@@ -128,7 +118,7 @@
         ...store, events: events.map(([salt, partId, tokens, isAdded]) => ({ salt, partId, tokens, isAdded }))
       }, now)
     }
-    for (const crash of heartbeat.crashes) this._state.crashes.record(crash, now)
+    for (const crash of heartbeat.crashes) this._state.crashes.hear(crash, now)
   }
 
   private _takeSent (replicaId: string, salt: string, parts: [string, number][]): void {
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -1,14 +1,15 @@
 /** Serves one request: chooses replicas, sends, decides what follows a failure, and passes the answer on. */
 import {
   decideAfterAttempt, finalVerdict, isRepeatable, type AttemptContext, type AttemptEnd, type AttemptSign,
-  type AttemptVerdict, type Milliseconds, type Replica, type Selection
+  type AttemptVerdict, type Milliseconds, type Selection
 } from '@wasabihead/coordination'
-import type { AnswerHead, ExchangeFault, ReplicaChannel } from '../channels/index.js'
+import type { AnswerHead, ExchangeFault } from '../channels/index.js'
 import type { AnswerFacts } from '../protocol/index.js'
 import { AnswerRelay, EventStreamRelay, WholeAnswerRelay } from './answerRelay.js'
 import type { CallerRequest } from './callerRequest.js'
 import type { GatewayState } from './gatewayState.js'
 import { passedHeaders } from './passedHeaders.js'
+import { ReplicaAttempt } from './replicaAttempt.js'
 import { RequestPlacement } from './requestPlacement.js'
 import { refuse, type RefusalReason } from './refusals.js'
 
@@ -18,38 +19,24 @@
 const FIRST_EVENT_SHARE = 1.5
 /** Longest silence within a stream that can be resumed elsewhere; callers give up after two seconds or more. */
 const STREAM_SILENCE: Milliseconds = 1_500
-/** Between two looks at a silent attempt. */
-const SILENCE_CHECK: Milliseconds = 200
+/** A kept connection that ends within this time of a request was probably closed before it. */
+const STALE_CHANNEL_SIGN: Milliseconds = 10
 /** Between two looks at a request that waits for memory. */
 const HOLD_CHECK: Milliseconds = 30
 /** An attempt with less time than this left is not worth sending. */
 const SHORTEST_ATTEMPT: Milliseconds = 15
-const SUCCESS_BEGIN = 200
+const SUCCESS_END = 300
 const FAILURE_BEGIN = 500
 const BAD_GATEWAY = 502
 const GATEWAY_TIMEOUT = 504
 
-interface Attempt {
-  replica: Replica
-  channel: ReplicaChannel
-  sentAt: Milliseconds
-  prefillTokens: number
-  memoryTokens: number
-  selection: Selection
-  hasHead: boolean
-  hasBody: boolean
-  isOver: boolean
-  silenceTimer: NodeJS.Timeout | undefined
-  silentSince: Milliseconds
-}
-
 /** One request from its acceptance to its end. */
 export class RequestRun {
   private readonly _tried = new Set<string>()
   private readonly _relay: AnswerRelay
   private readonly _placement: RequestPlacement
   private readonly _deadlineTimer: NodeJS.Timeout
-  private _attempt: Attempt | undefined
+  private _attempt: ReplicaAttempt | undefined
   private _attempts = 0
   private _possibleRuns = 0
   private _isOver = false
@@ -101,27 +88,12 @@
     const [state, request] = [this._state, this._request]
     const { replica } = selection
     const now = state.now()
-    const { prompt } = request.head
     const channel = state.channels.take(replica, this._isRepeatable)
-    const attempt: Attempt = {
-      replica,
-      channel,
-      sentAt: now,
-      prefillTokens: selection.freshTokens,
-      memoryTokens: prompt === undefined ? 0 : prompt.inputTokens + prompt.maximumOutputTokens,
-      selection,
-      hasHead: false,
-      hasBody: false,
-      isOver: false,
-      silenceTimer: undefined,
-      silentSince: now
-    }
+    const attempt = new ReplicaAttempt(state, selection, channel, request.head.prompt, this._relay.kind === 'events')
     this._attempt = attempt
     this._attempts += 1
     this._tried.add(replica.id)
     this._possibleRuns += 1
-    state.health.onSend(replica.id)
-    state.loads.add(replica.id, { requests: 1, prefillTokens: attempt.prefillTokens, memoryTokens: attempt.memoryTokens })
     this._placement.noteSent(selection)
     state.log.decision('attempt', {
       requestId: request.head.requestId,
@@ -137,7 +109,7 @@
       configurationRevision: state.catalog.configurationRevision,
       catalogAge: Math.round(now - state.catalog.listedAt)
     })
-    this._watchSilence(attempt, this._firstSilence())
+    attempt.watchSilence(this._firstSilence(), elapsed => { this._onSilence(attempt, elapsed) })
     channel.send({
       method: request.method,
       target: request.target,
@@ -183,7 +155,7 @@
     return this._state.replicaProtocol.readAnswer(head.status, head.headers)
   }
 
-  private _onHead (attempt: Attempt, head: AnswerHead): void {
+  private _onHead (attempt: ReplicaAttempt, head: AnswerHead): void {
     if (attempt.isOver) return
     attempt.hasHead = true
     const facts = this._factsOf(head)
@@ -196,7 +168,7 @@
       return
     }
     const isFailure = head.status >= FAILURE_BEGIN
-    if (isFailure || (this._relay.hasBegun && head.status >= SUCCESS_BEGIN + 100)) {
+    if (isFailure || (this._relay.hasBegun && head.status >= SUCCESS_END)) {
       this._failure = { head, body: [] }
       return
     }
@@ -208,34 +180,38 @@
     this._relay.onHead(head)
   }
 
-  private _onBody (attempt: Attempt, chunk: Buffer): void {
+  private _onBody (attempt: ReplicaAttempt, chunk: Buffer): void {
     if (attempt.isOver) return
     if (this._failure !== undefined) {
       this._failure.body.push(chunk)
       return
     }
-    this._noteFirstByte(attempt)
-    this._state.health.onBytes(attempt.replica.id, this._state.now())
-    this._settlePrefill(attempt)
-    if (this._relay.kind === 'events') this._watchSilence(attempt, this._isRepeatable ? STREAM_SILENCE : undefined)
+    if (attempt.noteBody()) {
+      this._firstByteAt ??= this._state.now()
+      this._placement.noteFirstByte(attempt.selection, attempt.sentAt)
+    }
+    if (this._relay.kind === 'events') {
+      attempt.watchSilence(this._isRepeatable ? STREAM_SILENCE : undefined, elapsed => { this._onSilence(attempt, elapsed) })
+    }
     const mayGoOn = this._relay.onBody(chunk)
     if (!mayGoOn) attempt.channel.pause()
   }
 
-  private _onEnd (attempt: Attempt): void {
+  private _onEnd (attempt: ReplicaAttempt): void {
     if (attempt.isOver) return
     if (this._failure !== undefined) {
       this._endAttempt(attempt, 'failed', `status ${this._failure.head.status}`)
       return
     }
     this._closeAttempt(attempt, 'answered')
+    this._state.crashes.clear(this._request.fingerprint)
     this._relay.onEnd()
     this._finish('answered')
   }
 
-  private _onFault (attempt: Attempt, fault: ExchangeFault, detail: string): void {
+  private _onFault (attempt: ReplicaAttempt, fault: ExchangeFault, detail: string): void {
     if (attempt.isOver) return
-    if (fault === 'connection-ended' && !attempt.hasHead && attempt.channel.completed === 0) {
+    if (fault === 'connection-ended' && (attempt.hasHead || !this._mayBeStale(attempt))) {
       this._state.crashes.record({
         fingerprint: this._request.fingerprint, replicaRun: `${attempt.replica.id}/${attempt.replica.startedAt}`
       }, this._state.now())
@@ -243,7 +219,12 @@
     this._endAttempt(attempt, fault === 'not-connected' ? 'not-sent' : 'broken', `${fault}: ${detail}`)
   }
 
-  private _endAttempt (attempt: Attempt, end: AttemptEnd, detail: string): void {
+  /** A kept connection may have been closed by the replica just as the request was sent. */
+  private _mayBeStale (attempt: ReplicaAttempt): boolean {
+    return attempt.channel.completed > 0 && this._state.now() - attempt.sentAt < STALE_CHANNEL_SIGN
+  }
+
+  private _endAttempt (attempt: ReplicaAttempt, end: AttemptEnd, detail: string): void {
     const now = this._state.now()
     this._closeAttempt(attempt, this._signOf(attempt, end))
     if (end === 'not-sent' || end === 'not-run') this._possibleRuns -= 1
@@ -279,7 +260,7 @@
     return this._state.retryBudget.trySpend(this._placement.service, this._state.fronts.size(now), now)
   }
 
-  private _noteAttemptEnd (attempt: Attempt, end: AttemptEnd, detail: string, verdict: AttemptVerdict): void {
+  private _noteAttemptEnd (attempt: ReplicaAttempt, end: AttemptEnd, detail: string, verdict: AttemptVerdict): void {
     this._state.metrics.count('attempt_ends_total', end)
     this._state.log.decision('attempt-ended', {
       requestId: this._request.head.requestId,
@@ -294,66 +275,19 @@
   }
 
   /** A replica that is full because of us is no worse for it. */
-  private _signOf (attempt: Attempt, end: AttemptEnd): AttemptSign | undefined {
+  private _signOf (attempt: ReplicaAttempt, end: AttemptEnd): AttemptSign | undefined {
     if (end === 'not-sent' || end === 'timed-out') return 'unreachable'
     if (end !== 'not-run') return 'failed'
     return this._state.loads.of(attempt.replica.id).requests < attempt.replica.slots ? 'failed' : undefined
   }
 
-  private _closeAttempt (attempt: Attempt, sign: AttemptSign | undefined): void {
-    if (attempt.isOver) return
-    attempt.isOver = true
-    clearTimeout(attempt.silenceTimer)
-    if (attempt.hasBody && this._relay.kind === 'events') this._state.health.onStream(attempt.replica.id, -1, this._state.now())
-    this._settlePrefill(attempt)
-    this._state.loads.add(attempt.replica.id, { requests: -1, prefillTokens: 0, memoryTokens: -attempt.memoryTokens })
-    if (sign !== undefined) this._state.health.record(attempt.replica.id, sign, this._state.now())
-    // Whatever still comes on it belongs to a request that was given up.
-    if (sign !== 'answered') attempt.channel.abandon()
+  private _closeAttempt (attempt: ReplicaAttempt, sign: AttemptSign | undefined): void {
+    attempt.close(sign)
     this._attempt = undefined
   }
 
-  private _noteFirstByte (attempt: Attempt): void {
-    if (attempt.hasBody) return
-    attempt.hasBody = true
-    const now = this._state.now()
-    this._firstByteAt ??= now
-    if (this._relay.kind === 'events') this._state.health.onStream(attempt.replica.id, 1, now)
-    this._placement.noteFirstByte(attempt.selection, attempt.sentAt)
-  }
-
-  private _settlePrefill (attempt: Attempt): void {
-    if (attempt.prefillTokens === 0) return
-    this._state.loads.add(attempt.replica.id, { requests: 0, prefillTokens: -attempt.prefillTokens, memoryTokens: 0 })
-    attempt.prefillTokens = 0
-  }
-
-  private _watchSilence (attempt: Attempt, silence: Milliseconds | undefined): void {
-    clearTimeout(attempt.silenceTimer)
-    if (silence === undefined) return
-    attempt.silentSince = this._state.now()
-    attempt.silenceTimer = setTimeout(() => { this._checkSilence(attempt, silence) }, Math.min(silence, SILENCE_CHECK))
-  }
-
-  private _checkSilence (attempt: Attempt, silence: Milliseconds): void {
-    if (attempt.isOver) return
-    const now = this._state.now()
-    const { health, loading } = this._state
-    const { id } = attempt.replica
-    const elapsed = now - attempt.silentSince
-    // After a pause of this process, what the replica sent meanwhile is read before it is judged.
-    const isJudgedLate = elapsed > silence + SILENCE_CHECK
-    const isDead = health.isSilent(id, now) && !loading.has(id, now)
-    // A busy replica keeps a request waiting while it serves others; sending it elsewhere would only add work.
-    const isWaiting = this._relay.kind === 'events' && !attempt.hasBody && health.hasSpokenSince(id, attempt.sentAt)
-    if (!isJudgedLate && (isDead || (elapsed >= silence && !isWaiting))) this._onSilence(attempt, elapsed)
-    if (attempt.isOver) return
-    if (isJudgedLate) attempt.silentSince = now
-    attempt.silenceTimer = setTimeout(() => { this._checkSilence(attempt, silence) }, SILENCE_CHECK)
-  }
-
   /** A silent attempt is given up only where another one may follow; else its answer may still come. */
-  private _onSilence (attempt: Attempt, silence: Milliseconds): void {
+  private _onSilence (attempt: ReplicaAttempt, silence: Milliseconds): void {
     const now = this._state.now()
     const context = this._contextAt(now)
     if (decideAfterAttempt('timed-out', context) !== 'try-another' || !this._spendRepeat(now)) return
