--- a/eslint.config.js
+++ b/eslint.config.js
@@ -70,7 +70,7 @@
 ]
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/gen/**', 'node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/gen/**', 'node_modules/**', 'target/**'] }),
   { rules: { '@stylistic/max-len': ['error', { code: 130, ignoreUrls: true, ignoreStrings: true, ignoreTemplateLiterals: true }] } },
   ...importBoundaries
 ]
--- a/packages/coordination/src/catalog/catalog.spec.ts
+++ b/packages/coordination/src/catalog/catalog.spec.ts
@@ -28,7 +28,7 @@
 const listing = (replicas: [Replica, revision: number][], rest: Partial<CatalogListing> = {}): CatalogListing => ({
   replicas: replicas.map(([value, revision]) => ({ value, revision })), weightVersions: [], ...rest
 })
-const settings = { returnGrace: 2_500, longestGap: 3_600 }
+const settings = { returnGrace: 2_500, unknownAge: 3_000, longestGap: 3_600 }
 
 const matches = [
   { title: 'the longest prefix', host: 'h.example', path: '/a/b/c', key: 'k', expected: 'long' },
@@ -110,10 +110,24 @@
 test('should keep asking for a version that was named long ago when a newer one is named', () => {
   const catalog = new ServiceCatalog(settings)
   const named = (version: number, revision: number) => ({ revision, value: { model: 'm', version } })
-  catalog.applyListing(listing([], { weightVersions: [named(2, 5)] }), 0, 0)
+  catalog.applyListing(listing([]), 0, 0)
+  catalog.applyListing(listing([], { weightVersions: [named(2, 5)] }), 800, 800)
+  catalog.applyListing(listing([], { weightVersions: [named(2, 5)] }), 8_000, 8_000)
   catalog.applyListing(listing([], { weightVersions: [named(3, 9)] }), 9_000, 9_000)
   assert.equal([catalog.versionNamedBefore('m', 3_000), catalog.versionNamedBefore('m', 9_000)], [2, 3])
   assert.is(catalog.versionNamedBefore('m', -1), undefined)
 })
 
+// hfs-onboard trouble-2, seed 31063156498: VERSION, an instance that was frozen as a version was named counted from its thaw.
+test('should count a version from the last listing that lacked it, however long ago that was', () => {
+  const catalog = new ServiceCatalog(settings)
+  const weightVersions = [{ revision: 5, value: { model: 'm', version: 2 } }]
+  catalog.applyListing(listing([]), 1_000, 1_000)
+  catalog.applyListing(listing([], { weightVersions }), 5_000, 5_000)
+  assert.is(catalog.namedVersion('m')?.seenAt, 1_000)
+  const fresh = new ServiceCatalog(settings)
+  fresh.applyListing(listing([], { weightVersions }), 5_000, 5_000)
+  assert.is(fresh.namedVersion('m')?.seenAt, 2_000)
+})
+
 test.run()
--- a/packages/coordination/src/catalog/serviceCatalog.ts
+++ b/packages/coordination/src/catalog/serviceCatalog.ts
@@ -7,6 +7,8 @@
 export interface CatalogSettings {
   /** How long entries that lapsed while the store was away may take to return once it answers again. */
   returnGrace: Milliseconds
+  /** How long ago something may have been named that a new process finds in its first listing. */
+  unknownAge: Milliseconds
   /** Listings further apart than this leave open what happened between them. */
   longestGap: Milliseconds
 }
@@ -28,7 +30,7 @@
 }
 
 interface NamedVersion extends Revised<number> {
-  /** When this instance first saw it. */
+  /** When it may have been named at the earliest: at the last listing that lacked it. */
   seenAt: Milliseconds
 }
 
@@ -74,13 +76,16 @@
     return this._replicas.get(id)?.value
   }
 
-  /** The named weight version of a model and when it was first seen here. */
+  /** The named weight version of a model, and when it may have been named at the earliest. */
   namedVersion (model: string): { version: number, seenAt: Milliseconds } | undefined {
     const named = this._weightVersions.get(model)?.at(-1)
     return named === undefined ? undefined : { version: named.value, seenAt: named.seenAt }
   }
 
-  /** The newest weight version of a model that was seen at or before a time; a newer one does not lift what it asks for. */
+  /**
+   * The newest weight version of a model that may have been named at or before a time; a newer one does not lift what it
+   * asks for.
+   */
   versionNamedBefore (model: string, time: Milliseconds): number | undefined {
     return this._weightVersions.get(model)?.findLast(({ seenAt }) => seenAt <= time)?.value
   }
@@ -96,8 +101,8 @@
       this._graceUntil = now + this._settings.returnGrace
       for (const known of this._replicas.values()) known.isConfirmed = false
     }
-    this._listedAt = askedAt
     const changes = this._takeHigher(listing, now)
+    this._listedAt = askedAt
     const listed = new Set(listing.replicas.map(({ value }) => value.id))
     for (const [id, known] of this._replicas) {
       if (listed.has(id)) {
@@ -143,12 +148,13 @@
 
   private _takeHigher (listing: CatalogListing, now: Milliseconds): CatalogChange[] {
     const changes: CatalogChange[] = []
+    const seenAt = Number.isFinite(this._listedAt) ? this._listedAt : now - this._settings.unknownAge
     this._takeConfiguration(listing.configuration, changes)
     for (const replica of listing.replicas) this._takeReplica(replica, changes)
     for (const { revision, value: { model, version } } of listing.weightVersions) {
       const known = this._weightVersions.get(model) ?? []
       if ((known.at(-1)?.value ?? 0) >= version) continue
-      this._weightVersions.set(model, [...known.slice(1 - KEPT_VERSIONS), { revision, value: version, seenAt: now }])
+      this._weightVersions.set(model, [...known.slice(1 - KEPT_VERSIONS), { revision, value: version, seenAt }])
       changes.push({ kind: 'weight-version', model, version })
     }
     return changes
