--- a/packages/coordination/src/fronts/frontDirectory.spec.ts
+++ b/packages/coordination/src/fronts/frontDirectory.spec.ts
@@ -9,14 +9,13 @@
   from, isReady: true, peers: [], loads: {}, sent: [], stores: [], loading: [], loaded: [], crashes: [], ...change
 })
 const directory = () => new FrontDirectory(record('self'), { silence: 1_000, unheardLifetime: 3_000, forgetAfter: 30_000 })
-const place = { zone: 'z', region: 'r' }
 
 test('should drop an instance that falls silent within the bound, though the store still lists it', () => {
   const fronts = directory()
   fronts.applyRecords([record('a')], 0)
   fronts.hear(heartbeat(record('a')), 100)
-  assert.equal(fronts.addressesFor(place, true, 1_000), ['a', 'self'])
-  assert.equal(fronts.addressesFor(place, true, 1_101), ['self'])
+  assert.equal(fronts.addresses(true, 1_000), ['a', 'self'])
+  assert.equal(fronts.addresses(true, 1_101), ['self'])
 })
 
 test('should drop an instance at once that says it leaves or is not ready', () => {
@@ -24,7 +23,7 @@
     const fronts = directory()
     fronts.hear(heartbeat(record('a')), 0)
     fronts.hear({ ...heartbeat(record('a')), ...change }, 10)
-    assert.equal(fronts.addressesFor(place, true, 20), ['self'])
+    assert.equal(fronts.addresses(true, 20), ['self'])
   }
 })
 
@@ -32,22 +31,22 @@
   const fronts = directory()
   fronts.hear(heartbeat(record('a', { isLeaving: true })), 0)
   fronts.hear(heartbeat(record('a', { incarnation: 2 })), 10)
-  assert.equal(fronts.addressesFor(place, true, 20), ['a', 'self'])
+  assert.equal(fronts.addresses(true, 20), ['a', 'self'])
 })
 
 test('should learn of a peer from another one while the store is away', () => {
   const fronts = directory()
   fronts.hear(heartbeat(record('a'), { peers: [record('b')] }), 0)
   assert.equal(fronts.peers.map(({ name }) => name).sort(), ['a', 'b'])
-  assert.equal(fronts.addressesFor(place, true, 10), ['a', 'self'], 'b was not heard yet')
+  assert.equal(fronts.addresses(true, 10), ['a', 'self'], 'b was not heard yet')
 })
 
 test('should leave itself out when it is not ready or leaves', () => {
   const fronts = directory()
   fronts.hear(heartbeat(record('a')), 0)
-  assert.equal(fronts.addressesFor(place, false, 10), ['a'])
+  assert.equal(fronts.addresses(false, 10), ['a'])
   fronts.leave()
-  assert.equal(fronts.addressesFor(place, true, 10), ['a'])
+  assert.equal(fronts.addresses(true, 10), ['a'])
 })
 
 test.run()
--- a/packages/coordination/src/fronts/frontDirectory.ts
+++ b/packages/coordination/src/fronts/frontDirectory.ts
@@ -20,12 +20,6 @@
   heardAt: Milliseconds | undefined
 }
 
-/** Where a caller is. */
-export interface CallerPlace {
-  zone: string
-  region: string
-}
-
 /** Most addresses in one answer. */
 const MAXIMUM_ADDRESSES = 64
 
@@ -93,10 +87,10 @@
   }
 
   /**
-   * Addresses for a caller. Instances of its own zone come alone where there are at least two of them.
+   * Where callers may connect: every instance that is alive and ready.
    * @param isSelfReady whether this instance itself takes callers
    */
-  addressesFor (_place: CallerPlace, isSelfReady: boolean, now: Milliseconds): string[] {
+  addresses (isSelfReady: boolean, now: Milliseconds): string[] {
     const fronts = this.livePeers(now)
     if (isSelfReady && !this._self.isLeaving) fronts.push(this._self)
     return fronts.map(({ frontAddress }) => frontAddress).slice(0, MAXIMUM_ADDRESSES)
--- a/packages/coordination/src/fronts/index.ts
+++ b/packages/coordination/src/fronts/index.ts
@@ -1,2 +1,2 @@
-export { FrontDirectory, type CallerPlace, type FrontDirectorySettings } from './frontDirectory.js'
+export { FrontDirectory, type FrontDirectorySettings } from './frontDirectory.js'
 export { frontRecordSchema, heartbeatSchema, type FrontRecord, type Heartbeat } from './messages.js'
--- a/packages/gateway/src/requests/answerRelay.ts
+++ b/packages/gateway/src/requests/answerRelay.ts
@@ -84,6 +84,7 @@
 export class EventStreamRelay extends AnswerRelay {
   override readonly kind = 'events'
   private _splitter = new EventSplitter()
+  private _head: AnswerHead | undefined
   private _hasBegun = false
   private _lastEventId: string | undefined
 
@@ -121,8 +122,6 @@
     this._response.end(this._splitter.rest())
   }
 
-  private _head: AnswerHead | undefined
-
   private _begin (): void {
     if (this._hasBegun || this._head === undefined) return
     this._hasBegun = true
