--- a/utils/runSpecs.mjs
+++ b/utils/runSpecs.mjs
@@ -29,13 +29,16 @@
   return file.replace('/dist/', isTest ? '/' : '/src/').replace(/\.js$/, '.ts')
 }
 
-/** Entries look like: `- <file>.spec.ts | <test title> | <command and seed> | <what was seen> | issue N`. */
+/**
+ * Entries look like: `- <file>.spec.ts | <test title> | <command and seed> | <what was seen> | issue N`. One that begins with
+ * `?` fails only sometimes, so that a run in which it passes does not make it stale.
+ */
 function readKnownRed () {
   if (!existsSync('KNOWN-RED.txt')) return []
   return readFileSync('KNOWN-RED.txt', 'utf8').split('\n')
-    .filter(line => line.startsWith('- '))
-    .map(line => line.slice(2).split('|').map(part => part.trim()))
-    .map(([file, title, ...rest]) => ({ file, title, rest: rest.join(' | ') }))
+    .filter(line => line.startsWith('- ') || line.startsWith('? '))
+    .map(line => ({ isIntermittent: line.startsWith('? '), parts: line.slice(2).split('|').map(part => part.trim()) }))
+    .map(({ isIntermittent, parts: [file, title, ...rest] }) => ({ isIntermittent, file, title, rest: rest.join(' | ') }))
 }
 
 function runFile (file) {
@@ -71,7 +74,7 @@
     passed,
     failed: isExplained ? 0 : Math.max(total - passed, isGreen ? 0 : 1),
     knownRed: isExplained ? titles.length : 0,
-    stale: listed.filter(entry => !titles.includes(entry.title))
+    stale: listed.filter(entry => !entry.isIntermittent && !titles.includes(entry.title))
   }
 }
 
