test(demonstration): wait until every instance knows the evictions, instead of 1.5 s

Cause, by the code and not by a failing run: an instance that reads an engine's events later than the demonstration's gap still believes the blocks held, and so imports nothing. The status read-out now tells up to which cache event each engine is known, and the demonstration waits for that.

--- a/packages/daemon/src/instance/assembly.ts
+++ b/packages/daemon/src/instance/assembly.ts
@@ -194,7 +194,7 @@
 }
 
 function createOperatorServer (
-  { settings, members, metrics, admission, claimStore, drain }: Common,
+  { settings, members, metrics, admission, claimStore, drain, fleet }: Common,
   { configuration, claims, claimed, orders, leaving, quarantine }: Omit<InstanceParts, `${string}Server`>
 ): OperatorServer {
   return new OperatorServer(settings.operatorTokenDigest, [
@@ -210,7 +210,8 @@
       members,
       metrics,
       configurationVersion: () => configuration.state.version,
-      running: () => Math.max(admission.present, claimed.running)
+      running: () => Math.max(admission.present, claimed.running),
+      backendServers: () => fleet.replicas.beliefs
     }),
     new DrainRoutes(settings.host, drain)
   ])
--- a/packages/daemon/src/operators/operatorServer.spec.ts
+++ b/packages/daemon/src/operators/operatorServer.spec.ts
@@ -4,7 +4,7 @@
 import { Result } from 'true-myth'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { MemberTable } from '@wasabihead/coordination'
+import { MemberTable, ReplicaTable } from '@wasabihead/coordination'
 import { ConfigurationRoutes, type ConfigurationKeeper } from '../configuration/index.js'
 import { checkSource } from '../configuration/configurationKeeper.js'
 import { MemberRoutes } from '../membership/index.js'
@@ -28,12 +28,15 @@
     host: 'entry-0', incarnation: 1, version: 1, dataCentre: 'leeds', peerAddress: '', callerAddress: '', state: 'alive', configurationRevision: 0
   })
   const metrics = new Metrics()
+  const replicas = new ReplicaTable()
+  replicas.keepOnly([{ name: 'engine-0', dataCentre: 'leeds' }])
+  replicas.onCacheSnapshot('engine-0', { incarnation: 1, sequence: 7, blockKeys: [] })
   const configurationVersion = () => ({ revision: 0, digest: '' })
   server = new OperatorServer(createHash('sha256').update(TOKEN).digest('hex'), [
     new ConfigurationRoutes(keeper, members),
     new MemberRoutes(members),
     new MetricsRoutes(metrics),
-    new StatusRoutes({ environment: 'trial', members, metrics, configurationVersion, running: () => 2 }),
+    new StatusRoutes({ environment: 'trial', members, metrics, configurationVersion, running: () => 2, backendServers: () => replicas.beliefs }),
     new DrainRoutes('entry-0', () => { drains += 1 })
   ])
   address = `http://127.0.0.1:${await server.start('127.0.0.1', 0)}`
@@ -51,6 +54,7 @@
   const { body } = await send('GET', '/v1/status')
   assert.is(body.instance.environment, 'trial')
   assert.is(body.running, 2)
+  assert.equal(body.backendServers, [{ name: 'engine-0', acceptsWork: true, lastEventSequence: 7 }])
   assert.equal([body.members.length, body.histograms, body.counters], [1, [], []])
 })
 
--- a/packages/daemon/src/operators/statusRoutes.ts
+++ b/packages/daemon/src/operators/statusRoutes.ts
@@ -1,6 +1,6 @@
 /** One read-out of an instance for operators. */
 import type Router from '@koa/router'
-import type { ConfigurationVersion, MemberTable } from '@wasabihead/coordination'
+import type { ConfigurationVersion, MemberTable, ReplicaBelief } from '@wasabihead/coordination'
 import type { Metrics } from '../telemetry/index.js'
 import { OperatorRoutes } from './operatorRoutes.js'
 
@@ -13,6 +13,7 @@
   configurationVersion: () => ConfigurationVersion
   /** Requests that run here, claimed ones included. */
   running: () => number
+  backendServers: () => readonly ReplicaBelief[]
 }
 
 /** Shows one instance whole. */
@@ -33,6 +34,9 @@
       configuration: this._sources.configurationVersion(),
       running: this._sources.running(),
       members: members.members,
+      // Up to which of its cache events each engine is known here.
+      backendServers: this._sources.backendServers().map(({ name, acceptsWork, lastEventSequence }) => (
+        { name, acceptsWork, lastEventSequence })),
       histograms: metrics.readHistograms(),
       counters: metrics.readCounters()
     }
--- a/packages/experiments/src/demonstration/demonstration.ts
+++ b/packages/experiments/src/demonstration/demonstration.ts
@@ -8,7 +8,6 @@
 
 const ANSWER_TOKENS = 12
 const EVICTING_ROUNDS = 50
-const GAP_MILLISECONDS = 1_500
 
 /** What happened to one request. */
 export interface DemonstrationStep {
@@ -84,8 +83,8 @@
     await Promise.all(fleet.engines.map(async (_, index) =>
       await caller.stream(address, 'policy-answer', prompt(`other ${round} ${index}`), ANSWER_TOKENS)))
   }
-  // The gap lets the engines' late eviction events arrive, as they have long before a real caller returns.
-  await new Promise(resolve => { setTimeout(resolve, GAP_MILLISECONDS) })
+  // Eviction events are late; they have arrived long before a real caller returns.
+  await fleet.waitForCacheEvents()
   const answer = await caller.stream(address, 'policy-answer', returning, ANSWER_TOKENS)
   const isWhole = answer.isWhole && blocks.length > 0 && answer.usage?.imported_blocks === blocks.length
   return { title, isWhole, detail: JSON.stringify(answer.usage) }
