feat(soak): seeded runs with faults from outside the gateway's processes

Proxies before the store and before each replica (delay, one way, silence, refusal, resets), SIGKILL, SIGTERM (also twice), SIGSTOP, SIGHUP, clock steps, a store that is away or forgets its history, replicas that crash, drain, answer wrongly or not whole.

--- a/packages/standins/src/metadataStore/metadataStoreStandIn.ts
+++ b/packages/standins/src/metadataStore/metadataStoreStandIn.ts
@@ -1,6 +1,6 @@
 /**
  * Stand-in for the metadata store of the users' platform, by its published protocol: items, ranges, transactions on several
- * keys and leases. Watches are left out, since nothing of ours uses them.
+ * keys, leases, and the changes since a revision. A watch answers at once, since nothing of ours waits for one.
  */
 import { z } from 'zod'
 import { StandInServer } from '../common/standInServer.js'
@@ -22,11 +22,21 @@
   lease: number
 }
 
+interface Change {
+  key: string
+  revision: number
+  value?: string
+  deleted?: true
+}
+
 /** The metadata store. */
 export class MetadataStoreStandIn extends StandInServer {
   private _revision = 1
   private _nextLease = 1
   private readonly _items = new Map<string, Item>()
+  private _history: Change[] = []
+  /** The revision before the first change that the history has. */
+  private _historyBegin = 1
   private readonly _leases = new Map<number, { timeToLive: number, endsAt: number }>()
   private readonly _sweep = setInterval(() => { this._endLeases() }, LEASE_SWEEP_MILLISECONDS)
 
@@ -44,6 +54,13 @@
       const items = keys.slice(0, PAGE_ITEMS).map(key => ({ key, ...this._items.get(key) }))
       context.body = { items, has_more: keys.length > PAGE_ITEMS, current_rev: this._revision }
     })
+    this.router.get('/v1/kv-watch', context => {
+      const { path_prefix: prefix = '', after = '0' } = context.query
+      context.status = Number(after) < this._historyBegin ? 410 : 200
+      if (context.status === 410) return
+      const events = this._history.filter(({ key, revision }) => revision > Number(after) && key.startsWith(String(prefix)))
+      context.body = { events, current_rev: this._revision }
+    })
     this.router.post('/v1/kv-txn', context => {
       const transaction = transactionSchema.parse(context.request.body)
       const isHeld = transaction.expected.every(({ key, revision }) => (this._items.get(key)?.revision ?? 0) === revision)
@@ -75,6 +92,12 @@
     this._apply({ expected: [], puts: [], remove: [key] })
   }
 
+  /** Forgets the history, so that those who follow it have to list. */
+  compact (): void {
+    this._history = []
+    this._historyBegin = this._revision
+  }
+
   override async stop (): Promise<void> {
     clearInterval(this._sweep)
     await super.stop()
@@ -82,10 +105,13 @@
 
   private _apply ({ puts, remove }: z.infer<typeof transactionSchema>): number {
     this._revision += 1
-    for (const key of remove) this._items.delete(key)
+    for (const key of remove) {
+      if (this._items.delete(key)) this._history.push({ key, revision: this._revision, deleted: true })
+    }
     for (const { key, value, lease } of puts) {
       const created = this._items.get(key)?.created ?? this._revision
       this._items.set(key, { value, lease, created, revision: this._revision })
+      this._history.push({ key, value, revision: this._revision })
     }
     return this._revision
   }
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -10,6 +10,8 @@
 import { MetadataStoreStandIn } from '@wasabihead/standins'
 
 const ENTRY = fileURLToPath(import.meta.resolve('@wasabihead/platform/main'))
+/** Beside this file once compiled. */
+const CLOCK_FAULT = fileURLToPath(new URL('../soak/clockFault.js', import.meta.url))
 const LOOPBACK = '127.0.0.1'
 
 /** What a replica got. */
@@ -64,19 +66,66 @@
   }
 }
 
-/** One gateway process. */
+/** Addresses of one gateway. */
+export type GatewayAddresses = Record<'front' | 'ready' | 'control' | 'directory', string>
+
+/** One gateway, over its starts. */
 export class GatewayProcess {
   output = ''
-  readonly exited: Promise<number | null>
+  exited: Promise<number | null> = Promise.resolve(null)
+  private _child: ChildProcess | undefined
+  /** Where the output of the last start begins. */
+  private _startedAt = 0
+
+  /** @param _folder holds its settings and, where its clock is to be wrong, how far it is off */
+  constructor (
+    readonly name: string, readonly addresses: GatewayAddresses, private _settings: object, private readonly _folder: string,
+    private readonly _hasClockFault: boolean
+  ) {
+    this._writeSettings()
+  }
 
-  constructor (readonly name: string, readonly addresses: Record<'front' | 'ready' | 'control' | 'directory', string>, private readonly _child: ChildProcess) {
-    _child.stdout?.on('data', (data: Buffer) => { this.output += data.toString() })
-    _child.stderr?.on('data', (data: Buffer) => { this.output += data.toString() })
-    this.exited = new Promise(resolve => { _child.once('exit', resolve) })
+  /** Whether the process that was started last is at work, and so takes signals. */
+  get isAtWork (): boolean {
+    return this.output.slice(this._startedAt).includes('"event":"started"')
+  }
+
+  /** Starts the process, anew after it has ended. */
+  startAgain (): void {
+    this._startedAt = this.output.length
+    const clockFault = this._hasClockFault ? ['--import', CLOCK_FAULT] : []
+    const child = spawn(process.execPath, [...clockFault, ENTRY], {
+      env: { WASABIHEAD_NODE_FILE: this._file, WASABIHEAD_METRICS_PORT: '0', WASABIHEAD_TEST_CLOCK_FILE: `${this._file}.clock` },
+      stdio: ['ignore', 'pipe', 'pipe']
+    })
+    child.stdout.on('data', (data: Buffer) => { this.output += data.toString() })
+    child.stderr.on('data', (data: Buffer) => { this.output += data.toString() })
+    this.exited = new Promise(resolve => { child.once('exit', resolve) })
+    this._child = child
   }
 
   signal (signal: NodeJS.Signals): void {
-    this._child.kill(signal)
+    this._child?.kill(signal)
+  }
+
+  /** Replaces top-level settings; the process reads them when it is told to, or at its next start. */
+  changeSettings (change: object): void {
+    this._settings = { ...this._settings, ...change }
+    this._writeSettings()
+  }
+
+  /** Sets how many milliseconds the time of day is off; for a gateway that was made so. */
+  setClockOffset (milliseconds: number): void {
+    writeFileSync(`${this._file}.clock`, String(milliseconds))
+    this.signal('SIGUSR2')
+  }
+
+  private get _file (): string {
+    return join(this._folder, `${this.name}.json`)
+  }
+
+  private _writeSettings (): void {
+    writeFileSync(this._file, JSON.stringify(this._settings))
   }
 }
 
@@ -87,6 +136,14 @@
   body: string
 }
 
+/** How one gateway is started. */
+export interface GatewayOptions {
+  /** The store itself, or a proxy before it. */
+  storeAddress?: string
+  /** Whether its time of day can be set wrong. */
+  hasClockFault?: boolean
+}
+
 /** The whole. */
 export class PlatformFleet {
   readonly store = new MetadataStoreStandIn()
@@ -100,27 +157,27 @@
     for (let index = 0; index < gateways; index++) await this.startGateway(`gateway-${index}`)
   }
 
-  async startGateway (name: string): Promise<GatewayProcess> {
+  async startGateway (
+    name: string, { storeAddress = this.storeAddress, hasClockFault = false }: GatewayOptions = {}
+  ): Promise<GatewayProcess> {
     const [front, ready, control, directory, inner] = await freePorts(5)
     const addresses = {
       front: `${LOOPBACK}:${front}`, ready: `${LOOPBACK}:${ready}`, control: `${LOOPBACK}:${control}`, directory: `${LOOPBACK}:${directory}`
     }
-    const file = join(this._folder, `${name}.json`)
-    writeFileSync(file, JSON.stringify({
+    const gateway = new GatewayProcess(name, addresses, {
       node_name: name,
       ip: LOOPBACK,
       zone: 'zone-a',
       region: 'region-a',
       listen: addresses,
       port_range: [inner, inner],
-      seeds: this.gateways.map(gateway => gateway.addresses.control),
+      seeds: this.gateways.map(({ addresses: { control: seed } }) => seed),
       heartbeat_ms: 1_200,
       bounds: { drain_ms: 2_000, config_apply_ms: 2_000, grace_s: 8, lease_ms: 3_000, retry_budget_slack: 50 },
-      provider: { address: this.storeAddress, ttl_min_ms: 1_000 },
+      provider: { address: storeAddress, ttl_min_ms: 1_000 },
       an_unknown_field: true
-    }))
-    const child = spawn(process.execPath, [ENTRY], { env: { WASABIHEAD_NODE_FILE: file, WASABIHEAD_METRICS_PORT: '0' }, stdio: ['ignore', 'pipe', 'pipe'] })
-    const gateway = new GatewayProcess(name, addresses, child)
+    }, this._folder, hasClockFault)
+    gateway.startAgain()
     this.gateways.push(gateway)
     await waitUntil(async () => gateway.output.includes('"event":"started"'))
     return gateway
@@ -140,7 +197,11 @@
   }
 
   async stop (): Promise<void> {
-    for (const gateway of this.gateways) gateway.signal('SIGKILL')
+    for (const gateway of this.gateways) {
+      gateway.signal('SIGKILL')
+      // A paused process ends once it goes on.
+      gateway.signal('SIGCONT')
+    }
     await Promise.all(this.gateways.map(async gateway => await gateway.exited))
     await Promise.all(this.replicas.map(async replica => { await replica.stop() }))
     await this.store.stop()
--- /dev/null
+++ b/tests/soak/soakCallers.ts
@@ -0,0 +1,130 @@
+/** Callers that ask where to connect, keep the answer for a while, and use open connections until the process is gone. */
+import http from 'node:http'
+import type { SeededRandom } from '@wasabihead/coordination'
+import type { GatewayProcess } from '../platform/platformFleet.js'
+import type { SentRequest, SoakKind, SoakLedger } from './soakLedger.js'
+
+const KINDS: readonly SoakKind[] = ['safe', 'unsafe', 'events', 'once']
+const WORKSPACES = [{ name: 'tenant-a', key: 'key-a' }, { name: 'tenant-b', key: 'key-b' }]
+const KEEP_ANSWER_MILLISECONDS = 1_000
+const TIME_BUDGET_MILLISECONDS = 3_000
+/** Beyond the time budget; a caller then stops waiting. */
+const PATIENCE_MILLISECONDS = 2_000
+const FORGED_HEADERS = ['Kv-From', 'X-Wasabihead-Hold', 'X-Wasabihead-Pin-Ms', 'X-Wasabihead-Cache-Salt', 'X-Wasabihead-Tenant']
+/** Of a hundred requests, how many are left early, and how many forge headers. */
+const LEAVE_PERCENT = 4
+const FORGE_PERCENT = 10
+const PERCENT = 100
+
+/** All callers of a run. */
+export class SoakCallers {
+  private readonly _agent = new http.Agent({ keepAlive: true, maxSockets: 64 })
+  private readonly _running = new Set<Promise<void>>()
+  private _addresses: string[] = []
+  private _askedAt = -Infinity
+  private _isStopped = false
+  private _count = 0
+
+  constructor (
+    private readonly _gateways: () => readonly GatewayProcess[], private readonly _ledger: SoakLedger,
+    private readonly _random: SeededRandom, private readonly _interval: number
+  ) {}
+
+  /** Sends requests at a steady rate. */
+  start (): void {
+    const timer = setInterval(() => {
+      if (this._isStopped) {
+        clearInterval(timer)
+        return
+      }
+      const work = this._one()
+      this._running.add(work)
+      work.finally(() => { this._running.delete(work) }).catch(() => {})
+    }, this._interval)
+  }
+
+  /** Sends no more, and waits for what is under way. */
+  async stop (): Promise<void> {
+    this._isStopped = true
+    await Promise.all(this._running)
+    this._agent.destroy()
+  }
+
+  private async _one (): Promise<void> {
+    await this._askDirectory()
+    if (this._addresses.length === 0) return
+    const request = this._request()
+    this._ledger.onSent(request)
+    await this._call(this._random.pick(this._addresses), request)
+  }
+
+  private _request (): SentRequest {
+    this._count += 1
+    const kind = this._random.pick(KINDS)
+    const { name } = this._random.pick(WORKSPACES)
+    const id = `request-${this._count}`
+    return { id, kind, target: `/${kind}/${id}?a=%2F`, body: kind === 'safe' ? '' : `body of ${id}`, workspace: name }
+  }
+
+  private async _askDirectory (): Promise<void> {
+    if (performance.now() - this._askedAt < KEEP_ANSWER_MILLISECONDS) return
+    this._askedAt = performance.now()
+    const gateway = this._random.pick(this._gateways())
+    const answer = await get(`http://${gateway.addresses.directory}/v1/resolve?name=front.example&region=region-a&zone=zone-a`)
+    // Without an answer a caller goes on with the one that it has.
+    if (answer === undefined) this._askedAt = -Infinity
+    else this._addresses = (JSON.parse(answer) as { addresses: string[] }).addresses
+  }
+
+  private async _call (address: string, request: SentRequest): Promise<void> {
+    const isLeaving = this._random.next() * PERCENT < LEAVE_PERCENT
+    const headers: http.OutgoingHttpHeaders = {
+      Host: 'front.example',
+      'Api-Key': WORKSPACES.find(({ name }) => name === request.workspace)?.key,
+      'X-Wasabihead-Attempt-Id': request.id,
+      'X-Wasabihead-Deadline-Ms': String(TIME_BUDGET_MILLISECONDS)
+    }
+    if (this._random.next() * PERCENT < FORGE_PERCENT) for (const name of FORGED_HEADERS) headers[name] = 'forged'
+    const timeout = isLeaving ? this._random.next() * 100 : TIME_BUDGET_MILLISECONDS + PATIENCE_MILLISECONDS
+    await new Promise<void>(resolve => {
+      const sent = http.request(`http://${address}${request.target}`, {
+        method: request.body === '' ? 'GET' : 'POST', agent: this._agent, headers
+      }, response => {
+        const chunks: Buffer[] = []
+        response.on('data', (chunk: Buffer) => { chunks.push(chunk) })
+        response.once('end', () => {
+          const seal = response.headers['x-wasabihead-server-seal']
+          this._ledger.onAnswer({
+            id: request.id,
+            status: response.statusCode ?? 0,
+            seal: seal === undefined ? undefined : String(seal),
+            body: Buffer.concat(chunks).toString()
+          })
+        })
+        response.once('close', resolve)
+        // An answer that breaks off promises nothing.
+        response.on('error', () => {})
+      })
+      const timer = setTimeout(() => { sent.destroy() }, timeout)
+      sent.once('close', () => {
+        clearTimeout(timer)
+        resolve()
+      })
+      sent.once('error', () => { this._ledger.unanswered += 1 })
+      sent.end(request.body)
+    })
+  }
+}
+
+async function get (url: string): Promise<string | undefined> {
+  return await new Promise(resolve => {
+    const request = http.get(url, { agent: false, timeout: 1_000 }, response => {
+      const chunks: Buffer[] = []
+      response.on('data', (chunk: Buffer) => { chunks.push(chunk) })
+      response.once('end', () => { resolve(response.statusCode === 200 ? Buffer.concat(chunks).toString() : undefined) })
+      response.once('error', () => { resolve(undefined) })
+    })
+    request.once('timeout', () => { request.destroy() })
+    request.once('error', () => { resolve(undefined) })
+  })
+}
--- /dev/null
+++ b/tests/soak/soakFaults.ts
@@ -0,0 +1,100 @@
+/** Faults from outside the programs, in seeded series that overlap. */
+import type { SeededRandom } from '@wasabihead/coordination'
+import type { FaultProxy, LinkFault } from './faultProxy.js'
+import type { SoakFleet } from './soakFleet.js'
+
+/** One kind of fault; `run` resolves once it is over. */
+interface FaultKind {
+  name: string
+  run: (fleet: SoakFleet, random: SeededRandom) => Promise<void>
+}
+
+const LINK_FAULTS: readonly LinkFault[] = ['delayed', 'one-way', 'silent', 'refused']
+const SHORTEST_MILLISECONDS = 200
+const LONGEST_MILLISECONDS = 2_500
+const SHORTEST_GAP_MILLISECONDS = 100
+const LONGEST_GAP_MILLISECONDS = 900
+const CLOCK_STEP_MILLISECONDS = 20_000
+const FORWARD = 0.5
+
+const FAULTS: readonly FaultKind[] = [
+  { name: 'kill', run: async (fleet, random) => { await fleet.restart(random.pick(fleet.gateways), 'SIGKILL', between(random)) } },
+  { name: 'terminate', run: async (fleet, random) => { await fleet.restart(random.pick(fleet.gateways), 'SIGTERM', 0) } },
+  {
+    name: 'terminate twice',
+    run: async (fleet, random) => {
+      const gateway = random.pick(fleet.gateways)
+      await Promise.all([fleet.restart(gateway, 'SIGTERM', 0), fleet.terminateAgain(gateway)])
+    }
+  },
+  {
+    name: 'pause',
+    run: async (fleet, random) => {
+      const gateway = random.pick(fleet.gateways)
+      gateway.signal('SIGSTOP')
+      await pause(between(random))
+      gateway.signal('SIGCONT')
+    }
+  },
+  { name: 'reload', run: async (fleet, random) => { fleet.reload(random.pick(fleet.gateways), random.integer(1_000)) } },
+  {
+    name: 'clock step',
+    run: async (fleet, random) => {
+      const gateway = random.pick(fleet.gateways)
+      fleet.stepClock(gateway, (random.next() < FORWARD ? 1 : -1) * CLOCK_STEP_MILLISECONDS)
+      await pause(between(random))
+      fleet.stepClock(gateway, 0)
+    }
+  },
+  { name: 'store link', run: async (fleet, random) => { await harm(random.pick(fleet.storeLinks), random) } },
+  {
+    name: 'store away',
+    run: async (fleet, random) => {
+      for (const link of fleet.storeLinks) {
+        link.fault = 'refused'
+        link.reset()
+      }
+      await pause(between(random))
+      for (const link of fleet.storeLinks) link.fault = 'none'
+    }
+  },
+  { name: 'store compaction', run: async fleet => { fleet.store.compact() } },
+  { name: 'replica link', run: async (fleet, random) => { await harm(random.pick(fleet.replicas).proxy, random) } },
+  { name: 'replica resets', run: async (fleet, random) => { random.pick(fleet.replicas).proxy.reset() } },
+  { name: 'replica crash', run: async (fleet, random) => { await fleet.replaceReplica(random.pick(fleet.replicas), false) } },
+  { name: 'replica drain', run: async (fleet, random) => { await fleet.replaceReplica(random.pick(fleet.replicas), true) } },
+  { name: 'configuration', run: async fleet => { fleet.changeConfiguration() } }
+]
+
+/** Starts faults until the time is over; resolves once all have ended and every link is whole. */
+export async function injectFaults (
+  fleet: SoakFleet, random: SeededRandom, milliseconds: number, note: (line: string) => void
+): Promise<void> {
+  const running = new Set<Promise<void>>()
+  const begin = performance.now()
+  while (performance.now() - begin < milliseconds) {
+    const fault = random.pick(FAULTS)
+    note(`${Math.round(performance.now() - begin)} ms ${fault.name}`)
+    const work = fault.run(fleet, random).finally(() => { running.delete(work) })
+    running.add(work)
+    await pause(SHORTEST_GAP_MILLISECONDS + random.next() * (LONGEST_GAP_MILLISECONDS - SHORTEST_GAP_MILLISECONDS))
+  }
+  await Promise.all(running)
+  for (const link of [...fleet.storeLinks, ...fleet.replicas.map(({ proxy }) => proxy)]) link.fault = 'none'
+}
+
+async function harm (link: FaultProxy, random: SeededRandom): Promise<void> {
+  link.fault = random.pick(LINK_FAULTS)
+  await pause(between(random))
+  link.fault = 'none'
+  // Bytes were lost, so that what is open now would never go on rightly.
+  link.reset()
+}
+
+function between (random: SeededRandom): number {
+  return SHORTEST_MILLISECONDS + random.next() * (LONGEST_MILLISECONDS - SHORTEST_MILLISECONDS)
+}
+
+async function pause (milliseconds: number): Promise<void> {
+  await new Promise(resolve => { setTimeout(resolve, milliseconds) })
+}
--- /dev/null
+++ b/tests/soak/soakFleet.ts
@@ -0,0 +1,119 @@
+/** Gateways, each with a proxy of its own before the metadata store, and replicas behind proxies. */
+import type { SeededRandom } from '@wasabihead/coordination'
+import type { MetadataStoreStandIn } from '@wasabihead/standins'
+import { configurationOf, PlatformFleet, type GatewayProcess } from '../platform/platformFleet.js'
+import { FaultProxy } from './faultProxy.js'
+import type { SoakLedger } from './soakLedger.js'
+import { SoakReplica } from './soakReplica.js'
+
+const SECOND_SIGNAL_MILLISECONDS = 300
+const DRAIN_MILLISECONDS = 2_500
+
+/** The system under test and what the faults can do to it. */
+export class SoakFleet {
+  readonly replicas: SoakReplica[] = []
+  readonly storeLinks: FaultProxy[] = []
+  private readonly _fleet = new PlatformFleet()
+  /** Gateways that ended without being told to. */
+  readonly ended: string[] = []
+  private _isStopping = false
+  private readonly _restarting = new Set<string>()
+  private _replicaCount = 0
+  private _version = 1
+
+  constructor (private readonly _ledger: SoakLedger, private readonly _random: SeededRandom) {}
+
+  get gateways (): readonly GatewayProcess[] {
+    return this._fleet.gateways
+  }
+
+  get store (): MetadataStoreStandIn {
+    return this._fleet.store
+  }
+
+  async start (gateways: number, replicas: number): Promise<void> {
+    await this._fleet.start(0)
+    this._putConfiguration()
+    for (let index = 0; index < replicas; index++) await this._addReplica()
+    for (let index = 0; index < gateways; index++) {
+      const link = await FaultProxy.start(this._fleet.storeAddress)
+      this.storeLinks.push(link)
+      this._watchEnd(await this._fleet.startGateway(`gateway-${index}`, { storeAddress: link.address, hasClockFault: true }))
+    }
+  }
+
+  /** Ends a gateway and starts it again at the same addresses. */
+  async restart (gateway: GatewayProcess, signal: NodeJS.Signals, downFor: number): Promise<void> {
+    if (this._restarting.has(gateway.name)) return
+    this._restarting.add(gateway.name)
+    // A paused process cannot act on a signal.
+    gateway.signal('SIGCONT')
+    gateway.signal(signal)
+    await gateway.exited
+    await new Promise(resolve => { setTimeout(resolve, downFor) })
+    gateway.startAgain()
+    this._watchEnd(gateway)
+    this._restarting.delete(gateway.name)
+  }
+
+  /** A second signal comes while a gateway leaves. */
+  async terminateAgain (gateway: GatewayProcess): Promise<void> {
+    await new Promise(resolve => { setTimeout(resolve, SECOND_SIGNAL_MILLISECONDS) })
+    if (this._restarting.has(gateway.name)) gateway.signal('SIGTERM')
+  }
+
+  /** Changes the settings file and tells the process so. */
+  reload (gateway: GatewayProcess, retryAllowance: number): void {
+    gateway.changeSettings({ bounds: { retry_budget_slack: retryAllowance } })
+    // Before its first line of code runs, any signal ends a process.
+    if (gateway.isAtWork && !this._restarting.has(gateway.name)) gateway.signal('SIGHUP')
+  }
+
+  /** Sets how far the time of day of a gateway is off. */
+  stepClock (gateway: GatewayProcess, milliseconds: number): void {
+    if (gateway.isAtWork && !this._restarting.has(gateway.name)) gateway.setClockOffset(milliseconds)
+  }
+
+  /** A new run takes a replica's place; one that drains goes on for a while. */
+  async replaceReplica (replica: SoakReplica, isDraining: boolean): Promise<void> {
+    const index = this.replicas.indexOf(replica)
+    if (index < 0) return
+    this.replicas.splice(index, 1)
+    await this._addReplica()
+    if (isDraining) {
+      replica.register('draining')
+      await new Promise(resolve => { setTimeout(resolve, DRAIN_MILLISECONDS) })
+    }
+    await replica.crash()
+  }
+
+  /** The next version of the configuration, which changes nothing that a request depends on. */
+  changeConfiguration (): void {
+    this._version += 1 + this._random.integer(3)
+    this._putConfiguration()
+  }
+
+  async stop (): Promise<void> {
+    this._isStopping = true
+    await this._fleet.stop()
+    await Promise.all(this.replicas.map(async replica => { await replica.crash() }))
+    await Promise.all(this.storeLinks.map(async link => { await link.stop() }))
+  }
+
+  private _watchEnd (gateway: GatewayProcess): void {
+    gateway.exited.then(code => {
+      if (!this._isStopping && !this._restarting.has(gateway.name)) this.ended.push(`${gateway.name} ended with ${String(code)}`)
+    }, () => {})
+  }
+
+  private _putConfiguration (): void {
+    this.store.put('op/config', configurationOf(this._version, {
+      tenants: [{ name: 'tenant-a', api_keys: ['key-a'], isolated: true }, { name: 'tenant-b', api_keys: ['key-b'], isolated: false }]
+    }))
+  }
+
+  private async _addReplica (): Promise<void> {
+    this._replicaCount += 1
+    this.replicas.push(await SoakReplica.start(`replica-${this._replicaCount}`, this._fleet, this._ledger, this._random))
+  }
+}
--- /dev/null
+++ b/tests/soak/soakReplica.ts
@@ -0,0 +1,127 @@
+/** A replica whose answers fail in seeded ways, behind a proxy. */
+import type http from 'node:http'
+import type { SeededRandom } from '@wasabihead/coordination'
+import { ReplicaStandIn, type PlatformFleet, type ReceivedRequest } from '../platform/platformFleet.js'
+import { FaultProxy } from './faultProxy.js'
+import { answerBody, EVENTS_IN_STREAM, streamEvents, type SoakLedger } from './soakLedger.js'
+
+/** How often, of a hundred answers, each failure happens. */
+const FULL_PERCENT = 5
+const BROKEN_PERCENT = 4
+const FAILED_PERCENT = 3
+const FOREIGN_PERCENT = 1
+const LONGEST_WORK_MILLISECONDS = 120
+const EVENT_PAUSE_MILLISECONDS = 15
+const FORGED_VALUE = 'forged'
+const PERCENT = 100
+const SERVICE_UNAVAILABLE = 503
+const MISDIRECTED = 421
+
+/** One replica. Each start is a new run with a new id at a new address. */
+export class SoakReplica {
+  private constructor (
+    readonly id: string, private readonly _server: ReplicaStandIn, readonly proxy: FaultProxy,
+    private readonly _fleet: PlatformFleet, private readonly _ledger: SoakLedger, private readonly _random: SeededRandom
+  ) {}
+
+  static async start (id: string, fleet: PlatformFleet, ledger: SoakLedger, random: SeededRandom): Promise<SoakReplica> {
+    const server = await ReplicaStandIn.start(id)
+    const proxy = await FaultProxy.start(server.address)
+    const replica = new SoakReplica(id, server, proxy, fleet, ledger, random)
+    server.respond = (request, response) => { replica._respond(request, response) }
+    replica.register('ready')
+    return replica
+  }
+
+  register (state: 'ready' | 'draining'): void {
+    this._fleet.store.put(`servers/${this.id}`, {
+      service: 'desk', address: this.proxy.address, zone: 'zone-a', version: 'v1', slots: 8, state, cold_left_ms: 0, seq: 1, born: Date.now()
+    })
+  }
+
+  /** Ends at once, as a crash does; its entry lapses. */
+  async crash (): Promise<void> {
+    this._fleet.store.remove(`servers/${this.id}`)
+    await this.proxy.stop()
+    await this._server.stop()
+  }
+
+  private _respond (request: ReceivedRequest, response: http.ServerResponse): void {
+    const id = String(request.headers['x-wasabihead-attempt-id'])
+    if (request.headers['x-wasabihead-expect-instance'] !== this.id) {
+      this._refuse(id, MISDIRECTED, response)
+      return
+    }
+    const roll = this._random.next() * PERCENT
+    if (roll < FULL_PERCENT) {
+      this._refuse(id, SERVICE_UNAVAILABLE, response)
+      return
+    }
+    this._noteRun(id, request)
+    const work = this._random.next() * LONGEST_WORK_MILLISECONDS
+    setTimeout(() => { this._answer(id, request, roll - FULL_PERCENT, response) }, work)
+  }
+
+  private _refuse (id: string, status: number, response: http.ServerResponse): void {
+    response.writeHead(status, { 'X-Wasabihead-Attempt-Id': id, 'X-Wasabihead-Not-Executed': '1' })
+    response.end()
+  }
+
+  private _noteRun (id: string, { headers, url, body }: ReceivedRequest): void {
+    const { 'x-wasabihead-tenant': workspace } = headers
+    const forged = Object.entries(headers).filter(([, value]) => value === FORGED_VALUE).map(([name]) => name)
+    if (headers['api-key'] !== undefined) forged.push('api-key')
+    this._ledger.onRun({
+      id, replica: this.id, target: url, body, workspace: workspace === undefined ? undefined : String(workspace), forged
+    })
+  }
+
+  private _answer (id: string, request: ReceivedRequest, roll: number, response: http.ServerResponse): void {
+    if (response.destroyed) return
+    const isStream = request.url.startsWith('/events/') || request.url.startsWith('/once/')
+    const isBroken = roll < BROKEN_PERCENT
+    if (!isBroken && roll < BROKEN_PERCENT + FAILED_PERCENT) {
+      response.writeHead(500, this._server.answerHeaders(request))
+      response.end('the replica failed')
+    } else if (!isBroken && roll < BROKEN_PERCENT + FAILED_PERCENT + FOREIGN_PERCENT) {
+      // An answer to another request, as a late one on a reused connection looks.
+      response.writeHead(200, { ...this._server.answerHeaders(request), 'X-Wasabihead-Attempt-Id': `other-${id}` })
+      response.end('not yours')
+    } else if (isStream) this._stream(id, request, isBroken, response)
+    else this._plain(id, request, isBroken, response)
+  }
+
+  private _plain (id: string, request: ReceivedRequest, isBroken: boolean, response: http.ServerResponse): void {
+    const body = answerBody(id)
+    response.writeHead(200, { ...this._server.answerHeaders(request), 'Content-Length': body.length })
+    if (!isBroken) {
+      response.end(body)
+      return
+    }
+    response.write(body.slice(0, body.length / 2))
+    setTimeout(() => { response.destroy() }, EVENT_PAUSE_MILLISECONDS)
+  }
+
+  private _stream (id: string, request: ReceivedRequest, isBroken: boolean, response: http.ServerResponse): void {
+    const after = Number(request.headers['last-event-id'] ?? 0)
+    const events = streamEvents(id).slice(after)
+    const brokenAt = isBroken ? Math.floor(this._random.next() * EVENTS_IN_STREAM) : Infinity
+    response.writeHead(200, { ...this._server.answerHeaders(request), 'Content-Type': 'text/event-stream' })
+    const next = (index: number): void => {
+      if (response.destroyed) return
+      const event = events[index]
+      if (event === undefined) {
+        response.end()
+        return
+      }
+      if (index >= brokenAt) {
+        response.write(event.slice(0, event.length / 2))
+        setTimeout(() => { response.destroy() }, EVENT_PAUSE_MILLISECONDS)
+        return
+      }
+      response.write(event)
+      setTimeout(() => { next(index + 1) }, EVENT_PAUSE_MILLISECONDS)
+    }
+    next(0)
+  }
+}
