--- a/packages/coordination/src/fronts/frontDirectory.spec.ts
+++ b/packages/coordination/src/fronts/frontDirectory.spec.ts
@@ -6,7 +6,8 @@
   name, incarnation: 1, zone: 'z', region: 'r', frontAddress: name, controlAddress: name, heartbeatAddress: name, isLeaving: false, ...change
 })
 const heartbeat = (from: FrontRecord, change: Partial<Heartbeat> = {}): Heartbeat => ({
-  from, isReady: true, peers: [], loads: {}, sent: [], stores: [], loading: [], loaded: [], crashes: [], ...change
+  from, isReady: true, named: [from],
+  loads: {}, sent: [], stores: [], fetched: [], loading: [], loaded: [], crashes: [], ...change
 })
 const directory = () => new FrontDirectory(record('self'), { silence: 1_000, unheardLifetime: 3_000, forgetAfter: 30_000 })
 
@@ -36,11 +37,31 @@
 
 test('should learn of a peer from another one while the store is away', () => {
   const fronts = directory()
-  fronts.hear(heartbeat(record('a'), { peers: [record('b')] }), 0)
+  fronts.hear(heartbeat(record('a'), { named: [record('a'), record('b')] }), 0)
   assert.equal(fronts.peers.map(({ name }) => name).sort(), ['a', 'b'])
   assert.equal(fronts.addresses(true, 10), ['a', 'self'], 'b was not heard yet')
 })
 
+test('should take nothing from an instance whose record it does not know yet', () => {
+  const fronts = directory()
+  fronts.hear(heartbeat(record('a'), { named: [] }), 0)
+  assert.equal(fronts.addresses(true, 10), ['self'])
+  fronts.hear(heartbeat(record('a'), { named: [record('a')] }), 20)
+  assert.equal(fronts.addresses(true, 30), ['a', 'self'])
+})
+
+// Soak seed 1: a host whose clock was set back between two starts was never named again.
+test('should outbid its own former run, which began while the clock was ahead', () => {
+  const peer = new FrontDirectory(record('peer'), { silence: 1_000, unheardLifetime: 3_000, forgetAfter: 30_000 })
+  peer.hear(heartbeat(record('self', { incarnation: 9 })), 0)
+  const restarted = directory()
+  peer.hear(heartbeat(restarted.self), 2_000)
+  assert.equal(peer.livePeers(2_000), [])
+  restarted.hear(heartbeat(record('peer'), { named: peer.heardPeers }), 2_100)
+  peer.hear(heartbeat(restarted.self), 2_200)
+  assert.equal(peer.livePeers(2_200).map(({ incarnation }) => incarnation), [10])
+})
+
 test('should leave itself out when it is not ready or leaves', () => {
   const fronts = directory()
   fronts.hear(heartbeat(record('a')), 0)
--- a/packages/coordination/src/fronts/frontDirectory.ts
+++ b/packages/coordination/src/fronts/frontDirectory.ts
@@ -45,30 +45,40 @@
   applyRecords (records: readonly FrontRecord[], now: Milliseconds): void {
     const listed = new Set(records.map(({ name }) => name))
     for (const record of records) {
-      if (record.name === this._self.name) continue
-      const known = this._take(record, now)
-      known.isListed = true
+      if (record.name === this._self.name) this._outbid(record)
+      else this._take(record, now).isListed = true
     }
     for (const [name, front] of this._fronts) if (!listed.has(name)) front.isListed = false
     this._expire(now)
   }
 
-  /** Takes a heartbeat, and the peers that it names. */
-  hear ({ from, isReady, peers }: Heartbeat, now: Milliseconds): void {
-    if (from.name !== this._self.name) {
-      const front = this._take(from, now)
-      if (front.record.incarnation === from.incarnation) {
-        front.heardAt = now
-        front.isReady = isReady
-        this._hasHeardAny = true
-      }
-    }
-    this.learn(peers, now)
+  /** Takes a heartbeat, and the instances that it names. */
+  hear ({ from, isReady, named }: Pick<Heartbeat, 'from' | 'isReady' | 'named'>, now: Milliseconds): void {
+    this.learn(named, now)
+    const front = this._fronts.get(from.name)
+    if (front === undefined || front.record.incarnation !== from.incarnation) return
+    if (from.isLeaving) front.record = { ...front.record, isLeaving: true }
+    front.heardAt = now
+    front.isReady = isReady
+    this._hasHeardAny = true
+  }
+
+  /** The record of another instance. */
+  peer (name: string): FrontRecord | undefined {
+    return this._fronts.get(name)?.record
   }
 
   /** Takes instances that another one knows; they count as alive once they are heard. */
   learn (records: readonly FrontRecord[], now: Milliseconds): void {
-    for (const record of records) if (record.name !== this._self.name) this._take(record, now)
+    for (const record of records) {
+      if (record.name === this._self.name) this._outbid(record)
+      else this._take(record, now)
+    }
+  }
+
+  /** The other instances that were heard lately, alive or not: their last run is known. */
+  get heardPeers (): FrontRecord[] {
+    return [...this._fronts.values()].filter(({ heardAt }) => heardAt !== undefined).map(({ record }) => record)
   }
 
   /** The other instances that heartbeats are sent to. */
@@ -103,6 +113,11 @@
     return front.isListed && (!this._hasHeardAny || now - front.firstSeenAt <= this._settings.unheardLifetime)
   }
 
+  /** A former run began while the host's time of day was ahead; the others would take this run for the older one. */
+  private _outbid ({ incarnation }: FrontRecord): void {
+    if (incarnation > this._self.incarnation) this._self = { ...this._self, incarnation: incarnation + 1 }
+  }
+
   private _take (record: FrontRecord, now: Milliseconds): KnownFront {
     const known = this._fronts.get(record.name)
     if (known !== undefined && known.record.incarnation >= record.incarnation) {
--- a/packages/coordination/src/fronts/messages.ts
+++ b/packages/coordination/src/fronts/messages.ts
@@ -1,5 +1,6 @@
 /** What the instances tell the store and each other about themselves. */
 import { z } from 'zod'
+import { catalogNewsSchema } from '../catalog/index.js'
 
 /** An instance as it registers itself in the store. */
 export const frontRecordSchema = z.object({
@@ -21,12 +22,17 @@
 
 /** A heartbeat between instances. Names are short since many are sent. */
 export const heartbeatSchema = z.object({
-  /** Who sends it. */
-  from: frontRecordSchema,
+  /** Who sends it; its record comes from the store, or among the named instances of some heartbeats. */
+  from: frontRecordSchema.pick({ name: true, incarnation: true, isLeaving: true }),
   isReady: z.boolean(),
-  /** Others that the sender hears now, so that a newcomer learns of them without the store. */
-  peers: z.array(frontRecordSchema),
-  /** Load of the sender on each replica: requests, prompt tokens before the first event, memory tokens. */
+  /** The sender's copy of the store. */
+  catalog: catalogNewsSchema.optional(),
+  /** Instances, the sender among them, in turn: a newcomer learns of them without the store, and of its own former run. */
+  named: z.array(frontRecordSchema),
+  /**
+   * Load of the sender on each replica: requests, prompt tokens before the first event, memory tokens. For the address of a
+   * source of prompt parts: fetches, and their tokens.
+   */
   loads: z.record(z.string(), z.tuple([z.number(), z.number(), z.number()])),
   /** Prompts sent since the last heartbeat: replica, salt, and the parts' ids and tokens. */
   sent: z.array(z.tuple([z.string(), z.string(), z.array(z.tuple([z.string(), z.number()]))])),
@@ -37,6 +43,8 @@
     age: z.number(),
     events: z.array(z.tuple([z.string(), z.string(), z.number(), z.boolean()]))
   })),
+  /** How much longer than predicted the sender's fetches took since the last heartbeat: store and milliseconds. */
+  fetched: z.array(z.tuple([z.string(), z.number()])),
   /** Replicas that the sender has ordered to load weights. */
   loading: z.array(z.string()),
   /** Replicas that have loaded a weight version lately. */
--- a/packages/gateway/src/catalog/registration.ts
+++ b/packages/gateway/src/catalog/registration.ts
@@ -13,6 +13,7 @@
 export class Registration {
   private _leaseId: string | undefined
   private _timer: NodeJS.Timeout | undefined
+  private _registeredAs: number | undefined
   private _isStopped = false
 
   constructor (
@@ -35,7 +36,8 @@
   }
 
   private async _round (): Promise<void> {
-    if (this._leaseId === undefined) await this._register()
+    const isCurrent = this._registeredAs === this._state.fronts.self.incarnation
+    if (this._leaseId === undefined || !isCurrent) await this._register()
     else await this._renew(this._leaseId)
     if (!this._isStopped) this._timer = setTimeout(() => { this.start() }, this._settings.renewEvery)
   }
@@ -52,13 +54,14 @@
     const { key, timeToLive } = this._settings
     const lease = await this._store.grantLease(timeToLive)
     if (lease.isErr) return
-    const value = JSON.stringify(this._state.fronts.self)
+    const { self } = this._state.fronts
     let expectedRevision = ABSENT_REVISION
     const known = await this._store.read(key)
     if (known.isOk && known.value !== undefined) expectedRevision = known.value.revision
-    const written = await this._store.compareAndSwap({ key, expectedRevision, value, leaseId: lease.value })
+    const written = await this._store.compareAndSwap({ key, expectedRevision, value: JSON.stringify(self), leaseId: lease.value })
     if (written.isErr || written.value.kind === 'lost') return
     this._leaseId = lease.value
+    this._registeredAs = self.incarnation
     this._state.log.change('registered', { key, revision: written.value.revision })
   }
 }
