perf(catalog): two instances read the store's changes and tell the rest; heartbeats are deflated

Now a mirror takes the changes since a revision; an instance that hears from a peer that nothing new was written need not read. Ruled out: replicas' status reports as a cause of change (the store's revision moves by the role's renewals alone), pages at the start.

--- a/packages/coordination/src/catalog/index.ts
+++ b/packages/coordination/src/catalog/index.ts
@@ -6,3 +6,5 @@
 } from './messages.js'
 export { RouteTable, type RouteMatch, type RouteRefusal } from './routeTable.js'
 export { ServiceCatalog, type CatalogChange, type CatalogSettings } from './serviceCatalog.js'
+export { catalogNewsSchema, ReadSchedule, type CatalogNews, type NewsVerdict, type ReadScheduleSettings } from './readSchedule.js'
+export { StoreMirror, type StoreChange, type StoreChanges, type StoreSnapshot } from './storeMirror.js'
--- /dev/null
+++ b/packages/coordination/src/catalog/readSchedule.ts
@@ -0,0 +1,94 @@
+/**
+ * When an instance reads the metadata store. A few instances read it all the time and tell the others up to which
+ * revision there was nothing new; an instance that is told so need not read, so that the calls do not grow with the fleet.
+ */
+import { z } from 'zod'
+import { rankByRendezvous, type Milliseconds } from '../common/index.js'
+
+/** Settings of the schedule. */
+export interface ReadScheduleSettings {
+  /** Instances that read without being told of anything. */
+  readers: number
+  /** Between two reads of such an instance. */
+  interval: Milliseconds
+  /** An instance that has known nothing of the store for this long reads it whatever its rank. */
+  longestAge: Milliseconds
+}
+
+/** What an instance tells of its copy of the store. */
+export const catalogNewsSchema = z.object({
+  /** The last revision that said something new. */
+  changedAt: z.number(),
+  /** How long ago the store held nothing newer than that. */
+  age: z.number()
+})
+/** What an instance tells of its copy of the store. */
+export type CatalogNews = z.infer<typeof catalogNewsSchema>
+
+/** What follows from such news: the own copy is as good, it is behind, or the news are too old to say. */
+export type NewsVerdict = 'confirmed' | 'behind' | 'old'
+
+/** What the news may have taken to arrive. */
+const NEWS_MARGIN: Milliseconds = 150
+const READER_KEY = 'metadata-store'
+
+/** Holds up to when this instance's copy is known to be good. */
+export class ReadSchedule {
+  private _goodAt: Milliseconds = -Infinity
+  private _ownReadAt: Milliseconds = -Infinity
+  /** The highest revision that another instance has told of. */
+  private _heardRevision = 0
+
+  constructor (private readonly _settings: ReadScheduleSettings) {}
+
+  /** Up to when the copy is known to lack nothing. */
+  get goodAt (): Milliseconds {
+    return this._goodAt
+  }
+
+  /** When this instance last sent a read of the store that was answered. */
+  get ownReadAt (): Milliseconds {
+    return this._ownReadAt
+  }
+
+  /** The store answered a read that was sent at `askedAt`. */
+  onRead (askedAt: Milliseconds): void {
+    this._ownReadAt = askedAt
+    this._goodAt = Math.max(this._goodAt, askedAt)
+  }
+
+  /** Another instance told of its copy; `revision` is the one that the own copy reaches. */
+  onNews ({ changedAt, age }: CatalogNews, revision: number, now: Milliseconds): NewsVerdict {
+    this._heardRevision = Math.max(this._heardRevision, changedAt)
+    if (changedAt > revision) return 'behind'
+    const goodAt = now - age - NEWS_MARGIN
+    if (goodAt <= this._goodAt) return 'old'
+    this._goodAt = goodAt
+    return 'confirmed'
+  }
+
+  /** Whether another instance knows of something that the own copy lacks. */
+  isBehind (revision: number): boolean {
+    return this._heardRevision > revision
+  }
+
+  /** Whether this instance itself keeps up with the store, by its rank or since nobody else tells it anything. */
+  isReading (now: Milliseconds): boolean {
+    return now - this._ownReadAt <= 2 * this._settings.longestAge
+  }
+
+  /**
+   * When the store should be read next.
+   * @param instances names of the live instances, this one included
+   */
+  nextReadAt (self: string, instances: readonly string[]): Milliseconds {
+    const { readers, interval, longestAge } = this._settings
+    const isReader = instances.length <= readers || rankByRendezvous(READER_KEY, instances).indexOf(self) < readers
+    return isReader ? this._ownReadAt + interval : this._goodAt + longestAge
+  }
+
+  /** What to tell the others; undefined before the first listing. */
+  news (changedAt: number, now: Milliseconds): CatalogNews | undefined {
+    return Number.isFinite(this._goodAt) ? { changedAt, age: Math.ceil(now - this._goodAt) } : undefined
+  }
+}
--- a/packages/coordination/src/catalog/serviceCatalog.ts
+++ b/packages/coordination/src/catalog/serviceCatalog.ts
@@ -118,6 +118,11 @@
     return changes
   }
 
+  /** At `time` the store held nothing that is not in the last listing. */
+  confirm (time: Milliseconds): void {
+    if (Number.isFinite(this._listedAt)) this._listedAt = Math.max(this._listedAt, time)
+  }
+
   /** Takes what another instance knows: only what is newer, and no removals. */
   applyPeerListing (listing: CatalogListing, now: Milliseconds): CatalogChange[] {
     const changes = this._takeHigher(listing, now)
--- /dev/null
+++ b/packages/coordination/src/catalog/storeMirror.ts
@@ -0,0 +1,82 @@
+/** A copy of what the metadata store holds, from one listing and the changes since. */
+import type { VersionedValue } from '../platform/index.js'
+
+/** A change of one key; without a value the key was removed. */
+export interface StoreChange {
+  key: string
+  /** The store's revision of the change. */
+  revision: number
+  value: string | undefined
+}
+
+/** All changes after a revision, up to another. */
+export interface StoreChanges {
+  revision: number
+  changes: readonly StoreChange[]
+}
+
+/** Everything that the store held at a revision, or later for single keys. */
+export interface StoreSnapshot {
+  revision: number
+  values: readonly VersionedValue[]
+}
+
+/** Holds the copy. */
+export class StoreMirror {
+  private _values = new Map<string, VersionedValue>()
+  private _revision = 0
+  private _changedAt = 0
+
+  /** @param _isSame whether two values of a key say the same to the other instances */
+  constructor (private readonly _isSame: (before: VersionedValue, after: VersionedValue) => boolean) {}
+
+  /** The store's revision that the copy reaches; 0 before the first listing. */
+  get revision (): number {
+    return this._revision
+  }
+
+  /** The revision of the last change that said something new. */
+  get changedAt (): number {
+    return this._changedAt
+  }
+
+  /** The values, in no order. */
+  get values (): VersionedValue[] {
+    return [...this._values.values()]
+  }
+
+  /** Takes a whole listing. */
+  applyListing ({ revision, values }: StoreSnapshot): void {
+    const listed = new Map(values.map(value => [value.key, value]))
+    const isChanged = listed.size !== this._values.size || values.some(value => this._isNew(value))
+    if (isChanged) this._changedAt = revision
+    this._values = listed
+    this._revision = revision
+  }
+
+  /** Takes changes; false where some are missing, so that a listing is needed. */
+  applyChanges ({ revision, changes }: StoreChanges): boolean {
+    if (revision < this._revision || (revision > this._revision && changes.length === 0)) return false
+    for (const change of changes) this._apply(change)
+    this._revision = revision
+    return true
+  }
+
+  private _apply ({ key, revision, value }: StoreChange): void {
+    const known = this._values.get(key)
+    // A listing may hold what a change before it tells once more.
+    if (known !== undefined && known.revision >= revision) return
+    if (value === undefined) {
+      if (this._values.delete(key)) this._changedAt = Math.max(this._changedAt, revision)
+      return
+    }
+    const after = { key, value, revision }
+    if (this._isNew(after)) this._changedAt = Math.max(this._changedAt, revision)
+    this._values.set(key, after)
+  }
+
+  private _isNew (after: VersionedValue): boolean {
+    const before = this._values.get(after.key)
+    return before === undefined || (before.revision !== after.revision && !this._isSame(before, after))
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/catalog/storeReading.spec.ts
@@ -0,0 +1,97 @@
+/** The copy of the store and when it is read. */
+import * as fc from 'fast-check'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { ReadSchedule, StoreMirror, type StoreChange } from './index.js'
+
+const sameButCount = (before: { value: string }, after: { value: string }): boolean => before.value[0] === after.value[0]
+const SETTINGS = { readers: 2, interval: 500, longestAge: 1_000 }
+const NAMES = ['a', 'b', 'c', 'd', 'e', 'f']
+
+test('should reach what the store holds, whatever the pages of the listing had already', () => {
+  const change = fc.record({ key: fc.constantFrom('k1', 'k2', 'k3'), value: fc.option(fc.constantFrom('a', 'b'), { nil: undefined }) })
+  fc.assert(fc.property(fc.array(change, { maxLength: 12 }), fc.nat(), fc.nat(), (written, from, page) => {
+    const history: StoreChange[] = written.map((entry, index) => ({ ...entry, revision: index + 2 }))
+    const heldAt = (revision: number) => {
+      const held = new Map<string, { key: string, value: string, revision: number }>()
+      for (const entry of history.filter(item => item.revision <= revision)) {
+        if (entry.value === undefined) held.delete(entry.key)
+        else held.set(entry.key, { ...entry, value: entry.value })
+      }
+      return held
+    }
+    const listedAt = 1 + from % (history.length + 1)
+    // A later page may be newer than the first one, whose revision counts.
+    const laterPage = heldAt(listedAt + page % (history.length + 2 - listedAt))
+    const values = [...heldAt(listedAt).values()].filter(({ key }) => key === 'k1').concat([...laterPage.values()].filter(({ key }) => key !== 'k1'))
+    const mirror = new StoreMirror(() => false)
+    mirror.applyListing({ revision: listedAt, values })
+    const end = history.length + 1
+    assert.ok(mirror.applyChanges({ revision: end, changes: history.filter(({ revision }) => revision > listedAt) }))
+    const byKey = (items: readonly { key: string, value: string }[]) => items.map(({ key, value }) => `${key}=${value}`).sort()
+    assert.equal(byKey(mirror.values), byKey([...heldAt(end).values()]))
+  }), { seed: 20261204 })
+})
+
+test('should ask for a listing where the revision moved and no change came with it', () => {
+  const mirror = new StoreMirror(sameButCount)
+  mirror.applyListing({ revision: 5, values: [{ key: 'k', value: 'a1', revision: 3 }] })
+  assert.not(mirror.applyChanges({ revision: 9, changes: [] }))
+  assert.not(mirror.applyChanges({ revision: 4, changes: [] }))
+  assert.ok(mirror.applyChanges({ revision: 5, changes: [] }))
+  assert.is(mirror.revision, 5)
+})
+
+test('should tell changes that say something new from counts that rise', () => {
+  const mirror = new StoreMirror(sameButCount)
+  mirror.applyListing({ revision: 5, values: [{ key: 'k', value: 'a1', revision: 3 }] })
+  assert.ok(mirror.applyChanges({ revision: 7, changes: [{ key: 'k', value: 'a2', revision: 7 }] }))
+  assert.equal([mirror.revision, mirror.changedAt], [7, 5])
+  assert.ok(mirror.applyChanges({ revision: 9, changes: [{ key: 'k', value: 'b2', revision: 8 }, { key: 'other', value: undefined, revision: 9 }] }))
+  assert.equal([mirror.revision, mirror.changedAt], [9, 8])
+  assert.ok(mirror.applyChanges({ revision: 11, changes: [{ key: 'k', value: undefined, revision: 11 }] }))
+  assert.is(mirror.changedAt, 11)
+})
+
+test('should let two of many instances read, and the others only when nobody tells them anything', () => {
+  const due = NAMES.map(name => {
+    const schedule = new ReadSchedule(SETTINGS)
+    schedule.onRead(0)
+    return schedule.nextReadAt(name, NAMES)
+  })
+  assert.equal(due.sort(), [1_000, 1_000, 1_000, 1_000, 500, 500])
+  for (const name of NAMES) {
+    const schedule = new ReadSchedule(SETTINGS)
+    schedule.onRead(0)
+    assert.is(schedule.onNews({ changedAt: 5, age: 100 }, 7, 900), 'confirmed')
+    assert.ok([500, 1_650].includes(schedule.nextReadAt(name, NAMES)), 'news count from when they were read')
+  }
+})
+
+test('should not take a copy for good that another instance knows to be behind', () => {
+  const schedule = new ReadSchedule(SETTINGS)
+  schedule.onRead(0)
+  assert.is(schedule.onNews({ changedAt: 8, age: 0 }, 7, 400), 'behind')
+  assert.equal([schedule.goodAt, schedule.isBehind(7), schedule.isBehind(8)], [0, true, false])
+  assert.is(schedule.onNews({ changedAt: 6, age: 500 }, 7, 450), 'old')
+})
+
+// What an instance passes on of what it was told is never better than the read that it came from.
+test('should never claim a later time than a read was sent, over any chain of instances', () => {
+  fc.assert(fc.property(fc.array(fc.record({ lag: fc.nat(140), rest: fc.nat(2_000) }), { minLength: 1, maxLength: 6 }), steps => {
+    let now = 0
+    let teller = new ReadSchedule(SETTINGS)
+    teller.onRead(0)
+    for (const { lag, rest } of steps) {
+      now += rest
+      const news = teller.news(3, now)
+      now += lag
+      const hearer = new ReadSchedule(SETTINGS)
+      assert.is(news === undefined ? undefined : hearer.onNews(news, 3, now), 'confirmed')
+      assert.ok(hearer.goodAt <= 0)
+      teller = hearer
+    }
+  }), { seed: 20261204 })
+})
+
+test.run()
--- a/packages/gateway/src/catalog/catalogLoop.ts
+++ b/packages/gateway/src/catalog/catalogLoop.ts
@@ -1,14 +1,14 @@
 /** Keeps the catalog up to date with the store, and with peers while the store does not answer. */
-import { frontRecordSchema, type CatalogChange, type FrontRecord, type Milliseconds, type VersionedValue } from '@wasabihead/coordination'
+import {
+  frontRecordSchema, type CatalogChange, type CatalogNews, type FrontRecord, type Milliseconds, type VersionedValue
+} from '@wasabihead/coordination'
 import type { CatalogSource } from '../protocol/index.js'
 import { askPeerListing } from '../peers/index.js'
 import type { GatewayState } from '../requests/index.js'
 
 /** Settings of the loop. */
 export interface CatalogLoopSettings {
-  /** Between the beginnings of two listings. */
-  interval: Milliseconds
-  /** After a listing that failed. */
+  /** After a read that failed. */
   retryDelay: Milliseconds
   peerTimeout: Milliseconds
 }
@@ -16,12 +16,17 @@
 /** Under the own prefix: one key for each instance. */
 export const FRONT_KEYS = 'instances/'
 
-/** Lists the store again and again. */
+/** Reads the store whenever the schedule asks for it. */
 export class CatalogLoop {
   private _timer: NodeJS.Timeout | undefined
+  private _isReading = false
   private _isStopped = false
+  /** When the last read ended. */
+  private _endedAt: Milliseconds = -Infinity
   private _isStoreReachable = true
   private _ownValues: readonly VersionedValue[] = []
+  /** The store's revision that a peer's catalog, taken while the store was away, reached. */
+  private _peerRevision = 0
 
   /**
    * @param seeds control addresses that are asked while no peer is known
@@ -35,54 +40,117 @@
     private readonly _onChange: (change: CatalogChange) => void
   ) {}
 
-  /** This project's own values at the last listing. */
+  /** This project's own values at the last read. */
   get ownValues (): readonly VersionedValue[] {
     return this._ownValues
   }
 
   /** Starts, and goes on until stopped. */
   start (): void {
-    this._state.log.detach('catalog', this._round())
+    this._state.log.detach('catalog', this._read(undefined))
   }
 
-  /** Stops after the listing that is under way. */
+  /** Stops after the read that is under way. */
   stop (): void {
     this._isStopped = true
     clearTimeout(this._timer)
   }
 
-  private async _round (): Promise<void> {
-    const begin = this._state.now()
-    const isListed = await this._list(begin)
+  /** Takes what a peer tells of its copy of the store, and reads the store where the own copy is behind. */
+  hear (news: CatalogNews, peer: FrontRecord | undefined): void {
+    const { readSchedule, mirror, catalog, now } = this._state
+    const verdict = readSchedule.onNews(news, mirror.revision, now())
+    if (verdict === 'confirmed') catalog.confirm(readSchedule.goodAt)
+    const isTooSoon = !this._isStoreReachable && now() - this._endedAt < this._settings.retryDelay
+    if (verdict !== 'behind' || this._isReading || this._isStopped || isTooSoon) return
+    this._state.log.detach('catalog', this._read(peer))
+  }
+
+  /** @param peer who is asked where the store does not answer */
+  private async _read (peer: FrontRecord | undefined): Promise<void> {
+    clearTimeout(this._timer)
+    this._isReading = true
+    const askedAt = this._state.now()
+    const before = this._state.mirror.revision
+    const failure = await this._readStore()
+    const isRead = failure === undefined
+    this._noteRead(askedAt, before, peer?.name, failure)
+    this._noteStore(isRead, failure ?? '')
+    if (isRead) this._takeMirror(askedAt)
+    else await this._askPeer(peer)
+    this._isReading = false
+    this._endedAt = this._state.now()
+    this._schedule(isRead ? 0 : this._settings.retryDelay)
+  }
+
+  private _noteRead (askedAt: Milliseconds, before: number, peer: string | undefined, failure: string | undefined): void {
+    const { log, metrics, mirror, readSchedule, now } = this._state
+    metrics.count('store_reads_total', peer === undefined ? 'due' : 'told')
+    log.decision('store-read', {
+      toldBy: peer,
+      age: Math.round(askedAt - readSchedule.goodAt),
+      before,
+      revision: mirror.revision,
+      changedAt: mirror.changedAt,
+      took: Math.round(now() - askedAt),
+      failure
+    })
+  }
+
+  private _schedule (shortestDelay: Milliseconds): void {
     if (this._isStopped) return
-    const elapsed = this._state.now() - begin
-    const delay = isListed ? Math.max(0, this._settings.interval - elapsed) : this._settings.retryDelay
-    this._timer = setTimeout(() => { this.start() }, delay)
+    const { readSchedule, fronts, now } = this._state
+    const { name } = fronts.self
+    const dueAt = readSchedule.nextReadAt(name, [name, ...fronts.livePeers(now()).map(peer => peer.name)])
+    const delay = Math.max(shortestDelay, dueAt - now())
+    // News may have moved the next read on meanwhile.
+    this._timer = setTimeout(() => {
+      if (this._isDue()) this._state.log.detach('catalog', this._read(undefined))
+      else this._schedule(0)
+    }, Math.max(1, delay))
+  }
+
+  private _isDue (): boolean {
+    const { readSchedule, fronts, now } = this._state
+    const { name } = fronts.self
+    return readSchedule.nextReadAt(name, [name, ...fronts.livePeers(now()).map(peer => peer.name)]) <= now()
   }
 
-  private async _list (askedAt: Milliseconds): Promise<boolean> {
-    const listing = await this._source.list()
-    const now = this._state.now()
-    if (listing.isErr) {
-      this._noteStore(false, listing.error.message)
-      await this._askPeer()
-      return false
+  /** Brings the mirror up to date; gives the reason where that failed. */
+  private async _readStore (): Promise<string | undefined> {
+    const { mirror, log } = this._state
+    if (mirror.revision > 0) {
+      const changes = await this._source.changesSince(mirror.revision)
+      if (changes.isErr) return changes.error.message
+      if (changes.value !== undefined && mirror.applyChanges(changes.value)) return undefined
+      log.change('store-history-missing', { revision: mirror.revision, reached: changes.value?.revision })
     }
-    this._noteStore(true, '')
-    this._ownValues = listing.value.own
-    this._take(this._state.catalog.applyListing(listing.value.catalog, askedAt, now))
-    this._state.fronts.applyRecords(this._frontRecords(listing.value.own), now)
-    return true
+    const snapshot = await this._source.list()
+    if (snapshot.isErr) return snapshot.error.message
+    mirror.applyListing(snapshot.value)
+    return undefined
+  }
+
+  private _takeMirror (askedAt: Milliseconds): void {
+    const { mirror, catalog, fronts, readSchedule, now } = this._state
+    const { catalog: listing, own } = this._source.decode(mirror.values)
+    this._ownValues = own
+    readSchedule.onRead(askedAt)
+    this._take(catalog.applyListing(listing, askedAt, now()))
+    fronts.applyRecords(this._frontRecords(own), now())
   }
 
-  private async _askPeer (): Promise<void> {
-    const { fronts, now, random, catalog } = this._state
+  private async _askPeer (peer: FrontRecord | undefined): Promise<void> {
+    const { fronts, now, random, catalog, mirror, readSchedule } = this._state
+    const isStarting = catalog.routes === undefined
+    if (!isStarting && !readSchedule.isBehind(Math.max(mirror.revision, this._peerRevision))) return
     const known = fronts.livePeers(now()).map(({ controlAddress }) => controlAddress)
     const addresses = (known.length > 0 ? known : this.seeds).filter(address => address !== fronts.self.controlAddress)
     if (addresses.length === 0) return
-    const address = random.pick(addresses)
+    const address = peer?.controlAddress ?? random.pick(addresses)
     try {
       const listing = await askPeerListing(address, this._settings.peerTimeout)
+      this._peerRevision = Math.max(this._peerRevision, listing.revision)
       fronts.learn(listing.fronts, now())
       this._take(catalog.applyPeerListing(listing.catalog, now()))
     } catch (error) {
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -1,6 +1,9 @@
 /** Heartbeats between instances over UDP: who is alive and ready, and what each has sent to which replica. */
 import dgram from 'node:dgram'
-import { heartbeatSchema, type Heartbeat, type Milliseconds, type ReplicaLoad } from '@wasabihead/coordination'
+import { deflateRawSync, inflateRawSync } from 'node:zlib'
+import {
+  heartbeatSchema, type CatalogNews, type FrontRecord, type Heartbeat, type Milliseconds, type ReplicaLoad
+} from '@wasabihead/coordination'
 import type { GatewayState } from '../requests/index.js'
 
 /** Settings of the heartbeats. */
@@ -10,10 +13,22 @@
   fanOut: number
 }
 
+/** What heartbeats ask and tell the instance. */
+export interface HeartbeatOwner {
+  /** Whether this instance takes callers now. */
+  isReady (): boolean
+  /** A peer told of its copy of the store. */
+  onCatalogNews (news: CatalogNews, peer: FrontRecord | undefined): void
+}
+
 /** A larger datagram would be split on its way. */
 const MAXIMUM_BYTES = 60_000
-/** Peers named in one heartbeat. */
-const NAMED_PEERS = 4
+/** Instances named in one heartbeat. */
+const NAMED_INSTANCES = 1
+/** In its first rounds an instance names itself, since its peers may not know it yet. */
+const ROUNDS_NAMING_SELF = 6
+/** Bound on what a datagram may hold before it was deflated. */
+const MAXIMUM_INFLATED_BYTES = 1_048_576
 /** Peers for which one heartbeat in each interval is affordable. */
 const PEERS_FOR_EACH_ROUND = 20
 
@@ -24,9 +39,8 @@
   private _offset = 0
   private _round = 0
 
-  /** @param _isReady whether this instance takes callers now */
   constructor (
-    private readonly _state: GatewayState, private readonly _settings: HeartbeatSettings, private readonly _isReady: () => boolean
+    private readonly _state: GatewayState, private readonly _settings: HeartbeatSettings, private readonly _owner: HeartbeatOwner
   ) {
     this._socket.on('message', message => { this._take(message) })
     this._socket.on('error', error => { _state.log.warn('heartbeat-socket-failed', { detail: error.message }) })
@@ -47,16 +61,14 @@
 
   /** Sends one round. */
   send (): void {
-    const { fronts, now } = this._state
+    const { fronts } = this._state
     const { peers } = fronts
     // With many peers each round costs more, so that rounds are further apart.
     this._round += 1
     if (this._round % Math.ceil((peers.length + 1) / PEERS_FOR_EACH_ROUND) !== 0 && !fronts.self.isLeaving) return
     const count = Math.min(peers.length, this._settings.fanOut)
     if (count === 0) return
-    const live = fronts.livePeers(now())
-    const named = live.slice(0, NAMED_PEERS)
-    const message = Buffer.from(JSON.stringify(this._heartbeat(named)))
+    const message = deflateRawSync(JSON.stringify(this._heartbeat()))
     if (message.length > MAXIMUM_BYTES) return
     for (let index = 0; index < count; index++) {
       const peer = peers[(this._offset + index) % peers.length]
@@ -69,17 +81,18 @@
     this._offset = (this._offset + count) % Math.max(1, peers.length)
   }
 
-  private _heartbeat (peers: Heartbeat['peers']): Heartbeat {
+  private _heartbeat (): Heartbeat {
     const loads: Heartbeat['loads'] = {}
     for (const [id, load] of this._state.loads.local) {
       loads[id] = [load.requests, Math.round(load.prefillTokens), Math.round(load.memoryTokens)]
     }
-    const { fronts, sentPrompts, storedParts, loading, crashes, now } = this._state
+    const { fronts, sentPrompts, storedParts, loading, crashes, mirror, readSchedule, now } = this._state
     const orders = loading.toldBy(fronts.self.name, now())
     return {
-      from: fronts.self,
-      isReady: this._isReady(),
-      peers,
+      from: { name: fronts.self.name, incarnation: fronts.self.incarnation, isLeaving: fronts.self.isLeaving },
+      isReady: this._owner.isReady(),
+      catalog: readSchedule.news(mirror.changedAt, now()),
+      named: this._named(),
       loads,
       sent: sentPrompts.take().map(({ replicaId, salt, parts }) => (
         [replicaId, salt, parts.map(({ id, tokens }) => [id, tokens])])),
@@ -88,12 +101,20 @@
         age: Math.ceil(age),
         events: events.map(({ salt, partId, tokens, isAdded }) => [salt, partId, tokens, isAdded])
       })),
+      fetched: storedParts.takeFetchSamples(),
       loading: orders.loading,
       loaded: [...orders.loaded],
       crashes: crashes.news(now())
     }
   }
 
+  private _named (): FrontRecord[] {
+    const { fronts, random } = this._state
+    if (this._round <= ROUNDS_NAMING_SELF) return [fronts.self]
+    const known = [fronts.self, ...fronts.heardPeers]
+    return Array.from({ length: NAMED_INSTANCES }, () => random.pick(known))
+  }
+
   private _take (message: Buffer): void {
     const heartbeat = parseHeartbeat(message)
     if (heartbeat === undefined) {
@@ -118,7 +139,10 @@
         ...store, events: events.map(([salt, partId, tokens, isAdded]) => ({ salt, partId, tokens, isAdded }))
       }, now)
     }
+    for (const [address, excess] of heartbeat.fetched) this._state.storedParts.onFetchedElsewhere(address, excess, now)
     for (const crash of heartbeat.crashes) this._state.crashes.hear(crash, now)
+    const { catalog, from } = heartbeat
+    if (catalog !== undefined) this._owner.onCatalogNews(catalog, this._state.fronts.peer(from.name))
   }
 
   private _takeSent (replicaId: string, salt: string, parts: [string, number][]): void {
@@ -132,7 +156,8 @@
 
 function parseHeartbeat (message: Buffer): Heartbeat | undefined {
   try {
-    return heartbeatSchema.parse(JSON.parse(message.toString('utf8')))
+    const text = inflateRawSync(message, { maxOutputLength: MAXIMUM_INFLATED_BYTES }).toString('utf8')
+    return heartbeatSchema.parse(JSON.parse(text))
   } catch {
     return undefined
   }
--- a/packages/gateway/src/peers/peerListing.ts
+++ b/packages/gateway/src/peers/peerListing.ts
@@ -4,7 +4,12 @@
 import { z } from 'zod'
 
 /** What an instance tells one that starts. */
-const peerListingSchema = z.object({ catalog: catalogListingSchema, fronts: z.array(frontRecordSchema) })
+const peerListingSchema = z.object({
+  /** The store's revision that the catalog reaches. */
+  revision: z.number(),
+  catalog: catalogListingSchema,
+  fronts: z.array(frontRecordSchema)
+})
 /** What an instance tells one that starts. */
 export type PeerListing = z.infer<typeof peerListingSchema>
 
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -1,7 +1,7 @@
 /** One gateway instance: its parts, its start and its end. */
 import {
-  CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, RepeatedCrashes, ReplicaHealth,
-  SeededRandom, SentPrompts, ServiceCatalog, StoredParts,
+  CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, ReadSchedule, RepeatedCrashes, ReplicaHealth,
+  SeededRandom, SentPrompts, ServiceCatalog, StoredParts, StoreMirror,
   type CatalogChange, type FrontRecord, type KeyValueService, type Milliseconds
 } from '@wasabihead/coordination'
 import { CatalogLoop, FRONT_KEYS, Registration } from '../catalog/index.js'
@@ -64,8 +64,12 @@
     const settings = _settings
     const { now, leaseNow } = clocks
     const self: FrontRecord = { ...settings.self, isLeaving: false }
+    const { ownPrefix } = adapter.catalogSource
+    const roleKey = `${ownPrefix}rollout`
     this.state = {
       catalog: new ServiceCatalog(settings.catalog),
+      mirror: new StoreMirror((before, after) => after.key === roleKey || adapter.catalogSource.isSame(before, after)),
+      readSchedule: new ReadSchedule(settings.readSchedule),
       fronts: new FrontDirectory(self, settings.directory),
       loads: new FleetLoads(),
       loading: new LoadingReplicas(),
@@ -85,15 +89,17 @@
       now,
       random: new SeededRandom(seed)
     }
-    const { ownPrefix } = adapter.catalogSource
     this._front = new FrontServer(this.state)
     this._catalogLoop = new CatalogLoop(
       this.state, adapter.catalogSource, settings.catalogLoop, settings.seeds, change => { this._onChange(change) }
     )
     const key = `${ownPrefix}${FRONT_KEYS}${self.name}`
     this._registration = new Registration(this.state, adapter.store, { key, ...settings.registration })
-    this._heartbeats = new Heartbeats(this.state, settings.heartbeats, () => this.isReady)
-    const rollout = { roleKey: `${ownPrefix}rollout`, ...settings.rollout }
+    this._heartbeats = new Heartbeats(this.state, settings.heartbeats, {
+      isReady: () => this.isReady,
+      onCatalogNews: (news, peer) => { this._catalogLoop.hear(news, peer) }
+    })
+    const rollout = { roleKey, ...settings.rollout }
     this._rollout = new RolloutLoop(this.state, adapter.store, rollout, () => this._catalogLoop.ownValues, leaseNow)
     this._storeCollector = new StoreCollector(this.state, settings.storeCollector, () => this._rollout.isHolder)
     this._storeFollower = new StoreFollower(this.state, settings.storeFollower)
@@ -174,8 +180,8 @@
   }
 
   private _peerListing (): PeerListing {
-    const { catalog, fronts, now } = this.state
-    return { catalog: catalog.listing, fronts: [fronts.self, ...fronts.livePeers(now())] }
+    const { catalog, mirror, fronts, now } = this.state
+    return { revision: mirror.revision, catalog: catalog.listing, fronts: [fronts.self, ...fronts.livePeers(now())] }
   }
 
   private _tick (): void {
--- a/packages/gateway/src/process/gatewaySettings.ts
+++ b/packages/gateway/src/process/gatewaySettings.ts
@@ -1,6 +1,6 @@
 /** Settings of one gateway instance. Durations are milliseconds. */
 import type {
-  CatalogSettings, FleetRetryBudgetSettings, FrontDirectorySettings, FrontRecord, Milliseconds
+  CatalogSettings, FleetRetryBudgetSettings, FrontDirectorySettings, FrontRecord, Milliseconds, ReadScheduleSettings
 } from '@wasabihead/coordination'
 import type { CatalogLoopSettings, RegistrationSettings } from '../catalog/index.js'
 import type { ChannelPoolSettings } from '../channels/index.js'
@@ -18,6 +18,7 @@
   seeds: readonly string[]
   catalog: CatalogSettings
   catalogLoop: CatalogLoopSettings
+  readSchedule: ReadScheduleSettings
   directory: FrontDirectorySettings
   registration: Omit<RegistrationSettings, 'key'>
   heartbeats: HeartbeatSettings
--- a/packages/gateway/src/requests/gatewayState.ts
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -1,7 +1,7 @@
 /** What the parts of one gateway share. */
 import type {
-  CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, Milliseconds, RepeatedCrashes,
-  ReplicaHealth, SeededRandom, SentPrompts, ServiceCatalog, StoredParts
+  CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, Milliseconds, ReadSchedule, RepeatedCrashes,
+  ReplicaHealth, SeededRandom, SentPrompts, ServiceCatalog, StoredParts, StoreMirror
 } from '@wasabihead/coordination'
 import type { ChannelPool } from '../channels/index.js'
 import type { CallerProtocol, ReplicaProtocol } from '../protocol/index.js'
@@ -18,6 +18,8 @@
 /** Beliefs, connections and tools. */
 export interface GatewayState {
   catalog: ServiceCatalog
+  mirror: StoreMirror
+  readSchedule: ReadSchedule
   fronts: FrontDirectory
   loads: FleetLoads
   loading: LoadingReplicas
--- a/packages/gateway/src/rollout/rolloutLoop.ts
+++ b/packages/gateway/src/rollout/rolloutLoop.ts
@@ -24,6 +24,8 @@
   private _timer: NodeJS.Timeout | undefined
   private _epoch: number | undefined
   private _ordersFrom: Milliseconds = 0
+  /** When the role's key was last written, or tried to be. */
+  private _writtenAt: Milliseconds = -Infinity
 
   /**
    * @param _ownValues this project's values at the last listing
@@ -48,7 +50,6 @@
 
   /** Starts. */
   start (): void {
-    this._tell({ kind: 'want', isWanted: true })
     this._timer = setInterval(() => { this._tick() }, this._settings.interval)
   }
 
@@ -59,10 +60,11 @@
   }
 
   private _tick (): void {
-    this._tell({ kind: 'tick' })
     const state = this._state
     const now = state.now()
     const leaseNow = this._leaseNow()
+    // Only an instance that keeps up with the store sees the holder's renewals.
+    this._tell({ kind: 'want', isWanted: this.isHolder || state.readSchedule.isReading(now) })
     const epoch = this._keeper.epoch(leaseNow)
     if (epoch !== this._epoch) this._noteEpoch(epoch, leaseNow)
     const { name } = state.fronts.self
@@ -75,8 +77,8 @@
       .sort((left, right) => left.requests - right.requests)
       .map(({ replica }) => replica)
     for (const model of state.catalog.namedModels) {
-      const version = state.catalog.namedVersion(model)?.version ?? 0
-      for (const step of this._planner.next(byLoad, model, version, now)) this._state.log.detach('order', this._take(step, epoch))
+      const { version, seenAt } = state.catalog.namedVersion(model) ?? { version: 0, seenAt: now }
+      for (const step of this._planner.next(byLoad, model, version, now - seenAt, now)) this._state.log.detach('order', this._take(step, epoch))
     }
     state.loading.hear(name, this._planner.loading, this._planner.recentlyLoaded(now), now)
   }
@@ -127,16 +129,27 @@
   private async _perform (effect: LeaseEffect): Promise<void> {
     const key = this._settings.roleKey
     if (effect.kind === 'read-role') {
-      const listed = this._ownValues().find(value => value.key === key)
-      this._tellRead(listed)
+      await this._readRole(key)
       return
     }
     const { expectedRevision, record } = effect
+    this._writtenAt = this._state.now()
     const written = await this._store.compareAndSwap({ key, expectedRevision, value: JSON.stringify(record) })
     if (written.isErr) this._tell({ kind: 'call-failed' })
     else this._tell({ kind: 'role-written', outcome: written.value })
   }
 
+  /** The last read of the store tells who holds the role, unless a write after it was lost to somebody. */
+  private async _readRole (key: string): Promise<void> {
+    if (this._state.readSchedule.ownReadAt > this._writtenAt) {
+      this._tellRead(this._ownValues().find(value => value.key === key))
+      return
+    }
+    const read = await this._store.read(key)
+    if (read.isErr) this._tell({ kind: 'call-failed' })
+    else this._tellRead(read.value)
+  }
+
   private _tellRead (listed: VersionedValue | undefined): void {
     const record = listed === undefined ? undefined : roleRecordSchema.safeParse(JSON.parse(listed.value))
     this._tell({ kind: 'role-read', record: record?.data, keyRevision: listed?.revision ?? 0 })
