perf(dispatch): choose a prompt part's source by what is queued at it, and give slow fetches up soon

The transfer time was computed with the replica's link instead of the store's, and 34 instances had too few fetches of their own to see a slow store.

--- a/packages/coordination/src/dispatch/dispatch.spec.ts
+++ b/packages/coordination/src/dispatch/dispatch.spec.ts
@@ -5,7 +5,7 @@
 import type { Engine, Replica } from '../catalog/index.js'
 import {
   admitPrompt, CachedParts, decideAfterAttempt, FleetLoads, FleetRetryBudget, RepeatedCrashes, ReplicaHealth, selectReplica,
-  type AttemptContext, type AttemptEnd, type PartStores, type Prompt, type SelectionView
+  type AttemptContext, type AttemptEnd, type PartSource, type PartStores, type Prompt, type SelectionView
 } from './index.js'
 
 const NO_STORES: PartStores = { sourceOf: () => undefined, saveTargetOf: () => undefined }
@@ -27,6 +27,9 @@
   now: 0,
   ...change
 })
+const storeSource = (change: Partial<PartSource> = {}): PartSource => ({
+  address: 'store', zone: 'z', validUntil: 1_800, delay: 0, linkMegabitsPerSecond: 360_000, firstDelay: 6, ...change
+})
 const demand = (wantedVersion?: number) => ({ prompt, engine, saltFor: (version: number) => `/m/${version}`, wantedVersion })
 const candidates = ['1', '2', '3', '4'].map(id => replica(id))
 
@@ -48,18 +51,44 @@
 
 // hfs-onboard quiet-1: replicas had dropped a third of the parts that were believed held, and read them again.
 test('should name a store for a part that is believed held, and bound the fetch', () => {
-  const stores: PartStores = { ...NO_STORES, sourceOf: () => ({ address: 'store', zone: 'z', validUntil: 700, delay: 0 }) }
+  const stores: PartStores = { ...NO_STORES, sourceOf: () => storeSource({ validUntil: 150 }) }
   const chosen = view({ stores })
   chosen.cachedParts.onSent('3', '/m/1', prompt.parts, engine.cacheTokens)
   const selection = selectReplica({ candidates: [replica('3')], tried: new Set(), demand: demand() }, chosen)
-  assert.equal([selection?.sources, selection?.fetchedTokens, selection?.fetchUntil], [['store', 'store', undefined], 0, 700])
+  assert.equal([selection?.sources, selection?.fetchedTokens, selection?.fetchUntil], [['store', 'store', undefined], 0, 150])
 })
 
 test('should not fetch from a store that has become slow', () => {
-  const stores: PartStores = { ...NO_STORES, sourceOf: () => ({ address: 'store', zone: 'z', validUntil: 700, delay: 900 }) }
+  const stores: PartStores = { ...NO_STORES, sourceOf: () => storeSource({ delay: 900 }) }
   assert.is(selectReplica({ candidates, tried: new Set(), demand: demand() }, view({ stores }))?.sources, undefined)
 })
 
+// hfs-onboard-grown trouble-1: 240 fetches from slow stores were waited for until their belief ended, 1.8 s later.
+test('should give a fetch up soon after it should have ended', () => {
+  const stores: PartStores = { ...NO_STORES, sourceOf: () => storeSource() }
+  const selection = selectReplica({ candidates: [replica('1')], tried: new Set(), demand: demand() }, view({ stores }))
+  const time = selection?.fetchTime ?? NaN
+  assert.ok(time > 24 && time < 45, `5,000 tokens at 360 Gbit/s take 36 ms, not ${time}`)
+  assert.is(selection?.fetchUntil, 3 * time + 200)
+})
+
+test('should read what is queued up for at its store, or fetch it from a replica', () => {
+  const stores: PartStores = { ...NO_STORES, sourceOf: () => storeSource() }
+  const queued = view({ stores })
+  queued.loads.add('store', { requests: 10, prefillTokens: 50_000, memoryTokens: 0 })
+  const ask = () => selectReplica({ candidates: [replica('1')], tried: new Set(), demand: demand() }, queued)
+  assert.equal([ask()?.sources, ask()?.origins], [undefined, ['slow-source']])
+  queued.cachedParts.onSent('2', '/m/1', prompt.parts, engine.cacheTokens)
+  const others = { candidates: [replica('1'), replica('2')], tried: new Set(['2']), demand: demand() }
+  assert.equal(selectReplica(others, queued)?.sources, ['10.0.0.1:2', '10.0.0.1:2', undefined])
+})
+
+test('should tell what it fetches from where, counted double between data centres', () => {
+  const stores: PartStores = { ...NO_STORES, sourceOf: () => storeSource({ zone: 'other' }) }
+  const selection = selectReplica({ candidates: [replica('1')], tried: new Set(), demand: demand() }, view({ stores }))
+  assert.equal([...selection?.fetchLoads ?? []], [['store', 15_000]])
+})
+
 test('should not choose as all other instances do by the same news', () => {
   const chosen = new Set<string | undefined>()
   const short = { ...demand(), prompt: { ...prompt, inputTokens: 200, parts: [{ id: 'own', tokens: 200 }] } }
--- a/packages/coordination/src/dispatch/index.ts
+++ b/packages/coordination/src/dispatch/index.ts
@@ -10,6 +10,7 @@
 export { type PartSource, type PartStores } from './partStores.js'
 export { SentPrompts, type SentPrompt } from './sentPrompts.js'
 export {
-  PREFILL_TOKENS_PER_MILLISECOND, selectReplica, type Prompt, type PromptDemand, type Selection, type SelectionRequest,
+  PREFILL_TOKENS_PER_MILLISECOND, selectReplica, type PartOrigin,
+  type Prompt, type PromptDemand, type Selection, type SelectionRequest,
   type SelectionView
 } from './selectReplica.js'
--- a/packages/coordination/src/dispatch/partStores.ts
+++ b/packages/coordination/src/dispatch/partStores.ts
@@ -8,8 +8,11 @@
   zone: string
   /** The fetch must have ended by then, on this instance's clock. */
   validUntil: Milliseconds
-  /** How much longer its fetches take now than without load, as measured lately. */
+  /** How much longer its fetches take now than its link and its queue explain, as measured lately. */
   delay: Milliseconds
+  linkMegabitsPerSecond: number
+  /** Wait before each transfer. */
+  firstDelay: Milliseconds
 }
 
 /** Answers where a part can be fetched from and saved to. */
--- a/packages/coordination/src/dispatch/selectReplica.ts
+++ b/packages/coordination/src/dispatch/selectReplica.ts
@@ -3,7 +3,7 @@
 import type { Engine, Replica } from '../catalog/index.js'
 import type { CachedParts, PromptPart } from './cachedParts.js'
 import type { FleetLoads } from './fleetLoads.js'
-import type { PartSource, PartStores } from './partStores.js'
+import type { PartStores } from './partStores.js'
 import type { ReplicaHealth } from './replicaHealth.js'
 
 /** A prompt as the caller describes it. */
@@ -61,13 +61,25 @@
   fetchedTokens: number
   /** For each part the address that it is fetched from; undefined where no part is fetched. */
   sources: (string | undefined)[] | undefined
+  /** Predicted milliseconds until the fetches have ended. */
+  fetchTime: Milliseconds
+  /** Tokens that are fetched from each address, counted by how long their transfer takes. */
+  fetchLoads: ReadonlyMap<string, number>
   /** When the fetches must have ended; undefined where nothing is fetched from a store. */
   fetchUntil: Milliseconds | undefined
   /** For each part the store that it is saved to; undefined where no part is saved. */
   saves: (string | undefined)[] | undefined
   salt: string | undefined
+  /** Where each shared part is expected to come from. */
+  origins: PartOrigin[]
 }
 
+/**
+ * Where a replica takes a part from: its own cache, a store, another replica, or its own reading; `slow-source` is
+ * read though a store or a replica holds it.
+ */
+export type PartOrigin = 'held' | 'store' | 'replica' | 'read' | 'slow-source'
+
 /** Prompt tokens that a replica reads in a millisecond; from the users' deployment sheets (38.7 and 42.6). */
 export const PREFILL_TOKENS_PER_MILLISECOND = 40
 /** A decoding step is longer while more requests run; from the sheets, 0.012 to 0.029 ms, over some steps. */
@@ -99,6 +111,12 @@
 const LONGEST_FETCH_DELAY: Milliseconds = 300
 /** Most parts believed held are held, so that a slow store is not worth naming for them. */
 const LONGEST_DELAY_FOR_HELD_PART: Milliseconds = 100
+/** A replica may have dropped a part that it is believed to hold; reading 5,000 tokens takes some 130 ms. */
+const UNSURE_SOURCE_COST: Milliseconds = 40
+/** A fetch is given up after so many times its predicted time, and at least after the margin: reading is quicker then. */
+const FETCH_PATIENCE = 3
+const FETCH_MARGIN: Milliseconds = 200
+const NO_FETCHES: ReadonlyMap<string, number> = new Map()
 const BITS_PER_BYTE = 8
 /** Bits in a millisecond for each megabit in a second. */
 const BITS_PER_MILLISECOND = 1_000
@@ -113,7 +131,7 @@
   if (demand === undefined) return cheapest(candidates.map(replica => weighPlain(replica, view)))
   const group = groupPart(demand.prompt)
   const first = group === undefined ? undefined : firstByRendezvous(group, candidates.map(({ id }) => id))
-  const holders = new PartHolders(request.candidates, demand.prompt.parts.slice(0, -1), view)
+  const holders = new PartHolders(request.candidates, demand.prompt.parts.slice(0, -1), demand.engine, view)
   const spread = SPREAD_FOR_EACH_INSTANCE * Math.max(0, view.instances - INSTANCES_WITHOUT_SPREAD)
   return cheapest(candidates.map(replica => {
     const selection = weighPrompt(replica, demand, holders, view, replica.id === first)
@@ -148,9 +166,12 @@
     freshTokens: 0,
     fetchedTokens: 0,
     sources: undefined,
+    fetchTime: 0,
+    fetchLoads: NO_FETCHES,
     fetchUntil: undefined,
     saves: undefined,
-    salt: undefined
+    salt: undefined,
+    origins: []
   }
 }
 
@@ -166,93 +187,148 @@
   const heldTokens = tokensOf(shared.slice(0, heldCount))
   const fetches = planFetches(replica, shared, heldCount, salt, holders)
   const freshTokens = Math.max(0, prompt.inputTokens - heldTokens - fetches.tokens)
-  const transferCost = fetches.weightedTokens * engine.bytesPerToken * BITS_PER_BYTE /
-    (Math.max(1, engine.linkMegabitsPerSecond) * BITS_PER_MILLISECOND)
   const sharedFreshTokens = tokensOf(shared) - heldTokens - fetches.tokens
   const affinityGain = isGroupsFirst ? EXPECTED_SHARE * sharedFreshTokens / PREFILL_TOKENS_PER_MILLISECOND : 0
-  const prefillCost = (load.prefillTokens + freshTokens) / PREFILL_TOKENS_PER_MILLISECOND
+  const queueTime = load.prefillTokens / PREFILL_TOKENS_PER_MILLISECOND
+  const prefillTime = freshTokens / PREFILL_TOKENS_PER_MILLISECOND
   const needed = prompt.inputTokens + prompt.maximumOutputTokens
   const missing = Math.max(0, load.memoryTokens + needed - engine.cacheTokens)
   const memoryCost = missing / TOKENS_FREED_PER_MILLISECOND
   const slotCost = load.requests >= replica.slots ? SLOT_WAIT : load.requests * RUNNING_REQUEST_COST
-  const wait = prefillCost + memoryCost + slotCost
+  // The replica reads other prompts while parts of this one are on their way.
+  const wait = Math.max(queueTime, fetches.time) + prefillTime + memoryCost + slotCost
   const versionCost = wantedVersion !== undefined && version < wantedVersion ? OLD_VERSION_COST : 0
   return {
     replica,
-    cost: wait + transferCost + fetches.delay + versionCost + commonCost(replica, view) - affinityGain,
+    cost: wait + versionCost + commonCost(replica, view) - affinityGain,
     crowding: missing / Math.max(1, engine.cacheTokens),
     wait,
     freshTokens,
     fetchedTokens: fetches.tokens,
     sources: fetches.sources.some(address => address !== undefined) ? [...fetches.sources, undefined] : undefined,
-    fetchUntil: fetches.until,
+    fetchTime: fetches.time,
+    fetchLoads: fetches.loads,
+    fetchUntil: fetches.until === undefined
+      ? undefined
+      : Math.min(fetches.until, view.now + FETCH_PATIENCE * fetches.time + FETCH_MARGIN),
     saves: holders.saves(salt),
-    salt
+    salt,
+    origins: fetches.origins
   }
 }
 
 interface Fetches {
   sources: (string | undefined)[]
   tokens: number
-  /** Tokens, counted by how long their transfer takes. */
-  weightedTokens: number
+  time: Milliseconds
+  loads: Map<string, number>
   until: Milliseconds | undefined
-  delay: Milliseconds
+  origins: PartOrigin[]
 }
 
 /**
- * Names a source for each part, up to the first missing one that has none. Parts that are believed held get one too, since
- * the replica fetches only what it lacks and may have dropped them. A store is preferred: it drops nothing by itself.
+ * Names a source for each part, up to the first missing one that has none. Parts that are believed held get a store too,
+ * since the replica fetches only what it lacks and may have dropped them.
  */
 function planFetches (
   replica: Replica, shared: readonly PromptPart[], heldCount: number, salt: string, holders: PartHolders
 ): Fetches {
-  const fetches: Fetches = { sources: shared.map(() => undefined), tokens: 0, weightedTokens: 0, until: undefined, delay: 0 }
+  const fetches: Fetches = {
+    sources: shared.map(() => undefined), tokens: 0, time: 0, loads: new Map(), until: undefined, origins: []
+  }
   for (const [index, part] of shared.entries()) {
     const isHeld = index < heldCount
-    const stored = holders.store(index, salt, replica.zone, isHeld)
-    const source = stored ?? (isHeld ? undefined : holders.nearest(replica, index, salt))
-    if (source === undefined && !isHeld) break
-    fetches.sources[index] = source?.address
-    if (stored !== undefined) fetches.until = Math.min(fetches.until ?? Infinity, stored.validUntil)
-    if (source === undefined || isHeld) continue
-    fetches.delay = Math.max(fetches.delay, stored?.delay ?? 0)
+    const source = isHeld ? holders.storeFor(replica, index, salt) : holders.sourceFor(replica, index, salt)
+    const isUsable = source !== undefined && source.time <= (isHeld ? LONGEST_DELAY_FOR_HELD_PART : LONGEST_FETCH_DELAY)
+    fetches.origins.push(originOf(isHeld, source, isUsable))
+    if (!isUsable) {
+      if (isHeld) continue
+      break
+    }
+    fetches.sources[index] = source.address
+    if (source.validUntil !== undefined) fetches.until = Math.min(fetches.until ?? Infinity, source.validUntil)
+    if (isHeld) continue
+    fetches.time = Math.max(fetches.time, source.time)
     fetches.tokens += part.tokens
-    fetches.weightedTokens += part.tokens * (source.zone === replica.zone ? 1 : OTHER_ZONE_TRANSFERS)
+    fetches.loads.set(source.address, (fetches.loads.get(source.address) ?? 0) + source.weightedTokens)
   }
   return fetches
 }
 
+function originOf (isHeld: boolean, source: FetchSource | undefined, isUsable: boolean): PartOrigin {
+  if (isHeld) return 'held'
+  if (source === undefined) return 'read'
+  if (!isUsable) return 'slow-source'
+  return source.validUntil === undefined ? 'replica' : 'store'
+}
+
+/** Where a part can be fetched from. */
+interface FetchSource {
+  address: string
+  /** Tokens, counted by how long their transfer takes. */
+  weightedTokens: number
+  /** Predicted milliseconds until the part has come. */
+  time: Milliseconds
+  /** Present for a store: when a fetch must have ended. */
+  validUntil: Milliseconds | undefined
+}
+
 /** Who holds the shared parts of one prompt; each question is answered once for all candidates. */
 class PartHolders {
   private readonly _replicas = new Map<string, Replica[]>()
-  private readonly _stored = new Map<string, PartSource | undefined>()
+  private readonly _stored = new Map<string, FetchSource | undefined>()
   private readonly _saves = new Map<string, (string | undefined)[] | undefined>()
 
   constructor (
     private readonly _all: readonly Replica[],
     private readonly _shared: readonly PromptPart[],
+    private readonly _engine: Engine,
     private readonly _view: SelectionView
   ) {}
 
+  /** The store or the other replica from which the part should come soonest. */
+  sourceFor (replica: Replica, index: number, salt: string): FetchSource | undefined {
+    const store = this.storeFor(replica, index, salt)
+    const holder = this._nearest(replica, index, salt)
+    if (holder === undefined) return store
+    const other = this._transferFrom(holder.address, holder.zone, this._engine.linkMegabitsPerSecond, replica, index)
+    if (store !== undefined && store.time <= other.time + UNSURE_SOURCE_COST) return store
+    return { ...other, validUntil: undefined }
+  }
+
+  /** A store that holds the part. */
+  storeFor (replica: Replica, index: number, salt: string): FetchSource | undefined {
+    const key = `${index}|${salt}|${replica.zone}`
+    if (!this._stored.has(key)) this._stored.set(key, this._findStore(replica, index, salt))
+    return this._stored.get(key)
+  }
+
+  private _findStore (replica: Replica, index: number, salt: string): FetchSource | undefined {
+    const partId = this._shared[index]?.id ?? ''
+    const stored = this._view.stores.sourceOf(salt, partId, replica.zone, this._view.now)
+    if (stored === undefined) return undefined
+    const link = Math.min(stored.linkMegabitsPerSecond, this._engine.linkMegabitsPerSecond)
+    const transfer = this._transferFrom(stored.address, stored.zone, link, replica, index)
+    return { ...transfer, time: transfer.time + stored.firstDelay + stored.delay, validUntil: stored.validUntil }
+  }
+
+  /** Transfers of one source run one after the other. */
+  private _transferFrom (
+    address: string, zone: string, linkMegabitsPerSecond: number, replica: Replica, index: number
+  ): Omit<FetchSource, 'validUntil'> {
+    const tokens = this._shared[index]?.tokens ?? 0
+    const weightedTokens = tokens * (zone === replica.zone ? 1 : OTHER_ZONE_TRANSFERS)
+    const queued = this._view.loads.of(address).prefillTokens
+    const bits = (queued + weightedTokens) * this._engine.bytesPerToken * BITS_PER_BYTE
+    return { address, weightedTokens, time: bits / (Math.max(1, linkMegabitsPerSecond) * BITS_PER_MILLISECOND) }
+  }
+
   /** Another replica that is believed to hold the part, preferably in the same zone. */
-  nearest (replica: Replica, index: number, salt: string): Replica | undefined {
+  private _nearest (replica: Replica, index: number, salt: string): Replica | undefined {
     const others = this._replicasWith(index, salt).filter(({ id }) => id !== replica.id)
     return others.find(({ zone }) => zone === replica.zone) ?? others[0]
   }
 
-  /** A store that holds the part and is not too slow. */
-  store (index: number, salt: string, zone: string, isHeld: boolean): PartSource | undefined {
-    const key = `${index}|${salt}|${zone}`
-    if (!this._stored.has(key)) {
-      const partId = this._shared[index]?.id ?? ''
-      this._stored.set(key, this._view.stores.sourceOf(salt, partId, zone, this._view.now))
-    }
-    const stored = this._stored.get(key)
-    const longestDelay = isHeld ? LONGEST_DELAY_FOR_HELD_PART : LONGEST_FETCH_DELAY
-    return stored !== undefined && stored.delay <= longestDelay ? stored : undefined
-  }
-
   /** Saves the parts that no store holds yet; the replica sends them once it has them, however it came by them. */
   saves (salt: string): (string | undefined)[] | undefined {
     if (!this._saves.has(salt)) {
--- a/packages/coordination/src/stores/storedParts.ts
+++ b/packages/coordination/src/stores/storedParts.ts
@@ -86,6 +86,7 @@
 export class StoredParts implements PartStores {
   private readonly _stores = new Map<string, KnownStore>()
   private readonly _usualExcess = new FadingAverage()
+  private readonly _samples = new Map<string, { sum: Milliseconds, count: number }>()
   private _clockOffset: Milliseconds | undefined
 
   /** Takes the configured stores. */
@@ -176,7 +177,8 @@
     for (const [address, store] of this._stores) {
       const validUntil = store.answeredAt + BELIEF_LIFETIME
       if (this._clockOffset === undefined || !store.isListed || now >= validUntil || !store.parts.has(key)) continue
-      const source = { address, zone: store.description.zone, validUntil, delay: this._delayOf(store, now) }
+      const { zone: storeZone, linkMegabitsPerSecond, firstDelay } = store.description
+      const source = { address, zone: storeZone, validUntil, delay: this._delayOf(store, now), linkMegabitsPerSecond, firstDelay }
       if (best === undefined || (best.zone !== zone && source.zone === zone)) best = source
     }
     return best
@@ -211,11 +213,25 @@
     }
   }
 
-  /** A request that fetched from the store waited for `excess` more than was predicted without the fetch. */
+  /** A request that fetched from the store waited for `excess` more than was predicted. */
   onFetched (address: string, excess: Milliseconds, now: Milliseconds): void {
+    this.onFetchedElsewhere(address, excess, now)
+    const sample = this._samples.get(address) ?? { sum: 0, count: 0 }
+    this._samples.set(address, { sum: sample.sum + excess, count: sample.count + 1 })
+  }
+
+  /** The same, as another instance told. */
+  onFetchedElsewhere (address: string, excess: Milliseconds, now: Milliseconds): void {
     this._stores.get(address)?.delay.add(excess, now)
   }
 
+  /** The mean excess of this instance's own fetches since the last time, by store, to be told to the others. */
+  takeFetchSamples (): [address: string, excess: Milliseconds][] {
+    const samples = [...this._samples].map(([address, { sum, count }]): [string, number] => [address, Math.round(sum / count)])
+    this._samples.clear()
+    return samples
+  }
+
   /** A request without any fetch waited for `excess` more than was predicted. */
   onUnfetched (excess: Milliseconds, now: Milliseconds): void {
     this._usualExcess.add(excess, now)
--- a/packages/gateway/src/requests/replicaAttempt.ts
+++ b/packages/gateway/src/requests/replicaAttempt.ts
@@ -13,6 +13,8 @@
   hasHead = false
   private _hasBody = false
   private _isOver = false
+  /** Whether the first piece of the answer is awaited. */
+  private _isFetching = true
   private _prefillTokens: number
   private readonly _memoryTokens: number
   private _silentSince: Milliseconds
@@ -32,6 +34,7 @@
     this._memoryTokens = prompt === undefined ? 0 : prompt.inputTokens + prompt.maximumOutputTokens
     _state.health.onSend(this.replica.id)
     _state.loads.add(this.replica.id, { requests: 1, prefillTokens: this._prefillTokens, memoryTokens: this._memoryTokens })
+    this._addFetches(1)
   }
 
   /** The replica that was chosen. */
@@ -94,8 +97,16 @@
     this._silenceTimer = setTimeout(() => { this._checkSilence(silence, onSilent) }, SILENCE_CHECK)
   }
 
+  private _addFetches (sign: 1 | -1): void {
+    for (const [address, tokens] of this.selection.fetchLoads) {
+      this._state.loads.add(address, { requests: sign, prefillTokens: sign * tokens, memoryTokens: 0 })
+    }
+  }
+
   private _settlePrefill (): void {
-    if (this._prefillTokens === 0) return
+    if (!this._isFetching) return
+    this._isFetching = false
+    this._addFetches(-1)
     this._state.loads.add(this.replica.id, { requests: 0, prefillTokens: -this._prefillTokens, memoryTokens: 0 })
     this._prefillTokens = 0
   }
--- a/packages/gateway/src/requests/requestPlacement.ts
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -52,14 +52,14 @@
     }
   }
 
-  /** The first byte of the answer came: fetches are judged by how much longer it took than the replica's queue explains. */
-  noteFirstByte ({ salt, wait, fetchedTokens, sources }: Selection, sentAt: Milliseconds): void {
+  /** The first byte of the answer came: fetches are judged by how much longer it took than was predicted. */
+  noteFirstByte ({ salt, wait, fetchLoads }: Selection, sentAt: Milliseconds): void {
     if (salt === undefined) return
     const { storedParts } = this._state
     const now = this._state.now()
     const excess = now - sentAt - wait
-    if (fetchedTokens === 0) storedParts.onUnfetched(excess, now)
-    else for (const address of new Set(sources)) if (address !== undefined) storedParts.onFetched(address, excess, now)
+    if (fetchLoads.size === 0) storedParts.onUnfetched(excess, now)
+    else for (const address of fetchLoads.keys()) storedParts.onFetched(address, excess, now)
   }
 
   private _withCurrentWeights (replicas: readonly Replica[], now: Milliseconds): readonly Replica[] {
