--- a/packages/coordination/src/rollout/rollout.spec.ts
+++ b/packages/coordination/src/rollout/rollout.spec.ts
@@ -3,31 +3,21 @@
 import type { Replica } from '../catalog/index.js'
 import { LoadingReplicas, RolloutPlanner } from './index.js'
 
-const settings = { loadingShare: 0.5, reportInterval: 100, repeatAfter: 4_000, spread: 1_000 }
+const settings = { loadingShare: 0.5, reportInterval: 100, repeatAfter: 4_000 }
 const replica = (id: string, version = 1, change: Partial<Replica> = {}): Replica => ({
   id, service: 's', address: 'a', zone: 'z', slots: 4, isDraining: false, weightVersions: { m: version }, startedAt: 1, ...change
 })
-/** A version that was named long ago is not spread any more. */
-const LONG_AGO = 60_000
 const report = { orderCount: 0, isBusy: false, weightVersions: { m: 1 } }
 
 test('should bring a share of the replicas to the version at a time, and go on as they finish', () => {
   const planner = new RolloutPlanner(settings)
-  const first = planner.next(['a', 'b', 'c', 'd'].map(id => replica(id)), 'm', 2, LONG_AGO, 0)
+  const first = planner.next(['a', 'b', 'c', 'd'].map(id => replica(id)), 'm', 2, 0)
   assert.equal(first.map(({ order }) => order.replica.id), ['a', 'b'])
   for (const { order } of first) planner.onSent(order, 0)
-  const second = planner.next([replica('a', 2), replica('b'), replica('c'), replica('d')], 'm', 2, LONG_AGO, 200)
+  const second = planner.next([replica('a', 2), replica('b'), replica('c'), replica('d')], 'm', 2, 200)
   assert.equal(second.map(({ order, isSent }) => [order.replica.id, isSent]), [['b', true], ['c', false]])
 })
 
-test('should spread the orders over time from the naming, and catch up where it began late', () => {
-  const ids = Array.from({ length: 8 }, (_, index) => `r${index}`)
-  const begun = (planner: RolloutPlanner, namedFor: number) => planner.next(ids.map(id => replica(id)), 'm', 2, namedFor, namedFor).length
-  const planner = new RolloutPlanner({ ...settings, loadingShare: 1 })
-  assert.equal([begun(planner, 100), begun(planner, 350), begun(planner, 1_000)], [1, 3, 8])
-  assert.is(begun(new RolloutPlanner({ ...settings, loadingShare: 1 }), 5_000), 8)
-})
-
 const needs = [
   { title: 'an idle replica with an older version', change: {}, isSent: false, expected: true },
   { title: 'a replica that is busy with an order', change: { isBusy: true }, isSent: false, expected: false },
@@ -44,18 +34,18 @@
 
 test('should order a newer version from a replica that still loads an older one', () => {
   const planner = new RolloutPlanner(settings)
-  const [step] = planner.next([replica('a')], 'm', 2, LONG_AGO, 0)
+  const [step] = planner.next([replica('a')], 'm', 2, 0)
   assert.ok(step)
   planner.onSent(step.order, 0)
-  assert.equal(planner.next([replica('a')], 'm', 3, LONG_AGO, 200).map(({ order, isSent }) => [order.version, isSent]), [[3, false]])
+  assert.equal(planner.next([replica('a')], 'm', 3, 200).map(({ order, isSent }) => [order.version, isSent]), [[3, false]])
 })
 
 test('should forget a replica that left or restarted', () => {
   const planner = new RolloutPlanner(settings)
-  planner.next([replica('a'), replica('b')], 'm', 2, LONG_AGO, 0)
+  planner.next([replica('a'), replica('b')], 'm', 2, 0)
   assert.equal(planner.loading, ['a'])
-  planner.next([replica('a', 1, { startedAt: 2 }), replica('b', 2)], 'm', 2, LONG_AGO, 50)
-  assert.equal(planner.next([replica('b', 2)], 'm', 2, LONG_AGO, 300), [])
+  planner.next([replica('a', 1, { startedAt: 2 }), replica('b', 2)], 'm', 2, 50)
+  assert.equal(planner.next([replica('b', 2)], 'm', 2, 300), [])
   assert.equal(planner.loading, [])
 })
 
--- a/packages/coordination/src/rollout/rolloutPlanner.ts
+++ b/packages/coordination/src/rollout/rolloutPlanner.ts
@@ -6,8 +6,6 @@
 export interface RolloutSettings {
   /** Share of a service's replicas that load at the same time. */
   loadingShare: number
-  /** From the naming of a version until the last replica is ordered to load it: prompts that were cached are read anew. */
-  spread: Milliseconds
   /** Between two looks at a replica that carries out an order. */
   reportInterval: Milliseconds
   /** An order that shows no effect for this long is sent again. */
@@ -69,20 +67,16 @@
   /**
    * The steps to take now.
    * @param replicas all known replicas; those with the fewest running requests should come first
-   * @param namedFor how long ago the version was named
    */
-  next (replicas: readonly Replica[], model: string, version: number, namedFor: Milliseconds, now: Milliseconds): RolloutStep[] {
+  next (replicas: readonly Replica[], model: string, version: number, now: Milliseconds): RolloutStep[] {
     const serving = replicas.filter(replica => !replica.isDraining && replica.weightVersions[model] !== undefined)
     this._dropSettled(serving, model, version)
     const behind = serving.filter(replica => (replica.weightVersions[model] ?? 0) < version)
     const atOnce = Math.max(1, Math.floor(serving.length * this._settings.loadingShare))
-    const due = Math.ceil(serving.length * Math.min(1, namedFor / this._settings.spread))
-    let begun = serving.length - behind.length + this._open.size
     const steps: RolloutStep[] = []
     for (const replica of behind) {
       const open = this._open.get(replica.id)
-      if (open === undefined && (this._open.size >= atOnce || begun >= due)) continue
-      if (open === undefined) begun += 1
+      if (open === undefined && this._open.size >= atOnce) continue
       const order = { replica, model, version }
       const current = open ?? { order, startedAt: replica.startedAt, sentAt: undefined, askedAt: -Infinity }
       this._open.set(replica.id, current)
--- a/packages/gateway/src/rollout/rolloutLoop.ts
+++ b/packages/gateway/src/rollout/rolloutLoop.ts
@@ -77,8 +77,8 @@
       .sort((left, right) => left.requests - right.requests)
       .map(({ replica }) => replica)
     for (const model of state.catalog.namedModels) {
-      const { version, seenAt } = state.catalog.namedVersion(model) ?? { version: 0, seenAt: now }
-      for (const step of this._planner.next(byLoad, model, version, now - seenAt, now)) this._state.log.detach('order', this._take(step, epoch))
+      const version = state.catalog.namedVersion(model)?.version ?? 0
+      for (const step of this._planner.next(byLoad, model, version, now)) this._state.log.detach('order', this._take(step, epoch))
     }
     state.loading.hear(name, this._planner.loading, this._planner.recentlyLoaded(now), now)
   }
--- a/tests/soak/soakRun.ts
+++ b/tests/soak/soakRun.ts
@@ -39,15 +39,15 @@
   const faults: string[] = []
   const violations: Violation[] = []
   await fleet.start(options.gateways, options.replicas)
+  const callers = new SoakCallers(() => fleet.gateways, ledger, new SeededRandom(options.seed + 1), options.requestInterval)
   try {
-    const callers = new SoakCallers(() => fleet.gateways, ledger, new SeededRandom(options.seed + 1), options.requestInterval)
     callers.start()
     await injectFaults(fleet, new SeededRandom(options.seed + 2), options.milliseconds, line => { faults.push(line) })
     await waitUntilServed(fleet, ledger)
-    await callers.stop()
   } catch (error) {
     violations.push({ promise: 'the fleet serves again once the faults are over', detail: String(error) })
   } finally {
+    await callers.stop()
     violations.push(...fleet.ended.map(detail => ({ promise: 'a process ends only when it is told to', detail })))
     await fleet.stop()
   }
