perf(dispatch): load a source only for its transfer's part of the wait, and prefer a store to a replica that may have dropped the part

Cause: a fetch counted as queued at its store until the first byte of the answer, so that stores looked queued up for and replicas were named that had dropped the part. Soak: a reset of a socket that is being written left a spinning handle in Node.js 20, so that the process did not end.

--- a/packages/coordination/src/dispatch/dispatch.spec.ts
+++ b/packages/coordination/src/dispatch/dispatch.spec.ts
@@ -78,15 +78,20 @@
   queued.loads.add('store', { requests: 10, prefillTokens: 50_000, memoryTokens: 0 })
   const ask = () => selectReplica({ candidates: [replica('1')], tried: new Set(), demand: demand() }, queued)
   assert.equal([ask()?.sources, ask()?.origins], [undefined, ['slow-source']])
+  // A replica may have dropped the part, so that a store is preferred that takes a little longer.
+  const short = view({ stores, loads: new FleetLoads(), cachedParts: queued.cachedParts })
+  short.loads.add('store', { requests: 1, prefillTokens: 5_000, memoryTokens: 0 })
   queued.cachedParts.onSent('2', '/m/1', prompt.parts, engine.cacheTokens)
   const others = { candidates: [replica('1'), replica('2')], tried: new Set(['2']), demand: demand() }
   assert.equal(selectReplica(others, queued)?.sources, ['10.0.0.1:2', '10.0.0.1:2', undefined])
+  assert.equal(selectReplica(others, short)?.sources, ['store', 'store', undefined])
 })
 
-test('should tell what it fetches from where, counted double between data centres', () => {
+test('should tell what it fetches from where, double between data centres, for the part of the wait that it takes', () => {
   const stores: PartStores = { ...NO_STORES, sourceOf: () => storeSource({ zone: 'other' }) }
   const selection = selectReplica({ candidates: [replica('1')], tried: new Set(), demand: demand() }, view({ stores }))
-  assert.equal([...selection?.fetchLoads ?? []], [['store', 15_000]])
+  const { wait = 0, fetchTime = 0, fetchLoads } = selection ?? {}
+  assert.equal([...fetchLoads ?? []], [['store', Math.round(15_000 * fetchTime / wait)]])
 })
 
 test('should not choose as all other instances do by the same news', () => {
--- a/packages/coordination/src/dispatch/selectReplica.ts
+++ b/packages/coordination/src/dispatch/selectReplica.ts
@@ -63,7 +63,7 @@
   sources: (string | undefined)[] | undefined
   /** Predicted milliseconds until the fetches have ended. */
   fetchTime: Milliseconds
-  /** Tokens that are fetched from each address, counted by how long their transfer takes. */
+  /** Tokens that are fetched from each address, as they load it on average until the first byte of the answer. */
   fetchLoads: ReadonlyMap<string, number>
   /** When the fetches must have ended; undefined where nothing is fetched from a store. */
   fetchUntil: Milliseconds | undefined
@@ -112,7 +112,7 @@
 /** Most parts believed held are held, so that a slow store is not worth naming for them. */
 const LONGEST_DELAY_FOR_HELD_PART: Milliseconds = 100
 /** A replica may have dropped a part that it is believed to hold; reading 5,000 tokens takes some 130 ms. */
-const UNSURE_SOURCE_COST: Milliseconds = 40
+const UNSURE_SOURCE_COST: Milliseconds = 130
 /** A fetch is given up after so many times its predicted time, and at least after the margin: reading is quicker then. */
 const FETCH_PATIENCE = 3
 const FETCH_MARGIN: Milliseconds = 200
@@ -207,7 +207,7 @@
     fetchedTokens: fetches.tokens,
     sources: fetches.sources.some(address => address !== undefined) ? [...fetches.sources, undefined] : undefined,
     fetchTime: fetches.time,
-    fetchLoads: fetches.loads,
+    fetchLoads: averageLoads(fetches, wait),
     fetchUntil: fetches.until === undefined
       ? undefined
       : Math.min(fetches.until, view.now + FETCH_PATIENCE * fetches.time + FETCH_MARGIN),
@@ -217,6 +217,12 @@
   }
 }
 
+/** A transfer takes a part of the wait, and loads its source only that long. */
+function averageLoads ({ loads, time }: Fetches, wait: Milliseconds): ReadonlyMap<string, number> {
+  const share = Math.min(1, time / Math.max(1, wait))
+  return new Map([...loads].map(([address, tokens]) => [address, Math.round(tokens * share)]))
+}
+
 interface Fetches {
   sources: (string | undefined)[]
   tokens: number
--- a/tests/soak/faultProxy.ts
+++ b/tests/soak/faultProxy.ts
@@ -34,8 +34,8 @@
   /** Resets every open connection. */
   reset (): void {
     for (const { near, far } of this._pairs) {
-      near.resetAndDestroy()
-      far.resetAndDestroy()
+      cut(near)
+      far.destroy()
     }
   }
 
@@ -66,10 +66,16 @@
     })
     from.on('end', () => { to.end() })
     // Either end may be reset at any time; the other end then sees it.
-    from.on('error', () => { to.resetAndDestroy() })
+    from.on('error', () => { to.destroy() })
     from.once('close', () => {
       this._pairs.delete(pair)
       to.destroy()
     })
   }
 }
+
+/** In Node.js 20 a reset of a socket that is being written or opened leaves its handle behind, which spins. */
+function cut (socket: net.Socket): void {
+  if (socket.connecting || socket.destroyed || socket.writableLength > 0) socket.destroy()
+  else socket.resetAndDestroy()
+}
