--- a/packages/coordination/src/fronts/frontDirectory.ts
+++ b/packages/coordination/src/fronts/frontDirectory.ts
@@ -1,11 +1,14 @@
 /** Which instances callers may connect to, from the store's records and from direct heartbeats. */
 import type { Milliseconds } from '../common/index.js'
+import { silenceFor } from './heartbeatRounds.js'
 import type { FrontRecord, Heartbeat } from './messages.js'
 
 /** Settings of the directory. */
 export interface FrontDirectorySettings {
-  /** An instance that was heard and then is silent for this long is left out. */
-  silence: Milliseconds
+  /** The shortest time between two heartbeats of an instance. */
+  heartbeatInterval: Milliseconds
+  /** An instance that was heard is not left out for a shorter silence than this. */
+  shortestSilence: Milliseconds
   /** A record of the store that was never heard of directly counts for this long. */
   unheardLifetime: Milliseconds
   /** An instance that nobody heard for this long is forgotten. */
@@ -106,9 +109,14 @@
     return fronts.map(({ frontAddress }) => frontAddress).slice(0, MAXIMUM_ADDRESSES)
   }
 
+  private get _silence (): Milliseconds {
+    const { shortestSilence, heartbeatInterval } = this._settings
+    return Math.max(shortestSilence, silenceFor(this._fronts.size, heartbeatInterval))
+  }
+
   private _isLive (front: KnownFront, now: Milliseconds): boolean {
     if (front.record.isLeaving) return false
-    if (front.heardAt !== undefined) return front.isReady && now - front.heardAt <= this._settings.silence
+    if (front.heardAt !== undefined) return front.isReady && now - front.heardAt <= this._silence
     // Where no instance is heard at all, this one cannot tell the others' silence from its own deafness.
     return front.isListed && (!this._hasHeardAny || now - front.firstSeenAt <= this._settings.unheardLifetime)
   }
--- a/packages/coordination/src/fronts/index.ts
+++ b/packages/coordination/src/fronts/index.ts
@@ -1,2 +1,3 @@
 export { FrontDirectory, type FrontDirectorySettings } from './frontDirectory.js'
+export { intervalsForRound, silenceFor } from './heartbeatRounds.js'
 export { frontRecordSchema, heartbeatSchema, type FrontRecord, type Heartbeat } from './messages.js'
--- a/packages/coordination/src/rollout/loadingReplicas.ts
+++ b/packages/coordination/src/rollout/loadingReplicas.ts
@@ -2,8 +2,8 @@
 import type { Milliseconds } from '../common/index.js'
 import type { LoadedReplica } from './rolloutPlanner.js'
 
-/** What was told longer ago no longer counts. */
-const LIFETIME: Milliseconds = 1_000
+/** What was told longer ago no longer counts: an instance of a large fleet tells once in a second. */
+const LIFETIME: Milliseconds = 1_500
 
 interface Told {
   heardAt: Milliseconds
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -2,15 +2,13 @@
 import dgram from 'node:dgram'
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import {
-  heartbeatSchema, type CatalogNews, type FrontRecord, type Heartbeat, type Milliseconds, type ReplicaLoad
+  heartbeatSchema, intervalsForRound, type CatalogNews, type FrontRecord, type Heartbeat, type Milliseconds, type ReplicaLoad
 } from '@wasabihead/coordination'
 import type { GatewayState } from '../requests/index.js'
 
 /** Settings of the heartbeats. */
 export interface HeartbeatSettings {
   interval: Milliseconds
-  /** Most peers that one round is sent to; with more peers, rounds take turns. */
-  fanOut: number
 }
 
 /** What heartbeats ask and tell the instance. */
@@ -29,14 +27,12 @@
 const ROUNDS_NAMING_SELF = 6
 /** Bound on what a datagram may hold before it was deflated. */
 const MAXIMUM_INFLATED_BYTES = 1_048_576
-/** Peers for which one heartbeat in each interval is affordable. */
-const PEERS_FOR_EACH_ROUND = 20
 
 /** Sends and takes heartbeats. */
 export class Heartbeats {
   private readonly _socket = dgram.createSocket('udp4')
   private _timer: NodeJS.Timeout | undefined
-  private _offset = 0
+  private _ticks = 0
   private _round = 0
 
   constructor (
@@ -63,22 +59,21 @@
   send (): void {
     const { fronts } = this._state
     const { peers } = fronts
-    // With many peers each round costs more, so that rounds are further apart.
+    this._ticks += 1
+    if (this._ticks % intervalsForRound(peers.length) !== 0 && !fronts.self.isLeaving) return
     this._round += 1
-    if (this._round % Math.ceil((peers.length + 1) / PEERS_FOR_EACH_ROUND) !== 0 && !fronts.self.isLeaving) return
-    const count = Math.min(peers.length, this._settings.fanOut)
-    if (count === 0) return
+    if (peers.length === 0) return
     const message = deflateRawSync(JSON.stringify(this._heartbeat()))
-    if (message.length > MAXIMUM_BYTES) return
-    for (let index = 0; index < count; index++) {
-      const peer = peers[(this._offset + index) % peers.length]
-      if (peer === undefined) continue
-      const [host, port] = splitAddress(peer.heartbeatAddress)
+    if (message.length > MAXIMUM_BYTES) {
+      this._state.log.warn('heartbeat-too-large', { bytes: message.length, peers: peers.length })
+      return
+    }
+    for (const { heartbeatAddress } of peers) {
+      const [host, port] = splitAddress(heartbeatAddress)
       this._socket.send(message, port, host, () => {
         // A lost datagram shows at the receiver as silence.
       })
     }
-    this._offset = (this._offset + count) % Math.max(1, peers.length)
   }
 
   private _heartbeat (): Heartbeat {
