--- a/packages/coordination/src/dispatch/index.ts
+++ b/packages/coordination/src/dispatch/index.ts
@@ -5,12 +5,12 @@
 export { FleetLoads, type ReplicaLoad } from './fleetLoads.js'
 export { FleetRetryBudget, type FleetRetryBudgetSettings } from './fleetRetryBudget.js'
 export { admitPrompt, type PromptAdmission, type PromptPressure } from './promptAdmission.js'
+export { type PartOrigin } from './promptFetches.js'
 export { RepeatedCrashes, type CrashReport } from './repeatedCrashes.js'
 export { ReplicaHealth, type AttemptSign } from './replicaHealth.js'
 export { type PartSource, type PartStores } from './partStores.js'
 export { SentPrompts, type SentPrompt } from './sentPrompts.js'
 export {
-  PREFILL_TOKENS_PER_MILLISECOND, selectReplica, type PartOrigin,
-  type Prompt, type PromptDemand, type Selection, type SelectionRequest,
+  PREFILL_TOKENS_PER_MILLISECOND, selectReplica, type Prompt, type PromptDemand, type Selection, type SelectionRequest,
   type SelectionView
 } from './selectReplica.js'
