--- a/packages/coordination/src/catalog/storeReading.spec.ts
+++ b/packages/coordination/src/catalog/storeReading.spec.ts
@@ -2,6 +2,7 @@
 import * as fc from 'fast-check'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { SeededRandom } from '../common/index.js'
 import { ReadSchedule, StoreMirror, type StoreChange } from './index.js'
 
 const sameButCount = (before: { value: string }, after: { value: string }): boolean => before.value[0] === after.value[0]
@@ -106,4 +107,66 @@
   }), { seed: 20261204 })
 })
 
+interface SimulatedInstance {
+  name: string
+  schedule: ReadSchedule
+  /** The revision that its copy reaches. */
+  revision: number
+  changedAt: number
+}
+
+/** Heartbeats each 500 ms of which a share is lost, reads that take up to 100 ms, and some instances that hear nobody. */
+function worstLag (
+  { loss, deaf, changeShare, longestRead }: { loss: number, deaf: number, changeShare: number, longestRead: number }, seed: number
+): { lag: number, reads: number } {
+  const random = new SeededRandom(seed)
+  const settings = { readers: 2, interval: 750, longestAge: 1_500 }
+  const names = Array.from({ length: 34 }, (_, index) => `instance-${index}`)
+  const instances = names.map((name): SimulatedInstance => (
+    { name, schedule: new ReadSchedule(settings), revision: 1, changedAt: 1 }))
+  const changes: number[] = [0]
+  let [lag, reads] = [0, 0]
+  for (const instance of instances) instance.schedule.onRead(0)
+  for (let now = 10; now < 20_000; now += 10) {
+    if (random.next() < changeShare) changes.push(now)
+    for (const [index, instance] of instances.entries()) {
+      const { schedule } = instance
+      if (now % 500 === index * 10 % 500) {
+        const news = schedule.news(instance.changedAt, now)
+        for (const other of instances.slice(deaf)) {
+          if (news === undefined || other === instance || random.next() < loss) continue
+          if (other.schedule.onNews(news, other.revision, now) === 'behind') read(other, now)
+        }
+      }
+      if (schedule.nextReadAt(instance.name, names) <= now) read(instance, now)
+      const unknown = changes[instance.revision]
+      if (unknown !== undefined) lag = Math.max(lag, now - unknown)
+    }
+  }
+  return { lag, reads }
+
+  function read (instance: SimulatedInstance, now: number): void {
+    reads += 1
+    // The answer says what the store held when the question was sent, and comes a little later.
+    instance.schedule.onRead(now - Math.floor(random.next() * longestRead))
+    instance.revision = changes.length
+    instance.changedAt = changes.length
+  }
+}
+
+for (const { loss, deaf } of [{ loss: 0, deaf: 0 }, { loss: 0.3, deaf: 0 }, { loss: 0.9, deaf: 0 }, { loss: 0.1, deaf: 17 }]) {
+  test(`should know each change within the bound of 3 s, ${loss * 100}% of heartbeats lost and ${deaf} instances deaf`, () => {
+    for (let seed = 1; seed <= 5; seed++) {
+      const { lag, reads } = worstLag({ loss, deaf, changeShare: 0.01, longestRead: 100 }, seed)
+      assert.ok(lag <= 3_000, `seed ${seed}: ${lag} ms`)
+      assert.ok(reads > 0)
+    }
+  })
+}
+
+test('should let the two readers alone read while nothing changes and heartbeats arrive', () => {
+  const { reads } = worstLag({ loss: 0, deaf: 0, changeShare: 0, longestRead: 0 }, 1)
+  assert.ok(reads <= 2 * Math.ceil(20_000 / 750), String(reads))
+})
+
 test.run()
