--- a/packages/gateway/src/catalog/catalogLoop.ts
+++ b/packages/gateway/src/catalog/catalogLoop.ts
@@ -70,17 +70,25 @@
   private async _read (peer: FrontRecord | undefined): Promise<void> {
     clearTimeout(this._timer)
     this._isReading = true
+    let isRead = false
+    try {
+      isRead = await this._readOnce(peer)
+    } finally {
+      this._isReading = false
+      this._endedAt = this._state.now()
+      this._schedule(isRead ? 0 : this._settings.retryDelay)
+    }
+  }
+
+  private async _readOnce (peer: FrontRecord | undefined): Promise<boolean> {
     const askedAt = this._state.now()
     const before = this._state.mirror.revision
     const failure = await this._readStore()
-    const isRead = failure === undefined
     this._noteRead(askedAt, before, peer?.name, failure)
-    this._noteStore(isRead, failure ?? '')
-    if (isRead) this._takeMirror(askedAt)
+    this._noteStore(failure === undefined, failure ?? '')
+    if (failure === undefined) this._takeMirror(askedAt)
     else await this._askPeer(peer)
-    this._isReading = false
-    this._endedAt = this._state.now()
-    this._schedule(isRead ? 0 : this._settings.retryDelay)
+    return failure === undefined
   }
 
   private _noteRead (askedAt: Milliseconds, before: number, peer: string | undefined, failure: string | undefined): void {
@@ -99,21 +107,18 @@
 
   private _schedule (shortestDelay: Milliseconds): void {
     if (this._isStopped) return
-    const { readSchedule, fronts, now } = this._state
-    const { name } = fronts.self
-    const dueAt = readSchedule.nextReadAt(name, [name, ...fronts.livePeers(now()).map(peer => peer.name)])
-    const delay = Math.max(shortestDelay, dueAt - now())
+    const delay = Math.max(shortestDelay, this._untilDue())
     // News may have moved the next read on meanwhile.
     this._timer = setTimeout(() => {
-      if (this._isDue()) this._state.log.detach('catalog', this._read(undefined))
+      if (this._untilDue() <= 0) this._state.log.detach('catalog', this._read(undefined))
       else this._schedule(0)
     }, Math.max(1, delay))
   }
 
-  private _isDue (): boolean {
+  private _untilDue (): Milliseconds {
     const { readSchedule, fronts, now } = this._state
     const { name } = fronts.self
-    return readSchedule.nextReadAt(name, [name, ...fronts.livePeers(now()).map(peer => peer.name)]) <= now()
+    return readSchedule.nextReadAt(name, [name, ...fronts.livePeers(now()).map(peer => peer.name)]) - now()
   }
 
   /** Brings the mirror up to date; gives the reason where that failed. */
