--- a/packages/coordination/src/dispatch/selectReplica.ts
+++ b/packages/coordination/src/dispatch/selectReplica.ts
@@ -51,11 +51,11 @@
 /** The choice, and what decided it, for the log. */
 export interface Selection {
   replica: Replica
-  /** Predicted milliseconds until the first byte of the answer. */
+  /** Predicted milliseconds until the first byte of the answer, and what else speaks against the replica. */
   cost: number
   /** Tokens of memory that the request needs beyond what the replica has left, against the replica's memory. */
   crowding: number
-  /** The part of the cost that is waiting at the replica, without any fetch. */
+  /** The part of the cost that is time until the first byte; the rest makes the replica less wanted. */
   wait: Milliseconds
   /** Tokens of the prompt that are neither held nor fetched. */
   freshTokens: number
