--- a/packages/gateway/src/channels/index.ts
+++ b/packages/gateway/src/channels/index.ts
@@ -1,3 +1,4 @@
+export { splitAddress } from './addresses.js'
 export { callAddress, type CallOutcome, type CallTarget } from './addressCalls.js'
 export { MalformedAnswerError, type AnswerHead } from './answerParser.js'
 export { ChannelPool, type ChannelPoolSettings } from './channelPool.js'
--- a/packages/gateway/src/channels/replicaChannel.ts
+++ b/packages/gateway/src/channels/replicaChannel.ts
@@ -1,6 +1,7 @@
 /** One connection to a replica. It serves one request at a time and is reused only after a whole, expected answer. */
 import net from 'node:net'
 import { MILLISECONDS_PER_SECOND, type Milliseconds } from '@wasabihead/coordination'
+import { splitAddress } from './addresses.js'
 import { AnswerParser, type AnswerHead } from './answerParser.js'
 
 /** Why an exchange ended without a whole answer. */
@@ -67,15 +68,15 @@
     private readonly _onIdle: (channel: ReplicaChannel) => void,
     private readonly _onClosed: (channel: ReplicaChannel) => void
   ) {
-    const colon = address.lastIndexOf(':')
+    const [host, port] = splitAddress(address)
     this._parser = new AnswerParser({
       onHead: head => { this._takeHead(head) },
       onBody: chunk => { if (!this._isSkipping) this._listener?.onBody(chunk) },
       onEnd: () => { this._takeEnd() }
     })
     this._socket = net.connect({
-      host: address.slice(0, colon),
-      port: Number(address.slice(colon + 1)),
+      host,
+      port,
       noDelay: true,
       onread: { buffer: READ_BUFFER, callback: (length, buffer) => this._takeBytes(buffer.subarray(0, length) as Buffer) }
     })
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -4,6 +4,7 @@
 import {
   heartbeatSchema, intervalsForRound, type CatalogNews, type FrontRecord, type Heartbeat, type Milliseconds, type ReplicaLoad
 } from '@wasabihead/coordination'
+import { splitAddress } from '../channels/index.js'
 import type { GatewayState } from '../requests/index.js'
 
 /** Settings of the heartbeats. */
@@ -157,8 +158,3 @@
     return undefined
   }
 }
-
-function splitAddress (address: string): [host: string, port: number] {
-  const colon = address.lastIndexOf(':')
-  return [address.slice(0, colon), Number(address.slice(colon + 1))]
-}
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -5,7 +5,7 @@
   type CatalogChange, type FrontRecord, type KeyValueService, type Milliseconds
 } from '@wasabihead/coordination'
 import { CatalogLoop, FRONT_KEYS, Registration } from '../catalog/index.js'
-import { ChannelPool } from '../channels/index.js'
+import { ChannelPool, splitAddress } from '../channels/index.js'
 import { SmallServer, type QuestionHandler } from '../directory/index.js'
 import { Heartbeats, LISTING_PATH, type PeerListing } from '../peers/index.js'
 import type { CallerProtocol, CatalogSource, ReplicaProtocol } from '../protocol/index.js'
@@ -235,8 +235,3 @@
 function describe ({ replica }: { replica: { id: string, service: string, address: string } }): { [field: string]: string } {
   return { replica: replica.id, service: replica.service, address: replica.address }
 }
-
-function splitAddress (address: string): [host: string, port: number] {
-  const colon = address.lastIndexOf(':')
-  return [address.slice(0, colon), Number(address.slice(colon + 1))]
-}
