feat(gateway): log how long a weight version may have been named, and which versions an attempt could use

Nothing in the lines told hypothesis 1 of the incident from the others but arithmetic on the start's time: the naming's age was not logged, and an attempt's version stood only in its salt. No decision changes.

--- a/packages/coordination/src/catalog/serviceCatalog.ts
+++ b/packages/coordination/src/catalog/serviceCatalog.ts
@@ -19,7 +19,8 @@
   | { kind: 'replica-added', replica: Replica }
   | { kind: 'replica-draining', replica: Replica }
   | { kind: 'replica-removed', replica: Replica, reason: 'unlisted' | 'restarted' }
-  | { kind: 'weight-version', model: string, version: number }
+  /** `namedAfter` is the earliest time at which it may have been named. */
+  | { kind: 'weight-version', model: string, version: number, namedAfter: Milliseconds }
 
 /** Versions kept of each model: the one in force, and those that replicas may still have to reach. */
 const KEPT_VERSIONS = 4
@@ -160,7 +161,7 @@
       const known = this._weightVersions.get(model) ?? []
       if ((known.at(-1)?.value ?? 0) >= version) continue
       this._weightVersions.set(model, [...known.slice(1 - KEPT_VERSIONS), { revision, value: version, seenAt }])
-      changes.push({ kind: 'weight-version', model, version })
+      changes.push({ kind: 'weight-version', model, version, namedAfter: seenAt })
     }
     return changes
   }
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -214,7 +214,9 @@
         log.change('configuration-in-force', { version: change.version, revision: change.revision })
         break
       case 'weight-version':
-        log.change('weight-version-named', { model: change.model, version: change.version })
+        log.change('weight-version-named', {
+          model: change.model, version: change.version, age: Math.round(this.state.now() - change.namedAfter)
+        })
         break
       case 'replica-added':
         log.change(change.kind, describe(change))
--- a/packages/gateway/src/requests/requestPlacement.ts
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -31,6 +31,13 @@
     }, { loads, health, cachedParts, stores: storedParts, zone, instances: fronts.size(now), random, now })
   }
 
+  /** The oldest weight version that the request may be sent to; undefined where any will do. */
+  requiredVersion (now: Milliseconds): number | undefined {
+    const { prompt } = this._request.head
+    if (prompt === undefined) return undefined
+    return this._state.catalog.versionNamedBefore(prompt.model, now - this._state.oldWeights.excludeAfter)
+  }
+
   /** Whether a request that was not sent yet goes to the selected replica now. */
   admit ({ crowding }: Selection): PromptAdmission {
     const { route, workspace, receivedAt } = this._request
@@ -64,9 +71,8 @@
 
   private _withCurrentWeights (replicas: readonly Replica[], now: Milliseconds): readonly Replica[] {
     const { prompt } = this._request.head
-    if (prompt === undefined) return replicas
-    const required = this._state.catalog.versionNamedBefore(prompt.model, now - this._state.oldWeights.excludeAfter)
-    if (required === undefined) return replicas
+    const required = this.requiredVersion(now)
+    if (prompt === undefined || required === undefined) return replicas
     return replicas.filter(({ weightVersions }) => (weightVersions[prompt.model] ?? 0) >= required)
   }
 
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -104,6 +104,8 @@
       freshTokens: selection.freshTokens,
       fetchedTokens: selection.fetchedTokens,
       salt: selection.salt,
+      weightVersion: replica.weightVersions[request.head.prompt?.model ?? ''],
+      requiredVersion: this._placement.requiredVersion(now),
       parts: request.head.prompt?.parts.map(({ id, tokens }, index) => `${id}:${tokens}:${selection.origins[index] ?? 'read'}`).join(','),
       saves: selection.saves?.map(address => address === undefined ? '-' : '+').join(''),
       wait: Math.round(selection.wait),
