fix(catalog): a process that starts takes a named weight version for old until a peer tells its age

Cause: requests leave replaced weights 6 s after the naming, and a process that starts counted that from 3 s before its own first listing, whatever the version's age was. After a restart 2 to 7 s after the naming it went on with replaced weights for 3 s more. The class: a bound that runs from the store's acknowledgement was counted from what one process saw. Ruled out: wrong beliefs of the replicas' weights (both attempts carry the salt of version 2); an old catalog (233 and 345 ms). Now: a version in the first listing has no known age, and is asked for at once; instances that saw the naming tell in heartbeats and peer listings for how long it may have been named at the most, with the versions before it, so that a single restart refuses nothing that others may serve. Versions are kept by age instead of the last four, since four in 6 s lifted what the first asked for.

--- a/packages/coordination/src/catalog/catalog.spec.ts
+++ b/packages/coordination/src/catalog/catalog.spec.ts
@@ -28,7 +28,7 @@
 const listing = (replicas: [Replica, revision: number][], rest: Partial<CatalogListing> = {}): CatalogListing => ({
   replicas: replicas.map(([value, revision]) => ({ value, revision })), weightVersions: [], ...rest
 })
-const settings = { returnGrace: 2_500, unknownAge: 3_000, longestGap: 3_600 }
+const settings = { returnGrace: 2_500, longestGap: 3_600 }
 
 const matches = [
   { title: 'the longest prefix', host: 'h.example', path: '/a/b/c', key: 'k', expected: 'long' },
@@ -51,7 +51,7 @@
 test('should never go back to an older configuration, whoever tells it', () => {
   const catalog = new ServiceCatalog(settings)
   catalog.applyListing(listing([], { configuration: { revision: 7, value: configuration(3, []) } }), 0, 0)
-  catalog.applyPeerListing(listing([], { configuration: { revision: 6, value: configuration(2, []) } }), 10)
+  catalog.applyPeerListing(listing([], { configuration: { revision: 6, value: configuration(2, []) } }), 10, 10)
   catalog.applyListing(listing([], { configuration: { revision: 5, value: configuration(1, []) } }), 20, 20)
   assert.is(catalog.routes?.configuration.version, 3)
 })
@@ -124,7 +124,7 @@
   const weightVersions = [{ revision: 5, value: { model: 'm', version: 2 } }]
   catalog.applyListing(listing([]), 1_000, 1_000)
   catalog.applyListing(listing([], { weightVersions }), 5_000, 5_000)
-  assert.is(catalog.namedVersion('m')?.seenAt, 1_000)
+  assert.is(catalog.namedVersion('m')?.namedAfter, 1_000)
 })
 
 // whtt-grants inc1: VERSION, processes that restarted took a version named 7 s before for one named 3 s before.
@@ -134,4 +134,40 @@
   assert.is(catalog.versionNamedBefore('m', 5_000 - 60_000), 2)
 })
 
+const named = (version: number, age?: number) => ({ revision: version, value: { model: 'm', version }, age })
+const tellings = [
+  { title: 'the age of the version', told: [named(2), named(3, 500)], versions: [2, 2, 3] },
+  { title: 'no age', told: [named(2), named(3)], versions: [3, 3, 3] },
+  { title: 'the age of an older version only', told: [named(2, 500)], versions: [3, 3, 3] },
+  { title: 'the age of a version that is not known here', told: [named(3, 4_000), named(4, 500)], versions: [3, 3, 3] },
+  { title: 'the ages of two versions named in a row', told: [named(2, 2_500), named(3, 500)], versions: [undefined, 2, 3] }
+]
+for (const { title, told, versions } of tellings) {
+  test(`should ask for what is surely due after a restart, where another instance tells ${title}`, () => {
+    const catalog = new ServiceCatalog(settings)
+    catalog.applyListing(listing([], { weightVersions: [named(3)] }), 10_000, 10_000)
+    catalog.hearNamings(told, 10_150)
+    assert.equal([5_000, 8_000, 9_500].map(time => catalog.versionNamedBefore('m', time)), versions)
+  })
+}
+
+test('should tell the ages of versions named lately, and of those before them', () => {
+  const catalog = new ServiceCatalog(settings)
+  catalog.applyListing(listing([], { weightVersions: [named(2)] }), 0, 0)
+  catalog.applyListing(listing([], { weightVersions: [named(3)] }), 800, 800)
+  assert.equal(catalog.recentNamings(1_000), [{ revision: 2, value: { model: 'm', version: 2 } }, named(3, 1_000)])
+  assert.equal(catalog.recentNamings(20_000), [])
+  const started = new ServiceCatalog(settings)
+  started.applyPeerListing({ replicas: [], weightVersions: catalog.listing(1_000).weightVersions }, 5_000, 5_300)
+  assert.equal([3_999, 4_000].map(time => started.versionNamedBefore('m', time)), [2, 3])
+})
+
+test('should remember each version whose successor was named lately, however many there were', () => {
+  const catalog = new ServiceCatalog(settings)
+  for (let version = 1; version <= 9; version++) {
+    catalog.applyListing(listing([], { weightVersions: [named(version)] }), version * 100, version * 100)
+  }
+  assert.equal([150, 250, 750].map(time => catalog.versionNamedBefore('m', time)), [2, 3, 8])
+})
+
 test.run()
--- a/packages/coordination/src/catalog/index.ts
+++ b/packages/coordination/src/catalog/index.ts
@@ -1,8 +1,9 @@
 export {
-  cacheStoreSchema, callerLimitsSchema, catalogListingSchema, engineSchema, replicaSchema, requestKindSchema, routeSchema,
-  routeTargetSchema, routingConfigurationSchema, serviceSchema, workspaceSchema,
-  type CacheStoreDescription, type CallerLimits, type CatalogListing, type Engine, type Replica, type RequestKind, type Revised,
-  type Route, type RouteTarget, type RoutingConfiguration, type ServiceDescription, type WorkspaceAccess
+  cacheStoreSchema, callerLimitsSchema, catalogListingSchema, engineSchema, namedWeightVersionSchema, replicaSchema,
+  requestKindSchema, routeSchema, routeTargetSchema, routingConfigurationSchema, serviceSchema, workspaceSchema,
+  type CacheStoreDescription, type CallerLimits, type CatalogListing, type Engine, type NamedWeightVersion, type Replica,
+  type RequestKind, type Revised, type Route, type RouteTarget, type RoutingConfiguration, type ServiceDescription,
+  type WorkspaceAccess
 } from './messages.js'
 export { RouteTable, type RouteMatch, type RouteRefusal } from './routeTable.js'
 export { ServiceCatalog, type CatalogChange, type CatalogSettings } from './serviceCatalog.js'
--- a/packages/coordination/src/catalog/messages.ts
+++ b/packages/coordination/src/catalog/messages.ts
@@ -133,19 +133,27 @@
   value: Value
 }
 
+/** A named weight version of a model. */
+export const namedWeightVersionSchema = z.object({
+  revision: z.number(),
+  value: z.object({ model: z.string(), version: z.number() }),
+  /** Where an instance tells it: for how many milliseconds it may have been named at the most; absent if that is not known. */
+  age: z.number().optional()
+})
+/** A named weight version of a model. */
+export type NamedWeightVersion = z.infer<typeof namedWeightVersionSchema>
+
 /** Everything the store lists at one time; each entry carries the revision of its last change. */
 export interface CatalogListing {
   configuration?: Revised<RoutingConfiguration> | undefined
   replicas: Revised<Replica>[]
-  /** Named weight version of each model. */
-  weightVersions: Revised<{ model: string, version: number }>[]
+  /** Named weight versions; several of one model where an instance tells what it remembers, the newest last. */
+  weightVersions: NamedWeightVersion[]
 }
 
 /** A listing as one instance tells it to another. */
 export const catalogListingSchema = z.object({
   configuration: z.object({ revision: z.number(), value: routingConfigurationSchema }).optional(),
   replicas: z.array(z.object({ revision: z.number(), value: replicaSchema })),
-  weightVersions: z.array(z.object({
-    revision: z.number(), value: z.object({ model: z.string(), version: z.number() })
-  }))
+  weightVersions: z.array(namedWeightVersionSchema)
 })
--- a/packages/coordination/src/catalog/readSchedule.ts
+++ b/packages/coordination/src/catalog/readSchedule.ts
@@ -29,7 +29,7 @@
 export type NewsVerdict = 'confirmed' | 'behind' | 'old'
 
 /** What the news may have taken to arrive. */
-const NEWS_MARGIN: Milliseconds = 150
+export const NEWS_MARGIN: Milliseconds = 150
 const READER_KEY = 'metadata-store'
 
 /** Holds up to when this instance's copy is known to be good. */
--- a/packages/coordination/src/catalog/serviceCatalog.ts
+++ b/packages/coordination/src/catalog/serviceCatalog.ts
@@ -1,14 +1,13 @@
 /** What one instance believes of the configuration, the replicas and the named weight versions, and how old that is. */
 import type { Milliseconds } from '../common/index.js'
-import type { CatalogListing, Replica, Revised, RoutingConfiguration } from './messages.js'
+import type { CatalogListing, NamedWeightVersion, Replica, Revised, RoutingConfiguration } from './messages.js'
+import { NEWS_MARGIN } from './readSchedule.js'
 import { RouteTable } from './routeTable.js'
 
 /** Settings of the catalog. */
 export interface CatalogSettings {
   /** How long entries that lapsed while the store was away may take to return once it answers again. */
   returnGrace: Milliseconds
-  /** How long ago something may have been named that a new process finds in its first listing. */
-  unknownAge: Milliseconds
   /** Listings further apart than this leave open what happened between them. */
   longestGap: Milliseconds
 }
@@ -19,11 +18,13 @@
   | { kind: 'replica-added', replica: Replica }
   | { kind: 'replica-draining', replica: Replica }
   | { kind: 'replica-removed', replica: Replica, reason: 'unlisted' | 'restarted' }
-  /** `namedAfter` is the earliest time at which it may have been named. */
-  | { kind: 'weight-version', model: string, version: number, namedAfter: Milliseconds }
+  /** `namedAfter` is the earliest time at which it may have been named; -Infinity where that is not known. */
+  | { kind: 'weight-version' | 'weight-version-dated', model: string, version: number, namedAfter: Milliseconds }
 
-/** Versions kept of each model: the one in force, and those that replicas may still have to reach. */
-const KEPT_VERSIONS = 4
+/** A version is forgotten once a newer one has been named for this long: longer than any bound that counts from a naming. */
+const REPLACED_VERSIONS_KEPT: Milliseconds = 60_000
+/** Ages are told for this long after a naming; by then an unknown age leads to the same decisions. */
+const NAMING_NEWS: Milliseconds = 15_000
 
 interface KnownReplica extends Revised<Replica> {
   /** Whether it was listed since the store was last away. */
@@ -31,8 +32,8 @@
 }
 
 interface NamedVersion extends Revised<number> {
-  /** When it may have been named at the earliest: at the last listing that lacked it. */
-  seenAt: Milliseconds
+  /** When it may have been named at the earliest: at the last listing that lacked it, here or at another instance. */
+  namedAfter: Milliseconds
 }
 
 /** Holds the beliefs. A higher revision of the store always wins, whoever told it; nothing goes back within one run. */
@@ -78,9 +79,9 @@
   }
 
   /** The named weight version of a model, and when it may have been named at the earliest. */
-  namedVersion (model: string): { version: number, seenAt: Milliseconds } | undefined {
+  namedVersion (model: string): { version: number, namedAfter: Milliseconds } | undefined {
     const named = this._weightVersions.get(model)?.at(-1)
-    return named === undefined ? undefined : { version: named.value, seenAt: named.seenAt }
+    return named === undefined ? undefined : { version: named.value, namedAfter: named.namedAfter }
   }
 
   /**
@@ -88,7 +89,7 @@
    * asks for.
    */
   versionNamedBefore (model: string, time: Milliseconds): number | undefined {
-    return this._weightVersions.get(model)?.findLast(({ seenAt }) => seenAt <= time)?.value
+    return this._weightVersions.get(model)?.findLast(({ namedAfter }) => namedAfter <= time)?.value
   }
 
   /** The models with a named weight version. */
@@ -102,7 +103,7 @@
       this._graceUntil = now + this._settings.returnGrace
       for (const known of this._replicas.values()) known.isConfirmed = false
     }
-    const changes = this._takeHigher(listing, now)
+    const changes = this._takeHigher(listing, this._listedAt, now)
     this._listedAt = askedAt
     const listed = new Set(listing.replicas.map(({ value }) => value.id))
     for (const [id, known] of this._replicas) {
@@ -124,13 +125,27 @@
     if (Number.isFinite(this._listedAt)) this._listedAt = Math.max(this._listedAt, time)
   }
 
-  /** Takes what another instance knows: only what is newer, and no removals. */
-  applyPeerListing (listing: CatalogListing, now: Milliseconds): CatalogChange[] {
-    const changes = this._takeHigher(listing, now)
+  /** Takes what another instance, asked at `askedAt`, knows: only what is newer, and no removals. */
+  applyPeerListing (listing: CatalogListing, askedAt: Milliseconds, now: Milliseconds): CatalogChange[] {
+    const changes = this._takeHigher(listing, this._listedAt, now)
+    changes.push(...this._date(listing.weightVersions, askedAt))
     this._index()
     return changes
   }
 
+  /** What to tell the other instances of versions named lately: one that has just started cannot know for how long they are. */
+  recentNamings (now: Milliseconds): NamedWeightVersion[] {
+    return [...this._weightVersions].flatMap(([model, versions]) => {
+      const isRecent = now - (versions.at(-1)?.namedAfter ?? -Infinity) < NAMING_NEWS
+      return isRecent ? versions.map(version => describeNaming(model, version, now)) : []
+    })
+  }
+
+  /** Takes what another instance tells of versions named lately. */
+  hearNamings (namings: readonly NamedWeightVersion[], now: Milliseconds): CatalogChange[] {
+    return this._date(namings, now - NEWS_MARGIN)
+  }
+
   /** An answer or a report of this run of the replica named its weight version, which is newer than its registration. */
   observeWeightVersion (replica: Replica, model: string, version: number): boolean {
     const known = this._replicas.get(replica.id)
@@ -142,26 +157,52 @@
   }
 
   /** What this instance tells one that starts without the store. */
-  get listing (): CatalogListing {
+  listing (now: Milliseconds): CatalogListing {
     const configuration = this._configuration
     return {
       configuration: configuration && { revision: configuration.revision, value: configuration.value.configuration },
       replicas: [...this._replicas.values()].map(({ revision, value }) => ({ revision, value })),
       weightVersions: [...this._weightVersions].flatMap(([model, versions]) => (
-        versions.map(({ revision, value }) => ({ revision, value: { model, version: value } }))))
+        versions.map(version => describeNaming(model, version, now))))
     }
   }
 
-  private _takeHigher (listing: CatalogListing, now: Milliseconds): CatalogChange[] {
+  /** @param namedAfter when versions that are new may have been named at the earliest */
+  private _takeHigher (listing: CatalogListing, namedAfter: Milliseconds, now: Milliseconds): CatalogChange[] {
     const changes: CatalogChange[] = []
-    const seenAt = Number.isFinite(this._listedAt) ? this._listedAt : now - this._settings.unknownAge
     this._takeConfiguration(listing.configuration, changes)
     for (const replica of listing.replicas) this._takeReplica(replica, changes)
     for (const { revision, value: { model, version } } of listing.weightVersions) {
       const known = this._weightVersions.get(model) ?? []
       if ((known.at(-1)?.value ?? 0) >= version) continue
-      this._weightVersions.set(model, [...known.slice(1 - KEPT_VERSIONS), { revision, value: version, seenAt }])
-      changes.push({ kind: 'weight-version', model, version, namedAfter: seenAt })
+      const versions = [...known, { revision, value: version, namedAfter }]
+      const inForce = versions.findLastIndex(named => named.namedAfter <= now - REPLACED_VERSIONS_KEPT)
+      this._weightVersions.set(model, versions.slice(Math.max(0, inForce)))
+      changes.push({ kind: 'weight-version', model, version, namedAfter })
+    }
+    return changes
+  }
+
+  /**
+   * Takes the ages that another instance tells. Where the newest version is not the same, that instance may know nothing of
+   * those before it, and the own bounds stay.
+   * @param toldAt the earliest time at which the ages were told
+   */
+  private _date (namings: readonly NamedWeightVersion[], toldAt: Milliseconds): CatalogChange[] {
+    const changes: CatalogChange[] = []
+    for (const [model, known] of this._weightVersions) {
+      const told = namings.filter(({ value }) => value.model === model)
+      if (told.at(-1)?.value.version !== known.at(-1)?.value) continue
+      const versions = new Map(known.map(version => [version.value, version]))
+      for (const { revision, value: { version }, age = Infinity } of told) {
+        const namedAfter = Math.max(toldAt - age, versions.get(version)?.namedAfter ?? -Infinity)
+        versions.set(version, { revision, value: version, namedAfter })
+      }
+      const newest = versions.get(known.at(-1)?.value ?? 0)
+      if (newest !== undefined && newest.namedAfter !== known.at(-1)?.namedAfter) {
+        changes.push({ kind: 'weight-version-dated', model, version: newest.value, namedAfter: newest.namedAfter })
+      }
+      this._weightVersions.set(model, [...versions.values()].sort((left, right) => left.value - right.value))
     }
     return changes
   }
@@ -205,3 +246,8 @@
   }
   return { ...replica, weightVersions }
 }
+
+function describeNaming (model: string, { revision, value, namedAfter }: NamedVersion, now: Milliseconds): NamedWeightVersion {
+  const naming = { revision, value: { model, version: value } }
+  return Number.isFinite(namedAfter) ? { ...naming, age: Math.ceil(now - namedAfter) } : naming
+}
--- a/packages/coordination/src/fronts/frontDirectory.spec.ts
+++ b/packages/coordination/src/fronts/frontDirectory.spec.ts
@@ -9,6 +9,7 @@
   from,
   isReady: true,
   named: [from],
+  namings: [],
   loads: {},
   sent: [],
   stores: [],
--- a/packages/coordination/src/fronts/messages.ts
+++ b/packages/coordination/src/fronts/messages.ts
@@ -1,6 +1,6 @@
 /** What the instances tell the store and each other about themselves. */
 import { z } from 'zod'
-import { catalogNewsSchema } from '../catalog/index.js'
+import { catalogNewsSchema, namedWeightVersionSchema } from '../catalog/index.js'
 
 /** An instance as it registers itself in the store. */
 export const frontRecordSchema = z.object({
@@ -27,6 +27,8 @@
   isReady: z.boolean(),
   /** The sender's copy of the store. */
   catalog: catalogNewsSchema.optional(),
+  /** Weight versions named lately, and for how long the sender knows them to have been named at the most. */
+  namings: z.array(namedWeightVersionSchema),
   /** Instances, the sender among them, in turn: a newcomer learns of them without the store, and of its own former run. */
   named: z.array(frontRecordSchema),
   /**
--- a/packages/gateway/src/catalog/catalogLoop.ts
+++ b/packages/gateway/src/catalog/catalogLoop.ts
@@ -154,10 +154,11 @@
     if (addresses.length === 0) return
     const address = peer?.controlAddress ?? random.pick(addresses)
     try {
+      const askedAt = now()
       const listing = await askPeerListing(address, this._settings.peerTimeout)
       this._peerRevision = Math.max(this._peerRevision, listing.revision)
       fronts.learn(listing.fronts, now())
-      this._take(catalog.applyPeerListing(listing.catalog, now()))
+      this._take(catalog.applyPeerListing(listing.catalog, askedAt, now()))
     } catch (error) {
       this._state.log.decision('peer-listing-failed', { address, detail: String(error) })
     }
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -2,7 +2,8 @@
 import dgram from 'node:dgram'
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import {
-  heartbeatSchema, intervalsForRound, type CatalogNews, type FrontRecord, type Heartbeat, type Milliseconds, type ReplicaLoad
+  heartbeatSchema, intervalsForRound, type CatalogChange, type CatalogNews, type FrontRecord, type Heartbeat, type Milliseconds,
+  type ReplicaLoad
 } from '@wasabihead/coordination'
 import { splitAddress } from '../channels/index.js'
 import type { GatewayState } from '../requests/index.js'
@@ -18,6 +19,8 @@
   isReady (): boolean
   /** A peer told of its copy of the store. */
   onCatalogNews (news: CatalogNews, peer: FrontRecord | undefined): void
+  /** What a peer told changed a belief. */
+  onCatalogChange (change: CatalogChange): void
 }
 
 /** A larger datagram would be split on its way. */
@@ -88,6 +91,7 @@
       from: { name: fronts.self.name, incarnation: fronts.self.incarnation, isLeaving: fronts.self.isLeaving },
       isReady: this._owner.isReady(),
       catalog: readSchedule.news(mirror.changedAt, now()),
+      namings: this._state.catalog.recentNamings(now()),
       named: this._named(),
       loads,
       sent: sentPrompts.take().map(({ replicaId, salt, parts }) => (
@@ -137,7 +141,8 @@
     }
     for (const [address, excess] of heartbeat.fetched) this._state.storedParts.onFetchedElsewhere(address, excess, now)
     for (const crash of heartbeat.crashes) this._state.crashes.hear(crash, now)
-    const { catalog, from } = heartbeat
+    const { catalog, from, namings } = heartbeat
+    for (const change of this._state.catalog.hearNamings(namings, now)) this._owner.onCatalogChange(change)
     if (catalog !== undefined) this._owner.onCatalogNews(catalog, this._state.fronts.peer(from.name))
   }
 
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -98,7 +98,8 @@
     this._registration = new Registration(this.state, adapter.store, { key, ...settings.registration })
     this._heartbeats = new Heartbeats(this.state, settings.heartbeats, {
       isReady: () => this.isReady,
-      onCatalogNews: (news, peer) => { this._catalogLoop.hear(news, peer) }
+      onCatalogNews: (news, peer) => { this._catalogLoop.hear(news, peer) },
+      onCatalogChange: change => { this._onChange(change) }
     })
     const rollout = { roleKey, ...settings.rollout }
     this._rollout = new RolloutLoop(this.state, adapter.store, rollout, () => this._catalogLoop.ownValues, leaseNow)
@@ -182,7 +183,7 @@
 
   private _peerListing (): PeerListing {
     const { catalog, mirror, fronts, now } = this.state
-    return { revision: mirror.revision, catalog: catalog.listing, fronts: [fronts.self, ...fronts.livePeers(now())] }
+    return { revision: mirror.revision, catalog: catalog.listing(now()), fronts: [fronts.self, ...fronts.livePeers(now())] }
   }
 
   private _tick (): void {
@@ -199,6 +200,11 @@
     this.state.log.tick()
   }
 
+  /** In milliseconds; undefined where the time is not known. */
+  private _ageOf (time: Milliseconds): number | undefined {
+    return Number.isFinite(time) ? Math.round(this.state.now() - time) : undefined
+  }
+
   private _configureStores (): void {
     const services = this.state.catalog.routes?.configuration.services ?? []
     this.state.storedParts.configure(services.flatMap(({ cacheStore }) => cacheStore ?? []))
@@ -214,8 +220,9 @@
         log.change('configuration-in-force', { version: change.version, revision: change.revision })
         break
       case 'weight-version':
-        log.change('weight-version-named', {
-          model: change.model, version: change.version, age: Math.round(this.state.now() - change.namedAfter)
+      case 'weight-version-dated':
+        log.change(change.kind === 'weight-version' ? 'weight-version-named' : change.kind, {
+          model: change.model, version: change.version, age: this._ageOf(change.namedAfter)
         })
         break
       case 'replica-added':
