fix(heartbeats): drop what waited while the process stood still

A heartbeat tells how old its sender's copy of the store is, and the receiver counted that from when it read the message. After a pause the messages that had waited in the socket made an old copy look good as of now, so that a version named during the pause was dated to its end: requests could leave replaced weights as much later as the pause was long (VERSION). The same held for what peers tell of the cache stores (MIXED, where one had restarted meanwhile). Evidence: the new case of weightVersions.spec.ts stops a gateway, names a version and lets it go on 1,496 ms later; before, it dated the naming 169 ms back ('named 1496 ms before the pause ended, and taken to be 169 ms old'). Now messages read before the first tick after a gap of three intervals, or within one interval of it, are dropped and logged, and beliefs of the stores are doubted. Messages repeat each interval, so nothing but the part lists of that time is lost.

--- a/packages/coordination/src/stores/storedParts.ts
+++ b/packages/coordination/src/stores/storedParts.ts
@@ -165,6 +165,11 @@
     store.isRelayed = true
   }
 
+  /** This process stood still: what it believes of the stores counts again once each was asked anew. */
+  doubtAll (): void {
+    for (const store of this._stores.values()) store.answeredAt = -Infinity
+  }
+
   /** The stores' clock at a time of this instance's clock; undefined until a store has told it. */
   storeClockAt (time: Milliseconds): Milliseconds | undefined {
     return this._clockOffset === undefined ? undefined : Math.floor(time + this._clockOffset)
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -2,8 +2,8 @@
 import dgram from 'node:dgram'
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import {
-  heartbeatSchema, intervalsForRound, type CatalogChange, type CatalogNews, type FrontRecord, type Heartbeat, type Milliseconds,
-  type ReplicaLoad
+  heartbeatSchema, intervalsForRound, PauseGuard, type CatalogChange, type CatalogNews, type FrontRecord, type Heartbeat,
+  type Milliseconds, type ReplicaLoad
 } from '@wasabihead/coordination'
 import { splitAddress } from '../channels/index.js'
 import type { GatewayState } from '../requests/index.js'
@@ -23,6 +23,8 @@
   onCatalogChange (change: CatalogChange): void
 }
 
+/** Intervals without a round of the timer that show that the process stood still. */
+const PAUSE_INTERVALS = 3
 /** A larger datagram would be split on its way. */
 const MAXIMUM_BYTES = 60_000
 /** Instances named in one heartbeat. */
@@ -35,6 +37,7 @@
 /** Sends and takes heartbeats. */
 export class Heartbeats {
   private readonly _socket = dgram.createSocket('udp4')
+  private readonly _pauses: PauseGuard
   private _timer: NodeJS.Timeout | undefined
   private _ticks = 0
   private _round = 0
@@ -42,6 +45,8 @@
   constructor (
     private readonly _state: GatewayState, private readonly _settings: HeartbeatSettings, private readonly _owner: HeartbeatOwner
   ) {
+    const { interval } = _settings
+    this._pauses = new PauseGuard({ longestGap: PAUSE_INTERVALS * interval, settling: interval })
     this._socket.on('message', message => { this._take(message) })
     this._socket.on('error', error => { _state.log.warn('heartbeat-socket-failed', { detail: error.message }) })
   }
@@ -61,8 +66,13 @@
 
   /** Sends one round. */
   send (): void {
-    const { fronts } = this._state
+    const { fronts, log, storedParts, now } = this._state
     const { peers } = fronts
+    if (this._pauses.tick(now())) {
+      log.change('heartbeats-paused')
+      // A store that has restarted meanwhile may be written to again by now.
+      storedParts.doubtAll()
+    }
     this._ticks += 1
     if (this._ticks % intervalsForRound(peers.length) !== 0 && !fronts.self.isLeaving) return
     this._round += 1
@@ -122,6 +132,10 @@
       return
     }
     const now = this._state.now()
+    if (this._pauses.mayHaveWaited(now)) {
+      this._state.log.decision('heartbeat-waited', { from: heartbeat.from.name })
+      return
+    }
     this._state.fronts.hear(heartbeat, now)
     const loads = new Map<string, ReplicaLoad>()
     for (const [id, [requests, prefillTokens, memoryTokens]] of Object.entries(heartbeat.loads)) {
--- a/tests/platform/weightVersions.spec.ts
+++ b/tests/platform/weightVersions.spec.ts
@@ -62,4 +62,35 @@
   assert.equal(replaced.received.filter(({ url }) => url === '/events/x'), [])
 })
 
+// Found in review of whtt-grants inc1: heartbeats that waited in the socket told a thawed process that its old copy was good.
+test('should count a naming from before the pause in which it happened', async () => {
+  const peer = await fleet.startGateway('gateway-1')
+  await waitUntil(async () => (await call(gateway().addresses.directory, '/v1/resolve')).body.split(',').length > 2)
+  gateway().signal('SIGSTOP')
+  await waitForReads(peer, 2)
+  fleet.store.put(`op/version/${MODEL}`, { model: MODEL, version: 3 })
+  const namedAt = performance.now()
+  await waitUntil(async () => namingOf(peer, 3) !== undefined)
+  await waitForReads(peer, 2)
+  const elapsed = performance.now() - namedAt
+  gateway().signal('SIGCONT')
+  await waitUntil(async () => namingOf(gateway(), 3) !== undefined)
+  const age = namingOf(gateway(), 3)?.age ?? Infinity
+  assert.ok(age >= elapsed, `named ${Math.round(elapsed)} ms before the pause ended, and taken to be ${age} ms old`)
+})
+
+function linesOf ({ output }: GatewayProcess, event: string): { version?: number, age?: number }[] {
+  return output.split('\n').filter(line => line.includes(`"event":"${event}"`)).map(line => JSON.parse(line) as { version?: number, age?: number })
+}
+
+function namingOf (instance: GatewayProcess, version: number): { age?: number } | undefined {
+  return linesOf(instance, 'weight-version-named').find(line => line.version === version)
+}
+
+/** Waits until the instance has read the store so often again, and so has told its peers of it. */
+async function waitForReads (instance: GatewayProcess, count: number): Promise<void> {
+  const before = linesOf(instance, 'store-read').length
+  await waitUntil(async () => linesOf(instance, 'store-read').length >= before + count)
+}
+
 test.run()
