fix(gateway): count suspensions of the machine in the age of what others told

The steady clock stands still while a machine is suspended, while the bound that runs from the acknowledgement of a version goes on, so a gateway suspended for some seconds after a naming left replaced weights that much later. The catalog, its reading schedule and what requests ask of the weights now run on the clock that leases use, which adds what the time of day ran ahead. A time of day that is set forward makes beliefs look older, which does no harm.

--- a/packages/gateway/src/catalog/catalogLoop.ts
+++ b/packages/gateway/src/catalog/catalogLoop.ts
@@ -58,8 +58,8 @@
 
   /** Takes what a peer tells of its copy of the store, and reads the store where the own copy is behind. */
   hear (news: CatalogNews, peer: FrontRecord | undefined): void {
-    const { readSchedule, mirror, catalog, now } = this._state
-    const verdict = readSchedule.onNews(news, mirror.revision, now())
+    const { readSchedule, mirror, catalog, now, beliefNow } = this._state
+    const verdict = readSchedule.onNews(news, mirror.revision, beliefNow())
     if (verdict === 'confirmed') catalog.confirm(readSchedule.goodAt)
     const isTooSoon = !this._isStoreReachable && now() - this._endedAt < this._settings.retryDelay
     if (verdict !== 'behind' || this._isReading || this._isStopped || isTooSoon) return
@@ -81,7 +81,7 @@
   }
 
   private async _readOnce (peer: FrontRecord | undefined): Promise<boolean> {
-    const askedAt = this._state.now()
+    const askedAt = this._state.beliefNow()
     const before = this._state.mirror.revision
     const failure = await this._readStore()
     this._noteRead(askedAt, before, peer?.name, failure)
@@ -92,7 +92,7 @@
   }
 
   private _noteRead (askedAt: Milliseconds, before: number, peer: string | undefined, failure: string | undefined): void {
-    const { log, metrics, mirror, readSchedule, now } = this._state
+    const { log, metrics, mirror, readSchedule, beliefNow } = this._state
     metrics.count('store_reads_total', peer === undefined ? 'due' : 'told')
     log.decision('store-read', {
       toldBy: peer,
@@ -100,7 +100,7 @@
       before,
       revision: mirror.revision,
       changedAt: mirror.changedAt,
-      took: Math.round(now() - askedAt),
+      took: Math.round(beliefNow() - askedAt),
       failure
     })
   }
@@ -116,9 +116,9 @@
   }
 
   private _untilDue (): Milliseconds {
-    const { readSchedule, fronts, now } = this._state
+    const { readSchedule, fronts, now, beliefNow } = this._state
     const { name } = fronts.self
-    return readSchedule.nextReadAt(name, [name, ...fronts.livePeers(now()).map(peer => peer.name)]) - now()
+    return readSchedule.nextReadAt(name, [name, ...fronts.livePeers(now()).map(peer => peer.name)]) - beliefNow()
   }
 
   /** Brings the mirror up to date; gives the reason where that failed. */
@@ -137,16 +137,16 @@
   }
 
   private _takeMirror (askedAt: Milliseconds): void {
-    const { mirror, catalog, fronts, readSchedule, now } = this._state
+    const { mirror, catalog, fronts, readSchedule, now, beliefNow } = this._state
     const { catalog: listing, own } = this._source.decode(mirror.values)
     this._ownValues = own
     readSchedule.onRead(askedAt)
-    this._take(catalog.applyListing(listing, askedAt, now()))
+    this._take(catalog.applyListing(listing, askedAt, beliefNow()))
     fronts.applyRecords(this._frontRecords(own), now())
   }
 
   private async _askPeer (peer: FrontRecord | undefined): Promise<void> {
-    const { fronts, now, random, catalog, mirror, readSchedule } = this._state
+    const { fronts, now, beliefNow, random, catalog, mirror, readSchedule } = this._state
     const isStarting = catalog.routes === undefined
     if (!isStarting && !readSchedule.isBehind(Math.max(mirror.revision, this._peerRevision))) return
     const known = fronts.livePeers(now()).map(({ controlAddress }) => controlAddress)
@@ -154,11 +154,11 @@
     if (addresses.length === 0) return
     const address = peer?.controlAddress ?? random.pick(addresses)
     try {
-      const askedAt = now()
+      const askedAt = beliefNow()
       const listing = await askPeerListing(address, this._settings.peerTimeout)
       this._peerRevision = Math.max(this._peerRevision, listing.revision)
       fronts.learn(listing.fronts, now())
-      this._take(catalog.applyPeerListing(listing.catalog, askedAt, now()))
+      this._take(catalog.applyPeerListing(listing.catalog, askedAt, beliefNow()))
     } catch (error) {
       this._state.log.decision('peer-listing-failed', { address, detail: String(error) })
     }
@@ -183,8 +183,8 @@
   private _noteStore (isReachable: boolean, detail: string): void {
     if (isReachable === this._isStoreReachable) return
     this._isStoreReachable = isReachable
-    const { log, now, catalog } = this._state
-    log.change(isReachable ? 'store-regained' : 'store-lost', { detail, catalogAge: Math.round(now() - catalog.listedAt) })
+    const { log, beliefNow, catalog } = this._state
+    log.change(isReachable ? 'store-regained' : 'store-lost', { detail, catalogAge: Math.round(beliefNow() - catalog.listedAt) })
   }
 }
 
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -66,9 +66,9 @@
 
   /** Sends one round. */
   send (): void {
-    const { fronts, log, storedParts, now } = this._state
+    const { fronts, log, storedParts, beliefNow } = this._state
     const { peers } = fronts
-    if (this._pauses.tick(now())) {
+    if (this._pauses.tick(beliefNow())) {
       log.change('heartbeats-paused')
       // A store that has restarted meanwhile may be written to again by now.
       storedParts.doubtAll()
@@ -95,13 +95,13 @@
     for (const [id, load] of this._state.loads.local) {
       loads[id] = [load.requests, Math.round(load.prefillTokens), Math.round(load.memoryTokens)]
     }
-    const { fronts, sentPrompts, storedParts, loading, crashes, mirror, readSchedule, now } = this._state
+    const { fronts, sentPrompts, storedParts, loading, crashes, mirror, readSchedule, now, beliefNow } = this._state
     const orders = loading.toldBy(fronts.self.name, now())
     return {
       from: { name: fronts.self.name, incarnation: fronts.self.incarnation, isLeaving: fronts.self.isLeaving },
       isReady: this._owner.isReady(),
-      catalog: readSchedule.news(mirror.changedAt, now()),
-      namings: this._state.catalog.recentNamings(now()),
+      catalog: readSchedule.news(mirror.changedAt, beliefNow()),
+      namings: this._state.catalog.recentNamings(beliefNow()),
       named: this._named(),
       loads,
       sent: sentPrompts.take().map(({ replicaId, salt, parts }) => (
@@ -132,7 +132,8 @@
       return
     }
     const now = this._state.now()
-    if (this._pauses.mayHaveWaited(now)) {
+    const beliefNow = this._state.beliefNow()
+    if (this._pauses.mayHaveWaited(beliefNow)) {
       this._state.log.decision('heartbeat-waited', { from: heartbeat.from.name })
       return
     }
@@ -156,7 +157,7 @@
     for (const [address, excess] of heartbeat.fetched) this._state.storedParts.onFetchedElsewhere(address, excess, now)
     for (const crash of heartbeat.crashes) this._state.crashes.hear(crash, now)
     const { catalog, from, namings } = heartbeat
-    for (const change of this._state.catalog.hearNamings(namings, now)) this._owner.onCatalogChange(change)
+    for (const change of this._state.catalog.hearNamings(namings, beliefNow)) this._owner.onCatalogChange(change)
     if (catalog !== undefined) this._owner.onCatalogNews(catalog, this._state.fronts.peer(from.name))
   }
 
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -88,6 +88,7 @@
       zone: self.zone,
       oldWeights: settings.oldWeights,
       now,
+      beliefNow: leaseNow,
       random: new SeededRandom(seed)
     }
     this._front = new FrontServer(this.state)
@@ -182,8 +183,8 @@
   }
 
   private _peerListing (): PeerListing {
-    const { catalog, mirror, fronts, now } = this.state
-    return { revision: mirror.revision, catalog: catalog.listing(now()), fronts: [fronts.self, ...fronts.livePeers(now())] }
+    const { catalog, mirror, fronts, now, beliefNow } = this.state
+    return { revision: mirror.revision, catalog: catalog.listing(beliefNow()), fronts: [fronts.self, ...fronts.livePeers(now())] }
   }
 
   private _tick (): void {
@@ -202,7 +203,7 @@
 
   /** In milliseconds; undefined where the time is not known. */
   private _ageOf (time: Milliseconds): number | undefined {
-    return Number.isFinite(time) ? Math.round(this.state.now() - time) : undefined
+    return Number.isFinite(time) ? Math.round(this.state.beliefNow() - time) : undefined
   }
 
   private _configureStores (): void {
--- a/packages/gateway/src/requests/gatewayState.ts
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -37,5 +37,7 @@
   zone: string
   oldWeights: OldWeightsSettings
   now: () => Milliseconds
+  /** Counts suspensions of the machine: for the age of what was told by others, whose time went on. */
+  beliefNow: () => Milliseconds
   random: SeededRandom
 }
--- a/packages/gateway/src/requests/requestPlacement.ts
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -21,21 +21,19 @@
   select (tried: ReadonlySet<string>): Selection | undefined {
     const { catalog, fronts, loads, health, cachedParts, loading, storedParts, zone, random } = this._state
     const now = this._state.now()
-    const current = this._withCurrentWeights(catalog.usableReplicas(this.service), now)
+    const current = this._withCurrentWeights(catalog.usableReplicas(this.service))
     const candidates = current.filter(({ id }) => !loading.has(id, now))
     return selectReplica({
       // A replica that is loading refuses requests until it is done.
       candidates: candidates.length > 0 ? candidates : current,
       tried,
-      demand: this._demand(now)
+      demand: this._demand()
     }, { loads, health, cachedParts, stores: storedParts, zone, instances: fronts.size(now), random, now })
   }
 
   /** The oldest weight version that the request may be sent to; undefined where any will do. */
-  requiredVersion (now: Milliseconds): number | undefined {
-    const { prompt } = this._request.head
-    if (prompt === undefined) return undefined
-    return this._state.catalog.versionNamedBefore(prompt.model, now - this._state.oldWeights.excludeAfter)
+  get requiredVersion (): number | undefined {
+    return this._versionNamedFor(this._state.oldWeights.excludeAfter)
   }
 
   /** Whether a request that was not sent yet goes to the selected replica now. */
@@ -69,22 +67,29 @@
     else for (const address of fetchLoads.keys()) storedParts.onFetched(address, excess, now)
   }
 
-  private _withCurrentWeights (replicas: readonly Replica[], now: Milliseconds): readonly Replica[] {
+  private _withCurrentWeights (replicas: readonly Replica[]): readonly Replica[] {
     const { prompt } = this._request.head
-    const required = this.requiredVersion(now)
+    const required = this.requiredVersion
     if (prompt === undefined || required === undefined) return replicas
     return replicas.filter(({ weightVersions }) => (weightVersions[prompt.model] ?? 0) >= required)
   }
 
-  private _demand (now: Milliseconds): PromptDemand | undefined {
+  private _demand (): PromptDemand | undefined {
     const { catalog, oldWeights } = this._state
     const { prompt } = this._request.head
     const engine = catalog.routes?.service(this.service)?.engine
     if (prompt === undefined || engine === undefined) return undefined
-    const wantedVersion = catalog.versionNamedBefore(prompt.model, now - oldWeights.avoidAfter)
+    const wantedVersion = this._versionNamedFor(oldWeights.avoidAfter)
     const saltFor = (weightVersion: number): string => saltOf({ wall: this._wall, model: prompt.model, weightVersion })
     return { prompt, engine, saltFor, wantedVersion }
   }
+
+  /** The newest weight version that may have been named for a duration. */
+  private _versionNamedFor (duration: Milliseconds): number | undefined {
+    const { catalog, beliefNow } = this._state
+    const { prompt } = this._request.head
+    return prompt === undefined ? undefined : catalog.versionNamedBefore(prompt.model, beliefNow() - duration)
+  }
 }
 
 function pickService ({ route }: CallerRequest, sample: number): string {
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -105,13 +105,13 @@
       fetchedTokens: selection.fetchedTokens,
       salt: selection.salt,
       weightVersion: replica.weightVersions[request.head.prompt?.model ?? ''],
-      requiredVersion: this._placement.requiredVersion(now),
+      requiredVersion: this._placement.requiredVersion,
       parts: request.head.prompt?.parts.map(({ id, tokens }, index) => `${id}:${tokens}:${selection.origins[index] ?? 'read'}`).join(','),
       saves: selection.saves?.map(address => address === undefined ? '-' : '+').join(''),
       wait: Math.round(selection.wait),
       isReusedChannel: channel.completed > 0,
       configurationRevision: state.catalog.configurationRevision,
-      catalogAge: Math.round(now - state.catalog.listedAt)
+      catalogAge: Math.round(state.beliefNow() - state.catalog.listedAt)
     })
     attempt.watchSilence(this._firstSilence(), elapsed => { this._onSilence(attempt, elapsed) })
     channel.send({
--- a/packages/gateway/src/rollout/rolloutLoop.ts
+++ b/packages/gateway/src/rollout/rolloutLoop.ts
@@ -54,7 +54,7 @@
   /** Starts, and goes on until stopped. */
   start (): void {
     this._tick()
-    const isCandidate = this.isHolder || this._state.readSchedule.isReading(this._state.now())
+    const isCandidate = this.isHolder || this._state.readSchedule.isReading(this._state.beliefNow())
     const delay = isCandidate ? this._settings.interval : this._settings.idleInterval
     this._timer = setTimeout(() => { this.start() }, delay)
   }
@@ -70,7 +70,7 @@
     const now = state.now()
     const leaseNow = this._leaseNow()
     // Only an instance that keeps up with the store sees the holder's renewals.
-    this._tell({ kind: 'want', isWanted: this.isHolder || state.readSchedule.isReading(now) })
+    this._tell({ kind: 'want', isWanted: this.isHolder || state.readSchedule.isReading(state.beliefNow()) })
     const epoch = this._keeper.epoch(leaseNow)
     if (epoch !== this._epoch) this._noteEpoch(epoch, leaseNow)
     const { name } = state.fronts.self
@@ -139,7 +139,7 @@
       return
     }
     const { expectedRevision, record } = effect
-    this._writtenAt = this._state.now()
+    this._writtenAt = this._state.beliefNow()
     const written = await this._store.compareAndSwap({ key, expectedRevision, value: JSON.stringify(record) })
     if (written.isErr) this._tell({ kind: 'call-failed' })
     else this._tell({ kind: 'role-written', outcome: written.value })
--- a/packages/gateway/src/stores/storeCollector.ts
+++ b/packages/gateway/src/stores/storeCollector.ts
@@ -51,10 +51,10 @@
 
   /** Whether a newer version was named long ago and every replica of the model has it. */
   private _isStale (salt: string): boolean {
-    const { catalog, now } = this._state
+    const { catalog, beliefNow } = this._state
     const space = spaceOf(salt)
     if (space === undefined) return false
-    const required = catalog.versionNamedBefore(space.model, now() - this._settings.freeAfter)
+    const required = catalog.versionNamedBefore(space.model, beliefNow() - this._settings.freeAfter)
     if (required === undefined || space.weightVersion >= required) return false
     return catalog.replicas.every(({ weightVersions }) => (weightVersions[space.model] ?? required) >= required)
   }
--- a/tests/platform/weightVersions.spec.ts
+++ b/tests/platform/weightVersions.spec.ts
@@ -39,15 +39,19 @@
 }
 
 async function prompt (): Promise<{ status: number }> {
-  return await call(gateway().addresses.front, '/events/x', { headers: PROMPT_HEADERS })
+  return await promptAt(gateway())
 }
 
-async function restart (): Promise<void> {
-  gateway().signal('SIGKILL')
-  await gateway().exited
-  gateway().startAgain()
-  await waitUntil(async () => gateway().isAtWork)
-  await waitUntil(async () => (await call(gateway().addresses.ready, '/v1/ready')).status === 200)
+async function promptAt ({ addresses }: GatewayProcess): Promise<{ status: number }> {
+  return await call(addresses.front, '/events/x', { headers: PROMPT_HEADERS })
+}
+
+async function restart (instance: GatewayProcess): Promise<void> {
+  instance.signal('SIGKILL')
+  await instance.exited
+  instance.startAgain()
+  await waitUntil(async () => instance.isAtWork)
+  await waitUntil(async () => (await call(instance.addresses.ready, '/v1/ready')).status === 200)
 }
 
 test('should go on with replaced weights for a while where the naming was seen', async () => {
@@ -56,7 +60,7 @@
 
 // whtt-grants inc1: VERSION, gateways that restarted took a version named 7 s before for one named 3 s before.
 test('should send nothing to replaced weights after a restart that forgot when they were replaced', async () => {
-  await restart()
+  await restart(gateway())
   replaced.received.splice(0)
   assert.is((await prompt()).status, 503)
   assert.equal(replaced.received.filter(({ url }) => url === '/events/x'), [])
@@ -79,6 +83,21 @@
   assert.ok(age >= elapsed, `named ${Math.round(elapsed)} ms before the pause ended, and taken to be ${age} ms old`)
 })
 
+// Found in review of whtt-grants inc1: the steady clock stands still while a machine is suspended, the fleet's bound goes on.
+test('should count a suspension of the machine in the age of a naming', async () => {
+  fleet.register(replaced, 'desk', { models: [{ name: MODEL, version: 2 }], seq: 2 })
+  const suspended = await fleet.startGateway('gateway-1', { hasClockFault: true })
+  suspended.changeSettings({ bounds: { version_ms: 62_000 } })
+  await restart(suspended)
+  await waitUntil(async () => (await promptAt(suspended)).status === 200)
+  fleet.store.put(`op/version/${MODEL}`, { model: MODEL, version: 3 })
+  await waitUntil(async () => namingOf(suspended, 3) !== undefined)
+  assert.is((await promptAt(suspended)).status, 200)
+  // Only the time of day shows a suspension to a process; here it is set on by as much.
+  suspended.setClockOffset(70_000)
+  await waitUntil(async () => (await promptAt(suspended)).status === 503)
+})
+
 function linesOf ({ output }: GatewayProcess, event: string): { version?: number, age?: number }[] {
   return output.split('\n').filter(line => line.includes(`"event":"${event}"`)).map(line => JSON.parse(line) as { version?: number, age?: number })
 }
