fix(stores): free replaced parts only after the newer weights were surely named

The collector waits until no fetch of a replaced version's parts can be under way, counted from the earliest time at which the newer one may have been named. After a restart, or a cut from the store, that time is long past although the version may be a moment old, so that parts could be freed while they are fetched (MIXED). What must not come too early now counts from when this instance learned of the version; what must not come too late goes on counting from the earliest naming. With the former bound both new cases fail: 2 instead of undefined at 19,999 ms.

--- a/packages/coordination/src/catalog/catalog.spec.ts
+++ b/packages/coordination/src/catalog/catalog.spec.ts
@@ -151,6 +151,20 @@
   })
 }
 
+// Found in review of whtt-grants inc1: parts of replaced weights were freed at once after a restart or a cut, fetches or not.
+const learned = [
+  { title: 'a restart', listings: [20_000] },
+  { title: 'a cut from the store', listings: [0, 20_000] }
+]
+for (const { title, listings } of learned) {
+  test(`should count from when a version was surely named what must not come too early after ${title}`, () => {
+    const catalog = new ServiceCatalog(settings)
+    for (const at of listings) catalog.applyListing(listing([], { weightVersions: at === 0 ? [] : [named(2)] }), at, at)
+    assert.equal([19_999, 20_000].map(time => catalog.versionKnownBefore('m', time)), [undefined, 2])
+    assert.is(catalog.versionNamedBefore('m', 0), 2)
+  })
+}
+
 test('should tell the ages of versions named lately, and of those before them', () => {
   const catalog = new ServiceCatalog(settings)
   catalog.applyListing(listing([], { weightVersions: [named(2)] }), 0, 0)
--- a/packages/coordination/src/catalog/serviceCatalog.ts
+++ b/packages/coordination/src/catalog/serviceCatalog.ts
@@ -34,6 +34,8 @@
 interface NamedVersion extends Revised<number> {
   /** When it may have been named at the earliest: at the last listing that lacked it, here or at another instance. */
   namedAfter: Milliseconds
+  /** When this instance learned of it: it was named by then at the latest. */
+  knownSince: Milliseconds
 }
 
 /** Holds the beliefs. A higher revision of the store always wins, whoever told it; nothing goes back within one run. */
@@ -92,6 +94,11 @@
     return this._weightVersions.get(model)?.findLast(({ namedAfter }) => namedAfter <= time)?.value
   }
 
+  /** The newest weight version of a model that was surely named at or before a time. */
+  versionKnownBefore (model: string, time: Milliseconds): number | undefined {
+    return this._weightVersions.get(model)?.findLast(({ knownSince }) => knownSince <= time)?.value
+  }
+
   /** The models with a named weight version. */
   get namedModels (): string[] {
     return [...this._weightVersions.keys()]
@@ -128,7 +135,7 @@
   /** Takes what another instance, asked at `askedAt`, knows: only what is newer, and no removals. */
   applyPeerListing (listing: CatalogListing, askedAt: Milliseconds, now: Milliseconds): CatalogChange[] {
     const changes = this._takeHigher(listing, this._listedAt, now)
-    changes.push(...this._date(listing.weightVersions, askedAt))
+    changes.push(...this._date(listing.weightVersions, askedAt, now))
     this._index()
     return changes
   }
@@ -143,7 +150,7 @@
 
   /** Takes what another instance tells of versions named lately. */
   hearNamings (namings: readonly NamedWeightVersion[], now: Milliseconds): CatalogChange[] {
-    return this._date(namings, now - NEWS_MARGIN)
+    return this._date(namings, now - NEWS_MARGIN, now)
   }
 
   /** An answer or a report of this run of the replica named its weight version, which is newer than its registration. */
@@ -175,7 +182,7 @@
     for (const { revision, value: { model, version } } of listing.weightVersions) {
       const known = this._weightVersions.get(model) ?? []
       if ((known.at(-1)?.value ?? 0) >= version) continue
-      const versions = [...known, { revision, value: version, namedAfter }]
+      const versions = [...known, { revision, value: version, namedAfter, knownSince: now }]
       const inForce = versions.findLastIndex(named => named.namedAfter <= now - REPLACED_VERSIONS_KEPT)
       this._weightVersions.set(model, versions.slice(Math.max(0, inForce)))
       changes.push({ kind: 'weight-version', model, version, namedAfter })
@@ -188,15 +195,15 @@
    * those before it, and the own bounds stay.
    * @param toldAt the earliest time at which the ages were told
    */
-  private _date (namings: readonly NamedWeightVersion[], toldAt: Milliseconds): CatalogChange[] {
+  private _date (namings: readonly NamedWeightVersion[], toldAt: Milliseconds, now: Milliseconds): CatalogChange[] {
     const changes: CatalogChange[] = []
     for (const [model, known] of this._weightVersions) {
       const told = namings.filter(({ value }) => value.model === model)
       if (told.at(-1)?.value.version !== known.at(-1)?.value) continue
       const versions = new Map(known.map(version => [version.value, version]))
       for (const { revision, value: { version }, age = Infinity } of told) {
-        const namedAfter = Math.max(toldAt - age, versions.get(version)?.namedAfter ?? -Infinity)
-        versions.set(version, { revision, value: version, namedAfter })
+        const own = versions.get(version) ?? { revision, value: version, namedAfter: -Infinity, knownSince: now }
+        versions.set(version, { ...own, namedAfter: Math.max(toldAt - age, own.namedAfter) })
       }
       const newest = versions.get(known.at(-1)?.value ?? 0)
       if (newest !== undefined && newest.namedAfter !== known.at(-1)?.namedAfter) {
--- a/packages/gateway/src/stores/storeCollector.ts
+++ b/packages/gateway/src/stores/storeCollector.ts
@@ -6,7 +6,7 @@
 /** Settings of the collector. */
 export interface StoreCollectorSettings {
   interval: Milliseconds
-  /** Parts of a version are freed only this long after a newer one was named, when no fetch of them can be under way. */
+  /** Parts of a version are freed only this long after a newer one was surely named, when no fetch of them can be under way. */
   freeAfter: Milliseconds
   callTimeout: Milliseconds
 }
@@ -54,7 +54,7 @@
     const { catalog, beliefNow } = this._state
     const space = spaceOf(salt)
     if (space === undefined) return false
-    const required = catalog.versionNamedBefore(space.model, beliefNow() - this._settings.freeAfter)
+    const required = catalog.versionKnownBefore(space.model, beliefNow() - this._settings.freeAfter)
     if (required === undefined || space.weightVersion >= required) return false
     return catalog.replicas.every(({ weightVersions }) => (weightVersions[space.model] ?? required) >= required)
   }
