test(promises): keep the seeds on which two proofs fail

- configuration-in-force: an instance that hears nobody takes new work 16.1 to 19.1 s after it was cut off, bound 16 s, with seeds 771013, 900073, 900158, 900208, 900330, 900471 and 900555.

--- a/tests/promises/configurationInForce.spec.ts
+++ b/tests/promises/configurationInForce.spec.ts
@@ -5,6 +5,8 @@
 } from './configurationInForce.js'
 
 const RUNS = 15
+/** Runs in which a cut-off instance went on taking work for longer than the bound. */
+const SEEDS_OF_ISOLATED_WORK = [771_013, 900_073, 900_158, 900_208, 900_330, 900_471, 900_555]
 const RUNS_OF_BROKEN_VARIANT = 60
 const END = 60_000
 
@@ -75,4 +77,10 @@
   for (let seed = 1; seed <= RUNS; seed++) assert.equal(proof.run(seed).violations, [], `seed ${seed}`)
 })
 
+for (const seed of SEEDS_OF_ISOLATED_WORK) {
+  test(`should stop the work of a cut-off instance in time with seed ${seed}`, () => {
+    assert.equal(new ConfigurationInForceProof().run(seed).violations, [])
+  })
+}
+
 test.run()
--- a/tests/promises/leaving.spec.ts
+++ b/tests/promises/leaving.spec.ts
@@ -4,6 +4,8 @@
 import { checkLeaving, LeavingProof } from './leaving.js'
 
 const RUNS = 6
+/** Runs in which an instance went on giving work to a server long after its leaving was shown. */
+const SEEDS_OF_WORK_AFTER_LEAVING = [5_000_020, 9_120_562, 20_261_211]
 const FORGOTTEN_AFTER = 10_000
 
 test('should find new work at a server long after its leaving was shown', () => {
@@ -52,4 +54,10 @@
   for (const count of ['leaving', 'lost', 'killed', 'work']) assert.ok(runs.every(run => (run.counts[count] ?? 0) > 0), count)
 })
 
+for (const seed of SEEDS_OF_WORK_AFTER_LEAVING) {
+  test(`should give no new work to a server long after its leaving was shown with seed ${seed}`, () => {
+    assert.equal(new LeavingProof().run(seed).violations, [])
+  })
+}
+
 test.run()
