fix(configuration): count a confirmation from when it was asked for

Cause: the spread noted the time at which a word was handled.

Ruled out: slow answers without a freeze.

Now a message carries the time at which this instance began the call that it answers, and only that time confirms. A probe by another and a word of the watch have no known age: they tell of a revision as before, and confirm nothing. An instance probes each second, so it has its own answers to go by.

An instance that others reach but that reaches nobody itself now stops taking new work after 15 s; before, the calls of others kept it going.

--- a/examples/embedding/src/settingsSpread.ts
+++ b/examples/embedding/src/settingsSpread.ts
@@ -29,7 +29,8 @@
   /** Hears from another process; a higher revision there is fetched. */
   meet (other: SettingsHolder, now: Milliseconds): void {
     this._handle({ kind: 'tick', self: this.member, members: [this.member, other.member] }, now)
-    this._handle({ kind: 'revision-seen', host: other.member.host, revision: other._spread.state.version.revision }, now)
+    const { revision } = other._spread.state.version
+    this._handle({ kind: 'revision-seen', host: other.member.host, revision, askedAt: now }, now)
   }
 
   private _handle (message: SpreadMessage, now: Milliseconds): void {
@@ -39,7 +40,7 @@
   private _perform (effect: SpreadEffect, now: Milliseconds): void {
     if (effect.kind !== 'fetch') return
     const record = this._peers(effect.host)?._spread.state.current
-    this._handle({ kind: 'fetched', host: effect.host, record }, now)
+    this._handle({ kind: 'fetched', host: effect.host, record, askedAt: now }, now)
   }
 }
 
--- a/packages/coordination/src/configuration/configuration.spec.ts
+++ b/packages/coordination/src/configuration/configuration.spec.ts
@@ -3,7 +3,7 @@
 import { contentDigest, SeededRandom } from '../common/index.js'
 import type { Member } from '../membership/index.js'
 import { ConfigurationChangeAttempt, type ChangeMessage } from './configurationChange.js'
-import { CONFIRMATION_LIMIT, ConfigurationSpread, type SpreadEffect } from './configurationSpread.js'
+import { CONFIRMATION_LIMIT, ConfigurationSpread, type SpreadEffect, type SpreadMessage } from './configurationSpread.js'
 import type { ConfigurationRecord } from './configurationState.js'
 
 function createRecord (revision: number, changeToken = `token-${revision}`): ConfigurationRecord {
@@ -104,7 +104,7 @@
   const spread = new ConfigurationSpread(new SeededRandom(1))
   spread.handle({ kind: 'service-told', record: createRecord(3) }, 0)
   spread.handle({ kind: 'service-told', record: createRecord(2) }, 1)
-  spread.handle({ kind: 'fetched', host: 'a', record: createRecord(1) }, 2)
+  spread.handle({ kind: 'fetched', host: 'a', record: createRecord(1), askedAt: 2 }, 2)
   assert.is(spread.state.version.revision, 3)
 })
 
@@ -112,11 +112,11 @@
   const spread = new ConfigurationSpread(new SeededRandom(1))
   assert.equal(kindsOf(spread.handle({ kind: 'revision-seen', host: 'a', revision: 2 }, 0)), ['fetch'])
   assert.equal(spread.handle({ kind: 'revision-seen', host: 'b', revision: 2 }, 0), [])
-  spread.handle({ kind: 'fetched', host: 'a', record: { ...createRecord(2), source: 'changed' } }, 1)
+  spread.handle({ kind: 'fetched', host: 'a', record: { ...createRecord(2), source: 'changed' }, askedAt: 0 }, 1)
   assert.is(spread.state.current, undefined)
   const again = spread.handle({ kind: 'revision-seen', host: 'b', revision: 2 }, 2_000)
   assert.equal(again, [{ kind: 'fetch', host: 'b', knownRevision: 0 }])
-  assert.equal(kindsOf(spread.handle({ kind: 'fetched', host: 'b', record: createRecord(2) }, 2_001)), ['in-force'])
+  assert.equal(kindsOf(spread.handle({ kind: 'fetched', host: 'b', record: createRecord(2), askedAt: 2_000 }, 2_001)), ['in-force'])
 })
 
 const permissions = [
@@ -127,14 +127,72 @@
 for (const { title, heard, isAllowed } of permissions) {
   test(`should ${title}`, () => {
     const spread = new ConfigurationSpread(new SeededRandom(1))
-    spread.handle({ kind: 'service-told', record: createRecord(2) }, 0)
+    spread.handle({ kind: 'service-told', record: createRecord(2), askedAt: 0 }, 0)
     spread.handle({ kind: 'tick', self: createMember('a'), members: [createMember('a'), createMember('b')] }, 0)
     assert.ok(spread.mayTakeWork(CONFIRMATION_LIMIT))
-    if (heard !== undefined) spread.handle({ kind: 'revision-seen', host: 'b', revision: heard }, CONFIRMATION_LIMIT)
+    if (heard !== undefined) {
+      spread.handle({ kind: 'revision-seen', host: 'b', revision: heard, askedAt: CONFIRMATION_LIMIT }, CONFIRMATION_LIMIT)
+    }
     assert.is(spread.mayTakeWork(CONFIRMATION_LIMIT + 1), isAllowed)
   })
 }
 
+const THAWED_AT = CONFIRMATION_LIMIT + 1
+const words: Array<{ title: string, message: SpreadMessage, isAllowed: boolean }> = [
+  {
+    title: 'confirm nothing by an answer that waited through a pause',
+    message: { kind: 'revision-seen', host: 'b', revision: 2, askedAt: 0 },
+    isAllowed: false
+  },
+  { title: 'confirm nothing by a word of unknown age', message: { kind: 'revision-seen', host: 'b', revision: 2 }, isAllowed: false },
+  {
+    title: 'confirm nothing by a read of the service that waited through a pause',
+    message: { kind: 'service-told', record: undefined, askedAt: 0 },
+    isAllowed: false
+  },
+  {
+    title: 'confirm nothing by a watch, whose word may have waited',
+    message: { kind: 'service-told', record: createRecord(3) },
+    isAllowed: false
+  },
+  {
+    title: 'confirm nothing by a fetched record that waited through a pause',
+    message: { kind: 'fetched', host: 'b', record: createRecord(3), askedAt: 0 },
+    isAllowed: false
+  },
+  {
+    title: 'go on by an answer asked for after the pause',
+    message: { kind: 'revision-seen', host: 'b', revision: 2, askedAt: THAWED_AT },
+    isAllowed: true
+  },
+  {
+    title: 'go on by a read of the service after the pause',
+    message: { kind: 'service-told', record: undefined, askedAt: THAWED_AT },
+    isAllowed: true
+  },
+  {
+    title: 'go on by a record fetched after the pause',
+    message: { kind: 'fetched', host: 'b', record: createRecord(3), askedAt: THAWED_AT },
+    isAllowed: true
+  }
+]
+for (const { title, message, isAllowed } of words) {
+  test(`should ${title}`, () => {
+    const spread = new ConfigurationSpread(new SeededRandom(1))
+    spread.handle({ kind: 'service-told', record: createRecord(2), askedAt: 0 }, 0)
+    spread.handle({ kind: 'tick', self: createMember('a'), members: [createMember('a'), createMember('b')] }, 0)
+    spread.handle(message, THAWED_AT)
+    assert.is(spread.mayTakeWork(THAWED_AT), isAllowed)
+  })
+}
+
+test('should keep the latest confirmation when answers come out of order', () => {
+  const spread = new ConfigurationSpread(new SeededRandom(1))
+  spread.handle({ kind: 'service-told', record: createRecord(2), askedAt: 5 }, 6)
+  spread.handle({ kind: 'revision-seen', host: 'b', revision: 2, askedAt: 1 }, 7)
+  assert.is(spread.state.lastConfirmedAt, 5)
+})
+
 test('should take no work before the first configuration', () => {
   assert.not(new ConfigurationSpread(new SeededRandom(1)).mayTakeWork(0))
 })
--- a/packages/coordination/src/configuration/configurationSpread.ts
+++ b/packages/coordination/src/configuration/configurationSpread.ts
@@ -24,18 +24,24 @@
 const LONGEST_RETRY: Milliseconds = 1_000
 const SOURCES_REMEMBERED = 4
 
-/** A message to the spread. */
+/**
+ * A message to the spread. `askedAt` is when this instance began the call that the message answers. An answer may wait in a
+ * paused process, so it confirms only what held when it was asked for; a word without `askedAt` has no known age and
+ * confirms nothing.
+ */
 export type SpreadMessage =
   /** Sent a few times a second, with the entries that this instance knows, itself included. */
   | { kind: 'tick', self: Member, members: readonly Member[] }
-  /** A peer told its revision on a call. */
-  | { kind: 'revision-seen', host: string, revision: number }
-  | { kind: 'fetched', host: string, record: ConfigurationRecord | undefined }
+  /** A peer told its revision, asked or on a call of its own. */
+  | { kind: 'revision-seen', host: string, revision: number, askedAt?: Milliseconds | undefined }
+  | { kind: 'fetched', host: string, record: ConfigurationRecord | undefined, askedAt: Milliseconds }
   | { kind: 'fetch-failed', host: string }
   /** The watch told a record, or a read gave one; undefined where the key that was read does not exist. */
-  | { kind: 'service-told', record: ConfigurationRecord | undefined }
+  | { kind: 'service-told', record: ConfigurationRecord | undefined, askedAt?: Milliseconds | undefined }
   | { kind: 'watch-ended' }
 
+type MessageOf<Kind extends SpreadMessage['kind']> = Extract<SpreadMessage, { kind: Kind }>
+
 /** What the daemon has to do. */
 export type SpreadEffect =
   | { kind: 'start-watch' }
@@ -71,10 +77,10 @@
   handle (message: SpreadMessage, now: Milliseconds): SpreadEffect[] {
     switch (message.kind) {
       case 'tick': return this._tick(message.self, message.members, now)
-      case 'revision-seen': return this._seeRevision(message.host, message.revision, now)
-      case 'fetched': return this._takeFetched(message.host, message.record, now)
+      case 'revision-seen': return this._seeRevision(message, now)
+      case 'fetched': return this._takeFetched(message, now)
       case 'fetch-failed': return this._failFetch(message.host, now)
-      case 'service-told': return this._takeFromService(message.record, now)
+      case 'service-told': return this._offer(message.record, message.askedAt)
       case 'watch-ended':
         this._isWatching = false
         this._nextReadAt = now + this._retryDelay()
@@ -105,9 +111,9 @@
     return [{ kind: 'start-watch' }, { kind: 'read-current' }]
   }
 
-  private _seeRevision (host: string, revision: number, now: Milliseconds): SpreadEffect[] {
+  private _seeRevision ({ host, revision, askedAt }: MessageOf<'revision-seen'>, now: Milliseconds): SpreadEffect[] {
     if (revision <= this.state.version.revision) {
-      this.state.confirm(now)
+      if (askedAt !== undefined) this.state.confirm(askedAt)
       return []
     }
     this._sources = [...this._sources.filter(source => source !== host), host].slice(-SOURCES_REMEMBERED)
@@ -125,11 +131,11 @@
     return [{ kind: 'fetch', host: this._random.pick(sources), knownRevision }]
   }
 
-  private _takeFetched (host: string, record: ConfigurationRecord | undefined, now: Milliseconds): SpreadEffect[] {
+  private _takeFetched ({ host, record, askedAt }: MessageOf<'fetched'>, now: Milliseconds): SpreadEffect[] {
     const isWhole = record !== undefined && contentDigest(record.source) === record.digest
     if (!isWhole) return this._failFetch(host, now)
     this._isFetching = false
-    return this._offer(record, now)
+    return this._offer(record, askedAt)
   }
 
   private _failFetch (host: string, now: Milliseconds): SpreadEffect[] {
@@ -139,14 +145,11 @@
     return []
   }
 
-  private _takeFromService (record: ConfigurationRecord | undefined, now: Milliseconds): SpreadEffect[] {
-    if (record !== undefined) return this._offer(record, now)
-    this.state.confirm(now)
-    return []
-  }
-
-  private _offer (record: ConfigurationRecord, now: Milliseconds): SpreadEffect[] {
-    if (!this.state.offer(record, now)) return []
+  /** Takes what a call or a watch gave; nothing found confirms as much as a record that is not older. */
+  private _offer (record: ConfigurationRecord | undefined, askedAt: Milliseconds | undefined): SpreadEffect[] {
+    const isCurrent = record === undefined || record.revision >= this.state.version.revision
+    if (isCurrent && askedAt !== undefined) this.state.confirm(askedAt)
+    if (record === undefined || !this.state.offer(record)) return []
     this._sources = []
     return [{ kind: 'in-force', record }]
   }
--- a/packages/coordination/src/configuration/configurationState.ts
+++ b/packages/coordination/src/configuration/configurationState.ts
@@ -50,7 +50,7 @@
     return this._current
   }
 
-  /** When the service or a peer last confirmed that this revision is the latest known. */
+  /** Start of the latest call whose answer, by the service or a peer, confirmed that this revision is the latest known. */
   get lastConfirmedAt (): Milliseconds | undefined {
     return this._lastConfirmedAt
   }
@@ -61,15 +61,14 @@
   }
 
   /** Takes a configuration in force if its revision is higher; whether it did. */
-  offer (candidate: ConfigurationRecord, now: Milliseconds): boolean {
+  offer (candidate: ConfigurationRecord): boolean {
     const isNewer = candidate.revision > this.version.revision
     if (isNewer) this._current = candidate
-    if (candidate.revision >= this.version.revision) this.confirm(now)
     return isNewer
   }
 
-  /** Notes that the service, or a peer that knows nothing newer, was heard. */
-  confirm (now: Milliseconds): void {
-    this._lastConfirmedAt = now
+  /** Notes that the service, or a peer that knows nothing newer, answered a call begun at the given time. */
+  confirm (askedAt: Milliseconds): void {
+    this._lastConfirmedAt = Math.max(this._lastConfirmedAt ?? -Infinity, askedAt)
   }
 }
--- a/packages/daemon/src/configuration/configurationKeeper.ts
+++ b/packages/daemon/src/configuration/configurationKeeper.ts
@@ -72,7 +72,7 @@
 
   /** Reads the service once, and from then on watches or learns from peers. */
   async start (): Promise<void> {
-    await this._read(this._store.readCurrent().then(read => read.map(current => current.record)))
+    await this._readCurrent()
     this._timer = setInterval(() => { this._tick() }, TICK_INTERVAL)
   }
 
@@ -82,9 +82,9 @@
     this._watch?.stop()
   }
 
-  /** Takes the revision that a peer told of itself. */
-  seeRevision (host: string, revision: number): void {
-    this._handle({ kind: 'revision-seen', host, revision })
+  /** Takes the revision that a peer told of itself, with the start of the call that it answers, if it was asked. */
+  seeRevision (host: string, revision: number, askedAt: Milliseconds | undefined): void {
+    this._handle({ kind: 'revision-seen', host, revision, askedAt })
   }
 
   /** Accepts an operator's change, or refuses it whole. */
@@ -182,10 +182,10 @@
       case 'start-watch': return this._startWatch()
       case 'stop-watch': return this._watch?.stop()
       case 'read-current':
-        this._read(this._store.readCurrent().then(read => read.map(current => current.record))).catch(() => {})
+        this._readCurrent().catch(() => {})
         return
       case 'read-history':
-        this._read(this._store.readHistory(effect.revision)).catch(() => {})
+        this._read(async () => await this._store.readHistory(effect.revision)).catch(() => {})
         return
       case 'fetch':
         this._fetch(effect.host, effect.knownRevision).catch(() => { this._handle({ kind: 'fetch-failed', host: effect.host }) })
@@ -201,16 +201,22 @@
     }, () => { this._handle({ kind: 'watch-ended' }) })
   }
 
-  private async _read (reading: Promise<Result<ConfigurationRecord | undefined, PlatformError>>): Promise<void> {
-    const read = await reading
-    if (read.isOk) this._handle({ kind: 'service-told', record: read.value })
+  private async _readCurrent (): Promise<void> {
+    await this._read(async () => (await this._store.readCurrent()).map(current => current.record))
+  }
+
+  private async _read (start: () => Promise<Result<ConfigurationRecord | undefined, PlatformError>>): Promise<void> {
+    const askedAt = this._parts.clock.monotonic()
+    const read = await start()
+    if (read.isOk) this._handle({ kind: 'service-told', record: read.value, askedAt })
   }
 
   private async _fetch (host: string, knownRevision: number): Promise<void> {
     const peer = this._parts.members.find(host)
+    const askedAt = this._parts.clock.monotonic()
     const fetched = peer === undefined ? undefined : await this._parts.peers.fetch(peer.peerAddress, knownRevision)
     if (fetched === undefined || fetched.isErr) return this._handle({ kind: 'fetch-failed', host })
-    this._handle({ kind: 'fetched', host, record: fetched.value })
+    this._handle({ kind: 'fetched', host, record: fetched.value, askedAt })
   }
 
   private _putInForce (record: ConfigurationRecord): void {
--- a/packages/daemon/src/instance/assembly.ts
+++ b/packages/daemon/src/instance/assembly.ts
@@ -141,7 +141,7 @@
   const peers = new MembershipPeerClient(connections, settings.environment)
   return new MembershipLoop(settings.environment, members, membershipStore, peers, clock, random, {
     membersChanged: count => { calls.setLiveMembers(count) },
-    revisionSeen: (host, revision) => { configuration.seeRevision(host, revision) }
+    revisionSeen: (host, revision, askedAt) => { configuration.seeRevision(host, revision, askedAt) }
   }, settings.knownPeers)
 }
 
--- a/packages/daemon/src/membership/membershipLoop.ts
+++ b/packages/daemon/src/membership/membershipLoop.ts
@@ -17,8 +17,8 @@
 export interface MembershipListener {
   /** How many instances are believed to run, this one included; told on each tick. */
   membersChanged (count: number): void
-  /** A call was exchanged with a member that holds the given configuration revision. */
-  revisionSeen (host: string, revision: number): void
+  /** A member told its configuration revision, with the start of the call that it answers, if it was asked. */
+  revisionSeen (host: string, revision: number, askedAt: Milliseconds | undefined): void
 }
 
 /** Keeps the member table fresh. */
@@ -82,7 +82,7 @@
 
   /** Takes a configuration revision that a peer told of itself. */
   seeRevision (host: string, revision: number): void {
-    this._listener.revisionSeen(host, revision)
+    this._listener.revisionSeen(host, revision, undefined)
   }
 
   /** Answers a probe with the news of this instance. */
@@ -143,10 +143,10 @@
   private async _performOne (effect: MembershipEffect): Promise<void> {
     switch (effect.kind) {
       case 'probe':
-        return await this._finishProbe(effect.probeId, await this._peers.probe(this.self, effect.target, effect.news))
+        return await this._probe(effect.probeId, async () => await this._peers.probe(this.self, effect.target, effect.news))
       case 'probe-through':
-        return await this._finishProbe(
-          effect.probeId, await this._peers.probeThrough(effect.helper, effect.target, effect.news))
+        return await this._probe(
+          effect.probeId, async () => await this._peers.probeThrough(effect.helper, effect.target, effect.news))
       case 'push':
         await this._peers.push(effect.target, effect.news)
         return
@@ -161,9 +161,11 @@
     }
   }
 
-  private async _finishProbe (probeId: number, answer: Result<ProbeAnswer, PeerUnreachableError>): Promise<void> {
+  private async _probe (probeId: number, start: () => Promise<Result<ProbeAnswer, PeerUnreachableError>>): Promise<void> {
+    const askedAt = this._clock.monotonic()
+    const answer = await start()
     if (answer.isErr) return await this._perform(this._handle({ kind: 'probe-failed', probeId }))
-    this._listener.revisionSeen(answer.value.host, answer.value.configurationRevision)
+    this._listener.revisionSeen(answer.value.host, answer.value.configurationRevision, askedAt)
     await this._perform(this._handle({ kind: 'acknowledged', probeId, members: answer.value.members }))
   }
 }
--- a/packages/experiments/src/simulation/replayedInstance.ts
+++ b/packages/experiments/src/simulation/replayedInstance.ts
@@ -125,7 +125,10 @@
 
   private _performMembership (effect: MembershipEffect): void {
     switch (effect.kind) {
-      case 'probe': return this._probe(effect.target.host, effect.news, answer => { this._finishProbe(effect.probeId, answer) })
+      case 'probe': {
+        const askedAt = this._world.time.now
+        return this._probe(effect.target.host, effect.news, answer => { this._finishProbe(effect.probeId, askedAt, answer) })
+      }
       case 'probe-through': return this._probeThrough(effect)
       case 'push': return this._push(effect.target.host, effect.news)
       case 'compare-page': return this._comparePage(effect)
@@ -134,12 +137,12 @@
     }
   }
 
-  private _finishProbe (probeId: number, answer: ProbeAnswer | undefined): void {
+  private _finishProbe (probeId: number, askedAt: Milliseconds, answer: ProbeAnswer | undefined): void {
     if (answer === undefined) {
       this._handle({ kind: 'probe-failed', probeId })
       return
     }
-    this._spread({ kind: 'revision-seen', host: answer.host, revision: answer.revision })
+    this._spread({ kind: 'revision-seen', host: answer.host, revision: answer.revision, askedAt })
     this._handle({ kind: 'acknowledged', probeId, members: answer.members })
   }
 
@@ -161,6 +164,7 @@
   }
 
   private _probeThrough (effect: Extract<MembershipEffect, { kind: 'probe-through' }>): void {
+    const askedAt = this._world.time.now
     this._world.network.call<ProbeAnswer>({
       from: this.process,
       to: effect.helper.host,
@@ -176,7 +180,7 @@
             CALL_OVERHEAD_BYTES / 2 + membersBytes(found.members))
         })
       },
-      done: answer => { this._finishProbe(effect.probeId, answer) }
+      done: answer => { this._finishProbe(effect.probeId, askedAt, answer) }
     })
   }
 
@@ -236,12 +240,14 @@
   }
 
   private _read (key: string): void {
+    const askedAt = this._world.time.now
     this._callService<ConfigurationRecord | undefined>(
       answered => { this._world.keyValue.read(key, answer => { answered(mapAnswer(answer, entry => decode(entry?.value))) }) },
-      answer => { if (answer.kind === 'answered') this._spread({ kind: 'service-told', record: answer.value }) })
+      answer => { if (answer.kind === 'answered') this._spread({ kind: 'service-told', record: answer.value, askedAt }) })
   }
 
   private _fetch (host: string, knownRevision: number): void {
+    const askedAt = this._world.time.now
     this._world.network.call<ConfigurationRecord | undefined>({
       from: this.process,
       to: host,
@@ -253,7 +259,7 @@
         answer(isNewer ? current : undefined, CALL_OVERHEAD_BYTES / 2 + (isNewer ? this._world.configurationBytes : 0))
       },
       done: record => {
-        this._spread(record === undefined ? { kind: 'fetch-failed', host } : { kind: 'fetched', host, record })
+        this._spread(record === undefined ? { kind: 'fetch-failed', host } : { kind: 'fetched', host, record, askedAt })
       }
     })
   }
