fix(leaving): ask the others in turn for the words that they hold

Cause: a word was only told, by each instance on a bounded number of ticks to two others picked at random.

Telling more often would make this rarer and leave the hole. Now each instance asks the others in turn, one a second, for the words that they hold; where no answer came the next tick asks the next one. A word is answered with its age and dated from the start of the call, so that it never grows younger on its way and none goes round for ever. A word younger than 10 s that was learnt so is told on as if it had been heard, so that asking does not thin the burst out.

Price, worked out and not measured: one call asked and one answered a second and node, 0.12% of a core and some 0.8 KB/s.

--- a/packages/coordination/src/leaving/leavingServers.spec.ts
+++ b/packages/coordination/src/leaving/leavingServers.spec.ts
@@ -27,4 +27,23 @@
   assert.equal(told, [0, LEAVING_REFRESH])
 })
 
+test('should let a word grow no younger by being asked for round and round', () => {
+  const [first, second] = [new LeavingServers(), new LeavingServers()]
+  first.onHeard(['engine-0'], 0)
+  const end = 3 * LEAVING_HOLD
+  for (let now = 0; now < end; now += 1_000) {
+    const [asker, askee] = now % 2_000 === 0 ? [second, first] : [first, second]
+    const answered = askee.words(now + 100)
+    asker.onAnswered(answered, now, now + 200)
+  }
+  for (const servers of [first, second]) assert.not(servers.isLeaving('engine-0', LEAVING_HOLD))
+})
+
+test('should hold a word that it was answered for the rest of its time', () => {
+  const servers = new LeavingServers()
+  servers.onAnswered([{ server: 'engine-0', age: 50_000 }], 1_000, 1_100)
+  assert.ok(servers.isLeaving('engine-0', LEAVING_HOLD - 49_001))
+  assert.not(servers.isLeaving('engine-0', LEAVING_HOLD - 49_000))
+})
+
 test.run()
--- a/packages/coordination/src/leaving/leavingServers.ts
+++ b/packages/coordination/src/leaving/leavingServers.ts
@@ -12,6 +12,16 @@
 /** How often a word of leaving is told again while the list still says so; each telling reaches everyone once. */
 export const LEAVING_REFRESH: Milliseconds = 20_000
 
+/** A word no older than this is passed on by who learns it late; of an older one a new telling is due soon. */
+const LONGEST_NEWS_AGE: Milliseconds = LEAVING_REFRESH / 2
+
+/** A word of leaving as it is answered to one who asks. */
+export interface LeavingWord {
+  server: string
+  /** Time since the word was last heard; not a time of day, since the clocks of two hosts are never compared. */
+  age: Milliseconds
+}
+
 /** Servers found to be leaving, to be told to others now. */
 export interface LeavingNews {
   servers: readonly string[]
@@ -28,12 +38,19 @@
 
   /** Takes the names that another instance told; gives what was news. */
   onHeard (servers: readonly string[], now: Milliseconds): LeavingNews {
-    const news = servers.filter(server => now - (this._heardAt.get(server) ?? -Infinity) >= LEAVING_REFRESH)
-    for (const server of news) this._heardAt.set(server, now)
+    const news = servers.filter(server => this._hear(server, now))
     this._forget(now)
     return { servers: news }
   }
 
+  /** Takes the words that another instance answered to a call begun at `askedAt`; gives what was news. */
+  onAnswered (words: readonly LeavingWord[], askedAt: Milliseconds, now: Milliseconds): LeavingNews {
+    // Dated from the start of the call: a word that grew younger on its way would go round for ever.
+    const news = words.filter(({ server, age }) => this._hear(server, askedAt - age) && now - askedAt + age < LONGEST_NEWS_AGE)
+    this._forget(now)
+    return { servers: news.map(({ server }) => server) }
+  }
+
   /** Whether the server must not be given new work. */
   isLeaving (server: string, now: Milliseconds): boolean {
     const heardAt = this._heardAt.get(server)
@@ -45,6 +62,20 @@
     return [...this._heardAt.keys()].filter(server => this.isLeaving(server, now))
   }
 
+  /** All words held, the youngest first. */
+  words (now: Milliseconds): LeavingWord[] {
+    return [...this._heardAt]
+      .map(([server, heardAt]) => ({ server, age: now - heardAt }))
+      .filter(({ age }) => age < LEAVING_HOLD)
+      .sort((left, right) => left.age - right.age)
+  }
+
+  private _hear (server: string, heardAt: Milliseconds): boolean {
+    const isNews = heardAt - (this._heardAt.get(server) ?? -Infinity) >= LEAVING_REFRESH
+    if (isNews) this._heardAt.set(server, heardAt)
+    return isNews
+  }
+
   private _forget (now: Milliseconds): void {
     for (const server of this._heardAt.keys()) {
       if (!this.isLeaving(server, now)) this._heardAt.delete(server)
--- a/packages/daemon/src/leaving/leavingLoop.ts
+++ b/packages/daemon/src/leaving/leavingLoop.ts
@@ -1,7 +1,7 @@
 /** Performs the effects of the leaving decisions. */
 import {
   LEAVING_TICK_INTERVAL, LeavingSpread,
-  type HostList, type LeavingEffect, type LeavingMessage, type MemberTable, type SeededRandom
+  type HostList, type LeavingEffect, type LeavingMessage, type LeavingWord, type MemberTable, type SeededRandom
 } from '@wasabihead/coordination'
 import type { Clock } from '../instance/clock.js'
 import type { LeavingPeerClient } from './leavingPeers.js'
@@ -48,12 +48,30 @@
     this._handle({ kind: 'heard', servers })
   }
 
+  /** What this instance answers to one who asks. */
+  get words (): LeavingWord[] {
+    return this._spread.words(this._clock.monotonic())
+  }
+
   private _handle (message: LeavingMessage): void {
     for (const effect of this._spread.handle(message, this._clock.monotonic())) this._perform(effect).catch(() => {})
   }
 
   private async _perform (effect: LeavingEffect): Promise<void> {
-    if (effect.kind === 'tell') return await this._peers.tell(effect.target.peerAddress, effect.servers)
+    switch (effect.kind) {
+      case 'tell': return await this._peers.tell(effect.target.peerAddress, effect.servers)
+      case 'ask': return await this._ask(effect.target.peerAddress)
+      case 'read-list': return await this._readList()
+    }
+  }
+
+  private async _ask (address: string): Promise<void> {
+    const askedAt = this._clock.monotonic()
+    const words = await this._peers.list(address)
+    if (words.isOk) this._handle({ kind: 'answered', words: words.value, askedAt })
+  }
+
+  private async _readList (): Promise<void> {
     const hosts = await this._hostList.read()
     if (hosts.isOk) this._handle({ kind: 'listed', hosts: hosts.value })
   }
--- a/packages/daemon/src/leaving/leavingPeers.ts
+++ b/packages/daemon/src/leaving/leavingPeers.ts
@@ -1,7 +1,8 @@
 /** The leaving slice between instances. */
 import type { ConnectRouter } from '@connectrpc/connect'
-import type { Milliseconds } from '@wasabihead/coordination'
-import { PeerRoutes, type PeerConnections } from '../peers/index.js'
+import type { Result } from 'true-myth'
+import type { LeavingWord, Milliseconds } from '@wasabihead/coordination'
+import { PeerRoutes, type PeerConnections, type PeerUnreachableError } from '../peers/index.js'
 import { LeavingService } from '../peers/gen/wasabihead/v1/leaving_pb.js'
 import type { LeavingLoop } from './leavingLoop.js'
 
@@ -11,12 +12,20 @@
 export class LeavingPeerClient {
   constructor (private readonly _connections: PeerConnections, private readonly _environment: string) {}
 
-  /** Tells an instance; a word that is lost is told by another, or at the next refresh. */
+  /** Tells an instance; a word that is lost is told by another, or learnt by asking. */
   async tell (address: string, servers: readonly string[]): Promise<void> {
     await this._connections.call(LeavingService, address, async client => {
       await client.tellLeaving({ environment: this._environment, servers: [...servers] }, { timeoutMs: CALL_TIMEOUT })
     })
   }
+
+  /** Asks an instance for the words that it holds. */
+  async list (address: string): Promise<Result<LeavingWord[], PeerUnreachableError>> {
+    return await this._connections.call(LeavingService, address, async client => {
+      const { words } = await client.listLeaving({ environment: this._environment }, { timeoutMs: CALL_TIMEOUT })
+      return words.map(({ server, ageMilliseconds }) => ({ server, age: ageMilliseconds }))
+    })
+  }
 }
 
 /** Serves the words of other instances. */
@@ -30,6 +39,10 @@
       tellLeaving: request => {
         if (request.environment === this._environment) this._loop.hear(request.servers)
         return {}
+      },
+      listLeaving: request => {
+        const words = request.environment === this._environment ? this._loop.words : []
+        return { words: words.map(({ server, age }) => ({ server, ageMilliseconds: Math.ceil(age) })) }
       }
     })
   }
--- a/tests/promises/leaving.spec.ts
+++ b/tests/promises/leaving.spec.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { LeavingSpread, type LeavingEffect, type LeavingMessage } from '@wasabihead/coordination'
-import { checkLeaving, LeavingProof } from './leaving.js'
+import { checkLeaving, LeavingProof, type SpreadMaker } from './leaving.js'
 
 const RUNS = 6
 /** Runs in which an instance went on giving work to a server long after its leaving was shown. */
@@ -19,7 +19,14 @@
 /** Reads the list and passes nothing on. */
 class SilentSpread extends LeavingSpread {
   override handle (message: LeavingMessage, now: number): LeavingEffect[] {
-    return super.handle(message, now).filter(effect => effect.kind !== 'tell')
+    return super.handle(message, now).filter(effect => effect.kind === 'read-list')
+  }
+}
+
+/** Tells what it hears, and asks nobody. */
+class UnaskingSpread extends LeavingSpread {
+  override handle (message: LeavingMessage, now: number): LeavingEffect[] {
+    return super.handle(message, now).filter(effect => effect.kind !== 'ask')
   }
 }
 
@@ -37,13 +44,15 @@
   }
 }
 
-const broken = [
-  { title: 'passes nothing on', make: (random: ConstructorParameters<typeof LeavingSpread>[0]) => new SilentSpread(random) },
-  { title: 'forgets what it heard', make: (random: ConstructorParameters<typeof LeavingSpread>[0]) => new ForgetfulSpread(random) }
+const seeds = Array.from({ length: RUNS }, (_, index) => index + 1)
+const broken: Array<{ title: string, make: SpreadMaker, seeds: number[] }> = [
+  { title: 'passes nothing on', make: random => new SilentSpread(random), seeds },
+  { title: 'forgets what it heard', make: random => new ForgetfulSpread(random), seeds },
+  { title: 'asks nobody', make: random => new UnaskingSpread(random), seeds: SEEDS_OF_WORK_AFTER_LEAVING }
 ]
-for (const { title, make } of broken) {
+for (const { title, make, seeds } of broken) {
   test(`should fail for a spread that ${title}`, () => {
-    const runs = Array.from({ length: RUNS }, (_, index) => new LeavingProof(make).run(index + 1))
+    const runs = seeds.map(seed => new LeavingProof(make).run(seed))
     assert.ok(runs.some(run => run.violations.length > 0))
   })
 }
@@ -51,7 +60,7 @@
 test('should hold over seeded runs that lost words and killed instances', () => {
   const runs = Array.from({ length: RUNS }, (_, index) => new LeavingProof().run(index + 1))
   assert.equal(runs.flatMap(run => run.violations), [])
-  for (const count of ['leaving', 'lost', 'killed', 'work']) assert.ok(runs.every(run => (run.counts[count] ?? 0) > 0), count)
+  for (const count of ['leaving', 'asked', 'lost', 'killed', 'work']) assert.ok(runs.every(run => (run.counts[count] ?? 0) > 0), count)
 })
 
 for (const seed of SEEDS_OF_WORK_AFTER_LEAVING) {
--- a/tests/promises/leaving.ts
+++ b/tests/promises/leaving.ts
@@ -37,7 +37,7 @@
 }
 
 /** What is proved of an instance's decisions; broken variants are made in the spec. */
-export type SpreadMaker = (random: SeededRandom) => Pick<LeavingSpread, 'handle' | 'isLeaving'>
+export type SpreadMaker = (random: SeededRandom) => Pick<LeavingSpread, 'handle' | 'isLeaving' | 'words'>
 
 interface SimulatedInstance {
   member: Member
@@ -49,14 +49,17 @@
 
 class LeavingWorld {
   readonly history: LeavingEvent[] = []
-  readonly counts = { work: 0, leaving: 0, told: 0, lost: 0, killed: 0 }
+  readonly counts = { work: 0, leaving: 0, told: 0, asked: 0, lost: 0, killed: 0 }
   private readonly _time = new VirtualTime()
   private readonly _random: SeededRandom
+  /** Apart from the rest, so that a spread that asks nothing is told the same words in a run. */
+  private readonly _randomOfAsking: SeededRandom
   private readonly _instances: SimulatedInstance[]
   private readonly _changes: Array<{ at: number, server: string, state: ListedHost['state'] }> = []
 
   constructor (seed: number, makeSpread: SpreadMaker) {
     this._random = new SeededRandom(seed)
+    this._randomOfAsking = new SeededRandom(seed + 1)
     this._instances = Array.from({ length: INSTANCES }, (_, index) => ({
       member: memberOf(index),
       spread: makeSpread(new SeededRandom(seed * 1_000 + index)),
@@ -97,6 +100,7 @@
 
   private _perform (instance: SimulatedInstance, effect: LeavingEffect): void {
     if (effect.kind === 'read-list') return this._tell(instance, { kind: 'listed', hosts: this._listFor(instance) })
+    if (effect.kind === 'ask') return this._ask(instance, effect.target.host)
     this.counts.told += 1
     if (this._random.next() < LOSS) {
       this.counts.lost += 1
@@ -106,6 +110,22 @@
     this._time.after(this._random.next() * 100, () => { this._tell(target, { kind: 'heard', servers: effect.servers }) })
   }
 
+  private _ask (asker: SimulatedInstance, host: string): void {
+    this.counts.asked += 1
+    const askedAt = this._time.now
+    const target = this._instances.find(({ member }) => member.host === host) as SimulatedInstance
+    this._carryAsking(() => {
+      if (target.isDead) return
+      const words = target.spread.words(this._time.now)
+      this._carryAsking(() => { this._tell(asker, { kind: 'answered', words, askedAt }) })
+    })
+  }
+
+  private _carryAsking (arrive: () => void): void {
+    if (this._randomOfAsking.next() < LOSS) this.counts.lost += 1
+    else this._time.after(this._randomOfAsking.next() * 100, arrive)
+  }
+
   private _listFor (instance: SimulatedInstance): ListedHost[] {
     const seen = this._time.now - instance.lag
     return Array.from({ length: SERVERS }, (_, index) => {
