--- a/tests/promises/membership.spec.ts
+++ b/tests/promises/membership.spec.ts
@@ -6,6 +6,8 @@
 } from './membership.js'
 
 const RUNS = 10
+/** Runs in which the only instance that another one knew was killed before it had told of it. */
+const SEEDS_OF_ISLANDS = [31_400_614]
 const RUNS_OF_BROKEN_VARIANT = 20
 
 const start: MembershipEvent[] = [
@@ -65,4 +67,10 @@
   for (let seed = 1; seed <= RUNS; seed++) assert.equal(proof.run(seed).violations, [], `seed ${seed}`)
 })
 
+for (const seed of SEEDS_OF_ISLANDS) {
+  test(`should bring back an instance that knows nobody alive with seed ${seed}`, () => {
+    assert.equal(new MembershipProof().run(seed).violations, [])
+  })
+}
+
 test.run()
