fix(dispatch): count hosts that are cut off, and the run before, in the retry budget

Callers would see services pushed over by repeats: each instance divided the allowance by the live peers that it heard.

Now each host has a key under a lease of ten minutes beside its registration, and the allowance is divided by all these and all that were heard; none is spent before the store was listed. In its first window a run spends a quarter of its share, what the run before has left at least, and the allowance grows with the run's age, so that many short runs do not each spend it. Where the whole fleet starts for the first time (`bootstrap`) the first window has the whole share, still growing.

The fixture of the whole path now says `bootstrap` at the first start, as the platform does; no check changed. The test of one window in dispatch.spec.ts asks the same of runs older than a window.

--- a/packages/coordination/src/dispatch/dispatch.spec.ts
+++ b/packages/coordination/src/dispatch/dispatch.spec.ts
@@ -186,7 +186,7 @@
 
 test('should keep the repeats of all instances within the fleet\'s budget', () => {
   const settings = { ratio: 0.2, allowance: 58, window: 10_000 }
-  const instances = Array.from({ length: 4 }, () => new FleetRetryBudget(settings))
+  const instances = Array.from({ length: 4 }, () => new FleetRetryBudget(settings, -20_000, false))
   let spent = 0
   for (const instance of instances) {
     for (let request = 0; request < 100; request++) instance.onRequest('s', request)
--- a/packages/coordination/src/dispatch/fleetRetryBudget.ts
+++ b/packages/coordination/src/dispatch/fleetRetryBudget.ts
@@ -1,6 +1,7 @@
 /**
  * Keeps the repeats of all instances together within a share of the requests, without any talk between them: each
- * instance spends the share of its own requests and its part of the fixed allowance.
+ * instance spends the share of its own requests and its part of the fixed allowance. Instances that are cut off spend too,
+ * and so did the run before this one, of which this one knows nothing.
  */
 import type { Milliseconds } from '../common/index.js'
 
@@ -15,6 +16,8 @@
 
 /** Part of the budget that is used; the rest covers instances that come and go, and arrivals that are counted late. */
 const USED_SHARE = 0.75
+/** What the run before this one has left of its last window, at least. */
+const LEFT_SHARE = 1 - USED_SHARE
 
 interface Tally {
   requests: Milliseconds[]
@@ -25,7 +28,13 @@
 export class FleetRetryBudget {
   private readonly _tallies = new Map<string, Tally>()
 
-  constructor (private _settings: FleetRetryBudgetSettings) {}
+  /**
+   * @param _startedAt when this run began to spend
+   * @param _isFirstRun whether the whole fleet starts for the first time, so that no run was before this one
+   */
+  constructor (
+    private _settings: FleetRetryBudgetSettings, private readonly _startedAt: Milliseconds, private readonly _isFirstRun: boolean
+  ) {}
 
   /** Takes new settings; what was spent stays spent. */
   configure (settings: FleetRetryBudgetSettings): void {
@@ -37,16 +46,25 @@
     this._tally(service, now).requests.push(now)
   }
 
-  /** Spends one repeat if the window has room for it; whether it may go ahead. */
-  trySpend (service: string, instances: number, now: Milliseconds): boolean {
+  /**
+   * Spends one repeat if the window has room for it; whether it may go ahead.
+   * @param instances all that may spend, cut off or not; undefined while that is not known
+   */
+  trySpend (service: string, instances: number | undefined, now: Milliseconds): boolean {
     const tally = this._tally(service, now)
-    const { ratio, allowance } = this._settings
-    const limit = USED_SHARE * (ratio * tally.requests.length + allowance / Math.max(1, instances))
-    if (tally.repeats.length + 1 > limit) return false
+    if (tally.repeats.length + 1 > this._limit(tally.requests.length, instances, now)) return false
     tally.repeats.push(now)
     return true
   }
 
+  private _limit (requests: number, instances: number | undefined, now: Milliseconds): number {
+    const { ratio, allowance, window } = this._settings
+    const age = now - this._startedAt
+    const share = age > window || this._isFirstRun ? USED_SHARE : LEFT_SHARE
+    // The allowance grows with the run's age, so that many short runs do not each spend it.
+    return share * (ratio * requests + allowance / (instances ?? Infinity) * Math.min(1, age / window))
+  }
+
   private _tally (service: string, now: Milliseconds): Tally {
     const tally = this._tallies.get(service) ?? { requests: [], repeats: [] }
     this._tallies.set(service, tally)
--- a/packages/coordination/src/fronts/frontDirectory.spec.ts
+++ b/packages/coordination/src/fronts/frontDirectory.spec.ts
@@ -28,6 +28,14 @@
   assert.equal(fronts.addresses(true, 1_101), ['self'])
 })
 
+test('should count every host that may be at work, and none before the store told of its hosts', () => {
+  const fronts = directory()
+  fronts.hear(heartbeat(record('a')), 0)
+  assert.is(fronts.knownSize, undefined)
+  fronts.applyHosts(['self', 'cut-off'])
+  assert.is(fronts.knownSize, 3)
+})
+
 test('should drop an instance at once that says it leaves or is not ready', () => {
   for (const change of [{ from: record('a', { isLeaving: true }) }, { isReady: false }]) {
     const fronts = directory()
--- a/packages/coordination/src/fronts/frontDirectory.ts
+++ b/packages/coordination/src/fronts/frontDirectory.ts
@@ -30,6 +30,7 @@
 export class FrontDirectory {
   private readonly _fronts = new Map<string, KnownFront>()
   private _hasHeardAny = false
+  private _hosts: ReadonlySet<string> | undefined
 
   /** @param _self this instance, as it registers itself */
   constructor (private _self: FrontRecord, private readonly _settings: FrontDirectorySettings) {}
@@ -55,6 +56,11 @@
     this._expire(now)
   }
 
+  /** Takes the names of all hosts that ran an instance lately, as the store has them. */
+  applyHosts (names: readonly string[]): void {
+    this._hosts = new Set(names)
+  }
+
   /** Takes a heartbeat, and the instances that it names. */
   hear ({ from, isReady, named }: Pick<Heartbeat, 'from' | 'isReady' | 'named'>, now: Milliseconds): void {
     this.learn(named, now)
@@ -99,6 +105,11 @@
     return this.livePeers(now).length + 1
   }
 
+  /** Instances that may be at work, heard or not, this one included; undefined before the store told of its hosts. */
+  get knownSize (): number | undefined {
+    return this._hosts === undefined ? undefined : new Set([...this._hosts, ...this._fronts.keys(), this._self.name]).size
+  }
+
   /**
    * Where callers may connect: every instance that is alive and ready.
    * @param isSelfReady whether this instance itself takes callers
--- a/packages/gateway/src/catalog/catalogLoop.ts
+++ b/packages/gateway/src/catalog/catalogLoop.ts
@@ -15,6 +15,8 @@
 
 /** Under the own prefix: one key for each instance. */
 export const FRONT_KEYS = 'instances/'
+/** Under the own prefix: one key for each host that ran an instance lately, whether or not it still does. */
+export const HOST_KEYS = 'hosts/'
 
 /** Reads the store whenever the schedule asks for it. */
 export class CatalogLoop {
@@ -143,6 +145,8 @@
     readSchedule.onRead(askedAt)
     this._take(catalog.applyListing(listing, askedAt, now()))
     fronts.applyRecords(this._frontRecords(own), now())
+    const hostKeys = `${this._source.ownPrefix}${HOST_KEYS}`
+    fronts.applyHosts(own.flatMap(({ key }) => key.startsWith(hostKeys) ? key.slice(hostKeys.length) : []))
   }
 
   private async _askPeer (peer: FrontRecord | undefined): Promise<void> {
--- a/packages/gateway/src/catalog/registration.ts
+++ b/packages/gateway/src/catalog/registration.ts
@@ -1,4 +1,4 @@
-/** Registers this instance in the store under a lease, so that callers and peers find it. */
+/** Registers this instance in the store under a lease, so that peers find it or know that it exists. */
 import { ABSENT_REVISION, type KeyValueService, type Milliseconds } from '@wasabihead/coordination'
 import type { GatewayState } from '../requests/index.js'
 
@@ -7,6 +7,8 @@
   key: string
   timeToLive: Milliseconds
   renewEvery: Milliseconds
+  /** After a registration that failed. */
+  retryAfter: Milliseconds
 }
 
 /** Keeps the registration. */
@@ -39,7 +41,8 @@
     const isCurrent = this._registeredAs === this._state.fronts.self.incarnation
     if (this._leaseId === undefined || !isCurrent) await this._register()
     else await this._renew(this._leaseId)
-    if (!this._isStopped) this._timer = setTimeout(() => { this.start() }, this._settings.renewEvery)
+    const delay = this._leaseId === undefined ? this._settings.retryAfter : this._settings.renewEvery
+    if (!this._isStopped) this._timer = setTimeout(() => { this.start() }, delay)
   }
 
   private async _renew (leaseId: string): Promise<void> {
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -4,7 +4,7 @@
   SeededRandom, SentPrompts, ServiceCatalog, StoredParts, StoreMirror,
   type CatalogChange, type FrontRecord, type KeyValueService, type Milliseconds
 } from '@wasabihead/coordination'
-import { CatalogLoop, FRONT_KEYS, Registration } from '../catalog/index.js'
+import { CatalogLoop, FRONT_KEYS, HOST_KEYS, Registration } from '../catalog/index.js'
 import { ChannelPool, splitAddress } from '../channels/index.js'
 import { SmallServer, type QuestionHandler } from '../directory/index.js'
 import { Heartbeats, LISTING_PATH, type PeerListing } from '../peers/index.js'
@@ -46,6 +46,7 @@
   private readonly _front: FrontServer
   private readonly _catalogLoop: CatalogLoop
   private readonly _registration: Registration
+  private readonly _hostRegistration: Registration
   private readonly _heartbeats: Heartbeats
   private readonly _rollout: RolloutLoop
   private readonly _storeFollower: StoreFollower
@@ -78,7 +79,7 @@
       storedParts: new StoredParts(),
       health: new ReplicaHealth(),
       cachedParts: new CachedParts(),
-      retryBudget: new FleetRetryBudget(settings.retryBudget),
+      retryBudget: new FleetRetryBudget(settings.retryBudget, now(), settings.isFirstRun),
       crashes: new RepeatedCrashes(),
       channels: new ChannelPool(settings.channels, now),
       callerProtocol: adapter.callerProtocol,
@@ -96,6 +97,8 @@
     )
     const key = `${ownPrefix}${FRONT_KEYS}${self.name}`
     this._registration = new Registration(this.state, adapter.store, { key, ...settings.registration })
+    const hostKey = `${ownPrefix}${HOST_KEYS}${self.name}`
+    this._hostRegistration = new Registration(this.state, adapter.store, { key: hostKey, ...settings.hostRegistration })
     this._heartbeats = new Heartbeats(this.state, settings.heartbeats, {
       isReady: () => this.isReady,
       onCatalogNews: (news, peer) => { this._catalogLoop.hear(news, peer) }
@@ -140,6 +143,7 @@
     ])
     this._isListening = true
     this._registration.start()
+    this._hostRegistration.start()
     this._rollout.start()
     this._storeCollector.start()
     this._tickedAt = this.state.now()
--- a/packages/gateway/src/process/gatewaySettings.ts
+++ b/packages/gateway/src/process/gatewaySettings.ts
@@ -21,9 +21,13 @@
   readSchedule: ReadScheduleSettings
   directory: FrontDirectorySettings
   registration: Omit<RegistrationSettings, 'key'>
+  /** Outlives the process, since hosts that are cut off still count. */
+  hostRegistration: Omit<RegistrationSettings, 'key'>
   heartbeats: HeartbeatSettings
   channels: ChannelPoolSettings
   retryBudget: FleetRetryBudgetSettings
+  /** The whole fleet starts for the first time. */
+  isFirstRun: boolean
   oldWeights: OldWeightsSettings
   storeFollower: StoreFollowerSettings
   storeCollector: StoreCollectorSettings
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -259,7 +259,7 @@
   }
 
   private _spendRepeat (now: Milliseconds): boolean {
-    return this._state.retryBudget.trySpend(this._placement.service, this._state.fronts.size(now), now)
+    return this._state.retryBudget.trySpend(this._placement.service, this._state.fronts.knownSize, now)
   }
 
   private _noteAttemptEnd (attempt: ReplicaAttempt, end: AttemptEnd, detail: string, verdict: AttemptVerdict): void {
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -176,6 +176,7 @@
       port_range: [inner, inner],
       seeds: this.gateways.map(({ addresses: { control: seed } }) => seed),
       heartbeat_ms: 1_200,
+      bootstrap: true,
       bounds: { drain_ms: 2_000, config_apply_ms: 2_000, grace_s: 8, lease_ms: 3_000, retry_budget_slack: 50 },
       provider: { address: storeAddress, ttl_min_ms: 1_000 },
       an_unknown_field: true
@@ -183,6 +184,7 @@
     gateway.startAgain()
     this.gateways.push(gateway)
     await waitUntil(async () => gateway.output.includes('"event":"started"'))
+    gateway.changeSettings({ bootstrap: false })
     return gateway
   }
 
