fix(dispatch): keep requests that crash replicas in the store, for processes that start later

Whoever saw one of the crashes and counts three writes the request's fingerprint under the own prefix, under a lease of a crash's lifetime, and tries again where the store does not take it; every listing brings the records to whoever starts or was cut off. An instance's own copy of the store may be older than the lease, so that a record counts there for a crash's lifetime from when it was first read. A whole run takes the stop back and removes the record.

Left: one or two crashes counted by a fleet that is killed whole are forgotten, so that its third crash comes up to two later.

--- a/packages/gateway/src/catalog/catalogLoop.ts
+++ b/packages/gateway/src/catalog/catalogLoop.ts
@@ -5,6 +5,7 @@
 import type { CatalogSource } from '../protocol/index.js'
 import { askPeerListing } from '../peers/index.js'
 import type { GatewayState } from '../requests/index.js'
+import { CRASH_KEYS } from './crashRecords.js'
 
 /** Settings of the loop. */
 export interface CatalogLoopSettings {
@@ -139,14 +140,14 @@
   }
 
   private _takeMirror (askedAt: Milliseconds): void {
-    const { mirror, catalog, fronts, readSchedule, now } = this._state
+    const { mirror, catalog, fronts, crashes, readSchedule, now } = this._state
     const { catalog: listing, own } = this._source.decode(mirror.values)
     this._ownValues = own
     readSchedule.onRead(askedAt)
     this._take(catalog.applyListing(listing, askedAt, now()))
     fronts.applyRecords(this._frontRecords(own), now())
-    const hostKeys = `${this._source.ownPrefix}${HOST_KEYS}`
-    fronts.applyHosts(own.flatMap(({ key }) => key.startsWith(hostKeys) ? key.slice(hostKeys.length) : []))
+    fronts.applyHosts(this._named(HOST_KEYS).map(({ name }) => name))
+    crashes.hearStops(this._named(CRASH_KEYS).map(({ name, revision }) => ({ fingerprint: name, revision })), now())
   }
 
   private async _askPeer (peer: FrontRecord | undefined): Promise<void> {
@@ -167,6 +168,13 @@
     }
   }
 
+  /** The last parts of own keys that begin so. */
+  private _named (keys: string): { name: string, revision: number }[] {
+    const prefix = `${this._source.ownPrefix}${keys}`
+    const found = this._ownValues.filter(({ key }) => key.startsWith(prefix))
+    return found.map(({ key, revision }) => ({ name: key.slice(prefix.length), revision }))
+  }
+
   private _frontRecords (own: readonly VersionedValue[]): FrontRecord[] {
     const prefix = `${this._source.ownPrefix}${FRONT_KEYS}`
     const records: FrontRecord[] = []
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -4,7 +4,7 @@
   SeededRandom, SentPrompts, ServiceCatalog, StoredParts, StoreMirror,
   type CatalogChange, type FrontRecord, type KeyValueService, type Milliseconds
 } from '@wasabihead/coordination'
-import { CatalogLoop, FRONT_KEYS, HOST_KEYS, Registration } from '../catalog/index.js'
+import { CatalogLoop, CrashRecords, FRONT_KEYS, HOST_KEYS, Registration } from '../catalog/index.js'
 import { ChannelPool, splitAddress } from '../channels/index.js'
 import { SmallServer, type QuestionHandler } from '../directory/index.js'
 import { Heartbeats, LISTING_PATH, type PeerListing } from '../peers/index.js'
@@ -47,6 +47,7 @@
   private readonly _catalogLoop: CatalogLoop
   private readonly _registration: Registration
   private readonly _hostRegistration: Registration
+  private readonly _crashRecords: CrashRecords
   private readonly _heartbeats: Heartbeats
   private readonly _rollout: RolloutLoop
   private readonly _storeFollower: StoreFollower
@@ -99,6 +100,7 @@
     this._registration = new Registration(this.state, adapter.store, { key, ...settings.registration })
     const hostKey = `${ownPrefix}${HOST_KEYS}${self.name}`
     this._hostRegistration = new Registration(this.state, adapter.store, { key: hostKey, ...settings.hostRegistration })
+    this._crashRecords = new CrashRecords(this.state, adapter.store, ownPrefix)
     this._heartbeats = new Heartbeats(this.state, settings.heartbeats, {
       isReady: () => this.isReady,
       onCatalogNews: (news, peer) => { this._catalogLoop.hear(news, peer) }
@@ -200,6 +202,7 @@
       this.state.channels.sweep()
     }
     this.state.loads.expire(now)
+    this._crashRecords.write()
     this.state.log.tick()
   }
 
--- a/tests/platform/wholePath.spec.ts
+++ b/tests/platform/wholePath.spec.ts
@@ -223,4 +223,25 @@
   assert.match(gateway().output, /"event":"stopped"/)
 })
 
+// A process that started anew knew no request that crashes replicas, and sent it to three more (issue 14).
+test('should go on refusing a request that crashes replicas after its process was killed', async () => {
+  await fleet.addReplica('replica-3', 'desk')
+  for (const replica of fleet.replicas) {
+    replica.respond = (request, response) => {
+      if (request.url === '/unsafe/crash') setTimeout(() => { response.destroy() }, 20)
+      else response.writeHead(200, replica.answerHeaders(request)).end('x')
+    }
+  }
+  const crash = async (): Promise<number> => (await call(front(), '/unsafe/crash', { method: 'POST' })).status
+  await waitUntil(async () => await crash() === 503)
+  await waitUntil(async () => gateway().output.includes('crashing-request-recorded'))
+  gateway().signal('SIGKILL')
+  await gateway().exited
+  gateway().startAgain()
+  await waitUntil(async () => gateway().isAtWork && (await call(front(), '/safe/x')).status === 200)
+  const sent = (): number => fleet.replicas.flatMap(replica => replica.received).filter(({ url }) => url === '/unsafe/crash').length
+  const before = sent()
+  assert.equal([await crash(), sent() - before], [503, 0])
+})
+
 test.run()
