--- a/packages/gateway/src/catalog/catalogLoop.ts
+++ b/packages/gateway/src/catalog/catalogLoop.ts
@@ -5,6 +5,7 @@
 import type { CatalogSource } from '../protocol/index.js'
 import { askPeerListing } from '../peers/index.js'
 import type { GatewayState } from '../requests/index.js'
+import { CRASH_KEYS } from './crashRecords.js'
 
 /** Settings of the loop. */
 export interface CatalogLoopSettings {
@@ -15,6 +16,8 @@
 
 /** Under the own prefix: one key for each instance. */
 export const FRONT_KEYS = 'instances/'
+/** Under the own prefix: one key for each host that ran an instance lately, whether or not it still does. */
+export const HOST_KEYS = 'hosts/'
 
 /** Reads the store whenever the schedule asks for it. */
 export class CatalogLoop {
@@ -137,12 +140,14 @@
   }
 
   private _takeMirror (askedAt: Milliseconds): void {
-    const { mirror, catalog, fronts, readSchedule, now, beliefNow } = this._state
+    const { mirror, catalog, fronts, crashes, readSchedule, now, beliefNow } = this._state
     const { catalog: listing, own } = this._source.decode(mirror.values)
     this._ownValues = own
     readSchedule.onRead(askedAt)
     this._take(catalog.applyListing(listing, askedAt, beliefNow()))
     fronts.applyRecords(this._frontRecords(own), now())
+    fronts.applyHosts(this._named(HOST_KEYS).map(({ name }) => name))
+    crashes.hearStops(this._named(CRASH_KEYS).map(({ name, revision }) => ({ fingerprint: name, revision })), now())
   }
 
   private async _askPeer (peer: FrontRecord | undefined): Promise<void> {
@@ -164,6 +169,13 @@
     }
   }
 
+  /** The last parts of own keys that begin so. */
+  private _named (keys: string): { name: string, revision: number }[] {
+    const prefix = `${this._source.ownPrefix}${keys}`
+    const found = this._ownValues.filter(({ key }) => key.startsWith(prefix))
+    return found.map(({ key, revision }) => ({ name: key.slice(prefix.length), revision }))
+  }
+
   private _frontRecords (own: readonly VersionedValue[]): FrontRecord[] {
     const prefix = `${this._source.ownPrefix}${FRONT_KEYS}`
     const records: FrontRecord[] = []
