fix(catalog): an age that was told dates a version once; a pause before the first heartbeat is seen (proposal of the review)

Callers would be sent to replaced weights for as long as messages between instances take over 150 ms: each of them raised the bound that its receiver told on, so that the naming grew younger with each retelling. A bound that is known now stays.

--- a/packages/coordination/src/catalog/serviceCatalog.ts
+++ b/packages/coordination/src/catalog/serviceCatalog.ts
@@ -195,8 +195,9 @@
       if (told.at(-1)?.value.version !== known.at(-1)?.value) continue
       const versions = new Map(known.map(version => [version.value, version]))
       for (const { revision, value: { version }, age = Infinity } of told) {
-        const namedAfter = Math.max(toldAt - age, versions.get(version)?.namedAfter ?? -Infinity)
-        versions.set(version, { revision, value: version, namedAfter })
+        // A message that was late raises the bound; a known bound is kept, since such rises would add up as instances retell it.
+        if (Number.isFinite(versions.get(version)?.namedAfter)) continue
+        versions.set(version, { revision, value: version, namedAfter: toldAt - age })
       }
       const newest = versions.get(known.at(-1)?.value ?? 0)
       if (newest !== undefined && newest.namedAfter !== known.at(-1)?.namedAfter) {
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -54,6 +54,8 @@
   /** Starts listening and sending. */
   async start (address: string): Promise<void> {
     const [host, port] = splitAddress(address)
+    // A pause may begin before the first round.
+    this._pauses.tick(this._state.beliefNow())
     await new Promise<void>(resolve => { this._socket.bind(port, host, resolve) })
     this._timer = setInterval(() => { this.send() }, this._settings.interval)
   }
