--- a/packages/coordination/src/catalog/serviceCatalog.ts
+++ b/packages/coordination/src/catalog/serviceCatalog.ts
@@ -213,7 +213,9 @@
       const versions = new Map(known.map(version => [version.value, version]))
       for (const { revision, value: { version }, age = Infinity } of told) {
         const own = versions.get(version) ?? { revision, value: version, namedAfter: -Infinity, knownSince: now }
-        versions.set(version, { ...own, namedAfter: Math.max(toldAt - age, own.namedAfter) })
+        // A message that was late raises the bound; a known bound is kept, since such rises would add up as instances retell it.
+        if (Number.isFinite(own.namedAfter)) continue
+        versions.set(version, { ...own, namedAfter: toldAt - age })
       }
       const newest = versions.get(known.at(-1)?.value ?? 0)
       if (newest !== undefined && newest.namedAfter !== known.at(-1)?.namedAfter) {
