fix(membership): drive the reading of registrations from the library, and replay it

What was seen: membership: entry-host-9 and the six others alive never saw each other.

Cause, by the trace: entry-host-9 knew only entry-host-0, its first contact, which was killed before it had told anyone of it. Nobody knew of entry-host-9, and it knew nobody alive, so no probe, comparison or contact of the dead could reach across. The daemon has a way out: an instance that knows no other live member reads the list of registrations each 2 s. But that decision stood in the daemon's adapter alone, where no proof drove it, and the replay read the list once, at the start. So this is a fault of where the decision stood; on daemons this history was not played.

Ruled out: lost messages at the end of the run (none are lost after 150 s) and entries forgotten (the dead are kept for 30 minutes).

Now RegistrationSchedule in the library decides when the list is read, and the daemon and the replay both perform it. The replayed registrations outlive a killed instance by the lease of 180 s, and are not read while the service is down or cut off. The check and its bounds are as before.

Specs of membership, configuration and leaving, and configuration and promotion on real daemons, pass.

--- a/packages/coordination/src/membership/index.ts
+++ b/packages/coordination/src/membership/index.ts
@@ -4,3 +4,4 @@
   DigestPage, MemberDigest, MembershipEffect, MembershipMessage, PageAnswer
 } from './messages.js'
 export { NewsQueue } from './newsQueue.js'
+export { RegistrationSchedule } from './registrationSchedule.js'
--- a/packages/daemon/src/membership/registration.ts
+++ b/packages/daemon/src/membership/registration.ts
@@ -1,6 +1,6 @@
 /** Registers this instance under a lease in the key-value service, where new instances find their first peers. */
 import {
-  ABSENT_REVISION, memberSchema, PlatformRefusedError,
+  ABSENT_REVISION, memberSchema, PlatformRefusedError, RegistrationSchedule,
   type KeyValueService, type Member, type MemberTable, type Milliseconds, type SeededRandom
 } from '@wasabihead/coordination'
 import type { Clock } from '../instance/clock.js'
@@ -8,19 +8,16 @@
 /** Long, so that a fleet of hundreds renews with few calls a second; liveness is judged by probes, not by this lease. */
 const LEASE_TIME_TO_LIVE: Milliseconds = 180_000
 const RENEWAL_INTERVAL: Milliseconds = LEASE_TIME_TO_LIVE / 3
-const RETRY_INTERVAL: Milliseconds = 2_000
-/** How often the list is read again; an instance that knows no other live member reads it with each retry. */
-const LIST_INTERVAL: Milliseconds = 300_000
 
 /** Keeps the registration. */
 export class Registration {
   private _timer: NodeJS.Timeout | undefined
   private _leaseId: string | undefined
   private _nextRenewalAt: Milliseconds = 0
-  private _nextListAt: Milliseconds = 0
   private _registered: string | undefined
   private _isStopped = false
   private _revision = ABSENT_REVISION
+  private readonly _schedule: RegistrationSchedule
 
   constructor (
     private readonly _environment: string,
@@ -29,12 +26,14 @@
     private readonly _clock: Clock,
     private readonly _random: SeededRandom,
     private readonly _found: (members: Member[]) => void
-  ) {}
+  ) {
+    this._schedule = new RegistrationSchedule(_random)
+  }
 
   /** Registers and reads the list once; failures are tried again later. */
   async start (): Promise<void> {
     await this._round()
-    this._schedule()
+    this._startNextRound()
   }
 
   /** Takes the registration away, so that new instances no longer find this one; a failure is left to the lease. */
@@ -49,11 +48,11 @@
     clearTimeout(this._timer)
   }
 
-  private _schedule (): void {
+  private _startNextRound (): void {
     if (this._isStopped) return
     this._timer = setTimeout(() => {
-      this._round().catch(() => {}).finally(() => { this._schedule() })
-    }, this._jittered(RETRY_INTERVAL))
+      this._round().catch(() => {}).finally(() => { this._startNextRound() })
+    }, this._schedule.nextRoundDelay())
   }
 
   private async _round (): Promise<void> {
@@ -61,9 +60,8 @@
     if (now >= this._nextRenewalAt && await this._register()) {
       this._nextRenewalAt = now + this._jittered(RENEWAL_INTERVAL)
     }
-    const isAlone = this._members.live.length <= 1
-    if (now < this._nextListAt && !isAlone) return
-    if (await this._list()) this._nextListAt = now + this._jittered(LIST_INTERVAL)
+    if (!this._schedule.isListDue(this._members.live.length, now)) return
+    if (await this._list()) this._schedule.listed(now)
   }
 
   private async _list (): Promise<boolean> {
--- a/packages/experiments/src/simulation/replayedFleet.ts
+++ b/packages/experiments/src/simulation/replayedFleet.ts
@@ -30,6 +30,8 @@
   readonly instances = new Map<string, ReplayedInstance>()
   /** Hosts that do not reach the key-value service. */
   readonly cutFromService = new Set<string>()
+  /** Whether instances read the registrations again after their start. */
+  areRegistrationsRead = true
   /** Called with each configuration that comes into force on an instance. */
   inForce: (instance: ReplayedInstance, record: ConfigurationRecord) => void = () => {}
   private readonly _random: SeededRandom
@@ -47,6 +49,7 @@
       network: this.network,
       keyValue: this.keyValue,
       reachesService: host => !this.cutFromService.has(host),
+      readRegistrations: host => this._readRegistrations(host),
       configurationBytes: options.configurationBytes ?? 0,
       inForce: (instance, record) => { this.inForce(instance, record) }
     }
@@ -86,6 +89,11 @@
     return instance
   }
 
+  private _readRegistrations (host: string): Member[] | undefined {
+    if (!this.areRegistrationsRead || this.keyValue.faults.isDown || this.cutFromService.has(host)) return undefined
+    return [...this.instances.values()].flatMap(({ registration }) => registration ?? [])
+  }
+
   private _place (index: number): { host: string, dataCentre: string } {
     return { host: `entry-host-${index}`, dataCentre: `region-dc-${index % DATA_CENTRES}` }
   }
--- a/packages/experiments/src/simulation/replayedInstance.ts
+++ b/packages/experiments/src/simulation/replayedInstance.ts
@@ -1,7 +1,7 @@
 /** One instance of the replay: the decisions of membership and configuration, with their effects performed in virtual time. */
 import {
   ConfigurationChangeAttempt, configurationRecordSchema, ConfigurationSpread, contentDigest, INDIRECT_PROBE_TIMEOUT,
-  Membership, MemberTable, PROBE_TIMEOUT, SeededRandom,
+  Membership, MemberTable, PROBE_TIMEOUT, RegistrationSchedule, SeededRandom,
   type ChangeEffect, type ChangeMessage, type ChangeOutcome, type CompareAndSwapOutcome, type ConfigurationRecord, type Member,
   type MembershipEffect, type MembershipMessage, type Milliseconds, type SpreadEffect, type SpreadMessage,
   type VersionedValue
@@ -16,6 +16,7 @@
 
 const TICK_INTERVAL: Milliseconds = 250
 const CALL_TIMEOUT: Milliseconds = 2_000
+const REGISTRATION_TIME_TO_LIVE: Milliseconds = 180_000
 
 /** What the instances of one replay share. */
 export interface ReplayedWorld {
@@ -24,6 +25,8 @@
   keyValue: SimulatedKeyValue
   /** Whether a host reaches the key-value service. */
   reachesService: (host: string) => boolean
+  /** The entries registered in the key-value service; undefined where a host cannot read them. */
+  readRegistrations: (host: string) => Member[] | undefined
   /** Bytes of the configuration as it is fetched. */
   configurationBytes: number
   inForce: (instance: ReplayedInstance, record: ConfigurationRecord) => void
@@ -57,10 +60,15 @@
   /** A silent watch tells nothing more, and does not end. */
   isWatchSilent = false
   private readonly _peers = new Map<string, ReplayedInstance>()
+  private _killedAt = Infinity
+  private readonly _schedule: RegistrationSchedule
   private _toldVersion = 0
 
   constructor (private readonly _world: ReplayedWorld, start: ReplayedStart) {
     const random = new SeededRandom(start.seed)
+    // With a random of its own, so that reading the registrations changes no other choice of a seed.
+    this._schedule = new RegistrationSchedule(new SeededRandom(start.seed + 1))
+    this._schedule.listed(_world.time.now)
     this.run = start.incarnation
     this.process = new ReplayedProcess(start.host)
     this.table = new MemberTable(createEntry(start))
@@ -70,6 +78,7 @@
     this._handle({ kind: 'heard', members: start.found })
     this._perform({ kind: 'read-current' })
     this._world.time.after(random.next() * TICK_INTERVAL, () => { this._tick() })
+    this._startNextRound()
   }
 
   /** Lets this instance run code at others, as the network would. */
@@ -82,9 +91,16 @@
     return this.table.self
   }
 
+  /** What stands of it in the key-value service; undefined once the lease has lapsed after its end. */
+  get registration (): Member | undefined {
+    if (this._world.time.now - this._killedAt >= REGISTRATION_TIME_TO_LIVE) return undefined
+    return { ...this.self, version: 0, state: 'alive', configurationRevision: 0 }
+  }
+
   /** Ends the instance without a word. */
   kill (): void {
     this.process.isRunning = false
+    this._killedAt = this._world.time.now
   }
 
   /** The service tells a new value on the watch. */
@@ -107,6 +123,22 @@
     handle({ kind: 'start' })
   }
 
+  private _startNextRound (): void {
+    this._world.time.after(this._schedule.nextRoundDelay(), () => {
+      if (!this.process.isRunning) return
+      this._startNextRound()
+      if (!this.process.isFrozen) this._readRegistrations(this._world.time.now)
+    })
+  }
+
+  private _readRegistrations (now: Milliseconds): void {
+    if (!this._schedule.isListDue(this.table.live.length, now)) return
+    const members = this._world.readRegistrations(this.process.host)
+    if (members === undefined) return
+    this._schedule.listed(now)
+    this._handle({ kind: 'heard', members })
+  }
+
   private _tick (): void {
     if (!this.process.isRunning) return
     this._world.time.after(TICK_INTERVAL, () => { this._tick() })
--- a/tests/promises/membership.spec.ts
+++ b/tests/promises/membership.spec.ts
@@ -46,15 +46,17 @@
   })
 }
 
-const breakages: Array<{ breakage: MembershipBreakage, problem: RegExp }> = [
-  { breakage: 'ignores-failed-probes', problem: /dead/ },
-  { breakage: 'never-refutes', problem: /alive/ },
-  { breakage: 'forgets-the-dead', problem: /alive/ }
+const seeds = Array.from({ length: RUNS_OF_BROKEN_VARIANT }, (_, index) => index + 1)
+const breakages: Array<{ breakage: MembershipBreakage, problem: RegExp, seeds: number[] }> = [
+  { breakage: 'ignores-failed-probes', problem: /dead/, seeds },
+  { breakage: 'never-refutes', problem: /alive/, seeds },
+  { breakage: 'forgets-the-dead', problem: /alive/, seeds },
+  { breakage: 'reads-no-registrations', problem: /alive/, seeds: SEEDS_OF_ISLANDS }
 ]
-for (const { breakage, problem } of breakages) {
+for (const { breakage, problem, seeds } of breakages) {
   test(`should notice a fleet that ${breakage.replaceAll('-', ' ')}`, () => {
     const proof = new MembershipProof(breakage)
-    for (let seed = 1; seed <= RUNS_OF_BROKEN_VARIANT; seed++) {
+    for (const seed of seeds) {
       const [violation] = proof.run(seed).violations
       if (violation !== undefined) return assert.match(violation.problem, problem)
     }
--- a/tests/promises/membership.ts
+++ b/tests/promises/membership.ts
@@ -56,7 +56,7 @@
 }
 
 /** What a run can be told to break, to show that the proof notices. */
-export type MembershipBreakage = 'ignores-failed-probes' | 'never-refutes' | 'forgets-the-dead'
+export type MembershipBreakage = 'ignores-failed-probes' | 'never-refutes' | 'forgets-the-dead' | 'reads-no-registrations'
 
 /** Proves the promise about members. */
 export class MembershipProof extends Proof {
@@ -87,6 +87,8 @@
     this._random = new SeededRandom(seed)
     this._fleet = new ReplayedFleet({ instances: INSTANCES, seed })
     this._fleet.network.isConnected = (left, right) => (this._side.get(left) ?? 0) === (this._side.get(right) ?? 0)
+    // The registrations bring forgotten members back too, so that gossip alone is left to be seen broken.
+    this._fleet.areRegistrationsRead = this._breakage !== 'reads-no-registrations' && this._breakage !== 'forgets-the-dead'
     for (const instance of this._fleet.running) this._break(instance)
   }
 
