--- a/tests/promises/configurationInForce.spec.ts
+++ b/tests/promises/configurationInForce.spec.ts
@@ -57,14 +57,21 @@
   })
 }
 
-const breakages: Array<{ title: string, breakage: ConfigurationBreakage, problem: RegExp }> = [
-  { title: 'writes without an answer are called refused', breakage: { refusesOpenWrites: true }, problem: /refused change/ },
-  { title: 'peers do not tell their revisions', breakage: { hidesRevisions: true }, problem: /lacks the revision/ }
+const seeds = Array.from({ length: RUNS_OF_BROKEN_VARIANT }, (_, index) => index + 1)
+const breakages: Array<{ title: string, breakage: ConfigurationBreakage, problem: RegExp, seeds: number[] }> = [
+  { title: 'writes without an answer are called refused', breakage: { refusesOpenWrites: true }, problem: /refused change/, seeds },
+  { title: 'peers do not tell their revisions', breakage: { hidesRevisions: true }, problem: /lacks the revision/, seeds },
+  {
+    title: 'answers count from their arrival',
+    breakage: { datesByArrival: true },
+    problem: /hears nobody/,
+    seeds: SEEDS_OF_ISOLATED_WORK
+  }
 ]
-for (const { title, breakage, problem } of breakages) {
+for (const { title, breakage, problem, seeds } of breakages) {
   test(`should notice when ${title}`, () => {
     const proof = new ConfigurationInForceProof(breakage)
-    for (let seed = 1; seed <= RUNS_OF_BROKEN_VARIANT; seed++) {
+    for (const seed of seeds) {
       const [violation] = proof.run(seed).violations
       if (violation !== undefined) return assert.match(violation.problem, problem)
     }
--- a/tests/promises/configurationInForce.ts
+++ b/tests/promises/configurationInForce.ts
@@ -1,5 +1,5 @@
 /** Proof: an accepted configuration is in force everywhere within seconds and never reverts. */
-import { SeededRandom, type ChangeOutcome, type Milliseconds } from '@wasabihead/coordination'
+import { SeededRandom, type ChangeOutcome, type Milliseconds, type SpreadMessage } from '@wasabihead/coordination'
 import { FAULTLESS, ReplayedFleet, type ReplayedInstance } from '@wasabihead/experiments'
 import { Proof, type ProofRun, type Violation } from './proof.js'
 
@@ -112,6 +112,8 @@
   refusesOpenWrites?: boolean
   /** Instances do not fetch from peers. */
   hidesRevisions?: boolean
+  /** An answer counts from when it is handled, however long it waited. */
+  datesByArrival?: boolean
 }
 
 /** Proves the promise about configurations. */
@@ -146,6 +148,7 @@
   constructor (seed: number, private readonly _breakage: ConfigurationBreakage) {
     this._random = new SeededRandom(seed)
     this._fleet = new ReplayedFleet({ instances: INSTANCES, seed })
+    for (const instance of this._fleet.running) this._break(instance)
     this._fleet.inForce = (instance, { revision, changeToken }) => {
       this._events.push({ kind: 'in-force', at: this._now, instance: nameOf(instance), revision, changeToken })
       if (this._breakage.hidesRevisions === true) instance.table.updateSelf({ configurationRevision: 0 }, this._now)
@@ -267,7 +270,14 @@
     this._count('restarts')
     this._disturb(instance)
     instance.kill()
-    this._fleet.time.after(this._random.next() * 20_000, () => { this._connect(this._fleet.start(index)) })
+    this._fleet.time.after(this._random.next() * 20_000, () => { this._connect(this._break(this._fleet.start(index))) })
+  }
+
+  private _break (instance: ReplayedInstance): ReplayedInstance {
+    const { spread } = instance
+    const handle = spread.handle.bind(spread)
+    if (this._breakage.datesByArrival === true) spread.handle = (message, now) => handle(dateByArrival(message, now), now)
+    return instance
   }
 
   private _silenceWatches (): void {
@@ -299,6 +309,11 @@
   }
 }
 
+function dateByArrival (message: SpreadMessage, now: Milliseconds): SpreadMessage {
+  const isWord = message.kind === 'revision-seen' || message.kind === 'fetched' || message.kind === 'service-told'
+  return isWord ? { ...message, askedAt: now } : message
+}
+
 function nameOf (instance: ReplayedInstance): string {
   return `${instance.self.host}#${instance.run}`
 }
