fix(leases): wait for another holder by the steady clock

A candidate counted another holder's time on the clock that adds suspensions, which a time of day set forward moves too: with a step of 5 s right after a renewal it took the role over at once and could order at once, while the holder believed in its lease for up to 400 ms more (ONE, two holders in turn). Own leases go on ending by that clock, waits for others and the pause before the first order go by the steady one, which at worst waits too long. The new case of leases.spec.ts holds a tick of 60 s on one clock and 1 s on the other; with one clock for both the candidate writes.

--- a/packages/coordination/src/leases/leases.spec.ts
+++ b/packages/coordination/src/leases/leases.spec.ts
@@ -110,6 +110,17 @@
   assert.is(clock.now({ monotonic: 400, wall: 2_000 }), 4_400)
 })
 
+// Found in review of whtt-grants inc1: ONE, a clock that is set forward made a candidate take over from a live holder at once.
+test('should wait for another holder by a clock that does not run ahead', () => {
+  const keeper = new LeaseKeeper(holder, TIME_TO_LIVE)
+  keeper.handle({ kind: 'want', isWanted: true }, 0)
+  keeper.handle({ kind: 'role-read', record: held, keyRevision: 7 }, 0, 0)
+  assert.is(writtenRecord(keeper.handle({ kind: 'tick' }, 60_000, 1_000)), undefined)
+  keeper.handle({ kind: 'role-read', record: held, keyRevision: 7 }, 60_001, 1_001)
+  assert.is(writtenRecord(keeper.handle({ kind: 'tick' }, 68_000, TIME_TO_LIVE))?.epoch, 5)
+  assert.is(keeper.formerHeldUntil, HeldLease.surelyHeldFor(TIME_TO_LIVE))
+})
+
 test('should tell until when the holder before may have acted', () => {
   const keeper = new LeaseKeeper({ host: 'b', incarnation: 1 }, 1_000)
   const record = { holder: { host: 'a', incarnation: 1 }, epoch: 3, renewal: 1, isReleased: false }
--- a/packages/coordination/src/leases/roleLease.ts
+++ b/packages/coordination/src/leases/roleLease.ts
@@ -55,7 +55,7 @@
   private _nextCallAt: Milliseconds = 0
   private _nextReadAt: Milliseconds = 0
   private _view: RoleView | undefined
-  /** Since when this instance has seen the key unchanged. */
+  /** Since when this instance has seen the key unchanged, on the clock for waiting. */
   private _unchangedSince: Milliseconds = 0
   private _formerHeldUntil: Milliseconds = -Infinity
   private _sent: { record: RoleRecord, at: Milliseconds } | undefined
@@ -78,13 +78,17 @@
     return this._lease.heldUntil
   }
 
-  /** Until when the holder before this one may have acted; -Infinity where there was none. */
+  /** Until when the holder before this one may have acted, on the clock for waiting; -Infinity where there was none. */
   get formerHeldUntil (): Milliseconds {
     return this._formerHeldUntil
   }
 
-  /** Takes one message; gives the call to make, if any. */
-  handle (message: LeaseMessage, now: Milliseconds): LeaseEffect[] {
+  /**
+   * Takes one message; gives the call to make, if any.
+   * @param now counts whatever may have ended the own lease, as suspensions of the machine
+   * @param waitingNow never runs ahead: another holder's time has passed only once it surely has
+   */
+  handle (message: LeaseMessage, now: Milliseconds, waitingNow = now): LeaseEffect[] {
     switch (message.kind) {
       case 'tick': break
       case 'want':
@@ -92,27 +96,27 @@
         break
       case 'role-read':
         this._isCalling = false
-        this._see({ record: message.record, keyRevision: message.keyRevision }, now)
+        this._see({ record: message.record, keyRevision: message.keyRevision }, waitingNow)
         break
       case 'role-written':
         this._isCalling = false
-        this._finishWrite(message.outcome, now)
+        this._finishWrite(message.outcome, waitingNow)
         break
       case 'call-failed':
         // The same write may be sent again: it is bound to the same revision of the key, so only one of the two can win.
         this._isCalling = false
         this._nextCallAt = now + this.timeToLive * RETRY_SHARE
     }
-    return this._isCalling || now < this._nextCallAt ? [] : this._next(now)
+    return this._isCalling || now < this._nextCallAt ? [] : this._next(now, waitingNow)
   }
 
-  private _next (now: Milliseconds): LeaseEffect[] {
+  private _next (now: Milliseconds, waitingNow: Milliseconds): LeaseEffect[] {
     const view = this._view
     const isOwn = view?.record !== undefined && !view.record.isReleased && isSameInstance(view.record.holder, this._self)
     if (!this._isWanted && !isOwn) return []
     if (view === undefined) return this._read(now)
     if (isOwn) return this._keep(view, view.record as RoleRecord, now)
-    const isFree = view.record === undefined || view.record.isReleased || now - this._unchangedSince >= this.timeToLive
+    const isFree = view.record === undefined || view.record.isReleased || waitingNow - this._unchangedSince >= this.timeToLive
     if (isFree) {
       this._formerHeldUntil = this._actedUntil(view)
       const epoch = (view.record?.epoch ?? 0) + 1
@@ -149,19 +153,19 @@
     return [{ kind: 'write-role', record, expectedRevision: view.keyRevision }]
   }
 
-  private _see (view: RoleView, now: Milliseconds): void {
-    if (view.keyRevision !== this._view?.keyRevision) this._unchangedSince = now
+  private _see (view: RoleView, waitingNow: Milliseconds): void {
+    if (view.keyRevision !== this._view?.keyRevision) this._unchangedSince = waitingNow
     this._view = view
   }
 
-  private _finishWrite (outcome: CompareAndSwapOutcome, now: Milliseconds): void {
+  private _finishWrite (outcome: CompareAndSwapOutcome, waitingNow: Milliseconds): void {
     const sent = this._sent
     if (outcome.kind === 'lost' || sent === undefined) {
       this._lease.lose()
       this._view = undefined
       return
     }
-    this._see({ record: sent.record, keyRevision: outcome.revision }, now)
+    this._see({ record: sent.record, keyRevision: outcome.revision }, waitingNow)
     if (!sent.record.isReleased) this._lease.confirm(sent.at)
   }
 }
--- a/packages/coordination/src/leases/suspensionClock.ts
+++ b/packages/coordination/src/leases/suspensionClock.ts
@@ -12,7 +12,7 @@
 
 /**
  * Adds to the monotonic clock what the wall clock ran ahead of it. A wall clock that is set forward looks like a suspension,
- * which ends leases early and does no harm; one that is set back is ignored.
+ * which ends own leases early and does no harm; waits for others go by the monotonic clock. One that is set back is ignored.
  */
 export class SuspensionClock {
   private _last: ClockReading | undefined
--- a/packages/gateway/src/rollout/rolloutLoop.ts
+++ b/packages/gateway/src/rollout/rolloutLoop.ts
@@ -72,9 +72,9 @@
     // Only an instance that keeps up with the store sees the holder's renewals.
     this._tell({ kind: 'want', isWanted: this.isHolder || state.readSchedule.isReading(state.beliefNow()) })
     const epoch = this._keeper.epoch(leaseNow)
-    if (epoch !== this._epoch) this._noteEpoch(epoch, leaseNow)
+    if (epoch !== this._epoch) this._noteEpoch(epoch, now)
     const { name } = state.fronts.self
-    if (epoch === undefined || leaseNow < this._ordersFrom) {
+    if (epoch === undefined || now < this._ordersFrom) {
       state.loading.hear(name, [], [], now)
       return
     }
@@ -129,7 +129,7 @@
   }
 
   private _tell (message: LeaseMessage): void {
-    for (const effect of this._keeper.handle(message, this._leaseNow())) this._state.log.detach('rollout-role', this._perform(effect))
+    for (const effect of this._keeper.handle(message, this._leaseNow(), this._state.now())) this._state.log.detach('rollout-role', this._perform(effect))
   }
 
   private async _perform (effect: LeaseEffect): Promise<void> {
