--- a/tests/promises/membership.spec.ts
+++ b/tests/promises/membership.spec.ts
@@ -8,6 +8,8 @@
 const RUNS = 10
 /** Runs in which the only instance that another one knew was killed before it had told of it. */
 const SEEDS_OF_ISLANDS = [31_400_614]
+/** Runs in which the registration of a killed instance, not yet lapsed, was believed where nothing was known of it. */
+const SEEDS_OF_STALE_REGISTRATIONS = [42_700_030]
 const RUNS_OF_BROKEN_VARIANT = 20
 
 const start: MembershipEvent[] = [
@@ -75,4 +77,10 @@
   })
 }
 
+for (const seed of SEEDS_OF_STALE_REGISTRATIONS) {
+  test(`should not believe the registration of a killed instance with seed ${seed}`, () => {
+    assert.equal(new MembershipProof().run(seed).violations, [])
+  })
+}
+
 test.run()
