fix(membership): believe a registration that is news only once its instance has answered

What was seen: membership: entry-host-0 saw entry-host-4 alive 174 s after it was killed, for 9 s, where a killed one has to be seen dead within 60 s.

Cause: registrations stand under a lease of 180 s, so they outlive a killed instance, and the regular reading of the list took each entry for alive where nothing was known of its host, as here: entry-host-4 was frozen from its start to 20.7 s, cut off afterwards and killed at 59.2 s, so that entry-host-0 had never heard of it.

Ruled out: a lease that lapses too late in the replay (180 s after the end is the longest that the daemon's lease allows), and a dead entry that was forgotten (the observer never had one).

Now only the first reading of an instance is believed as it is, since its probes find the dead within the bound; later an entry that is news is probed, up to three at a reading, and believed with the answer, upon which the two compare tables. An entry of the instance's own host is heard as before.

--- a/packages/coordination/src/membership/membership.spec.ts
+++ b/packages/coordination/src/membership/membership.spec.ts
@@ -146,4 +146,31 @@
   assert.ok(full.table.find('entry-new') !== undefined)
 })
 
+const registrations = [
+  { title: 'take a registered member that answers, and compare tables with it', answers: true, isKnown: true, then: ['compare-page'] },
+  { title: 'not take a registered member that does not answer', answers: false, isKnown: false, then: [] }
+]
+for (const { title, answers, isKnown, then } of registrations) {
+  test(`should ${title}`, () => {
+    const membership = createMembership()
+    membership.handle({ kind: 'registered', members: [] }, 0)
+    const [contact] = membership.handle({ kind: 'registered', members: [createMember('entry-1')] }, 1)
+    if (contact?.kind !== 'probe') throw new Error('no contact was started')
+    assert.is(membership.table.find('entry-1'), undefined)
+    const { probeId } = contact
+    const effects = membership.handle(
+      answers ? { kind: 'acknowledged', probeId, members: [] } : { kind: 'probe-failed', probeId }, 2)
+    assert.is(membership.table.find('entry-1') !== undefined, isKnown)
+    assert.equal(effects.map(effect => effect.kind), then)
+  })
+}
+
+test('should believe what is registered when it starts, and refute a later run of its own host at any time', () => {
+  const membership = createMembership()
+  membership.handle({ kind: 'registered', members: [createMember('entry-1')] }, 0)
+  assert.is(membership.table.find('entry-1')?.state, 'alive')
+  membership.handle({ kind: 'registered', members: [createMember('entry-0', { incarnation: 7 })] }, 1)
+  assert.is(membership.table.self.incarnation, 8)
+})
+
 test.run()
--- a/packages/coordination/src/membership/membership.ts
+++ b/packages/coordination/src/membership/membership.ts
@@ -22,6 +22,7 @@
 const NEWS_PER_MESSAGE = 8
 const URGENT_FAN_OUT = 4
 const ANNOUNCEMENT_FAN_OUT = 2
+const REGISTERED_CONTACTS = 3
 const SUSPICION_FACTOR: Milliseconds = 3_000
 const COMPARISON_PERIOD: Milliseconds = 10_000
 const DEAD_CONTACT_PERIOD: Milliseconds = 10_000
@@ -32,10 +33,12 @@
 interface Probe {
   host: string
   incarnation: number
-  stage: 'direct' | 'indirect' | 'dead-contact'
+  stage: 'direct' | 'indirect' | 'dead-contact' | 'registered-contact'
   round: number
   /** Probes of this id that have not failed yet. */
   outstanding: number
+  /** An entry that is believed once it has answered. */
+  registered?: Member
 }
 
 /** The membership of one instance. Every method that decides takes the present monotonic time. */
@@ -50,6 +53,7 @@
   private _comparedThrough = ''
   private _lastTickAt: Milliseconds | undefined
   private _lastContactAt: Milliseconds | undefined
+  private _wasRegisteredRead = false
 
   /**
    * @param table this instance's table, which other slices read
@@ -69,6 +73,7 @@
     switch (message.kind) {
       case 'tick': return this._tick(now)
       case 'heard': return this._hear(message.members, now)
+      case 'registered': return this._takeRegistered(message.members, now)
       case 'probed':
         this._hear(message.members, now)
         return [{ kind: 'answer', news: this._takeNews() }]
@@ -138,9 +143,10 @@
     const probe = this._probes.get(probeId)
     this._probes.delete(probeId)
     this._lastContactAt = now
+    if (probe?.registered !== undefined) this._believe(probe.registered, now)
     const effects = this._hear(members, now)
-    if (probe?.stage !== 'dead-contact') return effects
-    // Two sides of a healed partition compare their tables at once instead of waiting for the slow comparison.
+    if (probe?.stage !== 'dead-contact' && probe?.stage !== 'registered-contact') return effects
+    // Two sides that find each other compare their tables at once instead of waiting for the slow comparison.
     const peer = this.table.find(probe.host)
     return peer === undefined ? effects : [...effects, this._compareAfter('', peer)]
   }
@@ -152,7 +158,8 @@
     if (probe.outstanding > 0) return []
     this._probes.delete(probeId)
     const target = this.table.find(probe.host)
-    if (target === undefined || target.incarnation !== probe.incarnation || probe.stage === 'dead-contact') return []
+    if (target === undefined || target.incarnation !== probe.incarnation) return []
+    if (probe.stage === 'dead-contact' || probe.stage === 'registered-contact') return []
     if (probe.stage === 'direct') {
       const effects = this._probeThroughOthers(target, probe.round)
       if (effects.length > 0) return effects
@@ -198,6 +205,23 @@
     return dead.length === 0 ? [] : [this._startProbe(this._random.pick(dead), 'dead-contact')]
   }
 
+  /** A new instance believes what is registered and probes it; later an entry that is news has to answer first. */
+  private _takeRegistered (members: readonly Member[], now: Milliseconds): MembershipEffect[] {
+    const isFirst = !this._wasRegisteredRead
+    this._wasRegisteredRead = true
+    if (isFirst) return this._hear(members, now)
+    const news = this._random.shuffle(members.filter(member => this.table.wants(member))).slice(0, REGISTERED_CONTACTS)
+    const own = members.filter(member => member.host === this.table.self.host)
+    return [...this._hear(own, now), ...news.map(member => this._contactRegistered(member))]
+  }
+
+  private _contactRegistered (member: Member): MembershipEffect {
+    const probeId = this._nextProbeId++
+    const { host, incarnation } = member
+    this._probes.set(probeId, { host, incarnation, stage: 'registered-contact', round: 1, outstanding: 1, registered: member })
+    return { kind: 'probe', probeId, target: member, news: this._newsFor(member) }
+  }
+
   private _compareNext (now: Milliseconds): MembershipEffect[] {
     if (now < this._nextComparisonAt) return []
     const live = this._others().filter(member => member.state === 'alive')
--- a/packages/coordination/src/membership/messages.ts
+++ b/packages/coordination/src/membership/messages.ts
@@ -24,8 +24,10 @@
 /** A message to the decisions. */
 export type MembershipMessage =
   | { kind: 'tick' }
-  /** Entries read from the key-value service, or pushed by a peer. */
+  /** Entries that a peer told. */
   | { kind: 'heard', members: readonly Member[] }
+  /** Entries registered in the key-value service, which outlive their instances by their leases. */
+  | { kind: 'registered', members: readonly Member[] }
   /** A probe of a peer arrived; `answer` effects carry the news to piggyback. */
   | { kind: 'probed', members: readonly Member[] }
   /** The target answered a direct or an indirect probe. */
--- a/packages/daemon/src/membership/membershipLoop.ts
+++ b/packages/daemon/src/membership/membershipLoop.ts
@@ -40,7 +40,9 @@
     private readonly _knownPeers: readonly string[] = []
   ) {
     this._membership = new Membership(_members, random)
-    this._registration = new Registration(environment, keyValue, _members, _clock, random, members => { this.hear(members) })
+    this._registration = new Registration(environment, keyValue, _members, _clock, random, members => {
+      this._performSoon(this._handle({ kind: 'registered', members }))
+    })
   }
 
   /** This instance's own entry. */
@@ -75,7 +77,7 @@
     this._performSoon(this._handle({ kind: 'announce' }))
   }
 
-  /** Takes entries that a peer or the key-value service told. */
+  /** Takes entries that a peer told. */
   hear (members: readonly Member[]): void {
     this._performSoon(this._handle({ kind: 'heard', members }))
   }
--- a/packages/experiments/src/simulation/replayedInstance.ts
+++ b/packages/experiments/src/simulation/replayedInstance.ts
@@ -75,7 +75,7 @@
     this.membership = new Membership(this.table, random)
     this.spread = new ConfigurationSpread(random)
     _world.network.add(this.process)
-    this._handle({ kind: 'heard', members: start.found })
+    this._handle({ kind: 'registered', members: start.found })
     this._perform({ kind: 'read-current' })
     this._world.time.after(random.next() * TICK_INTERVAL, () => { this._tick() })
     this._startNextRound()
@@ -136,7 +136,7 @@
     const members = this._world.readRegistrations(this.process.host)
     if (members === undefined) return
     this._schedule.listed(now)
-    this._handle({ kind: 'heard', members })
+    this._handle({ kind: 'registered', members })
   }
 
   private _tick (): void {
