feat(dispatch): heed replicas that say in their answers that they leave, or want no request for a while

Callers saw requests go to a replica that had said in its own answers that it leaves, for as long as the store did not tell it, and again and again to one that had turned them away until a stated time.

Where every replica has said so, the request is refused at once with the earliest end as Retry-After. A replica that says when it takes requests again is no worse for it.

--- a/packages/coordination/src/dispatch/index.ts
+++ b/packages/coordination/src/dispatch/index.ts
@@ -7,6 +7,7 @@
 export { admitPrompt, type PromptAdmission, type PromptPressure } from './promptAdmission.js'
 export { type PartOrigin } from './promptFetches.js'
 export { CRASH_LIFETIME, RepeatedCrashes, type CrashReport, type ListedStop } from './repeatedCrashes.js'
+export { ReplicaNotices, replicaRunOf } from './replicaNotices.js'
 export { ReplicaHealth, type AttemptSign } from './replicaHealth.js'
 export { type PartSource, type PartStores } from './partStores.js'
 export { SentPrompts, type SentPrompt } from './sentPrompts.js'
--- a/packages/coordination/src/fronts/frontDirectory.spec.ts
+++ b/packages/coordination/src/fronts/frontDirectory.spec.ts
@@ -16,6 +16,7 @@
   fetched: [],
   loading: [],
   loaded: [],
+  leaving: [],
   crashes: [],
   ...change
 })
--- a/packages/coordination/src/fronts/messages.ts
+++ b/packages/coordination/src/fronts/messages.ts
@@ -51,6 +51,8 @@
   loading: z.array(z.string()),
   /** Replicas that have loaded a weight version lately. */
   loaded: z.array(z.object({ replicaId: z.string(), model: z.string(), version: z.number() })),
+  /** Runs of replicas that said in an answer to the sender that they leave. */
+  leaving: z.array(z.string()).default([]),
   /** Crashes of replicas, with the request under which they happened. */
   crashes: z.array(z.object({ fingerprint: z.string(), replicaRun: z.string() }))
 })
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -97,7 +97,7 @@
     for (const [id, load] of this._state.loads.local) {
       loads[id] = [load.requests, Math.round(load.prefillTokens), Math.round(load.memoryTokens)]
     }
-    const { fronts, sentPrompts, storedParts, loading, crashes, mirror, readSchedule, now, beliefNow } = this._state
+    const { fronts, sentPrompts, storedParts, loading, crashes, notices, mirror, readSchedule, now, beliefNow } = this._state
     const orders = loading.toldBy(fronts.self.name, now())
     return {
       from: { name: fronts.self.name, incarnation: fronts.self.incarnation, isLeaving: fronts.self.isLeaving },
@@ -116,6 +116,7 @@
       fetched: storedParts.takeFetchSamples(),
       loading: orders.loading,
       loaded: [...orders.loaded],
+      leaving: notices.news(now()),
       crashes: crashes.news(now())
     }
   }
@@ -157,6 +158,9 @@
       }, now)
     }
     for (const [address, excess] of heartbeat.fetched) this._state.storedParts.onFetchedElsewhere(address, excess, now)
+    for (const run of heartbeat.leaving) {
+      if (this._state.notices.hear(run, now)) this._state.log.change('replica-leaving', { run, toldBy: heartbeat.from.name })
+    }
     for (const crash of heartbeat.crashes) this._state.crashes.hear(crash, now)
     const { catalog, from, namings } = heartbeat
     for (const change of this._state.catalog.hearNamings(namings, beliefNow)) this._owner.onCatalogChange(change)
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -1,7 +1,7 @@
 /** One gateway instance: its parts, its start and its end. */
 import {
   CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, ReadSchedule, RepeatedCrashes, ReplicaHealth,
-  SeededRandom, SentPrompts, ServiceCatalog, StoredParts, StoreMirror,
+  ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog, StoredParts, StoreMirror,
   type CatalogChange, type FrontRecord, type KeyValueService, type Milliseconds
 } from '@wasabihead/coordination'
 import { CatalogLoop, CrashRecords, FRONT_KEYS, HOST_KEYS, Registration } from '../catalog/index.js'
@@ -79,6 +79,7 @@
       sentPrompts: new SentPrompts(),
       storedParts: new StoredParts(),
       health: new ReplicaHealth(),
+      notices: new ReplicaNotices(),
       cachedParts: new CachedParts(),
       retryBudget: new FleetRetryBudget(settings.retryBudget, now(), settings.isFirstRun),
       crashes: new RepeatedCrashes(),
--- a/packages/gateway/src/protocol/replicaProtocol.ts
+++ b/packages/gateway/src/protocol/replicaProtocol.ts
@@ -31,6 +31,10 @@
   isNotRun: boolean
   /** Whether the replica put its seal on the answer; one without it is not the replica's. */
   isSealed: boolean
+  /** Whether the replica says that it leaves. */
+  isLeaving: boolean
+  /** Where the replica turned the request away: for how long it wants no request of this instance. */
+  retryAfter: Milliseconds | undefined
   /** Loaded weight version, where the answer names it. */
   weightVersion: number | undefined
 }
--- a/packages/gateway/src/requests/gatewayState.ts
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -1,7 +1,7 @@
 /** What the parts of one gateway share. */
 import type {
   CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, Milliseconds, ReadSchedule, RepeatedCrashes,
-  ReplicaHealth, SeededRandom, SentPrompts, ServiceCatalog, StoredParts, StoreMirror
+  ReplicaHealth, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog, StoredParts, StoreMirror
 } from '@wasabihead/coordination'
 import type { ChannelPool } from '../channels/index.js'
 import type { CallerProtocol, ReplicaProtocol } from '../protocol/index.js'
@@ -26,6 +26,7 @@
   sentPrompts: SentPrompts
   storedParts: StoredParts
   health: ReplicaHealth
+  notices: ReplicaNotices
   cachedParts: CachedParts
   retryBudget: FleetRetryBudget
   crashes: RepeatedCrashes
--- a/packages/gateway/src/requests/refusals.ts
+++ b/packages/gateway/src/requests/refusals.ts
@@ -30,10 +30,15 @@
   malformed: { status: 400 }
 }
 
-/** Refuses a request. Only for one that was sent to no replica, or that every replica stated not to have run. */
-export function refuse (response: http.ServerResponse, reason: RefusalReason, state: GatewayState): void {
+/**
+ * Refuses a request. Only for one that was sent to no replica, or that every replica stated not to have run.
+ * @param retryAfter when the caller should come back, where that is known better than by the reason
+ */
+export function refuse (
+  response: http.ServerResponse, reason: RefusalReason, state: GatewayState, retryAfter = REFUSALS[reason].retryAfter
+): void {
   if (response.headersSent || response.destroyed) return
-  const { status, retryAfter } = REFUSALS[reason]
+  const { status } = REFUSALS[reason]
   const headers: string[] = ['Content-Length', '0']
   if (retryAfter !== undefined) {
     headers.push(...state.callerProtocol.retryAfter(spreadRetryAfter(retryAfter, state.random.next())))
--- a/packages/gateway/src/requests/requestPlacement.ts
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -19,9 +19,9 @@
 
   /** The best replica among those that the request was not sent to yet. */
   select (tried: ReadonlySet<string>): Selection | undefined {
-    const { catalog, fronts, loads, health, cachedParts, loading, storedParts, zone, random } = this._state
+    const { fronts, loads, health, cachedParts, loading, storedParts, zone, random } = this._state
     const now = this._state.now()
-    const current = this._withCurrentWeights(catalog.usableReplicas(this.service))
+    const current = this._replicas.filter(replica => !this._state.notices.isClosed(replica, now))
     const candidates = current.filter(({ id }) => !loading.has(id, now))
     return selectReplica({
       // A replica that is loading refuses requests until it is done.
@@ -31,6 +31,14 @@
     }, { loads, health, cachedParts, stores: storedParts, zone, instances: fronts.size(now), random, now })
   }
 
+  /** Where every replica wants no request for a while: how long until the first one takes requests again. */
+  get opensIn (): Milliseconds | undefined {
+    const now = this._state.now()
+    const opensAt = this._replicas.map(replica => this._state.notices.opensAt(replica))
+    const delay = Math.min(...opensAt) - now
+    return delay > 0 && Number.isFinite(delay) ? delay : undefined
+  }
+
   /** The oldest weight version that the request may be sent to; undefined where any will do. */
   get requiredVersion (): number | undefined {
     return this._versionNamedFor(this._state.oldWeights.excludeAfter)
@@ -67,7 +75,9 @@
     else for (const address of fetchLoads.keys()) storedParts.onFetched(address, excess, now)
   }
 
-  private _withCurrentWeights (replicas: readonly Replica[]): readonly Replica[] {
+  /** The replicas whose weights the request may use. */
+  private get _replicas (): readonly Replica[] {
+    const replicas = this._state.catalog.usableReplicas(this.service)
     const { prompt } = this._request.head
     const required = this.requiredVersion
     if (prompt === undefined || required === undefined) return replicas
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -1,6 +1,6 @@
 /** Serves one request: chooses replicas, sends, decides what follows a failure, and passes the answer on. */
 import {
-  decideAfterAttempt, finalVerdict, isRepeatable, type AttemptContext, type AttemptEnd, type AttemptSign,
+  decideAfterAttempt, finalVerdict, isRepeatable, replicaRunOf, type AttemptContext, type AttemptEnd, type AttemptSign,
   type AttemptVerdict, type Milliseconds, type Selection
 } from '@wasabihead/coordination'
 import type { AnswerHead, ExchangeFault } from '../channels/index.js'
@@ -163,6 +163,7 @@
     if (attempt.isOver) return
     attempt.hasHead = true
     const facts = this._factsOf(head)
+    this._noteNotices(attempt, facts)
     if (facts.isNotRun) {
       this._endAttempt(attempt, 'not-run', `status ${head.status}`)
       return
@@ -184,6 +185,20 @@
     this._relay.onHead(head)
   }
 
+  /** Takes what the replica says about the requests that it still wants. An answer that is not its own says nothing. */
+  private _noteNotices ({ replica }: ReplicaAttempt, { isLeaving, retryAfter, isNotRun, isSealed }: AnswerFacts): void {
+    if (!isNotRun && !isSealed) return
+    const { notices, channels, log, now } = this._state
+    const { requestId } = this._request.head
+    if (isLeaving && notices.onLeaving(replica, now())) {
+      channels.forget(replica.id)
+      log.change('replica-leaving', { replica: replica.id, requestId })
+    }
+    if (retryAfter === undefined) return
+    notices.onRetryAfter(replica, retryAfter, now())
+    log.decision('replica-closed', { replica: replica.id, requestId, for: retryAfter })
+  }
+
   private _onBody (attempt: ReplicaAttempt, chunk: Buffer): void {
     if (attempt.isOver) return
     if (this._failure !== undefined) {
@@ -217,7 +232,7 @@
     if (attempt.isOver) return
     if (fault === 'connection-ended' && (attempt.hasHead || !this._mayBeStale(attempt))) {
       this._state.crashes.record({
-        fingerprint: this._request.fingerprint, replicaRun: `${attempt.replica.id}/${attempt.replica.startedAt}`
+        fingerprint: this._request.fingerprint, replicaRun: replicaRunOf(attempt.replica)
       }, this._state.now())
     }
     this._endAttempt(attempt, fault === 'not-connected' ? 'not-sent' : 'broken', `${fault}: ${detail}`)
@@ -278,10 +293,11 @@
     })
   }
 
-  /** A replica that is full because of us is no worse for it. */
+  /** A replica that is full because of us, or says when it takes requests again, is no worse for it. */
   private _signOf (attempt: ReplicaAttempt, end: AttemptEnd): AttemptSign | undefined {
     if (end === 'not-sent' || end === 'timed-out') return 'unreachable'
     if (end !== 'not-run') return 'failed'
+    if (this._state.notices.isClosed(attempt.replica, this._state.now())) return undefined
     return this._state.loads.of(attempt.replica.id).requests < attempt.replica.slots ? 'failed' : undefined
   }
 
@@ -327,10 +343,15 @@
   }
 
   private _refuse (reason: RefusalReason): void {
-    refuse(this._request.response, reason, this._state)
+    refuse(this._request.response, reason, this._state, this._comeBackFor(reason))
     this._finish(`refused-${reason}`)
   }
 
+  /** Undefined where the reason alone says when to come back. */
+  private _comeBackFor (reason: RefusalReason): Milliseconds | undefined {
+    return reason === 'no-replica' || reason === 'not-run' ? this._placement.opensIn : undefined
+  }
+
   private _fail (reason: string): void {
     const { response } = this._request
     response.writeHead(reason === 'deadline' ? GATEWAY_TIMEOUT : BAD_GATEWAY, { 'Content-Length': 0 })
