test(demonstration): read prompts slowly enough that importing a returning prompt is the right choice

Both blocks were found in the store, no replica was believed to hold one, and the policy chose to compute: the slow machine had raised the link's estimate to 39 and 43 ms a block, so that two imports (78 ms) came after reading 250 tokens at 4,000 a second (62.5 ms). That is what the policy is for; the check stood on a race of two times. The demonstration's engines now read 250 tokens a second, so that importing wins over any link of the test, and the check is as strict: every block imported.

--- a/packages/experiments/src/demonstration/demonstration.ts
+++ b/packages/experiments/src/demonstration/demonstration.ts
@@ -9,6 +9,8 @@
 const ANSWER_TOKENS = 12
 const EVICTING_ROUNDS = 50
 const GAP_MILLISECONDS = 1_500
+/** Prompt tokens in a second: slow enough that importing a prompt beats computing it again even over a slow link. */
+export const DEMONSTRATION_PREFILL_RATE = 250
 
 /** What happened to one request. */
 export interface DemonstrationStep {
--- a/packages/experiments/src/demonstration/index.ts
+++ b/packages/experiments/src/demonstration/index.ts
@@ -1,1 +1,1 @@
-export { applyDocument, serveRequests, type DemonstrationStep } from './demonstration.js'
+export { applyDocument, DEMONSTRATION_PREFILL_RATE, serveRequests, type DemonstrationStep } from './demonstration.js'
--- a/packages/experiments/src/demonstration/main.ts
+++ b/packages/experiments/src/demonstration/main.ts
@@ -1,12 +1,12 @@
 /** The demonstration: `npm start` runs until interrupted; with `-- --once` it exits, 0 only if every answer was whole. */
 import { Fleet } from '../processes/index.js'
-import { applyDocument, serveRequests, type DemonstrationStep } from './demonstration.js'
+import { applyDocument, DEMONSTRATION_PREFILL_RATE, serveRequests, type DemonstrationStep } from './demonstration.js'
 
 const isOnce = process.argv.includes('--once')
 const fleet = new Fleet()
 
 async function demonstrate (): Promise<boolean> {
-  await fleet.start({ instances: 2, engines: 2 })
+  await fleet.start({ instances: 2, engines: 2, prefillRate: DEMONSTRATION_PREFILL_RATE })
   await fleet.waitForMembers(2)
   let isAllWhole = show(await applyDocument(fleet))
   for await (const step of serveRequests(fleet)) isAllWhole = show(step) && isAllWhole
--- a/tests/wholeProcess/wholePath.spec.ts
+++ b/tests/wholeProcess/wholePath.spec.ts
@@ -3,11 +3,13 @@
 import got from 'got'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { applyDocument, Caller, Fleet, HARROWGATE_TOKEN, serveRequests, waitUntil } from '@wasabihead/experiments'
+import {
+  applyDocument, Caller, DEMONSTRATION_PREFILL_RATE, Fleet, HARROWGATE_TOKEN, serveRequests, waitUntil
+} from '@wasabihead/experiments'
 
 const fleet = new Fleet()
 test.before(async () => {
-  await fleet.start({ instances: 2, engines: 2 })
+  await fleet.start({ instances: 2, engines: 2, prefillRate: DEMONSTRATION_PREFILL_RATE })
   await fleet.waitForMembers(2)
 })
 test.after(async () => { await fleet.stop() })
