fix(catalog): call a store that is away seldom, with jitter, and ask peers meanwhile

One cause: each instance repeated a failed read each 150 ms, so that a store that turned a third of 78 instances away for 9 s got some 1,600 calls of them (reckoned). Failed reads are now followed by exponential back-off with full jitter, at most 1 s, decided in ReadSchedule; an instance that is behind asks a peer meanwhile.

Test: storeReading.spec.ts simulates 34 instances and a store that is away for 6 s: less than half of the calls at the former interval, and every change known within the bound of 3 s after its return.

--- a/packages/coordination/src/catalog/catalog.spec.ts
+++ b/packages/coordination/src/catalog/catalog.spec.ts
@@ -83,7 +83,8 @@
 // Found in review of whtt-grants inc1: DRAIN, an instance that was told of the store by peers only kept a replica that had left.
 test('should read again whether kept entries have returned, though peers confirm the copy', () => {
   const catalog = new ServiceCatalog(settings)
-  const schedule = new ReadSchedule({ readers: 0, interval: 500, longestAge: 1_000 })
+  const backOff = { firstDelay: 150, maximumDelay: 1_000 }
+  const schedule = new ReadSchedule({ readers: 0, interval: 500, longestAge: 1_000, backOff })
   const read = (at: number): void => {
     catalog.applyListing(listing(at === 0 ? [[replica('a'), 1]] : []), at, at)
     schedule.onRead(at)
--- a/packages/coordination/src/catalog/messages.ts
+++ b/packages/coordination/src/catalog/messages.ts
@@ -1,5 +1,5 @@
 /** The routing configuration, the replicas and the weight versions, as the gateway knows them. */
-import { z } from 'zod'
+import * as z from 'zod'
 
 /**
  * What may be repeated: `safe` requests freely, `unsafe` ones never once sent, `streaming` ones only where the route says
--- a/packages/coordination/src/catalog/readSchedule.ts
+++ b/packages/coordination/src/catalog/readSchedule.ts
@@ -2,8 +2,9 @@
  * When an instance reads the metadata store. A few instances read it all the time and tell the others up to which
  * revision there was nothing new; an instance that is told so need not read, so that the calls do not grow with the fleet.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import { rankByRendezvous, type Milliseconds } from '../common/index.js'
+import { backOffDelay, type BackOffSettings } from '../retry/index.js'
 
 /** Settings of the schedule. */
 export interface ReadScheduleSettings {
@@ -13,6 +14,8 @@
   interval: Milliseconds
   /** An instance that has known nothing of the store for this long reads it whatever its rank. */
   longestAge: Milliseconds
+  /** After reads that failed: all instances meet a store that is away, and each of their calls costs it. */
+  backOff: BackOffSettings
 }
 
 /** What an instance tells of its copy of the store. */
@@ -36,6 +39,9 @@
 export class ReadSchedule {
   private _goodAt: Milliseconds = -Infinity
   private _ownReadAt: Milliseconds = -Infinity
+  /** Reads in a row that failed. */
+  private _failures = 0
+  private _retryAt: Milliseconds = -Infinity
   /** The highest revision that another instance has told of. */
   private _heardRevision = 0
 
@@ -54,9 +60,25 @@
   /** The store answered a read that was sent at `askedAt`. */
   onRead (askedAt: Milliseconds): void {
     this._ownReadAt = askedAt
+    this._failures = 0
+    this._retryAt = -Infinity
     this._goodAt = Math.max(this._goodAt, askedAt)
   }
 
+  /**
+   * A read of the store failed.
+   * @param sample at least 0 and below 1, so that instances that failed together do not read together again
+   */
+  onFailure (sample: number, now: Milliseconds): void {
+    this._retryAt = now + backOffDelay(this._settings.backOff, this._failures, sample)
+    this._failures += 1
+  }
+
+  /** Whether the last read did not fail too lately for another one. */
+  mayRead (now: Milliseconds): boolean {
+    return now >= this._retryAt
+  }
+
   /** Another instance told of its copy; `revision` is the one that the own copy reaches. */
   onNews ({ changedAt, age }: CatalogNews, revision: number, now: Milliseconds): NewsVerdict {
     this._heardRevision = Math.max(this._heardRevision, changedAt)
@@ -85,7 +107,8 @@
   nextReadAt (self: string, instances: readonly string[], settlesAt: Milliseconds): Milliseconds {
     const { readers, interval, longestAge } = this._settings
     const isReader = instances.length <= readers || rankByRendezvous(READER_KEY, instances).indexOf(self) < readers
-    return Math.min(settlesAt, isReader ? this._ownReadAt + interval : this._goodAt + longestAge)
+    const dueAt = Math.min(settlesAt, isReader ? this._ownReadAt + interval : this._goodAt + longestAge)
+    return Math.max(dueAt, this._retryAt)
   }
 
   /** What to tell the others; undefined before the first listing. */
--- a/packages/coordination/src/catalog/storeReading.spec.ts
+++ b/packages/coordination/src/catalog/storeReading.spec.ts
@@ -6,7 +6,7 @@
 import { ReadSchedule, StoreMirror, type StoreChange } from './index.js'
 
 const sameButCount = (before: { value: string }, after: { value: string }): boolean => before.value[0] === after.value[0]
-const SETTINGS = { readers: 2, interval: 500, longestAge: 1_000 }
+const SETTINGS = { readers: 2, interval: 500, longestAge: 1_000, backOff: { firstDelay: 150, maximumDelay: 1_000 } }
 const NAMES = ['a', 'b', 'c', 'd', 'e', 'f']
 
 test('should reach what the store holds, whatever the pages of the listing had already', () => {
@@ -107,6 +107,30 @@
   }), { seed: 20261204 })
 })
 
+test('should wait longer and longer after reads that fail, up to a bound, and not after one that is answered', () => {
+  const schedule = new ReadSchedule(SETTINGS)
+  const almostOne = 0.999_999
+  const delays = Array.from({ length: 5 }, () => {
+    schedule.onFailure(almostOne, 0)
+    return schedule.nextReadAt('a', ['a'], Infinity)
+  })
+  assert.equal(delays, [150, 300, 600, 1_000, 1_000])
+  assert.equal([schedule.mayRead(999), schedule.mayRead(1_000)], [false, true])
+  schedule.onRead(1_000)
+  assert.equal([schedule.mayRead(1_000), schedule.nextReadAt('a', ['a'], Infinity)], [true, 1_500])
+})
+
+// hfs-onboard-large: calls on a store that turned instances away were the largest price of each day.
+test('should call a store that is away seldom, and know what it holds soon after its return', () => {
+  const [from, to] = [3_000, 9_000]
+  for (let seed = 1; seed <= 3; seed++) {
+    const { lag, failed } = worstLag({ loss: 0.1, deaf: 4, changeShare: 0.01, longestRead: 100, away: { from, to } }, seed)
+    const callsAtFirstDelay = 34 * (to - from) / 150
+    assert.ok(failed < callsAtFirstDelay / 2, `seed ${seed}: ${failed} calls`)
+    assert.ok(lag <= 3_000, `seed ${seed}: ${lag} ms`)
+  }
+})
+
 interface SimulatedInstance {
   name: string
   schedule: ReadSchedule
@@ -115,17 +139,29 @@
   changedAt: number
 }
 
-/** Heartbeats each 500 ms of which a share is lost, reads that take up to 100 ms, and some instances that hear nobody. */
+interface ReadingConditions {
+  /** Share of the heartbeats that are lost. */
+  loss: number
+  /** Instances that hear nobody. */
+  deaf: number
+  /** Changes of the store in each step of 10 ms. */
+  changeShare: number
+  longestRead: number
+  /** When the store answers nobody; what changed before its end is to be known as if it had changed at its end. */
+  away?: { from: number, to: number }
+}
+
+/** Heartbeats each 500 ms. */
 function worstLag (
-  { loss, deaf, changeShare, longestRead }: { loss: number, deaf: number, changeShare: number, longestRead: number }, seed: number
-): { lag: number, reads: number } {
+  { loss, deaf, changeShare, longestRead, away = { from: 0, to: 0 } }: ReadingConditions, seed: number
+): { lag: number, reads: number, failed: number } {
   const random = new SeededRandom(seed)
-  const settings = { readers: 2, interval: 750, longestAge: 1_500 }
+  const settings = { readers: 2, interval: 750, longestAge: 1_500, backOff: { firstDelay: 150, maximumDelay: 1_000 } }
   const names = Array.from({ length: 34 }, (_, index) => `instance-${index}`)
   const instances = names.map((name): SimulatedInstance => (
     { name, schedule: new ReadSchedule(settings), revision: 1, changedAt: 1 }))
   const changes: number[] = [0]
-  let [lag, reads] = [0, 0]
+  let [lag, reads, failed] = [0, 0, 0]
   for (const instance of instances) instance.schedule.onRead(0)
   for (let now = 10; now < 20_000; now += 10) {
     if (random.next() < changeShare) changes.push(now)
@@ -135,17 +171,23 @@
         const news = schedule.news(instance.changedAt, now)
         for (const other of instances.slice(deaf)) {
           if (news === undefined || other === instance || random.next() < loss) continue
-          if (other.schedule.onNews(news, other.revision, now) === 'behind') read(other, now)
+          if (other.schedule.onNews(news, other.revision, now) === 'behind' && other.schedule.mayRead(now)) read(other, now)
         }
       }
       if (schedule.nextReadAt(instance.name, names, Infinity) <= now) read(instance, now)
       const unknown = changes[instance.revision]
-      if (unknown !== undefined) lag = Math.max(lag, now - unknown)
+      const isAway = now >= away.from && now < away.to
+      if (unknown !== undefined && !isAway) lag = Math.max(lag, now - Math.max(unknown, now >= away.to ? away.to : 0))
     }
   }
-  return { lag, reads }
+  return { lag, reads, failed }
 
   function read (instance: SimulatedInstance, now: number): void {
+    if (now >= away.from && now < away.to) {
+      failed += 1
+      instance.schedule.onFailure(random.next(), now)
+      return
+    }
     reads += 1
     // The answer says what the store held when the question was sent, and comes a little later.
     instance.schedule.onRead(now - Math.floor(random.next() * longestRead))
--- a/packages/gateway/src/catalog/catalogLoop.ts
+++ b/packages/gateway/src/catalog/catalogLoop.ts
@@ -9,8 +9,8 @@
 
 /** Settings of the loop. */
 export interface CatalogLoopSettings {
-  /** After a read that failed. */
-  retryDelay: Milliseconds
+  /** Between two questions to peers while the store does not answer. */
+  peerInterval: Milliseconds
   peerTimeout: Milliseconds
 }
 
@@ -23,9 +23,9 @@
 export class CatalogLoop {
   private _timer: NodeJS.Timeout | undefined
   private _isReading = false
+  private _isAskingPeer = false
   private _isStopped = false
-  /** When the last read ended. */
-  private _endedAt: Milliseconds = -Infinity
+  private _askedPeerAt: Milliseconds = -Infinity
   private _isStoreReachable = true
   private _ownValues: readonly VersionedValue[] = []
   /** The store's revision that a peer's catalog, taken while the store was away, reached. */
@@ -61,37 +61,38 @@
 
   /** Takes what a peer tells of its copy of the store, and reads the store where the own copy is behind. */
   hear (news: CatalogNews, peer: FrontRecord | undefined): void {
-    const { readSchedule, mirror, catalog, now, beliefNow } = this._state
+    const { readSchedule, mirror, catalog, log, beliefNow } = this._state
     const verdict = readSchedule.onNews(news, mirror.revision, beliefNow())
     if (verdict === 'confirmed') catalog.confirm(readSchedule.goodAt)
-    const isTooSoon = !this._isStoreReachable && now() - this._endedAt < this._settings.retryDelay
-    if (verdict !== 'behind' || this._isReading || this._isStopped || isTooSoon) return
-    this._state.log.detach('catalog', this._read(peer))
+    if (verdict !== 'behind' || this._isReading || this._isStopped) return
+    if (readSchedule.mayRead(beliefNow())) log.detach('catalog', this._read(peer))
+    else log.detach('peer-catalog', this._askPeer(peer))
   }
 
   /** @param peer who is asked where the store does not answer */
   private async _read (peer: FrontRecord | undefined): Promise<void> {
     clearTimeout(this._timer)
     this._isReading = true
-    let isRead = false
     try {
-      isRead = await this._readOnce(peer)
+      await this._readOnce(peer)
     } finally {
       this._isReading = false
-      this._endedAt = this._state.now()
-      this._schedule(isRead ? 0 : this._settings.retryDelay)
+      this._schedule()
     }
   }
 
-  private async _readOnce (peer: FrontRecord | undefined): Promise<boolean> {
+  private async _readOnce (peer: FrontRecord | undefined): Promise<void> {
     const askedAt = this._state.beliefNow()
     const before = this._state.mirror.revision
     const failure = await this._readStore()
     this._noteRead(askedAt, before, peer?.name, failure)
     this._noteStore(failure === undefined, failure ?? '')
-    if (failure === undefined) this._takeMirror(askedAt)
-    else await this._askPeer(peer)
-    return failure === undefined
+    if (failure === undefined) {
+      this._takeMirror(askedAt)
+      return
+    }
+    this._state.readSchedule.onFailure(this._state.random.next(), this._state.beliefNow())
+    await this._askPeer(peer)
   }
 
   private _noteRead (askedAt: Milliseconds, before: number, peer: string | undefined, failure: string | undefined): void {
@@ -108,14 +109,13 @@
     })
   }
 
-  private _schedule (shortestDelay: Milliseconds): void {
+  private _schedule (): void {
     if (this._isStopped) return
-    const delay = Math.max(shortestDelay, this._untilDue())
     // News may have moved the next read on meanwhile.
     this._timer = setTimeout(() => {
       if (this._untilDue() <= 0) this._state.log.detach('catalog', this._read(undefined))
-      else this._schedule(0)
-    }, Math.max(1, delay))
+      else this._schedule()
+    }, Math.max(1, this._untilDue()))
   }
 
   private _untilDue (): Milliseconds {
@@ -152,6 +152,17 @@
   }
 
   private async _askPeer (peer: FrontRecord | undefined): Promise<void> {
+    if (this._isAskingPeer || this._state.now() - this._askedPeerAt < this._settings.peerInterval) return
+    this._isAskingPeer = true
+    this._askedPeerAt = this._state.now()
+    try {
+      await this._askPeerOnce(peer)
+    } finally {
+      this._isAskingPeer = false
+    }
+  }
+
+  private async _askPeerOnce (peer: FrontRecord | undefined): Promise<void> {
     const { fronts, now, beliefNow, random, catalog, mirror, readSchedule } = this._state
     const isStarting = catalog.routes === undefined
     if (!isStarting && !readSchedule.isBehind(Math.max(mirror.revision, this._peerRevision))) return
