--- a/packages/coordination/src/claims/messages.ts
+++ b/packages/coordination/src/claims/messages.ts
@@ -1,5 +1,5 @@
 /** Messages, records and effects of the claim log. */
-import { z } from 'zod'
+import * as z from 'zod'
 import { instanceIdentitySchema, type InstanceIdentity, type Milliseconds } from '../common/index.js'
 
 /** A kept answer, whole. */
--- a/packages/coordination/src/common/identity.ts
+++ b/packages/coordination/src/common/identity.ts
@@ -1,5 +1,5 @@
 /** Who an instance is. */
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Identity of one running instance. A restart on the same host raises the incarnation. */
 export const instanceIdentitySchema = z.strictObject({
--- a/packages/coordination/src/configuration/configurationState.ts
+++ b/packages/coordination/src/configuration/configurationState.ts
@@ -1,5 +1,5 @@
 /** The configuration in force on one instance. It only ever moves to higher revisions. */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Milliseconds } from '../common/index.js'
 import type { ConfigurationDocument } from './document.js'
 
--- a/packages/coordination/src/configuration/document.ts
+++ b/packages/coordination/src/configuration/document.ts
@@ -1,5 +1,5 @@
 /** The operators' document: one for each environment, checked whole before anything of it is in force. */
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Longest document in bytes; the platform's service holds values up to a megabyte. */
 export const MAXIMUM_DOCUMENT_BYTES = 900_000
--- a/packages/coordination/src/fronts/messages.ts
+++ b/packages/coordination/src/fronts/messages.ts
@@ -1,5 +1,5 @@
 /** What the instances tell the store and each other about themselves. */
-import { z } from 'zod'
+import * as z from 'zod'
 import { catalogNewsSchema, namedWeightVersionSchema } from '../catalog/index.js'
 
 /** An instance as it registers itself in the store. */
--- a/packages/coordination/src/leases/roleLease.ts
+++ b/packages/coordination/src/leases/roleLease.ts
@@ -4,7 +4,7 @@
  * writing the key; a candidate takes over when it has seen the key unchanged for the time to live on its own clock, so no
  * two hosts' clocks are compared.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { CompareAndSwapOutcome } from '../platform/index.js'
 import { instanceIdentitySchema, isSameInstance, type InstanceIdentity, type Milliseconds } from '../common/index.js'
 import { HeldLease } from './heldLease.js'
--- a/packages/coordination/src/membership/memberTable.ts
+++ b/packages/coordination/src/membership/memberTable.ts
@@ -1,5 +1,5 @@
 /** What one instance believes about the others. States spread by gossip; (incarnation, version) orders them. */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { InstanceIdentity, Milliseconds } from '../common/index.js'
 
 /** A member as gossiped. */
--- a/packages/coordination/src/quarantine/messages.ts
+++ b/packages/coordination/src/quarantine/messages.ts
@@ -1,5 +1,5 @@
 /** What is kept and told about requests that crash backend servers. */
-import { z } from 'zod'
+import * as z from 'zod'
 import { contentDigest, instanceIdentitySchema } from '../common/index.js'
 
 /**
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -27,6 +27,8 @@
 const PAUSE_INTERVALS = 3
 /** A larger datagram would be split on its way. */
 const MAXIMUM_BYTES = 60_000
+/** Address family, as look-ups name it. */
+const IPV4 = 4
 /** Instances named in one heartbeat. */
 const NAMED_INSTANCES = 1
 /** In its first rounds an instance names itself, since its peers may not know it yet. */
@@ -36,7 +38,8 @@
 
 /** Sends and takes heartbeats. */
 export class Heartbeats {
-  private readonly _socket = dgram.createSocket('udp4')
+  // Peers have IP addresses; the usual look-up would cost more than the sending.
+  private readonly _socket = dgram.createSocket({ type: 'udp4', lookup: (address, _options, done) => { done(null, address, IPV4) } })
   private readonly _pauses: PauseGuard
   private _timer: NodeJS.Timeout | undefined
   private _ticks = 0
--- a/packages/gateway/src/peers/peerListing.ts
+++ b/packages/gateway/src/peers/peerListing.ts
@@ -1,7 +1,7 @@
 /** Asks another instance for its catalog, for a start while the store is away. */
 import http from 'node:http'
 import { catalogListingSchema, frontRecordSchema, type Milliseconds } from '@wasabihead/coordination'
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** What an instance tells one that starts. */
 const peerListingSchema = z.object({
--- a/packages/gateway/src/requests/requestPlacement.ts
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -21,7 +21,7 @@
   select (tried: ReadonlySet<string>): Selection | undefined {
     const { fronts, loads, health, cachedParts, loading, storedParts, zone, random } = this._state
     const now = this._state.now()
-    const current = this._replicas.filter(replica => !this._state.notices.isClosed(replica, now))
+    const current = this._openReplicas
     const candidates = current.filter(({ id }) => !loading.has(id, now))
     return selectReplica({
       // A replica that is loading refuses requests until it is done.
@@ -31,6 +31,11 @@
     }, { loads, health, cachedParts, stores: storedParts, zone, instances: fronts.size(now), random, now })
   }
 
+  /** Whether a replica could be selected now that the request was not sent to yet. */
+  hasReplicaBeside (tried: ReadonlySet<string>): boolean {
+    return this._openReplicas.some(({ id }) => !tried.has(id))
+  }
+
   /** Where every replica wants no request for a while: how long until the first one takes requests again. */
   get opensIn (): Milliseconds | undefined {
     const now = this._state.now()
@@ -75,6 +80,11 @@
     else for (const address of fetchLoads.keys()) storedParts.onFetched(address, excess, now)
   }
 
+  private get _openReplicas (): readonly Replica[] {
+    const now = this._state.now()
+    return this._replicas.filter(replica => !this._state.notices.isClosed(replica, now))
+  }
+
   /** The replicas whose weights the request may use. */
   private get _replicas (): readonly Replica[] {
     const replicas = this._state.catalog.usableReplicas(this.service)
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -270,7 +270,7 @@
       possibleRuns: this._possibleRuns,
       maximumAttempts: route.maximumAttempts,
       hasBegunAnswer: this._relay.hasBegun,
-      hasOtherReplica: this._placement.select(this._tried) !== undefined,
+      hasOtherReplica: this._placement.hasReplicaBeside(this._tried),
       isTimeLeft: this._request.deadline - now > SHORTEST_ATTEMPT
     }
   }
