perf(catalog): tell the store's changes to instances that are behind, instead of letting each of them read

The two instances that read the store tell the changes of the last 3 s with their news, at most 16 KB; one that is behind takes them, waits a fifth of the tightest bound for them, and reads only if they do not come or do not reach back to its copy (a large value, or longer ago). The copy keeps the revision up to which it was read apart from the one that it reaches, so that the next read still brings counts and quiet keys; answers older than what was told are not taken.

--- a/packages/coordination/src/catalog/catalog.spec.ts
+++ b/packages/coordination/src/catalog/catalog.spec.ts
@@ -84,7 +84,7 @@
 test('should read again whether kept entries have returned, though peers confirm the copy', () => {
   const catalog = new ServiceCatalog(settings)
   const backOff = { firstDelay: 150, maximumDelay: 1_000 }
-  const schedule = new ReadSchedule({ readers: 0, interval: 500, longestAge: 1_000, backOff })
+  const schedule = new ReadSchedule({ readers: 0, interval: 500, longestAge: 1_000, patience: 400, backOff })
   const read = (at: number): void => {
     catalog.applyListing(listing(at === 0 ? [[replica('a'), 1]] : []), at, at)
     schedule.onRead(at)
--- a/packages/coordination/src/catalog/index.ts
+++ b/packages/coordination/src/catalog/index.ts
@@ -6,6 +6,7 @@
   type WorkspaceAccess
 } from './messages.js'
 export { RouteTable, type RouteMatch, type RouteRefusal } from './routeTable.js'
+export { ChangeLog, toldChangesSchema, type ToldChanges } from './changeLog.js'
 export { ServiceCatalog, type CatalogChange, type CatalogSettings } from './serviceCatalog.js'
-export { catalogNewsSchema, ReadSchedule, type CatalogNews, type NewsVerdict, type ReadScheduleSettings } from './readSchedule.js'
+export { catalogNewsSchema, NEWS_MARGIN, ReadSchedule, type CatalogNews, type NewsVerdict, type ReadScheduleSettings } from './readSchedule.js'
 export { StoreMirror, type StoreChange, type StoreChanges, type StoreSnapshot } from './storeMirror.js'
--- a/packages/coordination/src/catalog/readSchedule.ts
+++ b/packages/coordination/src/catalog/readSchedule.ts
@@ -4,6 +4,7 @@
  */
 import * as z from 'zod'
 import { rankByRendezvous, type Milliseconds } from '../common/index.js'
+import { toldChangesSchema } from './changeLog.js'
 import { backOffDelay, type BackOffSettings } from '../retry/index.js'
 
 /** Settings of the schedule. */
@@ -12,6 +13,8 @@
   readers: number
   /** Between two reads of such an instance. */
   interval: Milliseconds
+  /** An instance that is behind waits so long for those that read, before it reads. */
+  patience: Milliseconds
   /** An instance that has known nothing of the store for this long reads it whatever its rank. */
   longestAge: Milliseconds
   /** After reads that failed: all instances meet a store that is away, and each of their calls costs it. */
@@ -23,7 +26,9 @@
   /** The last revision that said something new. */
   changedAt: z.number(),
   /** How long ago the store held nothing newer than that. */
-  age: z.number()
+  age: z.number(),
+  /** From an instance that reads the store for the others: the changes themselves. */
+  told: toldChangesSchema.optional()
 })
 /** What an instance tells of its copy of the store. */
 export type CatalogNews = z.infer<typeof catalogNewsSchema>
@@ -42,6 +47,8 @@
   /** Reads in a row that failed. */
   private _failures = 0
   private _retryAt: Milliseconds = -Infinity
+  /** Since when this instance knows that it is behind. */
+  private _behindSince: Milliseconds = Infinity
   /** The highest revision that another instance has told of. */
   private _heardRevision = 0
 
@@ -62,6 +69,7 @@
     this._ownReadAt = askedAt
     this._failures = 0
     this._retryAt = -Infinity
+    this._behindSince = Infinity
     this._goodAt = Math.max(this._goodAt, askedAt)
   }
 
@@ -82,7 +90,11 @@
   /** Another instance told of its copy; `revision` is the one that the own copy reaches. */
   onNews ({ changedAt, age }: CatalogNews, revision: number, now: Milliseconds): NewsVerdict {
     this._heardRevision = Math.max(this._heardRevision, changedAt)
-    if (changedAt > revision) return 'behind'
+    if (changedAt > revision) {
+      this._behindSince = Math.min(this._behindSince, now)
+      return 'behind'
+    }
+    if (this._heardRevision <= revision) this._behindSince = Infinity
     const goodAt = now - age - NEWS_MARGIN
     if (goodAt <= this._goodAt) return 'old'
     this._goodAt = goodAt
@@ -94,6 +106,15 @@
     return this._heardRevision > revision
   }
 
+  /**
+   * Whether this instance reads the store for the others.
+   * @param instances names of the live instances, this one included
+   */
+  isReader (self: string, instances: readonly string[]): boolean {
+    const { readers } = this._settings
+    return instances.length <= readers || rankByRendezvous(READER_KEY, instances).indexOf(self) < readers
+  }
+
   /** Whether this instance itself keeps up with the store, by its rank or since nobody else tells it anything. */
   isReading (now: Milliseconds): boolean {
     return now - this._ownReadAt <= 2 * this._settings.longestAge
@@ -105,9 +126,9 @@
    * @param settlesAt when what the last read left open has to be read again
    */
   nextReadAt (self: string, instances: readonly string[], settlesAt: Milliseconds): Milliseconds {
-    const { readers, interval, longestAge } = this._settings
-    const isReader = instances.length <= readers || rankByRendezvous(READER_KEY, instances).indexOf(self) < readers
-    const dueAt = Math.min(settlesAt, isReader ? this._ownReadAt + interval : this._goodAt + longestAge)
+    const { interval, longestAge, patience } = this._settings
+    const usualAt = this.isReader(self, instances) ? this._ownReadAt + interval : this._goodAt + longestAge
+    const dueAt = Math.min(settlesAt, usualAt, this._behindSince + patience)
     return Math.max(dueAt, this._retryAt)
   }
 
--- a/packages/coordination/src/catalog/storeReading.spec.ts
+++ b/packages/coordination/src/catalog/storeReading.spec.ts
@@ -6,7 +6,9 @@
 import { ReadSchedule, StoreMirror, type StoreChange } from './index.js'
 
 const sameButCount = (before: { value: string }, after: { value: string }): boolean => before.value[0] === after.value[0]
-const SETTINGS = { readers: 2, interval: 500, longestAge: 1_000, backOff: { firstDelay: 150, maximumDelay: 1_000 } }
+const SETTINGS = {
+  readers: 2, interval: 500, longestAge: 1_000, patience: 400, backOff: { firstDelay: 150, maximumDelay: 1_000 }
+}
 const NAMES = ['a', 'b', 'c', 'd', 'e', 'f']
 
 test('should reach what the store holds, whatever the pages of the listing had already', () => {
@@ -28,7 +30,7 @@
     const mirror = new StoreMirror(() => false, () => false)
     mirror.applyListing({ revision: listedAt, values })
     const end = history.length + 1
-    assert.ok(mirror.applyChanges({ revision: end, changes: history.filter(({ revision }) => revision > listedAt) }))
+    assert.ok(mirror.applyChanges({ revision: end, changes: history.filter(({ revision }) => revision > listedAt) }, 0))
     const byKey = (items: readonly { key: string, value: string }[]) => items.map(({ key, value }) => `${key}=${value}`).sort()
     assert.equal(byKey(mirror.values), byKey([...heldAt(end).values()]))
   }), { seed: 20261204 })
@@ -37,20 +39,20 @@
 test('should ask for a listing where the revision moved and no change came with it', () => {
   const mirror = new StoreMirror(sameButCount, () => false)
   mirror.applyListing({ revision: 5, values: [{ key: 'k', value: 'a1', revision: 3 }] })
-  assert.not(mirror.applyChanges({ revision: 9, changes: [] }))
-  assert.not(mirror.applyChanges({ revision: 4, changes: [] }))
-  assert.ok(mirror.applyChanges({ revision: 5, changes: [] }))
+  assert.not(mirror.applyChanges({ revision: 9, changes: [] }, 0))
+  assert.not(mirror.applyChanges({ revision: 4, changes: [] }, 0))
+  assert.ok(mirror.applyChanges({ revision: 5, changes: [] }, 0))
   assert.is(mirror.revision, 5)
 })
 
 test('should tell changes that say something new from counts that rise', () => {
   const mirror = new StoreMirror(sameButCount, () => false)
   mirror.applyListing({ revision: 5, values: [{ key: 'k', value: 'a1', revision: 3 }] })
-  assert.ok(mirror.applyChanges({ revision: 7, changes: [{ key: 'k', value: 'a2', revision: 7 }] }))
+  assert.ok(mirror.applyChanges({ revision: 7, changes: [{ key: 'k', value: 'a2', revision: 7 }] }, 0))
   assert.equal([mirror.revision, mirror.changedAt], [7, 5])
-  assert.ok(mirror.applyChanges({ revision: 9, changes: [{ key: 'k', value: 'b2', revision: 8 }, { key: 'other', value: undefined, revision: 9 }] }))
+  assert.ok(mirror.applyChanges({ revision: 9, changes: [{ key: 'k', value: 'b2', revision: 8 }, { key: 'other', value: undefined, revision: 9 }] }, 0))
   assert.equal([mirror.revision, mirror.changedAt], [9, 8])
-  assert.ok(mirror.applyChanges({ revision: 11, changes: [{ key: 'k', value: undefined, revision: 11 }] }))
+  assert.ok(mirror.applyChanges({ revision: 11, changes: [{ key: 'k', value: undefined, revision: 11 }] }, 0))
   assert.is(mirror.changedAt, 11)
 })
 
@@ -59,7 +61,7 @@
   const mirror = new StoreMirror(sameButCount, key => key.startsWith('own/'))
   mirror.applyListing({ revision: 5, values: [{ key: 'own/1', value: 'a', revision: 3 }, { key: 'k', value: 'a', revision: 4 }] })
   const changes = [{ key: 'own/1', value: undefined, revision: 6 }, { key: 'own/2', value: 'b', revision: 7 }]
-  assert.ok(mirror.applyChanges({ revision: 7, changes }))
+  assert.ok(mirror.applyChanges({ revision: 7, changes }, 0))
   mirror.applyListing({ revision: 9, values: [{ key: 'own/3', value: 'b', revision: 8 }, { key: 'k', value: 'a', revision: 4 }] })
   assert.equal([mirror.revision, mirror.changedAt], [9, 5])
   mirror.applyListing({ revision: 11, values: [] })
@@ -156,7 +158,7 @@
   { loss, deaf, changeShare, longestRead, away = { from: 0, to: 0 } }: ReadingConditions, seed: number
 ): { lag: number, reads: number, failed: number } {
   const random = new SeededRandom(seed)
-  const settings = { readers: 2, interval: 750, longestAge: 1_500, backOff: { firstDelay: 150, maximumDelay: 1_000 } }
+  const settings = { ...SETTINGS, interval: 750, longestAge: 1_500, patience: 600 }
   const names = Array.from({ length: 34 }, (_, index) => `instance-${index}`)
   const instances = names.map((name): SimulatedInstance => (
     { name, schedule: new ReadSchedule(settings), revision: 1, changedAt: 1 }))
@@ -171,7 +173,8 @@
         const news = schedule.news(instance.changedAt, now)
         for (const other of instances.slice(deaf)) {
           if (news === undefined || other === instance || random.next() < loss) continue
-          if (other.schedule.onNews(news, other.revision, now) === 'behind' && other.schedule.mayRead(now)) read(other, now)
+          if (schedule.isReader(instance.name, names)) tell(instance, other, now)
+          other.schedule.onNews(news, other.revision, now)
         }
       }
       if (schedule.nextReadAt(instance.name, names, Infinity) <= now) read(instance, now)
@@ -182,6 +185,14 @@
   }
   return { lag, reads, failed }
 
+  /** The teller knows each change of the last seconds by itself; of those before, only that there were some. */
+  function tell (teller: SimulatedInstance, hearer: SimulatedInstance, now: number): void {
+    if (teller.changedAt <= hearer.revision) return
+    const after = changes.findLastIndex(at => now - at >= 3_000) + 1
+    if (hearer.revision >= after) hearer.revision = hearer.changedAt = teller.changedAt
+    else if (hearer.schedule.mayRead(now)) read(hearer, now)
+  }
+
   function read (instance: SimulatedInstance, now: number): void {
     if (now >= away.from && now < away.to) {
       failed += 1
@@ -206,6 +217,65 @@
   })
 }
 
+// hfs-onboard-large: 78 instances read the store for each change, 8,283 calls on a calm day.
+test('should let few instances read while single things change and heartbeats arrive', () => {
+  const { reads } = worstLag({ loss: 0, deaf: 0, changeShare: 0.01, longestRead: 0 }, 1)
+  assert.ok(reads <= 3 * Math.ceil(20_000 / 750), `${reads} reads`)
+})
+
+test('should hold what the store held at the revision that it reaches, read or told, in any order', () => {
+  const change = fc.record({ key: fc.constantFrom('k1', 'k2', 'k3'), value: fc.option(fc.constantFrom('a', 'b'), { nil: undefined }) })
+  const step = fc.record({
+    kind: fc.constantFrom('reader-reads', 'tells', 'reads', 'reads-late', 'lists-late'), changes: fc.nat(3), gap: fc.nat(4_000)
+  })
+  fc.assert(fc.property(fc.array(change, { maxLength: 30 }), fc.array(step, { maxLength: 25 }), (written, steps) => {
+    const history: StoreChange[] = written.map((entry, index) => ({ ...entry, revision: index + 2 }))
+    const heldAt = (revision: number) => {
+      const held = new Map<string, { key: string, value: string, revision: number }>()
+      for (const entry of history.filter(item => item.revision <= revision)) {
+        if (entry.value === undefined) held.delete(entry.key)
+        else held.set(entry.key, { ...entry, value: entry.value })
+      }
+      return [...held.values()]
+    }
+    const since = (mirror: StoreMirror, revision: number) => ({
+      revision, changes: history.filter(item => item.revision > mirror.revision && item.revision <= revision)
+    })
+    const [reader, hearer] = [new StoreMirror(() => false, () => false), new StoreMirror(() => false, () => false)]
+    for (const mirror of [reader, hearer]) mirror.applyListing({ revision: 1, values: [] })
+    let [head, now] = [1, 0]
+    for (const { kind, changes, gap } of steps) {
+      const before = head
+      head = Math.min(history.length + 1, head + changes)
+      now += gap
+      if (kind === 'reader-reads') reader.applyChanges(since(reader, head), now)
+      const told = reader.recentChanges(now)
+      if (kind === 'tells' && told !== undefined) hearer.applyTold(told, reader.changedAt, now)
+      // An answer that was asked for before the last changes arrives after what was told of them.
+      const seen = kind === 'reads-late' ? before : head
+      if (kind.startsWith('reads') && seen >= hearer.revision) hearer.applyChanges(since(hearer, seen), now)
+      if (kind === 'lists-late' && before >= hearer.revision) hearer.applyListing({ revision: before, values: heldAt(before) })
+      const byKey = (items: readonly { key: string, value: string }[]) => items.map(({ key, value }) => `${key}=${value}`).sort()
+      assert.equal(byKey(hearer.values), byKey(heldAt(hearer.reach)))
+    }
+  }), { seed: 20261204, numRuns: 500 })
+})
+
+test('should not take what was told where it does not reach back to the copy, nor tell large values', () => {
+  const reader = new StoreMirror(() => false, () => false)
+  const hearer = new StoreMirror(() => false, () => false)
+  for (const mirror of [reader, hearer]) mirror.applyListing({ revision: 1, values: [] })
+  const takes = () => hearer.applyTold(reader.recentChanges(now) ?? { after: Infinity, changes: [] }, reader.changedAt, now)
+  let now = 0
+  reader.applyChanges({ revision: 2, changes: [{ key: 'large', value: 'x'.repeat(20_000), revision: 2 }] }, now)
+  reader.applyChanges({ revision: 3, changes: [{ key: 'small', value: 'x', revision: 3 }] }, now)
+  assert.equal([takes(), hearer.reach], [false, 1])
+  hearer.applyChanges({ revision: 2, changes: [{ key: 'large', value: 'x'.repeat(20_000), revision: 2 }] }, now)
+  assert.equal([takes(), hearer.reach, hearer.values.length], [true, 3, 2])
+  now = 5_000
+  assert.equal(reader.recentChanges(now), { after: 3, changes: [] })
+})
+
 test('should let the two readers alone read while nothing changes and heartbeats arrive', () => {
   const { reads } = worstLag({ loss: 0, deaf: 0, changeShare: 0, longestRead: 0 }, 1)
   assert.ok(reads <= 2 * Math.ceil(20_000 / 750), String(reads))
--- a/packages/coordination/src/catalog/weightVersionBound.spec.ts
+++ b/packages/coordination/src/catalog/weightVersionBound.spec.ts
@@ -16,7 +16,9 @@
 const CALL_TIMEOUT: Milliseconds = 1_200
 const NAMES = ['a', 'b', 'c', 'd']
 const MODELS = ['m', 'n']
-const SCHEDULE = { readers: 2, interval: 500, longestAge: 1_000, backOff: { firstDelay: 150, maximumDelay: 1_000 } }
+const SCHEDULE = {
+  readers: 2, interval: 500, longestAge: 1_000, patience: 400, backOff: { firstDelay: 150, maximumDelay: 1_000 }
+}
 
 interface Naming { model: string, version: number, at: Milliseconds }
 interface Fault { kind: 'restart' | 'stop' | 'refused', instances: number, at: Milliseconds, length: Milliseconds }
--- a/packages/gateway/src/catalog/catalogLoop.ts
+++ b/packages/gateway/src/catalog/catalogLoop.ts
@@ -1,6 +1,7 @@
 /** Keeps the catalog up to date with the store, and with peers while the store does not answer. */
 import {
-  frontRecordSchema, type CatalogChange, type CatalogNews, type FrontRecord, type Milliseconds, type VersionedValue
+  frontRecordSchema, NEWS_MARGIN, type CatalogChange, type CatalogNews, type FrontRecord, type Milliseconds, type ToldChanges,
+  type VersionedValue
 } from '@wasabihead/coordination'
 import type { CatalogSource } from '../protocol/index.js'
 import { askPeerListing } from '../peers/index.js'
@@ -62,11 +63,25 @@
   /** Takes what a peer tells of its copy of the store, and reads the store where the own copy is behind. */
   hear (news: CatalogNews, peer: FrontRecord | undefined): void {
     const { readSchedule, mirror, catalog, log, beliefNow } = this._state
-    const verdict = readSchedule.onNews(news, mirror.revision, beliefNow())
+    if (this._isStopped) return
+    if (news.told !== undefined && news.changedAt > mirror.reach) this._takeTold(news, news.told)
+    const verdict = readSchedule.onNews(news, mirror.reach, beliefNow())
     if (verdict === 'confirmed') catalog.confirm(readSchedule.goodAt)
-    if (verdict !== 'behind' || this._isReading || this._isStopped) return
-    if (readSchedule.mayRead(beliefNow())) log.detach('catalog', this._read(peer))
-    else log.detach('peer-catalog', this._askPeer(peer))
+    if (verdict !== 'behind' || this._isReading) return
+    if (!readSchedule.mayRead(beliefNow())) log.detach('peer-catalog', this._askPeer(peer))
+    // Who reads the store told of something that it could not tell in full.
+    else if (news.told !== undefined) log.detach('catalog', this._read(peer))
+    else this._schedule()
+  }
+
+  private _takeTold ({ changedAt, age }: CatalogNews, told: ToldChanges): void {
+    const { mirror, catalog, log, beliefNow } = this._state
+    const now = beliefNow()
+    const before = mirror.reach
+    if (!mirror.applyTold(told, changedAt, now)) return
+    log.decision('store-changes-told', { before, reach: mirror.reach, changes: told.changes.length, age })
+    const { catalog: listing } = this._source.decode(mirror.values)
+    this._take(catalog.applyListing(listing, Math.max(catalog.listedAt, now - age - NEWS_MARGIN), now))
   }
 
   /** @param peer who is asked where the store does not answer */
@@ -110,6 +125,7 @@
   }
 
   private _schedule (): void {
+    clearTimeout(this._timer)
     if (this._isStopped) return
     // News may have moved the next read on meanwhile.
     this._timer = setTimeout(() => {
@@ -127,11 +143,11 @@
 
   /** Brings the mirror up to date; gives the reason where that failed. */
   private async _readStore (): Promise<string | undefined> {
-    const { mirror, log } = this._state
+    const { mirror, log, beliefNow } = this._state
     if (mirror.revision > 0) {
       const changes = await this._source.changesSince(mirror.revision)
       if (changes.isErr) return changes.error.message
-      if (changes.value !== undefined && mirror.applyChanges(changes.value)) return undefined
+      if (changes.value !== undefined && mirror.applyChanges(changes.value, beliefNow())) return undefined
       log.change('store-history-missing', { revision: mirror.revision, reached: changes.value?.revision })
     }
     const snapshot = await this._source.list()
@@ -165,7 +181,7 @@
   private async _askPeerOnce (peer: FrontRecord | undefined): Promise<void> {
     const { fronts, now, beliefNow, random, catalog, mirror, readSchedule } = this._state
     const isStarting = catalog.routes === undefined
-    if (!isStarting && !readSchedule.isBehind(Math.max(mirror.revision, this._peerRevision))) return
+    if (!isStarting && !readSchedule.isBehind(Math.max(mirror.reach, this._peerRevision))) return
     const known = fronts.livePeers(now()).map(({ controlAddress }) => controlAddress)
     const addresses = (known.length > 0 ? known : this.seeds).filter(address => address !== fronts.self.controlAddress)
     if (addresses.length === 0) return
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -100,12 +100,12 @@
     for (const [id, load] of this._state.loads.local) {
       loads[id] = [load.requests, Math.round(load.prefillTokens), Math.round(load.memoryTokens)]
     }
-    const { fronts, sentPrompts, storedParts, loading, crashes, notices, mirror, readSchedule, now, beliefNow } = this._state
+    const { fronts, sentPrompts, storedParts, loading, crashes, notices, now, beliefNow } = this._state
     const orders = loading.toldBy(fronts.self.name, now())
     return {
       from: { name: fronts.self.name, incarnation: fronts.self.incarnation, isLeaving: fronts.self.isLeaving },
       isReady: this._owner.isReady(),
-      catalog: readSchedule.news(mirror.changedAt, beliefNow()),
+      catalog: this._catalogNews(),
       namings: this._state.catalog.recentNamings(beliefNow()),
       named: this._named(),
       loads,
@@ -124,6 +124,14 @@
     }
   }
 
+  private _catalogNews (): CatalogNews | undefined {
+    const { fronts, mirror, readSchedule, now, beliefNow } = this._state
+    const news = readSchedule.news(mirror.changedAt, beliefNow())
+    if (news === undefined) return undefined
+    const instances = [fronts.self.name, ...fronts.livePeers(now()).map(({ name }) => name)]
+    return readSchedule.isReader(fronts.self.name, instances) ? { ...news, told: mirror.recentChanges(beliefNow()) } : news
+  }
+
   private _named (): FrontRecord[] {
     const { fronts, random } = this._state
     if (this._round <= ROUNDS_NAMING_SELF) return [fronts.self]
