fix(requests): count only new events as progress of a stream, and resume elsewhere one that stands still

Each chunk began the wait for silence anew, so a replica that sent parts of an event, comments or the same event again kept a stream that can be resumed until its deadline. Progress is now an event with a new id (or any event of a stream without ids). A sound stream with an event each 900 ms is left alone.

--- a/packages/gateway/src/requests/answerRelay.ts
+++ b/packages/gateway/src/requests/answerRelay.ts
@@ -14,6 +14,9 @@
   /** The last event that the caller has got. */
   abstract readonly lastEventId: string | undefined
 
+  /** Rises whenever the answer has come further; bytes that complete nothing are no progress. */
+  abstract readonly progress: number
+
   /** Takes the head of an answer that is to be passed on; a second one goes on with the first one's stream. */
   abstract onHead (head: AnswerHead): void
 
@@ -30,6 +33,7 @@
 
   override readonly kind = 'whole'
   override readonly lastEventId = undefined
+  override readonly progress = 0
   private _head: AnswerHead | undefined
   private _held: Buffer[] = []
   private _heldBytes = 0
@@ -87,6 +91,7 @@
   private _head: AnswerHead | undefined
   private _hasBegun = false
   private _lastEventId: string | undefined
+  private _progress = 0
 
   /** @param onDrained called when the caller has read what was written */
   constructor (private readonly _response: http.ServerResponse, resumedAfter: string | undefined, onDrained: () => void) {
@@ -103,6 +108,10 @@
     return this._lastEventId
   }
 
+  override get progress (): number {
+    return this._progress
+  }
+
   override onHead (head: AnswerHead): void {
     this._splitter = new EventSplitter()
     if (this._hasBegun) return
@@ -113,6 +122,8 @@
     const events = this._splitter.take(Buffer.from(chunk))
     if (events === undefined) return true
     this._begin()
+    // A comment or a repeated event keeps the connection open and brings the stream no further.
+    if (events.lastId === undefined ? this._lastEventId === undefined : events.lastId !== this._lastEventId) this._progress += 1
     this._lastEventId = events.lastId ?? this._lastEventId
     return this._response.write(events.bytes)
   }
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -17,7 +17,7 @@
 const PLAIN_ATTEMPT_SHARE = 0.6
 /** Times the objective after which a stream that has not begun is tried elsewhere, if its replica sends nothing at all. */
 const FIRST_EVENT_SHARE = 1.5
-/** Longest silence within a stream that can be resumed elsewhere; callers give up after two seconds or more. */
+/** Longest time without a new event in a stream that can be resumed elsewhere; callers give up after two seconds or more. */
 const STREAM_SILENCE: Milliseconds = 1_500
 /** A kept connection that ends within this time of a request was probably closed before it. */
 const STALE_CHANNEL_SIGN: Milliseconds = 10
@@ -209,10 +209,12 @@
       this._firstByteAt ??= this._state.now()
       this._placement.noteFirstByte(attempt.selection, attempt.sentAt)
     }
-    if (this._relay.kind === 'events') {
+    const progress = this._relay.progress
+    const mayGoOn = this._relay.onBody(chunk)
+    // Bytes alone do not count: a stalled replica may send one now and then.
+    if (this._relay.progress > progress) {
       attempt.watchSilence(this._isRepeatable ? STREAM_SILENCE : undefined, elapsed => { this._onSilence(attempt, elapsed) })
     }
-    const mayGoOn = this._relay.onBody(chunk)
     if (!mayGoOn) attempt.channel.pause()
   }
 
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -223,6 +223,7 @@
       { ...route, name: 'safe', path_prefix: '/safe/', kind: 'safe' },
       { ...route, name: 'unsafe', path_prefix: '/unsafe/', kind: 'unsafe' },
       { ...route, name: 'events', path_prefix: '/events/', kind: 'streaming', resumable: true },
+      { ...route, name: 'long', path_prefix: '/long/', kind: 'streaming', resumable: true, timeout_ms: 12_000 },
       { ...route, name: 'once', path_prefix: '/once/', kind: 'streaming', resumable: false }
     ],
     services: [{ name: 'desk', health_path: '/health', max_conns: 20, protocol: 'h1', tls: false }],
--- a/tests/platform/wholePath.spec.ts
+++ b/tests/platform/wholePath.spec.ts
@@ -126,6 +126,41 @@
   assert.equal(received().map(({ headers }) => headers['last-event-id']).sort(), ['1', undefined])
 })
 
+const dribbles = [
+  { title: 'parts of an event', bytes: () => 'd' },
+  { title: 'comments', bytes: () => ': still here\n\n' },
+  { title: 'the same event again', bytes: () => 'id: 1\ndata: a\n\n' }
+]
+for (const { title, bytes } of dribbles) {
+  test(`should resume a stream elsewhere whose replica sends only ${title}, and leave a slow one that comes on`, async () => {
+    const stalled: string[] = []
+    for (const replica of [first, second]) {
+      replica.respond = (request, response) => {
+        response.writeHead(200, { ...replica.answerHeaders(request), 'Content-Type': 'text/event-stream' })
+        if (request.headers['last-event-id'] === undefined) {
+          stalled.push(replica.id)
+          response.write('id: 1\ndata: a\n\n')
+          const timer = setInterval(() => { response.write(bytes()) }, 100)
+          response.once('close', () => { clearInterval(timer) })
+          return
+        }
+        // Slow, with an event each 900 ms.
+        const events = ['id: 2\ndata: b\n\n', 'id: 3\ndata: c\n\n', 'id: 4\ndata: d\n\n']
+        const timer = setInterval(() => {
+          response.write(events.shift() ?? '')
+          if (events.length > 0) return
+          clearInterval(timer)
+          response.end()
+        }, 900)
+        response.once('close', () => { clearInterval(timer) })
+      }
+    }
+    const answer = await call(front(), '/long/x', { headers: { 'X-Wasabihead-Deadline-Ms': '12000' } })
+    assert.match(answer.body, /id: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n$/)
+    assert.equal([stalled.length, received().length], [1, 2])
+  })
+}
+
 test('should let a broken stream that cannot be resumed look broken', async () => {
   for (const replica of [first, second]) {
     replica.respond = (request, response) => {
