feat(dispatch): learn how soon a service's engines begin to answer, in place of figures of two deployments

Replicas were weighed by 40 prompt tokens a millisecond, the rate of two deployment sheets; another deployment's engine reads 125 and adds 62 ms before the first token. EngineSpeed fits a line through the answers that nothing waited before, with fading weights and a bounded weight of late answers, for each service of an instance. It is not told to peers.

--- a/packages/coordination/src/dispatch/dispatch.spec.ts
+++ b/packages/coordination/src/dispatch/dispatch.spec.ts
@@ -4,8 +4,8 @@
 import { SeededRandom } from '../common/index.js'
 import type { Engine, Replica } from '../catalog/index.js'
 import {
-  admitPrompt, CachedParts, decideAfterAttempt, FleetLoads, FleetRetryBudget, RepeatedCrashes, ReplicaHealth, selectReplica,
-  type AttemptContext, type AttemptEnd, type PartSource, type PartStores, type Prompt, type SelectionView
+  admitPrompt, CachedParts, decideAfterAttempt, EngineSpeed, FleetLoads, FleetRetryBudget, RepeatedCrashes, ReplicaHealth,
+  selectReplica, type AttemptContext, type AttemptEnd, type PartSource, type PartStores, type Prompt, type SelectionView
 } from './index.js'
 
 const NO_STORES: PartStores = { sourceOf: () => undefined, saveTargetOf: () => undefined }
@@ -21,6 +21,7 @@
   health: new ReplicaHealth(),
   cachedParts: new CachedParts(),
   stores: NO_STORES,
+  speed: new EngineSpeed(),
   zone: 'z',
   instances: 1,
   random: new SeededRandom(1),
--- a/packages/coordination/src/dispatch/index.ts
+++ b/packages/coordination/src/dispatch/index.ts
@@ -2,6 +2,7 @@
   decideAfterAttempt, finalVerdict, isRepeatable, type AttemptContext, type AttemptEnd, type AttemptVerdict
 } from './attemptDecision.js'
 export { CachedParts, type PromptPart } from './cachedParts.js'
+export { EngineSpeed, EngineSpeeds } from './engineSpeed.js'
 export { FleetLoads, type ReplicaLoad } from './fleetLoads.js'
 export { FleetRetryBudget, type FleetRetryBudgetSettings } from './fleetRetryBudget.js'
 export { admitPrompt, type PromptAdmission, type PromptPressure } from './promptAdmission.js'
@@ -12,6 +13,5 @@
 export { type PartSource, type PartStores } from './partStores.js'
 export { SentPrompts, type SentPrompt } from './sentPrompts.js'
 export {
-  PREFILL_TOKENS_PER_MILLISECOND, selectReplica, type Prompt, type PromptDemand, type Selection, type SelectionRequest,
-  type SelectionView
+  selectReplica, type Prompt, type PromptDemand, type Selection, type SelectionRequest, type SelectionView
 } from './selectReplica.js'
--- a/packages/coordination/src/dispatch/selectReplica.ts
+++ b/packages/coordination/src/dispatch/selectReplica.ts
@@ -2,6 +2,7 @@
 import { firstByRendezvous, type Milliseconds, type SeededRandom } from '../common/index.js'
 import type { Engine, Replica } from '../catalog/index.js'
 import type { CachedParts, PromptPart } from './cachedParts.js'
+import type { EngineSpeed } from './engineSpeed.js'
 import type { FleetLoads } from './fleetLoads.js'
 import { averageLoads, fetchUntil, PartHolders, planFetches, type PartOrigin } from './promptFetches.js'
 import type { PartStores } from './partStores.js'
@@ -22,6 +23,8 @@
   health: ReplicaHealth
   cachedParts: CachedParts
   stores: PartStores
+  /** What is known of the engines of the service. */
+  speed: EngineSpeed
   /** Data centre of this instance. */
   zone: string
   /** Instances that choose at the same time, this one included. */
@@ -57,6 +60,8 @@
   crowding: number
   /** The part of the cost that is time until the first byte; the rest makes the replica less wanted. */
   wait: Milliseconds
+  /** Prompt tokens that the replica has to read before, as far as was known. */
+  queuedTokens: number
   /** Tokens of the prompt that are neither held nor fetched. */
   freshTokens: number
   fetchedTokens: number
@@ -75,8 +80,6 @@
   origins: PartOrigin[]
 }
 
-/** Prompt tokens that a replica reads in a millisecond; from the users' deployment sheets (38.7 and 42.6). */
-export const PREFILL_TOKENS_PER_MILLISECOND = 40
 /** A decoding step is longer while more requests run; from the sheets, 0.012 to 0.029 ms, over some steps. */
 const RUNNING_REQUEST_COST: Milliseconds = 1
 /** Typical service time of a plain request, from the sheets. */
@@ -144,6 +147,7 @@
     cost: busyCost + commonCost(replica, view),
     crowding: 0,
     wait: busyCost,
+    queuedTokens: 0,
     freshTokens: 0,
     fetchedTokens: 0,
     sources: undefined,
@@ -169,9 +173,10 @@
   const fetches = planFetches(replica, shared, heldCount, salt, holders)
   const freshTokens = Math.max(0, prompt.inputTokens - heldTokens - fetches.tokens)
   const sharedFreshTokens = tokensOf(shared) - heldTokens - fetches.tokens
-  const affinityGain = isGroupsFirst ? EXPECTED_SHARE * sharedFreshTokens / PREFILL_TOKENS_PER_MILLISECOND : 0
-  const queueTime = load.prefillTokens / PREFILL_TOKENS_PER_MILLISECOND
-  const prefillTime = freshTokens / PREFILL_TOKENS_PER_MILLISECOND
+  const { timeForToken } = view.speed
+  const affinityGain = isGroupsFirst ? EXPECTED_SHARE * sharedFreshTokens * timeForToken : 0
+  const queueTime = load.prefillTokens * timeForToken
+  const prefillTime = view.speed.firstTokenAfter(freshTokens)
   const needed = prompt.inputTokens + prompt.maximumOutputTokens
   const missing = Math.max(0, load.memoryTokens + needed - engine.cacheTokens)
   const memoryCost = missing / TOKENS_FREED_PER_MILLISECOND
@@ -184,6 +189,7 @@
     cost: wait + versionCost + commonCost(replica, view) - affinityGain,
     crowding: missing / Math.max(1, engine.cacheTokens),
     wait,
+    queuedTokens: load.prefillTokens,
     freshTokens,
     fetchedTokens: fetches.tokens,
     sources: fetches.sources.some(address => address !== undefined) ? [...fetches.sources, undefined] : undefined,
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -1,7 +1,7 @@
 /** One gateway instance: its parts, its start and its end. */
 import {
-  CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, ReadSchedule, RepeatedCrashes, ReplicaHealth,
-  ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog, StoredParts, StoreMirror,
+  CachedParts, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, ReadSchedule, RepeatedCrashes,
+  ReplicaHealth, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog, StoredParts, StoreMirror,
   type CatalogChange, type FrontRecord, type KeyValueService, type Milliseconds
 } from '@wasabihead/coordination'
 import { CatalogLoop, CrashRecords, FRONT_KEYS, HOST_KEYS, Registration } from '../catalog/index.js'
@@ -80,6 +80,7 @@
       storedParts: new StoredParts(),
       health: new ReplicaHealth(),
       notices: new ReplicaNotices(),
+      speeds: new EngineSpeeds(),
       cachedParts: new CachedParts(),
       retryBudget: new FleetRetryBudget(settings.retryBudget, now(), settings.isFirstRun),
       crashes: new RepeatedCrashes(),
--- a/packages/gateway/src/requests/gatewayState.ts
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -1,7 +1,7 @@
 /** What the parts of one gateway share. */
 import type {
-  CachedParts, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, Milliseconds, ReadSchedule, RepeatedCrashes,
-  ReplicaHealth, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog, StoredParts, StoreMirror
+  CachedParts, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, Milliseconds, ReadSchedule,
+  RepeatedCrashes, ReplicaHealth, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog, StoredParts, StoreMirror
 } from '@wasabihead/coordination'
 import type { ChannelPool } from '../channels/index.js'
 import type { CallerProtocol, ReplicaProtocol } from '../protocol/index.js'
@@ -27,6 +27,7 @@
   storedParts: StoredParts
   health: ReplicaHealth
   notices: ReplicaNotices
+  speeds: EngineSpeeds
   cachedParts: CachedParts
   retryBudget: FleetRetryBudget
   crashes: RepeatedCrashes
--- a/packages/gateway/src/requests/requestPlacement.ts
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -19,7 +19,7 @@
 
   /** The best replica among those that the request was not sent to yet. */
   select (tried: ReadonlySet<string>): Selection | undefined {
-    const { fronts, loads, health, cachedParts, loading, storedParts, zone, random } = this._state
+    const { fronts, loads, health, cachedParts, loading, storedParts, speeds, zone, random } = this._state
     const now = this._state.now()
     const current = this._openReplicas
     const candidates = current.filter(({ id }) => !loading.has(id, now))
@@ -28,7 +28,17 @@
       candidates: candidates.length > 0 ? candidates : current,
       tried,
       demand: this._demand()
-    }, { loads, health, cachedParts, stores: storedParts, zone, instances: fronts.size(now), random, now })
+    }, {
+      loads,
+      health,
+      cachedParts,
+      stores: storedParts,
+      speed: speeds.of(this.service),
+      zone,
+      instances: fronts.size(now),
+      random,
+      now
+    })
   }
 
   /** Whether a replica could be selected now that the request was not sent to yet. */
@@ -70,12 +80,14 @@
     }
   }
 
-  /** The first byte of the answer came: fetches are judged by how much longer it took than was predicted. */
-  noteFirstByte ({ salt, wait, fetchLoads }: Selection, sentAt: Milliseconds): void {
+  /** The first byte of the answer came: fetches and the engines are judged by how long it took. */
+  noteFirstByte ({ salt, wait, fetchLoads, queuedTokens, freshTokens, crowding }: Selection, sentAt: Milliseconds): void {
     if (salt === undefined) return
-    const { storedParts } = this._state
+    const { storedParts, speeds } = this._state
     const now = this._state.now()
     const excess = now - sentAt - wait
+    const hasWaited = queuedTokens > 0 || crowding > 0 || fetchLoads.size > 0
+    if (!hasWaited) speeds.of(this.service).onFirstToken(freshTokens, now - sentAt)
     if (fetchLoads.size === 0) storedParts.onUnfetched(excess, now)
     else for (const address of fetchLoads.keys()) storedParts.onFetched(address, excess, now)
   }
