--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -70,7 +70,7 @@
 }
 
 /** Addresses of one gateway. */
-export type GatewayAddresses = Record<'front' | 'ready' | 'control' | 'directory', string>
+export type GatewayAddresses = Record<'front' | 'ready' | 'control' | 'directory' | 'heartbeats', string>
 
 /** One gateway, over its starts. */
 export class GatewayProcess {
@@ -165,7 +165,11 @@
   ): Promise<GatewayProcess> {
     const [front, ready, control, directory, inner] = await freePorts(5)
     const addresses = {
-      front: `${LOOPBACK}:${front}`, ready: `${LOOPBACK}:${ready}`, control: `${LOOPBACK}:${control}`, directory: `${LOOPBACK}:${directory}`
+      front: `${LOOPBACK}:${front}`,
+      ready: `${LOOPBACK}:${ready}`,
+      control: `${LOOPBACK}:${control}`,
+      directory: `${LOOPBACK}:${directory}`,
+      heartbeats: `${LOOPBACK}:${inner}`
     }
     const gateway = new GatewayProcess(name, addresses, {
       node_name: name,
