--- a/packages/coordination/src/dispatch/dispatch.spec.ts
+++ b/packages/coordination/src/dispatch/dispatch.spec.ts
@@ -114,6 +114,31 @@
   assert.equal([selection?.salt, selection?.sources], ['/m/2', undefined])
 })
 
+test('should choose as if it had weighed every replica in full', () => {
+  const state = fc.record({
+    queued: fc.nat(20_000), requests: fc.nat(10), memory: fc.nat(60_000), holds: fc.nat(3), zone: fc.constantFrom('z', 'other')
+  })
+  const parts = [{ id: 'a', tokens: 2_500 }, { id: 'b', tokens: 5_000 }, { id: 'own', tokens: 1_500 }]
+  fc.assert(fc.property(fc.array(state, { minLength: 1, maxLength: 8 }), fc.boolean(), (states, isStored) => {
+    const stores: PartStores = { ...NO_STORES, sourceOf: () => isStored ? storeSource() : undefined }
+    const chosen = view({ stores })
+    const all = states.map(({ zone }, index) => replica(String(index), { zone }))
+    for (const [index, { queued, requests, memory, holds }] of states.entries()) {
+      chosen.loads.add(String(index), { requests, prefillTokens: queued, memoryTokens: memory })
+      chosen.cachedParts.onSent(String(index), '/m/1', parts.slice(0, holds), engine.cacheTokens)
+    }
+    // A replica alone is its group's first one, which makes it no dearer than it is among others.
+    const alone = all.map(({ id }) => {
+      const tried = new Set(all.map(other => other.id).filter(other => other !== id))
+      return selectReplica({ candidates: all, tried, demand: demand() }, chosen)?.cost ?? NaN
+    })
+    const selection = selectReplica({ candidates: all, tried: new Set(), demand: demand() }, chosen)
+    const gain = 0.5 * 7_500 * chosen.speed.timeForToken
+    assert.ok((selection?.cost ?? NaN) <= Math.min(...alone) + gain + 1e-9)
+    if (isStored) assert.ok(Math.abs((selection?.cost ?? NaN) - Math.min(...alone)) <= 1e-9)
+  }), { seed: 17 })
+})
+
 test('should try an unreachable replica with one request at a time', () => {
   const chosen = view()
   chosen.health.record('1', 'unreachable', 0)
--- a/packages/coordination/src/dispatch/selectReplica.ts
+++ b/packages/coordination/src/dispatch/selectReplica.ts
@@ -117,10 +117,16 @@
   const first = group === undefined ? undefined : firstByRendezvous(group, candidates.map(({ id }) => id))
   const holders = new PartHolders(request.candidates, demand.prompt.parts.slice(0, -1), demand.engine, view)
   const spread = SPREAD_FOR_EACH_INSTANCE * Math.max(0, view.instances - INSTANCES_WITHOUT_SPREAD)
-  return cheapest(candidates.map(replica => {
-    const selection = weighPrompt(replica, demand, holders, view, replica.id === first)
-    return { ...selection, cost: selection.cost + spread * view.random.next() }
-  }))
+  const pressures = candidates.map(replica => pressureOf(replica, demand, view, spread * view.random.next()))
+  pressures.sort((left, right) => left.leastCost - right.leastCost)
+  let best: Selection | undefined
+  for (const pressure of pressures) {
+    // What parts it holds or fetches cannot make this replica, or those after it, any cheaper.
+    if (best !== undefined && pressure.leastCost >= best.cost) break
+    const selection = weighPrompt(pressure, demand, holders, view, pressure.replica.id === first)
+    if (best === undefined || selection.cost < best.cost) best = selection
+  }
+  return best
 }
 
 function cheapest (selections: readonly Selection[]): Selection | undefined {
@@ -160,36 +166,59 @@
   }
 }
 
-function weighPrompt (
-  replica: Replica, demand: PromptDemand, holders: PartHolders, view: SelectionView, isGroupsFirst: boolean
-): Selection {
+/** What a prompt meets on a replica, whatever of it is cached there. */
+interface ReplicaPressure {
+  replica: Replica
+  version: number
+  queuedTokens: number
+  queueTime: Milliseconds
+  /** Tokens of memory that the replica lacks for the prompt. */
+  missingTokens: number
+  /** Waits for memory and for a slot. */
+  roomTime: Milliseconds
+  /** What speaks against the replica besides time. */
+  otherCost: Milliseconds
+  /** The cost if only the prompt's own part has to be read. */
+  leastCost: Milliseconds
+}
+
+function pressureOf (replica: Replica, demand: PromptDemand, view: SelectionView, spread: Milliseconds): ReplicaPressure {
   const { prompt, engine, wantedVersion } = demand
   const version = replica.weightVersions[prompt.model] ?? 0
-  const salt = demand.saltFor(version)
   const load = view.loads.of(replica.id)
+  const needed = prompt.inputTokens + prompt.maximumOutputTokens
+  const missingTokens = Math.max(0, load.memoryTokens + needed - engine.cacheTokens)
+  const slotCost = load.requests >= replica.slots ? SLOT_WAIT : load.requests * RUNNING_REQUEST_COST
+  const versionCost = wantedVersion !== undefined && version < wantedVersion ? OLD_VERSION_COST : 0
+  const queueTime = load.prefillTokens * view.speed.timeForToken
+  const roomTime = missingTokens / TOKENS_FREED_PER_MILLISECOND + slotCost
+  const otherCost = versionCost + commonCost(replica, view) + spread
+  const ownTokens = Math.max(0, prompt.inputTokens - tokensOf(prompt.parts.slice(0, -1)))
+  const leastCost = queueTime + view.speed.firstTokenAfter(ownTokens) + roomTime + otherCost
+  return { replica, version, queuedTokens: load.prefillTokens, queueTime, missingTokens, roomTime, otherCost, leastCost }
+}
+
+function weighPrompt (
+  pressure: ReplicaPressure, demand: PromptDemand, holders: PartHolders, view: SelectionView, isGroupsFirst: boolean
+): Selection {
+  const { prompt, engine } = demand
+  const { replica, version, queuedTokens, queueTime, missingTokens, roomTime, otherCost } = pressure
+  const salt = demand.saltFor(version)
   const shared = prompt.parts.slice(0, -1)
   const heldCount = view.cachedParts.heldParts(replica.id, salt, shared)
   const heldTokens = tokensOf(shared.slice(0, heldCount))
   const fetches = planFetches(replica, shared, heldCount, salt, holders)
   const freshTokens = Math.max(0, prompt.inputTokens - heldTokens - fetches.tokens)
   const sharedFreshTokens = tokensOf(shared) - heldTokens - fetches.tokens
-  const { timeForToken } = view.speed
-  const affinityGain = isGroupsFirst ? EXPECTED_SHARE * sharedFreshTokens * timeForToken : 0
-  const queueTime = load.prefillTokens * timeForToken
-  const prefillTime = view.speed.firstTokenAfter(freshTokens)
-  const needed = prompt.inputTokens + prompt.maximumOutputTokens
-  const missing = Math.max(0, load.memoryTokens + needed - engine.cacheTokens)
-  const memoryCost = missing / TOKENS_FREED_PER_MILLISECOND
-  const slotCost = load.requests >= replica.slots ? SLOT_WAIT : load.requests * RUNNING_REQUEST_COST
+  const affinityGain = isGroupsFirst ? EXPECTED_SHARE * sharedFreshTokens * view.speed.timeForToken : 0
   // The replica reads other prompts while parts of this one are on their way.
-  const wait = Math.max(queueTime, fetches.time) + prefillTime + memoryCost + slotCost
-  const versionCost = wantedVersion !== undefined && version < wantedVersion ? OLD_VERSION_COST : 0
+  const wait = Math.max(queueTime, fetches.time) + view.speed.firstTokenAfter(freshTokens) + roomTime
   return {
     replica,
-    cost: wait + versionCost + commonCost(replica, view) - affinityGain,
-    crowding: missing / Math.max(1, engine.cacheTokens),
+    cost: wait + otherCost - affinityGain,
+    crowding: missingTokens / Math.max(1, engine.cacheTokens),
     wait,
-    queuedTokens: load.prefillTokens,
+    queuedTokens,
     freshTokens,
     fetchedTokens: fetches.tokens,
     sources: fetches.sources.some(address => address !== undefined) ? [...fetches.sources, undefined] : undefined,
