fix(heartbeats): tell of loading replicas at once in large fleets

A load takes 0.4 s, and with 78 instances the one that orders it told the others once a second. While replicas load by its orders, it now begins a round each 250 ms, as a leaving instance does.

--- a/packages/coordination/src/fronts/frontDirectory.spec.ts
+++ b/packages/coordination/src/fronts/frontDirectory.spec.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { FrontDirectory, intervalsForRound, type FrontRecord, type Heartbeat } from './index.js'
+import { FrontDirectory, intervalsForRound, isRoundDue, type FrontRecord, type Heartbeat } from './index.js'
 
 const record = (name: string, change: Partial<FrontRecord> = {}): FrontRecord => ({
   name, incarnation: 1, zone: 'z', region: 'r', frontAddress: name, controlAddress: name, heartbeatAddress: name, isLeaving: false, ...change
@@ -90,6 +90,18 @@
   assert.is(fronts.livePeers(2_601).length, 0)
 })
 
+const rounds = [
+  { title: 'each interval with few peers', peers: 10, isUrgent: false, due: [1, 2, 3, 4, 5, 6, 7, 8] },
+  { title: 'each fourth interval with many peers', peers: 77, isUrgent: false, due: [4, 8] },
+  { title: 'each interval with many peers while it has urgent news', peers: 77, isUrgent: true, due: [1, 2, 3, 4, 5, 6, 7, 8] }
+]
+for (const { title, peers, isUrgent, due } of rounds) {
+  test(`should begin a round of heartbeats ${title}`, () => {
+    const intervals = [1, 2, 3, 4, 5, 6, 7, 8]
+    assert.equal(intervals.filter(interval => isRoundDue(interval, peers, isUrgent)), due)
+  })
+}
+
 test('should leave itself out when it is not ready or leaves', () => {
   const fronts = directory()
   fronts.hear(heartbeat(record('a')), 0)
--- a/packages/coordination/src/fronts/heartbeatRounds.ts
+++ b/packages/coordination/src/fronts/heartbeatRounds.ts
@@ -13,6 +13,14 @@
   return Math.min(LONGEST_ROUND_INTERVALS, Math.ceil((peers + 1) / PEERS_FOR_EACH_INTERVAL))
 }
 
+/**
+ * Whether a round begins with this interval.
+ * @param isUrgent whether this instance has news that are of use only at once: it leaves, or replicas are loading by its orders
+ */
+export function isRoundDue (interval: number, peers: number, isUrgent: boolean): boolean {
+  return isUrgent || interval % intervalsForRound(peers) === 0
+}
+
 /** After which silence a peer is taken for dead. */
 export function silenceFor (peers: number, interval: Milliseconds): Milliseconds {
   return SILENT_ROUNDS * interval * intervalsForRound(peers)
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -2,7 +2,7 @@
 import dgram from 'node:dgram'
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import {
-  heartbeatSchema, intervalsForRound, PauseGuard, type CatalogChange, type CatalogNews, type FrontRecord, type Heartbeat,
+  heartbeatSchema, isRoundDue, PauseGuard, type CatalogChange, type CatalogNews, type FrontRecord, type Heartbeat,
   type Milliseconds, type ReplicaLoad
 } from '@wasabihead/coordination'
 import { splitAddress } from '../channels/index.js'
@@ -79,7 +79,7 @@
       storedParts.doubtAll()
     }
     this._ticks += 1
-    if (this._ticks % intervalsForRound(peers.length) !== 0 && !fronts.self.isLeaving) return
+    if (!isRoundDue(this._ticks, peers.length, this._isUrgent)) return
     this._round += 1
     if (peers.length === 0) return
     const message = deflateRawSync(JSON.stringify(this._heartbeat()))
@@ -95,6 +95,13 @@
     }
   }
 
+  /** A load of weights takes a fraction of a second, and a replica refuses requests meanwhile. */
+  private get _isUrgent (): boolean {
+    const { fronts, loading, now } = this._state
+    const orders = loading.toldBy(fronts.self.name, now())
+    return fronts.self.isLeaving || orders.loading.length > 0 || orders.loaded.length > 0
+  }
+
   private _heartbeat (): Heartbeat {
     const loads: Heartbeat['loads'] = {}
     for (const [id, load] of this._state.loads.local) {
