fix(requests): go on only to replicas that could be selected

A retry was spent in vain, and the caller got a 502 of ours in place of the replica's own answer. Both now look at the same candidates.

Test: requestPlacement.spec.ts, a table of five cases; the third is red on the code before.

--- /dev/null
+++ b/packages/gateway/src/requests/requestPlacement.spec.ts
@@ -0,0 +1,41 @@
+/** Which replicas a request may still go to. */
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { LoadingReplicas, ReplicaNotices, SeededRandom, type Replica } from '@wasabihead/coordination'
+import type { CallerRequest } from './callerRequest.js'
+import type { GatewayState } from './gatewayState.js'
+import { RequestPlacement } from './requestPlacement.js'
+
+const replica = (id: string): Replica => ({
+  id, service: 's', address: '10.0.0.1:1', zone: 'z', slots: 8, isDraining: false, weightVersions: {}, startedAt: 1
+})
+const replicas = ['a', 'b'].map(replica)
+const request = { route: { targets: [{ service: 's', weight: 1 }] }, head: {} } as unknown as CallerRequest
+
+const cases: { title: string, loading: string[], leaving: string[], tried: string[], expected: boolean }[] = [
+  { title: 'another replica is free', loading: [], leaving: [], tried: ['a'], expected: true },
+  { title: 'all were tried', loading: [], leaving: [], tried: ['a', 'b'], expected: false },
+  // An attempt that failed here was followed by a 502 of our own in place of the replica's answer.
+  { title: 'the only other one is loading, and refuses requests', loading: ['b'], leaving: [], tried: ['a'], expected: false },
+  { title: 'all are loading', loading: ['a', 'b'], leaving: [], tried: ['a'], expected: true },
+  { title: 'the only other one leaves', loading: [], leaving: ['b'], tried: ['a'], expected: false }
+]
+for (const { title, loading, leaving, tried, expected } of cases) {
+  test(`should know whether a request may go on where ${title}`, () => {
+    const state = {
+      catalog: { usableReplicas: () => replicas },
+      notices: new ReplicaNotices(),
+      loading: new LoadingReplicas(),
+      random: new SeededRandom(1),
+      now: () => 0,
+      beliefNow: () => 0,
+      oldWeights: { avoidAfter: 500, excludeAfter: 6_000 }
+    }
+    state.loading.hear('other', loading, [], 0)
+    for (const id of leaving) state.notices.onLeaving(replica(id), 0)
+    const placement = new RequestPlacement(state as unknown as GatewayState, request)
+    assert.is(placement.hasReplicaBeside(new Set(tried)), expected)
+  })
+}
+
+test.run()
--- a/packages/gateway/src/requests/requestPlacement.ts
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -19,13 +19,10 @@
 
   /** The best replica among those that the request was not sent to yet. */
   select (tried: ReadonlySet<string>): Selection | undefined {
-    const { fronts, loads, health, cachedParts, loading, storedParts, speeds, zone, random } = this._state
+    const { fronts, loads, health, cachedParts, storedParts, speeds, zone, random } = this._state
     const now = this._state.now()
-    const current = this._openReplicas
-    const candidates = current.filter(({ id }) => !loading.has(id, now))
     return selectReplica({
-      // A replica that is loading refuses requests until it is done.
-      candidates: candidates.length > 0 ? candidates : current,
+      candidates: this._candidates,
       tried,
       demand: this._demand()
     }, {
@@ -43,7 +40,7 @@
 
   /** Whether a replica could be selected now that the request was not sent to yet. */
   hasReplicaBeside (tried: ReadonlySet<string>): boolean {
-    return this._openReplicas.some(({ id }) => !tried.has(id))
+    return this._candidates.some(({ id }) => !tried.has(id))
   }
 
   /** Where every replica wants no request for a while: how long until the first one takes requests again. */
@@ -92,9 +89,13 @@
     else for (const address of fetchLoads.keys()) storedParts.onFetched(address, excess, now)
   }
 
-  private get _openReplicas (): readonly Replica[] {
+  private get _candidates (): readonly Replica[] {
+    const { notices, loading } = this._state
     const now = this._state.now()
-    return this._replicas.filter(replica => !this._state.notices.isClosed(replica, now))
+    const open = this._replicas.filter(replica => !notices.isClosed(replica, now))
+    const idle = open.filter(({ id }) => !loading.has(id, now))
+    // A replica that is loading refuses requests until it is done.
+    return idle.length > 0 ? idle : open
   }
 
   /** The replicas whose weights the request may use. */
