fix(channels): hand out no connection that was closed here before its end is reported

A copy on an idle connection closes it; until the close event comes, the pool handed the connection out, so that the request failed as broken, though nothing of it had been sent: an unsafe one with 502.

Test: replicaChannel.spec.ts, red before (12 of 13 passed).

--- a/packages/gateway/src/channels/replicaChannel.spec.ts
+++ b/packages/gateway/src/channels/replicaChannel.spec.ts
@@ -128,4 +128,16 @@
   })
 })
 
+// Beside load a caller got a failure: a connection closed for a late copy was taken again before its end was reported.
+test('should not hand out a connection that was closed here before its end is reported', async () => {
+  await withReplica(socket => { socket.write(WHOLE) }, async (pool, address) => {
+    const channel = pool.take({ id: 'r', address }, true)
+    await exchange(channel)
+    channel.close()
+    const next = pool.take({ id: 'r', address }, true)
+    assert.is.not(next, channel)
+    assert.equal(await exchange(next), { status: 200, body: 'hi', fault: undefined })
+  })
+})
+
 test.run()
--- a/packages/gateway/src/channels/replicaChannel.ts
+++ b/packages/gateway/src/channels/replicaChannel.ts
@@ -94,9 +94,9 @@
     })
   }
 
-  /** Whether the connection is gone. */
+  /** Whether the connection is gone, or was closed here and only its end is not reported yet. */
   get isClosed (): boolean {
-    return this._isClosed
+    return this._isClosed || this._socket.destroyed
   }
 
   /** Until when an idle connection may be used; then the replica may close it. */
