--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,5 +3,5 @@
 export { Gateway, type GatewayAdapter, type GatewaySettings } from './process/index.js'
 export {
   CallerProtocol, CatalogSource, ReplicaProtocol,
-  type AnswerFacts, type CallerHead, type ForwardFields, type HeaderFields, type ReplicaCall, type StoreListing
+  type AnswerFacts, type CallerHead, type ForwardFields, type HeaderFields, type ReplicaCall, type StatedRate, type StoreListing
 } from './protocol/index.js'
--- a/packages/gateway/src/protocol/replicaProtocol.ts
+++ b/packages/gateway/src/protocol/replicaProtocol.ts
@@ -24,6 +24,9 @@
   lastEventId: string | undefined
 }
 
+/** A rate as a replica stated it; `unreadable` where what it wrote is no rate. */
+export type StatedRate = number | 'unreadable'
+
 /** What the head of a replica's answer says. */
 export interface AnswerFacts {
   requestId: string | undefined
@@ -35,6 +38,8 @@
   isLeaving: boolean
   /** Where the replica turned the request away: for how long it wants no request of this instance. */
   retryAfter: Milliseconds | undefined
+  /** Requests a second that the replica takes from all instances together; undefined where it states no limit. */
+  rateLimit: StatedRate | undefined
   /** Loaded weight version, where the answer names it. */
   weightVersion: number | undefined
 }
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -186,10 +186,16 @@
   }
 
   /** Takes what the replica says about the requests that it still wants. An answer that is not its own says nothing. */
-  private _noteNotices ({ replica }: ReplicaAttempt, { isLeaving, retryAfter, isNotRun, isSealed }: AnswerFacts): void {
+  private _noteNotices (
+    { replica, sentAt }: ReplicaAttempt, { isLeaving, retryAfter, rateLimit, isNotRun, isSealed }: AnswerFacts
+  ): void {
     if (!isNotRun && !isSealed) return
-    const { notices, channels, log, now } = this._state
+    const { notices, channels, log, metrics, now } = this._state
     const { requestId } = this._request.head
+    if (rateLimit !== undefined) {
+      metrics.count('answers_with_rate_limit_total', rateLimit === 'unreadable' ? 'unreadable' : 'stated')
+      log.decision('replica-limit-stated', { replica: replica.id, requestId, rate: rateLimit, after: Math.round(now() - sentAt) })
+    }
     if (isLeaving && notices.onLeaving(replica, now())) {
       channels.forget(replica.id)
       log.change('replica-leaving', { replica: replica.id, requestId })
