--- /dev/null
+++ b/tests/platform/replicaLimits.spec.ts
@@ -0,0 +1,80 @@
+/** Rates that replicas state for all instances together, over processes: several gateways and stand-in replicas. */
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { waitUntil } from '@wasabihead/experiments'
+import { call, configurationOf, PlatformFleet, type CallerAnswer, type GatewayProcess, type ReplicaStandIn } from './platformFleet.js'
+
+const GATEWAYS = 4
+const WINDOW_MS = 4_000
+/** The platform counts from then on after the first statement. */
+const CONTACT_MS = 3_000
+const REQUEST_INTERVAL_MS = 20
+const MILLISECONDS = 1_000
+
+let fleet: PlatformFleet
+let limited: ReplicaStandIn
+
+test.before.each(async () => {
+  fleet = new PlatformFleet()
+  await fleet.start(GATEWAYS)
+  fleet.store.put('op/config', configurationOf(1))
+  limited = await fleet.addReplica('replica-1', 'desk')
+  await fleet.addReplica('replica-2', 'desk')
+  for (const gateway of fleet.gateways) {
+    await waitUntil(async () => (await safe(gateway)).status === 200)
+    await waitUntil(async () => fleet.replicas.every(({ id }) => hasLogged(gateway, 'replica-added', id)))
+  }
+})
+test.after.each(async () => { await fleet.stop() })
+
+function hasLogged ({ output }: GatewayProcess, event: string, text: string): boolean {
+  return output.split('\n').some(line => line.includes(`"event":"${event}"`) && line.includes(text))
+}
+
+async function safe ({ addresses }: GatewayProcess): Promise<CallerAnswer> {
+  return await call(addresses.front, '/safe/x')
+}
+
+/** Requests at all gateways, evenly, for a time; the answers' statuses. */
+async function press (duration: number): Promise<number[]> {
+  const answers: Promise<CallerAnswer>[] = []
+  const begin = performance.now()
+  await new Promise<void>(resolve => {
+    const timer = setInterval(() => {
+      answers.push(safe(fleet.gateways[answers.length % GATEWAYS] as GatewayProcess))
+      if (performance.now() - begin < duration) return
+      clearInterval(timer)
+      resolve()
+    }, REQUEST_INTERVAL_MS)
+  })
+  return (await Promise.all(answers)).map(({ status }) => status)
+}
+
+/** The replica states the rate in each answer; gives the times of the requests that it gets. */
+function stateRate (replica: ReplicaStandIn, rate: string): number[] {
+  const times: number[] = []
+  replica.respond = (request, response) => {
+    times.push(performance.now())
+    response.writeHead(200, { ...replica.answerHeaders(request), 'Server-Limit': rate }).end('limited')
+  }
+  return times
+}
+
+/** Most requests in any window, from the contact time after the first one on. */
+function mostInWindow (times: readonly number[]): number {
+  const judgedFrom = (times[0] ?? Infinity) + CONTACT_MS
+  const judged = times.filter(time => time >= judgedFrom)
+  return Math.max(0, ...judged.map(begin => judged.filter(time => time >= begin && time < begin + WINDOW_MS).length))
+}
+
+// hfs-onboard LIMIT (f363f883): a replica that stated 1.1 requests a second got 20 in 4 s from four gateways.
+test('should send a replica no more than the rate that it stated, over all gateways together', async () => {
+  const rate = 1.2
+  const times = stateRate(limited, String(rate))
+  const statuses = await press(CONTACT_MS + 2 * WINDOW_MS)
+  assert.equal(new Set(statuses), new Set([200]), 'the other replica serves what this one does not take')
+  const allowed = 1.5 * rate * WINDOW_MS / MILLISECONDS + 5
+  assert.ok(mostInWindow(times) <= allowed, `${mostInWindow(times)} requests in ${WINDOW_MS} ms, allowed ${allowed}`)
+})
+
+test.run()
