fix(dispatch): share the rates that replicas state among few owners

Cause: nothing read the statement. Class: a figure that a party states for all instances together, which each instance alone can keep while the sum breaks it.

A rate is now held by floor(rate) + 2 owners, whom all instances find by rendezvous over the names of all instances that may be at work, heard or not, as the retry budget counts them; a cut, a false death or a freeze therefore moves no share, and a restart begins with its allowance used up. Statements are ordered by when their answers came, looser ones only where their request was sent after the current one was heard. Peers tell each other. A limit that nobody was answered about is tried at the rate by all instances together. Where every replica is at its limit a request waits for a reserved place of its own within an eighth of its objective, else it is refused at once, each caller with another time to come back. Other replicas may still fetch cached parts.

Before: tests/platform/replicaLimits.spec.ts 188 requests in 4 s, allowed 12.2.

--- a/packages/coordination/src/dispatch/selectReplica.ts
+++ b/packages/coordination/src/dispatch/selectReplica.ts
@@ -48,6 +48,8 @@
   candidates: readonly Replica[]
   /** Replicas that this request has already been sent to. */
   tried: ReadonlySet<string>
+  /** Replicas that prompt parts may be fetched from; the candidates where it is left out. */
+  holders?: readonly Replica[] | undefined
   demand?: PromptDemand | undefined
 }
 
@@ -115,7 +117,7 @@
   if (demand === undefined) return cheapest(candidates.map(replica => weighPlain(replica, view)))
   const group = groupPart(demand.prompt)
   const first = group === undefined ? undefined : firstByRendezvous(group, candidates.map(({ id }) => id))
-  const holders = new PartHolders(request.candidates, demand.prompt.parts.slice(0, -1), demand.engine, view)
+  const holders = new PartHolders(request.holders ?? request.candidates, demand.prompt.parts.slice(0, -1), demand.engine, view)
   const spread = SPREAD_FOR_EACH_INSTANCE * Math.max(0, view.instances - INSTANCES_WITHOUT_SPREAD)
   const pressures = candidates.map(replica => pressureOf(replica, demand, view, spread * view.random.next()))
   pressures.sort((left, right) => left.leastCost - right.leastCost)
--- a/packages/coordination/src/fronts/frontDirectory.spec.ts
+++ b/packages/coordination/src/fronts/frontDirectory.spec.ts
@@ -17,6 +17,7 @@
   loading: [],
   loaded: [],
   leaving: [],
+  limits: [],
   crashes: [],
   ...change
 })
--- a/packages/coordination/src/fronts/frontDirectory.ts
+++ b/packages/coordination/src/fronts/frontDirectory.ts
@@ -31,6 +31,8 @@
   private readonly _fronts = new Map<string, KnownFront>()
   private _hasHeardAny = false
   private _hosts: ReadonlySet<string> | undefined
+  /** Made when it is asked for, and anew after a change. */
+  private _knownNames: readonly string[] | undefined
 
   /** @param _self this instance, as it registers itself */
   constructor (private _self: FrontRecord, private readonly _settings: FrontDirectorySettings) {}
@@ -59,6 +61,7 @@
   /** Takes the names of all hosts that ran an instance lately, as the store has them. */
   applyHosts (names: readonly string[]): void {
     this._hosts = new Set(names)
+    this._knownNames = undefined
   }
 
   /** Takes a heartbeat, and the instances that it names. */
@@ -105,9 +108,19 @@
     return this.livePeers(now).length + 1
   }
 
-  /** Instances that may be at work, heard or not, this one included; undefined before the store told of its hosts. */
+  /**
+   * Names of the instances that may be at work, heard or not, this one included; undefined before the store told of its
+   * hosts. The same array until it changes.
+   */
+  get knownNames (): readonly string[] | undefined {
+    if (this._hosts === undefined) return undefined
+    this._knownNames ??= [...new Set([...this._hosts, ...this._fronts.keys(), this._self.name])]
+    return this._knownNames
+  }
+
+  /** How many they are. */
   get knownSize (): number | undefined {
-    return this._hosts === undefined ? undefined : new Set([...this._hosts, ...this._fronts.keys(), this._self.name]).size
+    return this.knownNames?.length
   }
 
   /**
@@ -145,13 +158,16 @@
     }
     const front: KnownFront = { record, isReady: false, isListed: false, firstSeenAt: now, heardAt: undefined }
     this._fronts.set(record.name, front)
+    if (known === undefined) this._knownNames = undefined
     return front
   }
 
   private _expire (now: Milliseconds): void {
     for (const [name, front] of this._fronts) {
       const lastSign = front.heardAt ?? front.firstSeenAt
-      if (!front.isListed && now - lastSign > this._settings.forgetAfter) this._fronts.delete(name)
+      if (front.isListed || now - lastSign <= this._settings.forgetAfter) continue
+      this._fronts.delete(name)
+      this._knownNames = undefined
     }
   }
 }
--- a/packages/coordination/src/fronts/messages.ts
+++ b/packages/coordination/src/fronts/messages.ts
@@ -53,6 +53,13 @@
   loaded: z.array(z.object({ replicaId: z.string(), model: z.string(), version: z.number() })),
   /** Runs of replicas that said in an answer to the sender that they leave. */
   leaving: z.array(z.string()).default([]),
+  /**
+   * Rates that replicas stated in answers to the sender: run, requests a second (null where it states none any more), and
+   * how long ago the answer came and its request was sent, in milliseconds.
+   */
+  limits: z.array(z.tuple([
+    z.string(), z.number().nonnegative().nullable(), z.number().nonnegative(), z.number().nonnegative()
+  ])).default([]),
   /** Crashes of replicas, with the request under which they happened. */
   crashes: z.array(z.object({ fingerprint: z.string(), replicaRun: z.string() }))
 })
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -107,7 +107,7 @@
     for (const [id, load] of this._state.loads.local) {
       loads[id] = [load.requests, Math.round(load.prefillTokens), Math.round(load.memoryTokens)]
     }
-    const { fronts, sentPrompts, storedParts, loading, crashes, notices, now, beliefNow } = this._state
+    const { fronts, sentPrompts, storedParts, loading, crashes, notices, limits, now, beliefNow } = this._state
     const orders = loading.toldBy(fronts.self.name, now())
     return {
       from: { name: fronts.self.name, incarnation: fronts.self.incarnation, isLeaving: fronts.self.isLeaving },
@@ -127,6 +127,8 @@
       loading: orders.loading,
       loaded: [...orders.loaded],
       leaving: notices.news(now()),
+      limits: limits.news(beliefNow()).map(({ run, rate, heardAge, sentAge }) => (
+        [run, rate ?? null, Math.ceil(heardAge), Math.ceil(sentAge)])),
       crashes: crashes.news(now())
     }
   }
@@ -179,6 +181,12 @@
     for (const run of heartbeat.leaving) {
       if (this._state.notices.hear(run, now)) this._state.log.change('replica-leaving', { run, toldBy: heartbeat.from.name })
     }
+    for (const [run, rate, heardAge, sentAge] of heartbeat.limits) {
+      const change = this._state.limits.hear({ run, rate: rate ?? undefined, heardAge, sentAge }, beliefNow)
+      if (change !== undefined) {
+        this._state.log.decision('replica-limit', { run, change, rate: rate ?? undefined, age: heardAge, toldBy: heartbeat.from.name })
+      }
+    }
     for (const crash of heartbeat.crashes) this._state.crashes.hear(crash, now)
     const { catalog, from, namings } = heartbeat
     for (const change of this._state.catalog.hearNamings(namings, beliefNow)) this._owner.onCatalogChange(change)
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -1,8 +1,8 @@
 /** One gateway instance: its parts, its start and its end. */
 import {
-  CachedParts, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, ReadSchedule, RepeatedCrashes,
-  ReplicaHealth, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog, StoredParts, StoreMirror,
-  type CatalogChange, type FrontRecord, type KeyValueService, type Milliseconds
+  CachedParts, ComeBackTimes, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, ReadSchedule,
+  RepeatedCrashes, ReplicaHealth, ReplicaLimits, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog, StoredParts,
+  StoreMirror, type CatalogChange, type FrontRecord, type KeyValueService, type Milliseconds
 } from '@wasabihead/coordination'
 import { CatalogLoop, CrashRecords, FRONT_KEYS, HOST_KEYS, Registration } from '../catalog/index.js'
 import { ChannelPool, splitAddress } from '../channels/index.js'
@@ -80,6 +80,8 @@
       storedParts: new StoredParts(),
       health: new ReplicaHealth(),
       notices: new ReplicaNotices(),
+      limits: new ReplicaLimits(self.name),
+      comeBackTimes: new ComeBackTimes(),
       speeds: new EngineSpeeds(),
       cachedParts: new CachedParts(),
       retryBudget: new FleetRetryBudget(settings.retryBudget, now(), settings.isFirstRun),
--- a/packages/gateway/src/requests/gatewayState.ts
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -1,7 +1,8 @@
 /** What the parts of one gateway share. */
 import type {
-  CachedParts, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, Milliseconds, ReadSchedule,
-  RepeatedCrashes, ReplicaHealth, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog, StoredParts, StoreMirror
+  CachedParts, ComeBackTimes, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, Milliseconds,
+  ReadSchedule, RepeatedCrashes, ReplicaHealth, ReplicaLimits, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog,
+  StoredParts, StoreMirror
 } from '@wasabihead/coordination'
 import type { ChannelPool } from '../channels/index.js'
 import type { CallerProtocol, ReplicaProtocol } from '../protocol/index.js'
@@ -27,6 +28,8 @@
   storedParts: StoredParts
   health: ReplicaHealth
   notices: ReplicaNotices
+  limits: ReplicaLimits
+  comeBackTimes: ComeBackTimes
   speeds: EngineSpeeds
   cachedParts: CachedParts
   retryBudget: FleetRetryBudget
--- a/packages/gateway/src/requests/replicaAttempt.ts
+++ b/packages/gateway/src/requests/replicaAttempt.ts
@@ -9,6 +9,8 @@
 /** One attempt, from its sending to its end. */
 export class ReplicaAttempt {
   readonly sentAt: Milliseconds
+  /** The same on the clock of beliefs. */
+  readonly beliefSentAt: Milliseconds
   /** Whether the head of the answer has come. */
   hasHead = false
   private _hasBody = false
@@ -29,6 +31,7 @@
     private readonly _isStream: boolean
   ) {
     this.sentAt = _state.now()
+    this.beliefSentAt = _state.beliefNow()
     this._silentSince = this.sentAt
     this._prefillTokens = selection.freshTokens
     this._memoryTokens = prompt === undefined ? 0 : prompt.inputTokens + prompt.maximumOutputTokens
--- a/packages/gateway/src/requests/requestPlacement.spec.ts
+++ b/packages/gateway/src/requests/requestPlacement.spec.ts
@@ -1,7 +1,7 @@
 /** Which replicas a request may still go to. */
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { LoadingReplicas, ReplicaNotices, SeededRandom, type Replica } from '@wasabihead/coordination'
+import { LoadingReplicas, ReplicaLimits, ReplicaNotices, SeededRandom, type Replica } from '@wasabihead/coordination'
 import type { CallerRequest } from './callerRequest.js'
 import type { GatewayState } from './gatewayState.js'
 import { RequestPlacement } from './requestPlacement.js'
@@ -12,19 +12,22 @@
 const replicas = ['a', 'b'].map(replica)
 const request = { route: { targets: [{ service: 's', weight: 1 }] }, head: {} } as unknown as CallerRequest
 
-const cases: { title: string, loading: string[], leaving: string[], tried: string[], expected: boolean }[] = [
+const cases: { title: string, loading: string[], leaving: string[], limited?: string[], tried: string[], expected: boolean }[] = [
   { title: 'another replica is free', loading: [], leaving: [], tried: ['a'], expected: true },
   { title: 'all were tried', loading: [], leaving: [], tried: ['a', 'b'], expected: false },
   // An attempt that failed here was followed by a 502 of our own in place of the replica's answer.
   { title: 'the only other one is loading, and refuses requests', loading: ['b'], leaving: [], tried: ['a'], expected: false },
   { title: 'all are loading', loading: ['a', 'b'], leaving: [], tried: ['a'], expected: true },
-  { title: 'the only other one leaves', loading: [], leaving: ['b'], tried: ['a'], expected: false }
+  { title: 'the only other one leaves', loading: [], leaving: ['b'], tried: ['a'], expected: false },
+  { title: 'the only other one has no place within its limit', loading: [], leaving: [], limited: ['b'], tried: ['a'], expected: false }
 ]
-for (const { title, loading, leaving, tried, expected } of cases) {
+for (const { title, loading, leaving, limited = [], tried, expected } of cases) {
   test(`should know whether a request may go on where ${title}`, () => {
     const state = {
       catalog: { usableReplicas: () => replicas },
       notices: new ReplicaNotices(),
+      limits: new ReplicaLimits('self'),
+      fronts: { knownNames: ['self'] },
       loading: new LoadingReplicas(),
       random: new SeededRandom(1),
       now: () => 0,
@@ -33,6 +36,7 @@
     }
     state.loading.hear('other', loading, [], 0)
     for (const id of leaving) state.notices.onLeaving(replica(id), 0)
+    for (const id of limited) state.limits.onAnswer(replica(id), 1, 0, 0)
     const placement = new RequestPlacement(state as unknown as GatewayState, request)
     assert.is(placement.hasReplicaBeside(new Set(tried)), expected)
   })
--- a/packages/gateway/src/requests/requestPlacement.ts
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -11,6 +11,8 @@
   readonly service: string
   /** Workspaces that are not isolated share cached parts. */
   private readonly _wall: string
+  /** A replica at which this request has taken the next place. */
+  private _reserved: Replica | undefined
 
   constructor (private readonly _state: GatewayState, private readonly _request: CallerRequest) {
     this.service = pickService(_request, _state.random.next())
@@ -24,6 +26,7 @@
     return selectReplica({
       candidates: this._candidates,
       tried,
+      holders: this._open,
       demand: this._demand()
     }, {
       loads,
@@ -43,12 +46,38 @@
     return this._candidates.some(({ id }) => !tried.has(id))
   }
 
-  /** Where every replica wants no request for a while: how long until the first one takes requests again. */
+  /**
+   * Where no replica takes a request now: how long until the first one does again. Callers that are told so one after the
+   * other are told different times where replicas take requests at a rate.
+   */
   get opensIn (): Milliseconds | undefined {
+    const { notices, limits, comeBackTimes, fronts } = this._state
     const now = this._state.now()
-    const opensAt = this._replicas.map(replica => this._state.notices.opensAt(replica))
+    const opensAt = this._replicas.map(replica => notices.opensAt(replica))
     const delay = Math.min(...opensAt) - now
-    return delay > 0 && Number.isFinite(delay) ? delay : undefined
+    if (delay > 0) return Number.isFinite(delay) ? delay : undefined
+    const rates = this._open.map(replica => limits.rateOf(replica))
+    if (rates.includes(undefined)) return undefined
+    const rate = rates.reduce<number>((sum, stated) => sum + (stated ?? 0), 0)
+    return comeBackTimes.next(this.service, rate, fronts.knownSize ?? 1, now)
+  }
+
+  /**
+   * Takes the next place among the replicas that have none now, if it comes by a time.
+   * @returns how long until then; undefined where none comes in time
+   */
+  reservePlace (tried: ReadonlySet<string>, until: Milliseconds): Milliseconds | undefined {
+    const { limits, loading, fronts, beliefNow } = this._state
+    const now = this._state.now()
+    let first: { replica: Replica, delay: Milliseconds } | undefined
+    for (const replica of this._open) {
+      if (tried.has(replica.id) || loading.has(replica.id, now)) continue
+      const delay = limits.nextPlaceAt(replica, fronts.knownNames, beliefNow()) - beliefNow()
+      if (first === undefined || delay < first.delay) first = { replica, delay }
+    }
+    if (first === undefined || now + first.delay > until) return undefined
+    this._reserved = first.replica
+    return limits.takePlace(first.replica, fronts.knownNames, beliefNow()) - beliefNow()
   }
 
   /** The oldest weight version that the request may be sent to; undefined where any will do. */
@@ -65,8 +94,10 @@
 
   /** The request is being sent: its prompt's parts will be held there, and in the stores that it saves them to. */
   noteSent ({ replica, salt, saves }: Selection): void {
-    const { catalog, cachedParts, sentPrompts, storedParts, now } = this._state
+    const { catalog, cachedParts, sentPrompts, storedParts, limits, fronts, now, beliefNow } = this._state
     const { prompt } = this._request.head
+    if (this._reserved?.id === replica.id) this._reserved = undefined
+    else limits.takePlace(replica, fronts.knownNames, beliefNow())
     const engine = catalog.routes?.service(this.service)?.engine
     if (prompt === undefined || salt === undefined || engine === undefined) return
     cachedParts.onSent(replica.id, salt, prompt.parts, engine.cacheTokens)
@@ -90,14 +121,30 @@
   }
 
   private get _candidates (): readonly Replica[] {
-    const { notices, loading } = this._state
+    const { loading } = this._state
     const now = this._state.now()
-    const open = this._replicas.filter(replica => !notices.isClosed(replica, now))
+    const reserved = this._open.filter(({ id }) => id === this._reserved?.id)
+    if (reserved.length > 0) return reserved
+    const open = this._open.filter(replica => this._hasPlace(replica))
     const idle = open.filter(({ id }) => !loading.has(id, now))
     // A replica that is loading refuses requests until it is done.
     return idle.length > 0 ? idle : open
   }
 
+  /** The replicas that want requests of this instance, now or when a place is free. */
+  private get _open (): readonly Replica[] {
+    const { notices } = this._state
+    const now = this._state.now()
+    return this._replicas.filter(replica => !notices.isClosed(replica, now))
+  }
+
+  private _hasPlace (replica: Replica): boolean {
+    const { limits, fronts, beliefNow } = this._state
+    if (limits.isEmpty) return true
+    const now = beliefNow()
+    return limits.nextPlaceAt(replica, fronts.knownNames, now) <= now
+  }
+
   /** The replicas whose weights the request may use. */
   private get _replicas (): readonly Replica[] {
     const replicas = this._state.catalog.usableReplicas(this.service)
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -4,7 +4,7 @@
   type AttemptVerdict, type Milliseconds, type Selection
 } from '@wasabihead/coordination'
 import type { AnswerHead, ExchangeFault } from '../channels/index.js'
-import type { AnswerFacts } from '../protocol/index.js'
+import type { AnswerFacts, StatedRate } from '../protocol/index.js'
 import { AnswerRelay, EventStreamRelay, WholeAnswerRelay } from './answerRelay.js'
 import type { CallerRequest } from './callerRequest.js'
 import type { GatewayState } from './gatewayState.js'
@@ -21,6 +21,8 @@
 const STREAM_SILENCE: Milliseconds = 1_500
 /** A kept connection that ends within this time of a request was probably closed before it. */
 const STALE_CHANNEL_SIGN: Milliseconds = 10
+/** Part of the objective for which a request waits for a place at a replica with a limit; a refusal by then is early. */
+const PLACE_WAIT_SHARE = 0.12
 /** Between two looks at a request that waits for memory. */
 const HOLD_CHECK: Milliseconds = 30
 /** An attempt with less time than this left is not worth sending. */
@@ -40,6 +42,7 @@
   private _attempts = 0
   private _possibleRuns = 0
   private _isOver = false
+  private _hasWaitedForPlace = false
   private _holdTimer: NodeJS.Timeout | undefined
   private _firstByteAt: Milliseconds | undefined
   /** The failure that a replica answered with last, passed on where nothing better follows. */
@@ -71,6 +74,7 @@
   private _tryNext (): void {
     const selection = this._placement.select(this._tried)
     if (selection === undefined) {
+      if (this._waitForPlace()) return
       if (this._possibleRuns === 0) this._refuse('no-replica')
       else this._fail('no-replica-left')
       return
@@ -84,6 +88,17 @@
     }
   }
 
+  /** Whether the request waits for a place that a replica at its limit has for it in time. */
+  private _waitForPlace (): boolean {
+    const { receivedAt, route } = this._request
+    if (this._possibleRuns > 0 || this._hasWaitedForPlace) return false
+    this._hasWaitedForPlace = true
+    const delay = this._placement.reservePlace(this._tried, receivedAt + route.objective * PLACE_WAIT_SHARE)
+    if (delay === undefined) return false
+    this._holdTimer = setTimeout(() => { if (!this._isOver) this._tryNext() }, delay)
+    return true
+  }
+
   private _send (selection: Selection): void {
     const [state, request] = [this._state, this._request]
     const { replica } = selection
@@ -109,6 +124,7 @@
       parts: request.head.prompt?.parts.map(({ id, tokens }, index) => `${id}:${tokens}:${selection.origins[index] ?? 'read'}`).join(','),
       saves: selection.saves?.map(address => address === undefined ? '-' : '+').join(''),
       wait: Math.round(selection.wait),
+      rateLimit: state.limits.rateOf(replica),
       isReusedChannel: channel.completed > 0,
       configurationRevision: state.catalog.configurationRevision,
       catalogAge: Math.round(state.beliefNow() - state.catalog.listedAt)
@@ -186,16 +202,12 @@
   }
 
   /** Takes what the replica says about the requests that it still wants. An answer that is not its own says nothing. */
-  private _noteNotices (
-    { replica, sentAt }: ReplicaAttempt, { isLeaving, retryAfter, rateLimit, isNotRun, isSealed }: AnswerFacts
-  ): void {
+  private _noteNotices (attempt: ReplicaAttempt, { isLeaving, retryAfter, rateLimit, isNotRun, isSealed }: AnswerFacts): void {
     if (!isNotRun && !isSealed) return
-    const { notices, channels, log, metrics, now } = this._state
+    const { replica } = attempt
+    const { notices, channels, log, now } = this._state
     const { requestId } = this._request.head
-    if (rateLimit !== undefined) {
-      metrics.count('answers_with_rate_limit_total', rateLimit === 'unreadable' ? 'unreadable' : 'stated')
-      log.decision('replica-limit-stated', { replica: replica.id, requestId, rate: rateLimit, after: Math.round(now() - sentAt) })
-    }
+    this._noteLimit(attempt, rateLimit)
     if (isLeaving && notices.onLeaving(replica, now())) {
       channels.forget(replica.id)
       log.change('replica-leaving', { replica: replica.id, requestId })
@@ -205,6 +217,21 @@
     log.decision('replica-closed', { replica: replica.id, requestId, for: retryAfter })
   }
 
+  private _noteLimit ({ replica, beliefSentAt }: ReplicaAttempt, rate: StatedRate | undefined): void {
+    const { limits, log, metrics, beliefNow } = this._state
+    const { requestId } = this._request.head
+    if (rate !== undefined) metrics.count('answers_with_rate_limit_total', rate === 'unreadable' ? 'unreadable' : 'stated')
+    if (rate === 'unreadable') {
+      // What the replica means is not known, so that what it said before holds.
+      log.decision('replica-limit-unreadable', { replica: replica.id, requestId, rate: limits.rateOf(replica) })
+      return
+    }
+    const now = beliefNow()
+    const change = limits.onAnswer(replica, rate, beliefSentAt, now)
+    if (change === undefined) return
+    log.decision('replica-limit', { replica: replica.id, requestId, change, rate, after: Math.round(now - beliefSentAt) })
+  }
+
   private _onBody (attempt: ReplicaAttempt, chunk: Buffer): void {
     if (attempt.isOver) return
     if (this._failure !== undefined) {
--- a/tests/platform/replicaLimits.spec.ts
+++ b/tests/platform/replicaLimits.spec.ts
@@ -77,4 +77,55 @@
   assert.ok(mostInWindow(times) <= allowed, `${mostInWindow(times)} requests in ${WINDOW_MS} ms, allowed ${allowed}`)
 })
 
+// The store had this replica for everyone, and only one gateway was ever answered by it.
+test('should heed a limit of zero that only a peer was told of, until the replica starts again', async () => {
+  const [gateway, peer] = fleet.gateways as [GatewayProcess, GatewayProcess]
+  const times = stateRate(limited, '0')
+  await waitUntil(async () => {
+    await safe(gateway)
+    return times.length > 0
+  })
+  await waitUntil(async () => hasLogged(peer, 'replica-limit', '"toldBy":"gateway-0"'))
+  const before = times.length
+  for (let index = 0; index < 12; index++) assert.is((await safe(peer)).status, 200)
+  assert.is(times.length, before)
+  // A replica that starts again knows nothing of it.
+  limited.respond = (request, response) => { response.writeHead(200, limited.answerHeaders(request)).end('anew') }
+  fleet.register(limited, 'desk', { born: 1_800_000_000_000 })
+  await waitUntil(async () => (await safe(peer)).body === 'anew')
+})
+
+for (const { kind, method } of [{ kind: 'safe', method: 'GET' }, { kind: 'unsafe', method: 'POST' }, { kind: 'events', method: 'POST' }]) {
+  test(`should refuse ${kind} requests at once, not run, with different times to come back where every replica is at its limit`, async () => {
+    const [gateway] = fleet.gateways as [GatewayProcess]
+    const times = fleet.replicas.map(replica => stateRate(replica, '0.2'))
+    await waitUntil(async () => {
+      await safe(gateway)
+      return times.every(received => received.length > 0)
+    })
+    const ask = async (): Promise<CallerAnswer> => await call(gateway.addresses.front, `/${kind}/x`, { method, body: method === 'POST' ? 'work' : '' })
+    const before = times.flat().length
+    const answers = await Promise.all(Array.from({ length: 8 }, ask))
+    const refused = answers.filter(({ status }) => status === 503)
+    assert.ok(refused.length >= 7, answers.map(({ status }) => status).join())
+    assert.is(times.flat().length - before, answers.length - refused.length, 'what was refused reached no replica')
+    const delays = refused.map(({ headers }) => Number(headers['retry-after']))
+    assert.ok(delays.every(delay => delay > 0), delays.join())
+    assert.ok(new Set(delays).size > 1 && Math.max(...delays) > 2 * Math.min(...delays), delays.join())
+  })
+}
+
+test('should keep to the last readable limit while a replica writes what is none', async () => {
+  const [gateway] = fleet.gateways as [GatewayProcess]
+  const times = stateRate(limited, '0.1')
+  await waitUntil(async () => {
+    await safe(gateway)
+    return times.length > 0
+  })
+  for (const text of ['-1', 'NaN', '1e3', '', '0.1, often', '1,-2']) stateRate(limited, text)
+  const before = limited.received.length
+  for (let index = 0; index < 12; index++) assert.is((await safe(gateway)).status, 200)
+  assert.ok(limited.received.length - before <= 1, String(limited.received.length - before))
+})
+
 test.run()
