fix(channels): let readers own the bytes that they get, and bound what is held of an answer

What callers saw: - the body of a 500 that came in two pieces held bytes of other callers' answers, of other workspaces too. Cause: all connections read into one buffer, and pieces of a failure's body were kept by reference. The buffer now stays inside ownedBytes.ts and only copies leave it, as the type OwnedBytes, which listeners, relays and splitters ask for; copies elsewhere are gone. - a plain answer above 262,144 bytes stood still until the route's time-out. Cause: only event streams were resumed once the caller had read. Both kinds are; the replica's silence is not judged meanwhile; a caller that reads nothing for the configuration's idle time is given up. A plain answer that the caller has part of is not sent to another replica any more, whose bytes would have followed those of the first. - answers without an end were read until the deadline and held: a chunk extension 16 MB, trailers 49 MB, an event 45 MB, forty at once 289 MB. Interim answers are skipped, as HTTP asks, and count as bytes without a head.

EventSplitter looks at each byte once.

--- a/packages/coordination/src/dispatch/attemptDecision.ts
+++ b/packages/coordination/src/dispatch/attemptDecision.ts
@@ -38,6 +38,8 @@
 
 /** Decides what follows. The retry budget is asked separately, and only for `try-another`. */
 export function decideAfterAttempt (end: AttemptEnd, context: AttemptContext): AttemptVerdict {
+  // Only a stream can go on with another replica's answer once the caller has part of one.
+  if (context.hasBegunAnswer && context.kind !== 'streaming') return finalVerdict(end, context)
   const mayRunAgain = context.possibleRuns === 0 ||
     (isRepeatable(context.kind, context.isResumable) && context.possibleRuns < context.maximumAttempts)
   if (context.isTimeLeft && context.hasOtherReplica && mayRunAgain) return 'try-another'
--- a/packages/gateway/src/channels/addressCalls.ts
+++ b/packages/gateway/src/channels/addressCalls.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds } from '@wasabihead/coordination'
 import type { ReplicaCall } from '../protocol/index.js'
 import type { ChannelPool } from './channelPool.js'
+import { HeldBytes } from './heldBytes.js'
 
 /** The answer to a small call, or why there was none. */
 export type CallOutcome =
@@ -15,6 +16,9 @@
   address: string
 }
 
+/** The longest answers list what a cache store holds, some 40 bytes for each part. */
+const MAXIMUM_ANSWER_BYTES = 4_194_304
+
 /** Makes one call; never rejects. */
 export async function callAddress (
   channels: ChannelPool, target: CallTarget, call: ReplicaCall, timeout: Milliseconds
@@ -25,7 +29,7 @@
       channel.abandon()
       resolve({ isAnswered: false, reason: `no answer within ${timeout} ms` })
     }, timeout)
-    const chunks: Buffer[] = []
+    const body = new HeldBytes()
     let status = 0
     const lengthHeader: [string, string][] = call.body === '' ? [] : [['Content-Length', String(Buffer.byteLength(call.body))]]
     channel.send({
@@ -36,10 +40,16 @@
     }, {
       isExpected: () => true,
       onHead: head => { status = head.status },
-      onBody: chunk => { chunks.push(Buffer.from(chunk)) },
+      onBody: chunk => {
+        body.add(chunk)
+        if (body.length <= MAXIMUM_ANSWER_BYTES) return
+        clearTimeout(timer)
+        channel.abandon()
+        resolve({ isAnswered: false, reason: `the answer is longer than ${MAXIMUM_ANSWER_BYTES} bytes` })
+      },
       onEnd: () => {
         clearTimeout(timer)
-        resolve({ isAnswered: true, status, body: Buffer.concat(chunks).toString('utf8') })
+        resolve({ isAnswered: true, status, body: body.take().toString('utf8') })
       },
       onFault: (fault, detail) => {
         clearTimeout(timer)
--- a/packages/gateway/src/channels/answerParser.ts
+++ b/packages/gateway/src/channels/answerParser.ts
@@ -1,6 +1,7 @@
 /** Reads answers from the bytes of one connection, one after the other. */
 import { HTTPParser, type HTTPParserJS } from 'http-parser-js'
 import type { HeaderFields } from '../protocol/index.js'
+import { partOf, type OwnedBytes } from './ownedBytes.js'
 
 /** The head of an answer. */
 export interface AnswerHead {
@@ -19,14 +20,17 @@
 /** Takes what the parser finds. */
 export interface AnswerListener {
   onHead (head: AnswerHead): void
-  onBody (chunk: Buffer): void
+  onBody (chunk: OwnedBytes): void
   onEnd (): void
 }
 
 /** The bytes are no answer in the protocol. */
 export class MalformedAnswerError extends Error {}
 
-const SWITCHING_OR_INFORMATION = 200
+const INFORMATION_END = 200
+const SWITCHING_PROTOCOLS = 101
+/** Bytes in which neither a head ends nor a body goes on: a head, chunk extensions, trailers, interim answers. */
+const MAXIMUM_FRAMING_BYTES = 131_072
 const NO_CONTENT = 204
 const NOT_MODIFIED = 304
 const SKIP_BODY = 1
@@ -35,6 +39,8 @@
 export class AnswerParser {
   private readonly _parser: HTTPParserJS
   private _isInsideAnswer = false
+  private _isInterim = false
+  private _framingBytes = 0
   hasNoBody = false
 
   constructor (private readonly _listener: AnswerListener) {
@@ -42,10 +48,17 @@
     const handlers = this._parser as unknown as Record<number, unknown>
     handlers[HTTPParser.kOnHeadersComplete] = (info: ParsedHead) => this._takeHead(info)
     handlers[HTTPParser.kOnBody] = (chunk: Buffer, offset: number, length: number) => {
-      this._listener.onBody(chunk.subarray(offset, offset + length))
+      this._framingBytes = 0
+      // The parser gives parts of the bytes that were written to it, which are owned.
+      this._listener.onBody(partOf(chunk as OwnedBytes, offset, offset + length))
     }
     handlers[HTTPParser.kOnMessageComplete] = () => {
+      if (this._isInterim) {
+        this._isInterim = false
+        return
+      }
       this._isInsideAnswer = false
+      this._framingBytes = 0
       this._listener.onEnd()
     }
   }
@@ -55,10 +68,14 @@
     return this._isInsideAnswer
   }
 
-  /** Takes bytes; throws `MalformedAnswerError` where they are no answer. */
-  write (chunk: Buffer): void {
+  /** Takes bytes; throws `MalformedAnswerError` where they are no answer, or bring none further for long. */
+  write (chunk: OwnedBytes): void {
+    this._framingBytes += chunk.length
     const result: unknown = this._parser.execute(chunk)
     if (result instanceof Error) throw new MalformedAnswerError(result.message)
+    if (this._framingBytes > MAXIMUM_FRAMING_BYTES) {
+      throw new MalformedAnswerError(`${this._framingBytes} bytes without a head or a piece of a body`)
+    }
   }
 
   /** The other end closed in order: ends an answer that has no length. */
@@ -68,10 +85,15 @@
   }
 
   private _takeHead (info: ParsedHead): number {
-    if (info.statusCode < SWITCHING_OR_INFORMATION) throw new MalformedAnswerError(`status ${info.statusCode} is not expected`)
+    if (info.statusCode === SWITCHING_PROTOCOLS) throw new MalformedAnswerError('the protocol cannot be switched')
+    if (info.statusCode < INFORMATION_END) {
+      this._isInterim = true
+      return SKIP_BODY
+    }
     const headers = fieldsOf(info.headers)
     checkFraming(headers)
     this._isInsideAnswer = true
+    this._framingBytes = 0
     const isWithoutBody = this.hasNoBody || info.statusCode === NO_CONTENT || info.statusCode === NOT_MODIFIED
     const isFramed = isWithoutBody || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
     this._listener.onHead({
--- /dev/null
+++ b/packages/gateway/src/channels/heldBytes.ts
@@ -0,0 +1,31 @@
+/** Bytes that wait for those that follow them. */
+import { joined, type OwnedBytes } from './ownedBytes.js'
+
+/** Each piece costs memory besides its bytes, so that many small ones are joined. */
+const MOST_PIECES = 256
+
+/** Holds pieces in their order. */
+export class HeldBytes {
+  private _pieces: OwnedBytes[] = []
+  private _length = 0
+
+  /** Bytes that are held. */
+  get length (): number {
+    return this._length
+  }
+
+  /** Adds a piece. */
+  add (piece: OwnedBytes): void {
+    this._pieces.push(piece)
+    this._length += piece.length
+    if (this._pieces.length > MOST_PIECES) this._pieces = [joined(this._pieces)]
+  }
+
+  /** All that is held, which is then held no longer. */
+  take (): OwnedBytes {
+    const bytes = joined(this._pieces)
+    this._pieces = []
+    this._length = 0
+    return bytes
+  }
+}
--- a/packages/gateway/src/channels/replicaChannel.ts
+++ b/packages/gateway/src/channels/replicaChannel.ts
@@ -3,6 +3,7 @@
 import { MILLISECONDS_PER_SECOND, type Milliseconds } from '@wasabihead/coordination'
 import { splitAddress } from './addresses.js'
 import { AnswerParser, type AnswerHead } from './answerParser.js'
+import { readInto, type OwnedBytes } from './ownedBytes.js'
 
 /** Why an exchange ended without a whole answer. */
 export type ExchangeFault =
@@ -18,7 +19,7 @@
   /** Whether the head belongs to this request; an answer that does not is skipped. */
   isExpected (head: AnswerHead): boolean
   onHead (head: AnswerHead): void
-  onBody (chunk: Buffer): void
+  onBody (chunk: OwnedBytes): void
   onEnd (): void
   /** `detail` says for the log what was wrong. */
   onFault (fault: ExchangeFault, detail: string): void
@@ -36,8 +37,8 @@
 /** The replica announces whole seconds; a request that arrives just as they end would be reset. */
 const KEEP_ALIVE_MARGIN: Milliseconds = 500
 const DEFAULT_KEEP_ALIVE: Milliseconds = 4_000
-/** All channels read into one buffer, since what they read is taken before the next read. */
-const READ_BUFFER = Buffer.allocUnsafe(65_536)
+/** Bytes of answers to other requests that are read to get at the own one. */
+const MAXIMUM_SKIPPED_BYTES = 262_144
 
 /** One connection. */
 export class ReplicaChannel {
@@ -45,6 +46,7 @@
   private readonly _parser: AnswerParser
   private _listener: ExchangeListener | undefined
   private _isSkipping = false
+  private _skippedBytes = 0
   private _isPaused = false
   private _endsWithConnection = false
   private _mayBeReused = true
@@ -71,14 +73,14 @@
     const [host, port] = splitAddress(address)
     this._parser = new AnswerParser({
       onHead: head => { this._takeHead(head) },
-      onBody: chunk => { if (!this._isSkipping) this._listener?.onBody(chunk) },
+      onBody: chunk => { this._takeBody(chunk) },
       onEnd: () => { this._takeEnd() }
     })
     this._socket = net.connect({
       host,
       port,
       noDelay: true,
-      onread: { buffer: READ_BUFFER, callback: (length, buffer) => this._takeBytes(buffer.subarray(0, length) as Buffer) }
+      onread: readInto(bytes => this._takeBytes(bytes))
     })
     const timer = setTimeout(() => { this.close() }, connectTimeout)
     this._socket.once('connect', () => {
@@ -113,6 +115,7 @@
   send (request: ExchangeRequest, listener: ExchangeListener): void {
     this._listener = listener
     this._isSkipping = false
+    this._skippedBytes = 0
     this._parser.hasNoBody = request.method === 'HEAD'
     const lines = [`${request.method} ${request.target} HTTP/1.1`]
     for (const [name, value] of request.headers) lines.push(`${name}: ${value}`)
@@ -145,7 +148,7 @@
   }
 
   /** Whether to go on reading at once. */
-  private _takeBytes (chunk: Buffer): boolean {
+  private _takeBytes (chunk: OwnedBytes): boolean {
     // Bytes that nobody asked for belong to no request.
     if (this._listener === undefined) {
       this.close()
@@ -187,6 +190,15 @@
     if (!this._isSkipping) listener.onHead(head)
   }
 
+  private _takeBody (chunk: OwnedBytes): void {
+    if (!this._isSkipping) {
+      this._listener?.onBody(chunk)
+      return
+    }
+    this._skippedBytes += chunk.length
+    if (this._skippedBytes > MAXIMUM_SKIPPED_BYTES) this._fail('malformed', 'an answer to another request does not end')
+  }
+
   private _takeEnd (): void {
     const listener = this._listener
     if (this._isSkipping || listener === undefined) return
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -3,7 +3,7 @@
   decideAfterAttempt, finalVerdict, isRepeatable, replicaRunOf, type AttemptContext, type AttemptEnd, type AttemptSign,
   type AttemptVerdict, type Milliseconds, type Selection
 } from '@wasabihead/coordination'
-import type { AnswerHead, ExchangeFault } from '../channels/index.js'
+import { HeldBytes, type AnswerHead, type ExchangeFault, type OwnedBytes } from '../channels/index.js'
 import type { AnswerFacts, StatedRate } from '../protocol/index.js'
 import { AnswerRelay, EventStreamRelay, WholeAnswerRelay } from './answerRelay.js'
 import type { CallerRequest } from './callerRequest.js'
@@ -27,6 +27,10 @@
 const HOLD_CHECK: Milliseconds = 30
 /** An attempt with less time than this left is not worth sending. */
 const SHORTEST_ATTEMPT: Milliseconds = 15
+/** How long a caller may not read, while no configuration tells it. */
+const DEFAULT_STALL_TIMEOUT: Milliseconds = 15_000
+/** Failures are held whole, so that another replica's answer can take their place. */
+const MAXIMUM_FAILURE_BYTES = 262_144
 const SUCCESS_END = 300
 const FAILURE_BEGIN = 500
 const BAD_GATEWAY = 502
@@ -44,17 +48,18 @@
   private _isOver = false
   private _hasWaitedForPlace = false
   private _holdTimer: NodeJS.Timeout | undefined
+  private _stallTimer: NodeJS.Timeout | undefined
   private _firstByteAt: Milliseconds | undefined
   /** The failure that a replica answered with last, passed on where nothing better follows. */
-  private _failure: { head: AnswerHead, body: Buffer[] } | undefined
+  private _failure: { head: AnswerHead, body: HeldBytes } | undefined
 
   constructor (
     private readonly _state: GatewayState, private readonly _request: CallerRequest, private readonly _onOver: () => void
   ) {
     const { route, response, head } = _request
     this._relay = route.kind === 'streaming'
-      ? new EventStreamRelay(response, head.lastEventId, () => { this._attempt?.channel.resume() })
-      : new WholeAnswerRelay(response)
+      ? new EventStreamRelay(response, () => { this._onDrained() }, head.lastEventId)
+      : new WholeAnswerRelay(response, () => { this._onDrained() })
     this._placement = new RequestPlacement(_state, _request)
     this._deadlineTimer = setTimeout(() => { this._onDeadline() }, Math.max(0, _request.deadline - _state.now()))
     response.once('close', () => { this._onCallerGone() })
@@ -190,7 +195,7 @@
     }
     const isFailure = head.status >= FAILURE_BEGIN
     if (isFailure || (this._relay.hasBegun && head.status >= SUCCESS_END)) {
-      this._failure = { head, body: [] }
+      this._failure = { head, body: new HeldBytes() }
       return
     }
     this._failure = undefined
@@ -232,10 +237,13 @@
     log.decision('replica-limit', { replica: replica.id, requestId, change, rate, after: Math.round(now - beliefSentAt) })
   }
 
-  private _onBody (attempt: ReplicaAttempt, chunk: Buffer): void {
+  private _onBody (attempt: ReplicaAttempt, chunk: OwnedBytes): void {
     if (attempt.isOver) return
     if (this._failure !== undefined) {
-      this._failure.body.push(chunk)
+      this._failure.body.add(chunk)
+      if (this._failure.body.length <= MAXIMUM_FAILURE_BYTES) return
+      this._failure = undefined
+      this._endExcessive(attempt, 'the body of a failure does not end')
       return
     }
     if (attempt.noteBody()) {
@@ -244,11 +252,52 @@
     }
     const progress = this._relay.progress
     const mayGoOn = this._relay.onBody(chunk)
+    const { excess } = this._relay
+    if (excess !== undefined) return this._endExcessive(attempt, excess)
     // Bytes alone do not count: a stalled replica may send one now and then.
-    if (this._relay.progress > progress) {
-      attempt.watchSilence(this._isRepeatable ? STREAM_SILENCE : undefined, elapsed => { this._onSilence(attempt, elapsed) })
-    }
-    if (!mayGoOn) attempt.channel.pause()
+    if (this._relay.progress > progress) this._watchProgress(attempt)
+    if (!mayGoOn) this._waitForCaller(attempt)
+  }
+
+  private _watchProgress (attempt: ReplicaAttempt): void {
+    const silence = this._isRepeatable && this._relay.kind === 'events' ? STREAM_SILENCE : undefined
+    attempt.watchSilence(silence, elapsed => { this._onSilence(attempt, elapsed) })
+  }
+
+  /** The caller reads more slowly than the replica writes; a caller that has stopped reading is given up. */
+  private _waitForCaller (attempt: ReplicaAttempt): void {
+    attempt.channel.pause()
+    // The replica's silence is our doing.
+    attempt.watchSilence(undefined, () => {})
+    clearTimeout(this._stallTimer)
+    this._stallTimer = setTimeout(() => { this._onCallerStalled() }, this._stallTimeout)
+  }
+
+  private _onDrained (): void {
+    clearTimeout(this._stallTimer)
+    const attempt = this._attempt
+    if (attempt === undefined || this._isOver) return
+    attempt.channel.resume()
+    this._watchProgress(attempt)
+  }
+
+  private _onCallerStalled (): void {
+    if (this._isOver) return
+    this._state.metrics.count('stalled_callers_total')
+    this._state.log.decision('caller-stalled', { requestId: this._request.head.requestId, for: this._stallTimeout })
+    const attempt = this._attempt
+    if (attempt !== undefined) this._closeAttempt(attempt, undefined)
+    this._breakOff()
+  }
+
+  /** The configuration says how long a caller may be idle. */
+  private get _stallTimeout (): Milliseconds {
+    return this._state.catalog.routes?.configuration.limits.idleTimeout ?? DEFAULT_STALL_TIMEOUT
+  }
+
+  private _endExcessive (attempt: ReplicaAttempt, detail: string): void {
+    this._state.metrics.count('answers_without_end_total')
+    this._endAttempt(attempt, 'broken', detail)
   }
 
   private _onEnd (attempt: ReplicaAttempt): void {
@@ -265,6 +314,7 @@
 
   private _onFault (attempt: ReplicaAttempt, fault: ExchangeFault, detail: string): void {
     if (attempt.isOver) return
+    if (fault === 'malformed') this._state.metrics.count('malformed_answers_total')
     if (fault === 'connection-ended' && (attempt.hasHead || !this._mayBeStale(attempt))) {
       this._state.crashes.record({
         fingerprint: this._request.fingerprint, replicaRun: replicaRunOf(attempt.replica)
@@ -397,7 +447,7 @@
   private _passFailure (): void {
     const failure = this._failure
     if (failure === undefined) return this._fail('failed')
-    WholeAnswerRelay.pass(this._request.response, failure.head, Buffer.concat(failure.body))
+    WholeAnswerRelay.pass(this._request.response, failure.head, failure.body.take())
     this._finish('passed-failure')
   }
 
@@ -412,6 +462,7 @@
     this._isOver = true
     clearTimeout(this._deadlineTimer)
     clearTimeout(this._holdTimer)
+    clearTimeout(this._stallTimer)
     const [state, request] = [this._state, this._request]
     const duration = state.now() - request.receivedAt
     state.metrics.count('requests_total', outcome)
--- a/packages/gateway/src/requests/requests.spec.ts
+++ b/packages/gateway/src/requests/requests.spec.ts
@@ -1,5 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { ownedCopy } from '../channels/index.js'
 import { EventSplitter } from './eventSplitter.js'
 import { passedHeaders } from './passedHeaders.js'
 
@@ -11,7 +12,7 @@
     const passed: string[] = []
     let lastId: string | undefined
     for (const piece of [STREAM.slice(0, cut), STREAM.slice(cut)]) {
-      const events = splitter.take(Buffer.from(piece))
+      const events = splitter.take(ownedCopy(Buffer.from(piece)))
       if (events === undefined) continue
       passed.push(events.bytes.toString())
       lastId = events.lastId ?? lastId
@@ -20,8 +21,22 @@
   })
 }
 
+// Each piece was joined with all that waited and searched from its end: 1 MB in small pieces took seconds.
+test('should cut an event that comes byte by byte with line ends of both kinds', () => {
+  for (const ending of ['\n', '\r\n']) {
+    const events = [`id: 1${ending}data: ${'a'.repeat(5_000)}${ending}${ending}`, `: comment${ending}${ending}`, `id: 2${ending}data: b${ending}${ending}`]
+    const splitter = new EventSplitter()
+    const passed: string[] = []
+    for (const byte of Buffer.from(events.join(''))) {
+      const whole = splitter.take(ownedCopy(Uint8Array.of(byte)))
+      if (whole !== undefined) passed.push(whole.bytes.toString())
+    }
+    assert.equal([passed, splitter.heldBytes], [events, 0])
+  }
+})
+
 test('should take line ends of both kinds', () => {
-  const events = new EventSplitter().take(Buffer.from('id: 7\r\ndata: a\r\n\r\n'))
+  const events = new EventSplitter().take(ownedCopy(Buffer.from('id: 7\r\ndata: a\r\n\r\n')))
   assert.is(events?.lastId, '7')
 })
 
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -1,7 +1,7 @@
 /** A small system on loopback: the metadata store, replicas, and gateways as separate processes. */
 import { spawn, type ChildProcess } from 'node:child_process'
 import { randomInt } from 'node:crypto'
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import http from 'node:http'
 import net, { type AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
@@ -111,6 +111,12 @@
     this._child?.kill(signal)
   }
 
+  /** Most memory that the process that was started last has held at once, in bytes; a Linux host tells it. */
+  get peakMemory (): number {
+    const status = readFileSync(`/proc/${this._child?.pid}/status`, 'utf8')
+    return Number(/VmHWM:\s+(\d+) kB/.exec(status)?.[1]) * 1_024
+  }
+
   /** Replaces top-level settings; the process reads them when it is told to, or at its next start. */
   changeSettings (change: object): void {
     this._settings = { ...this._settings, ...change }
--- /dev/null
+++ b/tests/platform/replicaBytes.spec.ts
@@ -0,0 +1,230 @@
+/** Bytes of replicas, over a gateway as a process: whose they are, how many there may be, and when they end. */
+import net, { type AddressInfo } from 'node:net'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { waitUntil } from '@wasabihead/experiments'
+import { call, configurationOf, PlatformFleet, type GatewayProcess } from './platformFleet.js'
+
+const SERVICE = 'desk'
+const PIECE_GAP_MS = 100
+const MEGABYTE = 1_048_576
+/** The issue's target for one answer without an end, above what the process holds at rest. */
+const MEMORY_FOR_ONE = 10 * MEGABYTE
+const MEMORY_FOR_FORTY = 40 * MEGABYTE
+/** Routes end after 2 s, so that an answer by then shows that the sender was given up long before. */
+const ROUTE_TIMEOUT_MS = 2_000
+
+/** One request, as the bytes on a replica's connection. */
+interface RawRequest {
+  socket: net.Socket
+  id: string
+  path: string
+  /** How often this request has reached any replica, this time included. */
+  arrivals: number
+}
+
+let fleet: PlatformFleet
+let servers: net.Server[]
+let sockets: Set<net.Socket>
+let behave: (request: RawRequest) => void
+
+test.before.each(async () => {
+  fleet = new PlatformFleet()
+  servers = []
+  sockets = new Set()
+  behave = ({ socket, id }) => { socket.write(whole(id, 'ready')) }
+  await fleet.start(1)
+  fleet.store.put('op/config', configurationOf(1))
+  const arrivals = new Map<string, number>()
+  for (const id of ['replica-1', 'replica-2']) fleet.store.put(`servers/${id}`, await startReplica(arrivals))
+  await waitUntil(async () => (await call(gateway().addresses.front, '/safe/x')).status === 200)
+  await waitUntil(async () => gateway().output.split('"event":"replica-added"').length > 2)
+})
+test.after.each(async () => {
+  for (const socket of sockets) socket.destroy()
+  for (const server of servers) server.close()
+  await fleet.stop()
+})
+
+function gateway (): GatewayProcess {
+  return fleet.gateways[0] as GatewayProcess
+}
+
+async function startReplica (arrivals: Map<string, number>): Promise<object> {
+  const server = net.createServer(socket => {
+    sockets.add(socket)
+    socket.on('error', () => { socket.destroy() })
+    socket.on('data', data => {
+      const head = data.toString('latin1')
+      const requestId = /X-Wasabihead-Attempt-Id: (\S+)/i.exec(head)?.[1] ?? ''
+      arrivals.set(requestId, (arrivals.get(requestId) ?? 0) + 1)
+      behave({ socket, id: requestId, path: head.split(' ')[1] ?? '', arrivals: arrivals.get(requestId) as number })
+    })
+  })
+  servers.push(server)
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  return {
+    service: SERVICE, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, zone: 'zone-a', version: 'v1', slots: 48, state: 'ready', cold_left_ms: 0, seq: 1, born: 1_700_000_000_000
+  }
+}
+
+function headOf (id: string, framing: string, status = 200): string {
+  return `HTTP/1.1 ${status} Status\r\nX-Wasabihead-Attempt-Id: ${id}\r\nX-Wasabihead-Server-Seal: seal\r\n${framing}\r\n\r\n`
+}
+
+function whole (id: string, body: string, status = 200): string {
+  return headOf(id, `Content-Length: ${body.length}`, status) + body
+}
+
+/** A body in which each byte tells whose it is. */
+function bodyOf (id: string, length: number): string {
+  return `${id};`.repeat(Math.ceil(length / (id.length + 1))).slice(0, length)
+}
+
+/** Writes the text again and again, at the pace of the reader, until the connection closes. */
+function writeWithoutEnd (socket: net.Socket, text: string): void {
+  const piece = Buffer.from(text.repeat(Math.ceil(65_536 / text.length)))
+  const more = (): void => {
+    while (!socket.destroyed && socket.write(piece)) { /* Until the kernel takes no more. */ }
+  }
+  socket.on('drain', more)
+  more()
+}
+
+// All connections read into one buffer, and pieces of a failure's body were kept by reference (issue 23).
+test('should pass on a failure whose body comes in pieces without bytes of other callers\' answers', async () => {
+  behave = ({ socket, id, path }) => {
+    if (!path.startsWith('/unsafe/')) {
+      socket.write(whole(id, bodyOf(id, 3_000)))
+      return
+    }
+    const body = bodyOf(id, 2_000)
+    socket.write(headOf(id, `Content-Length: ${body.length}`, 500) + body.slice(0, 900))
+    setTimeout(() => { socket.write(body.slice(900)) }, PIECE_GAP_MS)
+  }
+  const ask = async (path: string, id: string) => await call(gateway().addresses.front, path, { headers: { 'X-Wasabihead-Attempt-Id': id } })
+  const failures = Array.from({ length: 8 }, async (_, index) => await ask('/unsafe/x', `failure-${index}`))
+  const others: Promise<{ body: string }>[] = []
+  for (let index = 0; index < 60; index++) {
+    others.push(ask('/safe/x', `other-${index}`))
+    await new Promise(resolve => { setTimeout(resolve, 3) })
+  }
+  for (const [index, failure] of failures.entries()) {
+    const { status, body } = await failure
+    assert.equal([status, body], [500, bodyOf(`failure-${index}`, 2_000)])
+  }
+  for (const [index, other] of others.entries()) assert.is((await other).body, bodyOf(`other-${index}`, 3_000))
+})
+
+// Past the size up to which answers are held, they were paused and never read again (issue 23).
+for (const length of [200_000, 300_000, 1_000_000, 6_000_000]) {
+  test(`should deliver a plain answer of ${length} bytes, to slow callers too`, async () => {
+    behave = ({ socket, id }) => { socket.write(whole(id, bodyOf(id, length))) }
+    const readers = [false, true].map(async isSlow => await readAnswer(`reader-${String(isSlow)}`, isSlow))
+    for (const [index, body] of (await Promise.all(readers)).entries()) {
+      const expected = bodyOf(`reader-${String(index === 1)}`, length)
+      assert.is(body.length, length)
+      assert.ok(body === expected, 'each byte is the caller\'s own')
+    }
+    assert.ok(!gateway().output.includes('broken-off'))
+  })
+}
+
+/** A caller on a connection of its own; a slow one stops reading for a moment after each piece. */
+async function readAnswer (id: string, isSlow: boolean): Promise<string> {
+  const [host, port] = gateway().addresses.front.split(':')
+  return await new Promise(resolve => {
+    const socket = net.connect({ host, port: Number(port) })
+    let text = ''
+    socket.on('data', data => {
+      text += data.toString('latin1')
+      if (!isSlow || text.length > 400_000) return
+      socket.pause()
+      setTimeout(() => { socket.resume() }, 20)
+    })
+    socket.on('error', () => { socket.destroy() })
+    socket.once('close', () => { resolve(text.slice(text.indexOf('\r\n\r\n') + 4)) })
+    socket.write(`GET /safe/x HTTP/1.1\r\nHost: front.example\r\nApi-Key: key-a\r\nX-Wasabihead-Attempt-Id: ${id}\r\nConnection: close\r\n\r\n`)
+  })
+}
+
+const CHUNKED = 'Transfer-Encoding: chunked'
+const endless: { title: string, path: string, begin: (id: string) => string, text: string }[] = [
+  { title: 'a head', path: '/safe/x', begin: () => 'HTTP/1.1 200 OK\r\n', text: 'X-More: and more\r\n' },
+  { title: 'a line of a head', path: '/safe/x', begin: () => 'HTTP/1.1 200 OK\r\nX-More: ', text: 'and more ' },
+  { title: 'a status line', path: '/safe/x', begin: () => 'HTTP/1.1 200 ', text: 'OK ' },
+  { title: 'interim answers', path: '/safe/x', begin: () => '', text: 'HTTP/1.1 102 Processing\r\n\r\n' },
+  { title: 'a chunk extension', path: '/safe/x', begin: id => `${headOf(id, CHUNKED)}5;`, text: 'and=more;' },
+  { title: 'trailers', path: '/safe/x', begin: id => `${headOf(id, CHUNKED)}2\r\nok\r\n0\r\n`, text: 'X-More: and more\r\n' },
+  { title: 'a trailer line', path: '/safe/x', begin: id => `${headOf(id, CHUNKED)}2\r\nok\r\n0\r\nX-More: `, text: 'and more ' },
+  { title: 'an event', path: '/events/x', begin: id => `${headOf(id, 'Content-Type: text/event-stream')}id: 1\ndata: `, text: 'and more ' },
+  { title: 'a comment between events', path: '/events/x', begin: id => `${headOf(id, 'Content-Type: text/event-stream')}: `, text: 'and more ' },
+  { title: 'lines of comments', path: '/events/x', begin: id => headOf(id, 'Content-Type: text/event-stream'), text: ': and more\n' },
+  { title: 'the body of a failure', path: '/safe/x', begin: id => headOf(id, 'Connection: close', 500), text: 'and more ' },
+  { title: 'an answer to another request', path: '/safe/x', begin: () => headOf('another', 'Connection: close'), text: 'and more ' },
+  { title: 'bytes that are no answer', path: '/safe/x', begin: () => 'nothing of HTTP', text: 'and more ' }
+]
+for (const { title, path, begin, text } of endless) {
+  test(`should give up ${title} without an end in bounded memory, and answer from another replica`, async () => {
+    behave = ({ socket, id, arrivals }) => {
+      if (arrivals > 1) {
+        socket.write(path.startsWith('/events/') ? `${headOf(id, 'Connection: close')}id: 1\ndata: whole\n\n` : whole(id, 'whole'))
+        if (path.startsWith('/events/')) socket.end()
+        return
+      }
+      socket.write(begin(id))
+      writeWithoutEnd(socket, text)
+    }
+    const atRest = gateway().peakMemory
+    const begun = performance.now()
+    const answer = await call(gateway().addresses.front, path, { headers: { 'X-Wasabihead-Attempt-Id': 'endless' } })
+    const took = performance.now() - begun
+    assert.is(answer.status, 200)
+    assert.match(answer.body, /whole/)
+    assert.ok(took < ROUTE_TIMEOUT_MS, `${took} ms`)
+    const held = gateway().peakMemory - atRest
+    assert.ok(held <= MEMORY_FOR_ONE, `${held} bytes above ${atRest}`)
+  })
+}
+
+test('should hold bounded memory for forty answers without an end at once', async () => {
+  behave = ({ socket, id, arrivals }) => {
+    if (arrivals > 1) {
+      socket.write(whole(id, 'whole'))
+      return
+    }
+    const { begin, text } = endless[Number(id.slice(1)) % 7] as typeof endless[number]
+    socket.write(begin(id))
+    writeWithoutEnd(socket, text)
+  }
+  const atRest = gateway().peakMemory
+  await Promise.all(Array.from({ length: 40 }, async (_, index) => {
+    return await call(gateway().addresses.front, '/safe/x', { headers: { 'X-Wasabihead-Attempt-Id': `e${index}` } })
+  }))
+  const held = gateway().peakMemory - atRest
+  assert.ok(held <= MEMORY_FOR_FORTY, `${held} bytes above ${atRest}`)
+})
+
+// The bounds on bytes must not end what is slow, large and sound.
+test('should pass a slow stream with many large events whole', async () => {
+  const events = Array.from({ length: 40 }, (_, index) => `id: ${index + 1}\ndata: ${bodyOf('long', 20_000)}\n\n`)
+  behave = ({ socket, id }) => {
+    socket.write(headOf(id, 'Connection: close\r\nContent-Type: text/event-stream'))
+    let next = 0
+    const timer = setInterval(() => {
+      const event = events[next++]
+      if (event !== undefined && !socket.destroyed) {
+        socket.write(event.slice(0, 7_000))
+        socket.write(event.slice(7_000))
+        return
+      }
+      clearInterval(timer)
+      socket.end()
+    }, 40)
+  }
+  const answer = await call(gateway().addresses.front, '/long/x')
+  assert.is(answer.status, 200)
+  assert.ok(answer.body === events.join(''), `${answer.body.length} bytes`)
+})
+
+test.run()
