fix(dispatch): let another request try a replica where the one that tried it is not judged

A replica that could not be reached gets one request after its exclusion. Where that request ended without a sign (its caller left, or the replica wanted no requests for a while) the trial stayed open and the replica got nothing more from this instance, for good. Found by reading while a hung test was traced; the hung run itself had another cause.

--- a/packages/coordination/src/dispatch/dispatch.spec.ts
+++ b/packages/coordination/src/dispatch/dispatch.spec.ts
@@ -148,6 +148,9 @@
   assert.is(chosen.health.isExcluded('1', 501), false)
   chosen.health.onSend('1')
   assert.is(chosen.health.isExcluded('1', 502), true)
+  chosen.health.onUnjudged('1')
+  assert.is(chosen.health.isExcluded('1', 503), false, 'the one that tried it may have been left by its caller')
+  chosen.health.onSend('1')
   chosen.health.record('1', 'answered', 510)
   assert.is(chosen.health.isExcluded('1', 511), false)
 })
@@ -161,6 +164,8 @@
   { title: 'repeat a safe request', end: 'failed', change: { kind: 'safe' }, expected: 'try-another' },
   { title: 'pass a failure on after the last attempt', end: 'failed', change: { kind: 'safe', possibleRuns: 2 }, expected: 'pass-failure' },
   { title: 'resume a stream where the route allows it', end: 'broken', change: { kind: 'streaming', isResumable: true, hasBegunAnswer: true }, expected: 'try-another' },
+  // A plain answer above the size that is held was followed by the bytes of another replica's (issue 23).
+  { title: 'break a plain answer off that the caller has part of', end: 'broken', change: { kind: 'safe', hasBegunAnswer: true }, expected: 'break-off' },
   { title: 'break a stream off that cannot be resumed', end: 'broken', change: { kind: 'streaming', hasBegunAnswer: true }, expected: 'break-off' },
   { title: 'refuse what has not run when no replica is left', end: 'not-run', change: { possibleRuns: 0, hasOtherReplica: false }, expected: 'refuse' }
 ]
--- a/packages/coordination/src/dispatch/replicaHealth.ts
+++ b/packages/coordination/src/dispatch/replicaHealth.ts
@@ -77,6 +77,12 @@
     if (trust !== undefined && trust.unreachableInARow > 0) trust.isOnTrial = true
   }
 
+  /** A request ended that says nothing of the replica's health; where it was the one that tried it, another one may. */
+  onUnjudged (replicaId: string): void {
+    const trust = this._trust.get(replicaId)
+    if (trust !== undefined) trust.isOnTrial = false
+  }
+
   /** A stream from the replica began or ended. */
   onStream (replicaId: string, change: 1 | -1, now: Milliseconds): void {
     const pulse = this._pulses.get(replicaId) ?? { streams: 0, lastAt: now }
--- a/packages/gateway/src/requests/replicaAttempt.ts
+++ b/packages/gateway/src/requests/replicaAttempt.ts
@@ -70,7 +70,8 @@
     if (this._hasBody && this._isStream) health.onStream(this.replica.id, -1, now())
     this._settlePrefill()
     loads.add(this.replica.id, { requests: -1, prefillTokens: 0, memoryTokens: -this._memoryTokens })
-    if (sign !== undefined) health.record(this.replica.id, sign, now())
+    if (sign === undefined) health.onUnjudged(this.replica.id)
+    else health.record(this.replica.id, sign, now())
     // Whatever still comes on it belongs to a request that was given up.
     if (sign !== 'answered') this.channel.abandon()
   }
