fix(requests): refuse requests with several Host fields

Such a request was answered 200 by the first field's route, while another reader could have taken the second (RFC 9112, 3.2).

--- a/packages/gateway/src/requests/frontServer.ts
+++ b/packages/gateway/src/requests/frontServer.ts
@@ -117,7 +117,7 @@
     if (this._isRefusing) return 'leaving'
     const { routes } = this._state.catalog
     if (routes === undefined) return 'no-configuration'
-    if (head.requestId === undefined) return 'malformed'
+    if (head.requestId === undefined || hasSeveralHosts(request.rawHeaders)) return 'malformed'
     if (rawSize(request.rawHeaders) > routes.configuration.limits.maximumHeaderBytes) return 'head-too-large'
     const path = (request.url ?? '/').split('?', 1)[0] as string
     return routes.match(request.headers.host ?? '', path, head.apiKey)
@@ -149,6 +149,11 @@
   request.once('close', () => { clearTimeout(timer) })
 }
 
+/** Two readers could take such a request for requests to different hosts; HTTP asks to refuse it (RFC 9112, 3.2). */
+function hasSeveralHosts (rawHeaders: readonly string[]): boolean {
+  return rawHeaders.filter((name, index) => index % 2 === 0 && name.toLowerCase() === 'host').length > 1
+}
+
 function rawSize (rawHeaders: readonly string[]): number {
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
 }
