fix(channels): take a chunk whose size is no number for a broken answer

http-parser-js reads sizes with parseInt and takes NaN and -0 for the last chunk, so that an answer spoilt in the middle ended as a complete success.

--- a/packages/gateway/src/channels/answerParser.ts
+++ b/packages/gateway/src/channels/answerParser.ts
@@ -45,6 +45,7 @@
 
   constructor (private readonly _listener: AnswerListener) {
     this._parser = new HTTPParser(HTTPParser.RESPONSE)
+    checkChunkSizes(this._parser)
     const handlers = this._parser as unknown as Record<number, unknown>
     handlers[HTTPParser.kOnHeadersComplete] = (info: ParsedHead) => this._takeHead(info)
     handlers[HTTPParser.kOnBody] = (chunk: Buffer, offset: number, length: number) => {
@@ -108,6 +109,30 @@
   }
 }
 
+/** The steps of the parser that read a chunk's first line. */
+interface ChunkReader {
+  BODY_CHUNKHEAD: () => void
+  consumeLine: () => string | undefined
+  body_bytes: number
+  state: string
+}
+
+/** A size in hexadecimal digits, extensions after it. */
+const CHUNK_SIZE = /^([0-9a-f]{1,8})[ \t]*(;|$)/i
+
+/** The parser takes a size that is no number for the last chunk's, so that a spoilt answer would look whole. */
+function checkChunkSizes (parser: HTTPParserJS): void {
+  const reader = parser as unknown as ChunkReader
+  reader.BODY_CHUNKHEAD = () => {
+    const line = reader.consumeLine()
+    if (line === undefined) return
+    const size = CHUNK_SIZE.exec(line)?.[1]
+    if (size === undefined) throw new MalformedAnswerError('the size of a chunk is no number')
+    reader.body_bytes = parseInt(size, 16)
+    reader.state = reader.body_bytes === 0 ? 'BODY_CHUNKTRAILERS' : 'BODY_CHUNK'
+  }
+}
+
 interface ParsedHead {
   statusCode: number
   statusMessage: string
--- a/packages/gateway/src/channels/replicaChannel.spec.ts
+++ b/packages/gateway/src/channels/replicaChannel.spec.ts
@@ -57,6 +57,12 @@
   { title: 'an answer that ends before its length', bytes: 'HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nhi', then: 'end', expected: { fault: 'connection-ended' } },
   { title: 'bytes that are no answer', bytes: 'nonsense\r\n\r\n', then: 'stay', expected: { fault: 'malformed' } },
   { title: 'two lengths', bytes: 'HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nhi', then: 'stay', expected: { fault: 'malformed' } },
+  // The parser took these for the last chunk, so that what had come looked whole.
+  { title: 'a chunk whose size is no number', bytes: 'HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\nzz\r\n\r\n', then: 'stay', expected: { fault: 'malformed' } },
+  { title: 'a chunk whose size is negative', bytes: 'HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n-0\r\n\r\n', then: 'stay', expected: { fault: 'malformed' } },
+  { title: 'chunks with extensions and trailers', bytes: 'HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2;a=b\r\nhi\r\n0\r\nX: y\r\n\r\n', then: 'stay', expected: { body: 'hi', fault: undefined } },
+  { title: 'an answer after interim ones', bytes: `HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n${WHOLE}`, then: 'stay', expected: { status: 200, body: 'hi', fault: undefined } },
+  { title: 'a switch of the protocol', bytes: 'HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n', then: 'stay', expected: { fault: 'malformed' } },
   { title: 'a length beside chunks', bytes: 'HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n', then: 'stay', expected: { fault: 'malformed' } }
 ]
 for (const { title, bytes, then, expected } of answers) {
