--- /dev/null
+++ b/packages/gateway/src/channels/addressCalls.spec.ts
@@ -0,0 +1,44 @@
+import net, { type AddressInfo } from 'node:net'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { callAddress } from './addressCalls.js'
+import { ChannelPool } from './channelPool.js'
+
+const TIMEOUT = 5_000
+const HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
+const CALL = { method: 'GET', path: '/v1/report', headers: [], body: '' } as const
+
+// Reports, orders and the lists and events of cache stores were read for as long as bytes came.
+const endless: { title: string, begin: string, text: string, reason: RegExp }[] = [
+  { title: 'a body', begin: `${HEAD}Connection: close\r\n\r\n`, text: '{"seq":1,', reason: /longer than/ },
+  { title: 'chunks', begin: `${HEAD}Transfer-Encoding: chunked\r\n\r\n`, text: '5\r\nabcde\r\n', reason: /longer than/ },
+  { title: 'a chunk extension', begin: `${HEAD}Transfer-Encoding: chunked\r\n\r\n5;`, text: 'more=more;', reason: /malformed/ },
+  { title: 'trailers', begin: `${HEAD}Transfer-Encoding: chunked\r\n\r\n0\r\n`, text: 'X-More: more\r\n', reason: /malformed/ },
+  { title: 'a head', begin: HEAD, text: 'X-More: more\r\n', reason: /malformed/ }
+]
+for (const { title, begin, text, reason } of endless) {
+  test(`should give up a call whose answer has ${title} without an end, long before its time is over`, async () => {
+    let closed: Promise<unknown> = Promise.resolve()
+    const server = net.createServer(socket => {
+      const piece = Buffer.from(text.repeat(1 + 65_536 / text.length))
+      const more = (): void => { while (!socket.destroyed && socket.write(piece)) { /* Until the kernel takes no more. */ } }
+      socket.on('error', () => { socket.destroy() })
+      closed = new Promise(resolve => { socket.once('close', resolve) })
+      socket.on('drain', more)
+      socket.once('data', () => {
+        socket.write(begin)
+        more()
+      })
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const pool = new ChannelPool({ connectTimeout: TIMEOUT, longestIdleForUnrepeatable: 0 }, () => performance.now())
+    const target = { id: 'r', address: `127.0.0.1:${(server.address() as AddressInfo).port}` }
+    const outcome = await callAddress(pool, target, { ...CALL, headers: [] }, TIMEOUT)
+    assert.ok(!outcome.isAnswered)
+    assert.match(outcome.reason, reason)
+    await closed
+    await new Promise<void>(resolve => { server.close(() => { resolve() }) })
+  })
+}
+
+test.run()
--- /dev/null
+++ b/packages/gateway/src/peers/peerListing.spec.ts
@@ -0,0 +1,29 @@
+import http from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { askPeerListing } from './peerListing.js'
+
+const TIMEOUT = 200
+const DRIBBLE = 20
+
+// A peer that sent a byte now and then was waited for without an end, and no other one was asked meanwhile.
+const answers: { title: string, piece: string, gap: number }[] = [
+  { title: 'dribbles', piece: ' ', gap: DRIBBLE },
+  { title: 'does not end', piece: ' '.repeat(1_000_000), gap: 0 }
+]
+for (const { title, piece, gap } of answers) {
+  test(`should give up a peer whose listing ${title}`, async () => {
+    const server = http.createServer((_request, response) => {
+      const timer = setInterval(() => { response.write(piece) }, gap)
+      response.once('close', () => { clearInterval(timer) })
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    let failure: unknown
+    await askPeerListing(`127.0.0.1:${(server.address() as AddressInfo).port}`, TIMEOUT).catch((error: unknown) => { failure = error })
+    assert.instance(failure, Error)
+    await new Promise<void>(resolve => { server.close(() => { resolve() }) })
+  })
+}
+
+test.run()
--- a/packages/gateway/src/peers/peerListing.ts
+++ b/packages/gateway/src/peers/peerListing.ts
@@ -20,7 +20,7 @@
 /** The catalog of the instance at a control address. Rejects where none comes in time. */
 export async function askPeerListing (controlAddress: string, timeout: Milliseconds): Promise<PeerListing> {
   const body = await new Promise<string>((resolve, reject) => {
-    const request = http.get(`http://${controlAddress}${LISTING_PATH}`, { timeout, agent: false }, response => {
+    const request = http.get(`http://${controlAddress}${LISTING_PATH}`, { signal: AbortSignal.timeout(timeout), agent: false }, response => {
       const chunks: Buffer[] = []
       let length = 0
       response.on('data', (chunk: Buffer) => {
@@ -31,7 +31,6 @@
       response.once('end', () => { resolve(Buffer.concat(chunks).toString('utf8')) })
       response.once('error', reject)
     })
-    request.once('timeout', () => { request.destroy(new Error(`no answer within ${timeout} ms`)) })
     request.once('error', reject)
   })
   return peerListingSchema.parse(JSON.parse(body))
