--- a/packages/gateway/src/requests/refusals.ts
+++ b/packages/gateway/src/requests/refusals.ts
@@ -5,7 +5,7 @@
 
 /** Why a request is refused. */
 export type RefusalReason =
-  | 'no-configuration' | 'no-replica' | 'not-run' | 'crashes-replicas' | 'no-time-left' | 'no-route' | 'unknown-key'
+  | 'no-configuration' | 'no-replica' | 'at-limit' | 'not-run' | 'crashes-replicas' | 'no-time-left' | 'no-route' | 'unknown-key'
   | 'crowded' | 'leaving' | 'body-too-large' | 'head-too-large' | 'body-not-read' | 'malformed'
 
 interface Refusal {
@@ -17,6 +17,7 @@
 const REFUSALS: Record<RefusalReason, Refusal> = {
   'no-configuration': { status: 503, retryAfter: 300 },
   'no-replica': { status: 503, retryAfter: 200 },
+  'at-limit': { status: 503, retryAfter: 200 },
   'not-run': { status: 503, retryAfter: 50 },
   'crashes-replicas': { status: 503, retryAfter: 30_000 },
   'no-time-left': { status: 503, retryAfter: 50 },
--- a/packages/gateway/src/requests/requestPlacement.ts
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -23,10 +23,12 @@
   select (tried: ReadonlySet<string>): Selection | undefined {
     const { fronts, loads, health, cachedParts, storedParts, speeds, zone, random } = this._state
     const now = this._state.now()
+    const serving = this._serving
     return selectReplica({
-      candidates: this._candidates,
+      candidates: this._withPlace(serving),
       tried,
-      holders: this._open,
+      // A replica without a place can still give others what it holds.
+      holders: serving,
       demand: this._demand()
     }, {
       loads,
@@ -43,7 +45,13 @@
 
   /** Whether a replica could be selected now that the request was not sent to yet. */
   hasReplicaBeside (tried: ReadonlySet<string>): boolean {
-    return this._candidates.some(({ id }) => !tried.has(id))
+    return this._withPlace(this._serving).some(({ id }) => !tried.has(id))
+  }
+
+  /** Whether there are replicas that serve requests, and none of them has a place for one within its limit. */
+  get isAtLimit (): boolean {
+    const serving = this._serving
+    return serving.length > 0 && this._withPlace(serving).length === 0
   }
 
   /**
@@ -67,11 +75,11 @@
    * @returns how long until then; undefined where none comes in time
    */
   reservePlace (tried: ReadonlySet<string>, until: Milliseconds): Milliseconds | undefined {
-    const { limits, loading, fronts, beliefNow } = this._state
+    const { limits, fronts, beliefNow } = this._state
     const now = this._state.now()
     let first: { replica: Replica, delay: Milliseconds } | undefined
-    for (const replica of this._open) {
-      if (tried.has(replica.id) || loading.has(replica.id, now)) continue
+    for (const replica of this._serving) {
+      if (tried.has(replica.id)) continue
       const delay = limits.nextPlaceAt(replica, fronts.knownNames, beliefNow()) - beliefNow()
       if (first === undefined || delay < first.delay) first = { replica, delay }
     }
@@ -120,12 +128,21 @@
     else for (const address of fetchLoads.keys()) storedParts.onFetched(address, excess, now)
   }
 
-  private get _candidates (): readonly Replica[] {
+  /** Those of the replicas that may get the request now. */
+  private _withPlace (replicas: readonly Replica[]): readonly Replica[] {
+    const { limits, fronts, beliefNow } = this._state
+    if (limits.isEmpty) return replicas
+    const reserved = replicas.find(({ id }) => id === this._reserved?.id)
+    if (reserved !== undefined) return [reserved]
+    const now = beliefNow()
+    return replicas.filter(replica => limits.nextPlaceAt(replica, fronts.knownNames, now) <= now)
+  }
+
+  /** The replicas that would serve a request if they had a place for it. */
+  private get _serving (): readonly Replica[] {
     const { loading } = this._state
     const now = this._state.now()
-    const reserved = this._open.filter(({ id }) => id === this._reserved?.id)
-    if (reserved.length > 0) return reserved
-    const open = this._open.filter(replica => this._hasPlace(replica))
+    const open = this._open
     const idle = open.filter(({ id }) => !loading.has(id, now))
     // A replica that is loading refuses requests until it is done.
     return idle.length > 0 ? idle : open
@@ -138,13 +155,6 @@
     return this._replicas.filter(replica => !notices.isClosed(replica, now))
   }
 
-  private _hasPlace (replica: Replica): boolean {
-    const { limits, fronts, beliefNow } = this._state
-    if (limits.isEmpty) return true
-    const now = beliefNow()
-    return limits.nextPlaceAt(replica, fronts.knownNames, now) <= now
-  }
-
   /** The replicas whose weights the request may use. */
   private get _replicas (): readonly Replica[] {
     const replicas = this._state.catalog.usableReplicas(this.service)
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -80,7 +80,7 @@
     const selection = this._placement.select(this._tried)
     if (selection === undefined) {
       if (this._waitForPlace()) return
-      if (this._possibleRuns === 0) this._refuse('no-replica')
+      if (this._possibleRuns === 0) this._refuse(this._placement.isAtLimit ? 'at-limit' : 'no-replica')
       else this._fail('no-replica-left')
       return
     }
@@ -434,7 +434,7 @@
 
   /** Undefined where the reason alone says when to come back. */
   private _comeBackFor (reason: RefusalReason): Milliseconds | undefined {
-    return reason === 'no-replica' || reason === 'not-run' ? this._placement.opensIn : undefined
+    return reason === 'no-replica' || reason === 'at-limit' || reason === 'not-run' ? this._placement.opensIn : undefined
   }
 
   private _fail (reason: string): void {
--- a/tests/platform/replicaLimits.spec.ts
+++ b/tests/platform/replicaLimits.spec.ts
@@ -109,6 +109,7 @@
     const refused = answers.filter(({ status }) => status === 503)
     assert.ok(refused.length >= 7, answers.map(({ status }) => status).join())
     assert.is(times.flat().length - before, answers.length - refused.length, 'what was refused reached no replica')
+    await waitUntil(async () => hasLogged(gateway, 'request-ended', 'refused-at-limit'))
     const delays = refused.map(({ headers }) => Number(headers['retry-after']))
     assert.ok(delays.every(delay => delay > 0), delays.join())
     assert.ok(new Set(delays).size > 1 && Math.max(...delays) > 2 * Math.min(...delays), delays.join())
