fix(dispatch): name to each replica the weight version that a prompt's salt holds

Cause: only prompts that fetch or save expected a version of their replica. A gateway that had stood still sent others to a replica with newer weights, which kept their parts under the salt of the older ones; another replica fetched them.

Before: weightVersions.spec.ts 4 of 5 passed, the prompt ran; after: 5 of 5.

--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -160,8 +160,8 @@
       workspace: request.workspace?.name,
       priority: prompt === undefined ? undefined : request.workspace?.priority ?? request.route.priority,
       salt,
-      // Parts are fetched without a look at their version, so that of the replica has to be the expected one.
-      weightVersion: sources === undefined && saves === undefined ? undefined : replica.weightVersions[prompt?.model ?? ''],
+      // The salt names a version by belief. A replica with other weights must not keep or use parts under it.
+      weightVersion: replica.weightVersions[prompt?.model ?? ''],
       sources,
       saves,
       fetchUntil: fetchUntil === undefined ? undefined : state.storedParts.storeClockAt(fetchUntil),
--- a/tests/platform/weightVersions.spec.ts
+++ b/tests/platform/weightVersions.spec.ts
@@ -54,6 +54,26 @@
   await waitUntil(async () => (await call(instance.addresses.ready, '/v1/ready')).status === 200)
 }
 
+// hfs-onboard trouble-2 --seed 322990826154, STALE: a thawed gateway sent prompts to a replica that had loaded weights meanwhile;
+// it kept their parts under the salt of the older ones, and another replica fetched them.
+test('should have no prompt run on weights that the salt of its cached parts does not name', async () => {
+  const ran: (string | undefined)[][] = []
+  replaced.respond = (request, response) => {
+    const expected = request.headers['x-wasabihead-expect-version']
+    if (expected !== undefined && expected !== '2') {
+      response.writeHead(421).end()
+      return
+    }
+    if (request.url === '/events/x') ran.push([String(request.headers['x-wasabihead-cache-salt']), expected?.toString()])
+    response.writeHead(200, { ...replaced.answerHeaders(request), 'Content-Type': 'text/event-stream' }).end('id: 1\ndata: a\n\n')
+  }
+  const { status } = await prompt()
+  assert.equal([status, ran], [503, []])
+  fleet.register(replaced, 'desk', { models: [{ name: MODEL, version: 2 }] })
+  await waitUntil(async () => (await prompt()).status === 200)
+  assert.equal(ran.map(([, expected]) => expected), ['2'])
+})
+
 test('should go on with replaced weights for a while where the naming was seen', async () => {
   assert.is((await prompt()).status, 200)
 })
