--- /dev/null
+++ b/packages/gateway/src/channels/answerParser.spec.ts
@@ -0,0 +1,105 @@
+/** Answers of replicas, cut and spoilt at random. */
+import fc from 'fast-check'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { EventSplitter } from '../requests/eventSplitter.js'
+import { AnswerParser, MalformedAnswerError } from './answerParser.js'
+import { ownedCopy } from './ownedBytes.js'
+
+/** More by hand: WASABIHEAD_FUZZ_RUNS=200000 node packages/gateway/dist/channels/answerParser.spec.js */
+const RUNS = Number(process.env.WASABIHEAD_FUZZ_RUNS ?? 500)
+const SEED = 20261204
+
+interface Read {
+  heads: number
+  ends: number
+  body: string
+  isMalformed: boolean
+}
+
+/** Reads pieces until one is no answer. Whatever else is thrown fails the property. */
+function read (pieces: readonly Buffer[]): Read {
+  const seen: Read = { heads: 0, ends: 0, body: '', isMalformed: false }
+  const parser = new AnswerParser({
+    onHead: () => { seen.heads++ },
+    onBody: chunk => { seen.body += chunk.toString('latin1') },
+    onEnd: () => { seen.ends++ }
+  })
+  try {
+    for (const piece of pieces) parser.write(ownedCopy(piece))
+  } catch (error) {
+    if (!(error instanceof MalformedAnswerError)) throw error
+    seen.isMalformed = true
+  }
+  return seen
+}
+
+function cut (bytes: Buffer, places: readonly number[]): Buffer[] {
+  const ends = [...new Set(places.map(place => place % (bytes.length + 1)))].sort((left, right) => left - right)
+  return [...ends, bytes.length].map((end, index) => bytes.subarray(ends[index - 1] ?? 0, end))
+}
+
+const chunks = fc.array(fc.string({ minLength: 1, maxLength: 40, unit: 'grapheme-ascii' }), { maxLength: 5 })
+interface Answer {
+  status: number
+  chunks: string[]
+  isChunked: boolean
+  /** Interim answers before it. */
+  interim: number
+}
+
+const answer: fc.Arbitrary<Answer> = fc.record({
+  status: fc.constantFrom(200, 201, 404, 500), chunks, isChunked: fc.boolean(), interim: fc.integer({ min: 0, max: 2 })
+})
+const places = fc.array(fc.nat(), { maxLength: 8 })
+
+function bytesOf ({ status, chunks: parts, isChunked, interim }: Answer): Buffer {
+  const before = 'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'.repeat(interim)
+  const framed = isChunked
+    ? `Transfer-Encoding: chunked\r\n\r\n${parts.map(part => `${part.length.toString(16)};a=b\r\n${part}\r\n`).join('')}0\r\nX: y\r\n\r\n`
+    : `Content-Length: ${parts.join('').length}\r\n\r\n${parts.join('')}`
+  return Buffer.from(`${before}HTTP/1.1 ${status} Status\r\n${framed}`, 'latin1')
+}
+
+test('should read an answer alike wherever it is cut', () => {
+  fc.assert(fc.property(answer, places, (whole, cuts) => {
+    assert.equal(read(cut(bytesOf(whole), cuts)), { heads: 1, ends: 1, body: whole.chunks.join(''), isMalformed: false })
+  }), { seed: SEED, numRuns: RUNS })
+})
+
+test('should never end an answer in chunks that breaks off, nor throw anything but that it is malformed', () => {
+  const spoilt = fc.record({ place: fc.nat(), byte: fc.integer({ min: 0, max: 255 }), length: fc.nat({ max: 3 }) })
+  fc.assert(fc.property(answer, places, fc.array(spoilt, { maxLength: 3 }), (whole, cuts, changes) => {
+    const bytes = Buffer.from(bytesOf(whole))
+    for (const { place, byte, length } of changes) {
+      const begin = place % bytes.length
+      bytes.fill(byte, begin, Math.min(bytes.length, begin + length))
+    }
+    const { heads, ends } = read(cut(bytes, cuts))
+    assert.ok(ends <= heads)
+  }), { seed: SEED, numRuns: RUNS })
+  fc.assert(fc.property(answer, fc.nat(), (whole, place) => {
+    const bytes = bytesOf({ ...whole, isChunked: true })
+    assert.is(read([bytes.subarray(0, place % bytes.length)]).ends, 0)
+  }), { seed: SEED, numRuns: RUNS })
+})
+
+test('should pass the bytes of events on in their order, whole events only, wherever they are cut', () => {
+  const line = fc.string({ maxLength: 20, unit: 'grapheme-ascii' }).map(text => text.replaceAll(/[\r\n]/g, ''))
+  const lines = fc.array(line.map(text => `data: ${text}`), { minLength: 1, maxLength: 4 })
+  const events = fc.array(fc.record({ lines, ending: fc.constantFrom('\n', '\r\n') }))
+  fc.assert(fc.property(events, line, places, (list, rest, cuts) => {
+    const whole = list.map(({ lines: texts, ending }) => `${texts.join(ending)}${ending}${ending}`)
+    const splitter = new EventSplitter()
+    const passed: string[] = []
+    for (const piece of cut(Buffer.from(whole.join('') + rest, 'latin1'), cuts)) {
+      const taken = splitter.take(ownedCopy(piece))?.bytes.toString('latin1')
+      if (taken !== undefined) passed.push(taken)
+    }
+    assert.is(passed.join(''), whole.join(''))
+    assert.ok(passed.every(text => /\n\r?\n$/.test(text)))
+    assert.is(splitter.rest().toString('latin1'), rest)
+  }), { seed: SEED, numRuns: RUNS })
+})
+
+test.run()
