feat(telemetry): log what requests have in common that are lost with a replica

Cause: the lines of a crash named a digest of the whole request only, so that crashes which are joined too narrowly, or known too late, looked alike. Change: replica-crash-suspected names run, fingerprint, prompt parts and whether the answer had begun; a counter tells the two apart. Measured: built and linted; no decision reads any of it.

--- a/packages/gateway/src/requests/replicaAttempt.ts
+++ b/packages/gateway/src/requests/replicaAttempt.ts
@@ -44,6 +44,11 @@
     return this.selection.replica
   }
 
+  /** Whether part of the answer's body was received. */
+  get hasBody (): boolean {
+    return this._hasBody
+  }
+
   /** Whether the attempt has ended; anything received for it afterwards is ignored. */
   get isOver (): boolean {
     return this._isOver
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -318,14 +318,26 @@
   private _onFault (attempt: ReplicaAttempt, fault: ExchangeFault, detail: string): void {
     if (attempt.isOver) return
     if (fault === 'malformed') this._state.metrics.count('malformed_answers_total')
-    if (fault === 'connection-ended' && (attempt.hasHead || !this._mayBeStale(attempt))) {
-      this._state.crashes.record({
-        fingerprint: this._request.fingerprint, replicaRun: replicaRunOf(attempt.replica)
-      }, this._state.now())
-    }
+    if (fault === 'connection-ended' && (attempt.hasHead || !this._mayBeStale(attempt))) this._recordCrash(attempt)
     this._endAttempt(attempt, fault === 'not-connected' ? 'not-sent' : 'broken', `${fault}: ${detail}`)
   }
 
+  /** Records that the replica's connection ended during this request, which suggests that the replica crashed. */
+  private _recordCrash (attempt: ReplicaAttempt): void {
+    const { crashes, log, metrics, now } = this._state
+    const { fingerprint, head } = this._request
+    const replicaRun = replicaRunOf(attempt.replica)
+    crashes.record({ fingerprint, replicaRun }, now())
+    metrics.count('suspected_replica_crashes_total', attempt.hasBody ? 'answering' : 'before-answer')
+    log.decision('replica-crash-suspected', {
+      requestId: head.requestId,
+      replicaRun,
+      fingerprint,
+      parts: head.prompt?.parts.map(({ id }) => id).join(','),
+      hasBegunAnswer: attempt.hasBody
+    })
+  }
+
   /** Whether the replica may have closed the reused connection just as the request was sent. */
   private _mayBeStale (attempt: ReplicaAttempt): boolean {
     return attempt.channel.completedExchanges > 0 && this._state.now() - attempt.sentAt < STALE_CHANNEL_WINDOW
