--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -58,8 +58,20 @@
     return { 'X-Wasabihead-Attempt-Id': request.headers['x-wasabihead-attempt-id'], 'X-Wasabihead-Server-Seal': `seal-${this.id}` }
   }
 
+  /** Resets all connections and stops listening, as a crashed process does; `restart` brings it back at the same address. */
+  crash (): void {
+    this._server.closeAllConnections()
+    this._server.close()
+  }
+
+  async restart (): Promise<void> {
+    const [host, port] = this.address.split(':')
+    await new Promise<void>(resolve => { this._server.listen(Number(port), host, resolve) })
+  }
+
   async stop (): Promise<void> {
     this._server.closeAllConnections()
+    if (!this._server.listening) return
     await new Promise<void>(resolve => { this._server.close(() => { resolve() }) })
   }
 
