fix(crashes): block what crashing requests have in common, not each request alone

Cause: crashes were joined by a digest of key, target and body alone. 35 requests with the part gave 35 digests; instead 23 sound requests that were lost in several crashes were recorded. Class: what crashes is identified too narrowly, and crashes are blamed on whoever is near. Change: a request has features (its digest, its content whoever sends it, its prompt parts). Each crash reports the features of requests that had not begun to be answered; an answer refutes. What the lost requests have in common and no answer refuted is blocked after three crashes, the feature that explains most first, and not for crashes that come together. A block is looked at before each send, repeats too. Blocks go on heartbeats while they last, so that a restarted instance has them, and to the store with their age under a lease; instances that saw a crash look for the record each 10 s, since the store may lose it. Old and new instances understand each other's heartbeats. Why it works: a part that always crashes is in a request not begun at each of its crashes, and never in one that is answered.

--- a/packages/coordination/src/dispatch/dispatch.spec.ts
+++ b/packages/coordination/src/dispatch/dispatch.spec.ts
@@ -4,8 +4,8 @@
 import { SeededRandom } from '../common/index.js'
 import type { Engine, Replica } from '../catalog/index.js'
 import {
-  admitPrompt, CachedParts, decideAfterAttempt, EngineSpeed, FleetLoads, FleetRetryBudget, RepeatedCrashes, ReplicaHealth,
-  selectReplica, type AttemptContext, type AttemptEnd, type PartSource, type PartStores, type Prompt, type SelectionView
+  admitPrompt, CachedParts, decideAfterAttempt, EngineSpeed, FleetLoads, FleetRetryBudget, ReplicaHealth, selectReplica,
+  type AttemptContext, type AttemptEnd, type PartSource, type PartStores, type Prompt, type SelectionView
 } from './index.js'
 
 const NO_STORES: PartStores = { sourceOf: () => undefined, saveTargetOf: () => undefined }
@@ -228,31 +228,6 @@
   assert.ok(spent > 40, `${spent} retries`)
 })
 
-test('should block a request after it crashed three replicas, however often each crash is reported', () => {
-  const crashes = new RepeatedCrashes()
-  for (const replicaRun of ['a/1', 'a/1', 'b/1']) crashes.record({ fingerprint: 'f', replicaRun }, 0)
-  assert.is(crashes.isBlocked('f', 1), false)
-  crashes.record({ fingerprint: 'f', replicaRun: 'a/2' }, 2)
-  assert.is(crashes.isBlocked('f', 3), true)
-  assert.is(crashes.isBlocked('other', 3), false)
-})
-
-test('should report a crash to other instances for a while, and not relay their reports', () => {
-  const crashes = new RepeatedCrashes()
-  crashes.record({ fingerprint: 'f', replicaRun: 'a/1' }, 0)
-  crashes.receive({ fingerprint: 'f', replicaRun: 'b/1' }, 0)
-  assert.equal(crashes.updates(1_000), [{ fingerprint: 'f', replicaRun: 'a/1' }])
-  assert.equal(crashes.updates(4_000), [])
-})
-
-test('should not block a request that completed between crashes with other causes', () => {
-  const crashes = new RepeatedCrashes()
-  for (const replicaRun of ['a/1', 'b/1']) crashes.record({ fingerprint: 'f', replicaRun }, 0)
-  crashes.clear('f')
-  crashes.record({ fingerprint: 'f', replicaRun: 'c/1' }, 1)
-  assert.is(crashes.isBlocked('f', 2), false)
-})
-
 test('should count loads reported by other instances until they expire', () => {
   const loads = new FleetLoads()
   loads.add('r', { requests: 1, prefillTokens: 10, memoryTokens: 20 })
--- a/packages/coordination/src/fronts/frontDirectory.spec.ts
+++ b/packages/coordination/src/fronts/frontDirectory.spec.ts
@@ -19,6 +19,8 @@
   leaving: [],
   limits: [],
   crashes: [],
+  answeredFeatures: [],
+  crashBlocks: [],
   ...change
 })
 const directory = () => new FrontDirectory(record('self'), { heartbeatInterval: 250, minimumSilenceTimeout: 1_000, unconfirmedLifetime: 3_000, forgetAfter: 30_000 })
--- a/packages/coordination/src/fronts/messages.ts
+++ b/packages/coordination/src/fronts/messages.ts
@@ -1,5 +1,6 @@
 /** What instances register in the store and send to each other. */
 import * as z from 'zod'
+import { crashUpdateSchema } from '../crashes/index.js'
 import { catalogStatusSchema, announcedWeightVersionSchema } from '../catalog/index.js'
 
 /** An instance as it registers itself in the store. */
@@ -63,8 +64,7 @@
   limits: z.array(z.tuple([
     z.string(), z.number().nonnegative().nullable(), z.number().nonnegative(), z.number().nonnegative()
   ])).default([]),
-  /** Crashes of replicas, with the fingerprint of the request during which they happened. */
-  crashes: z.array(z.object({ fingerprint: z.string(), replicaRun: z.string() }))
+  ...crashUpdateSchema.shape
 })
 /** A heartbeat between instances. */
 export type Heartbeat = z.infer<typeof heartbeatSchema>
--- a/packages/gateway/src/catalog/catalogLoop.ts
+++ b/packages/gateway/src/catalog/catalogLoop.ts
@@ -6,7 +6,7 @@
 import type { CatalogSource } from '../protocol/index.js'
 import { requestPeerListing } from '../peers/index.js'
 import type { GatewayState } from '../requests/index.js'
-import { CRASH_KEY_PREFIX } from './crashRecords.js'
+import { CRASH_KEY_PREFIX, parseCrashRecord } from './crashRecords.js'
 
 /** Settings of the loop. */
 export interface CatalogLoopSettings {
@@ -161,14 +161,18 @@
   }
 
   private _applyMirror (requestedAt: Milliseconds): void {
-    const { mirror, catalog, fronts, crashes, readSchedule, now, suspensionAwareNow } = this._state
+    const { mirror, catalog, fronts, crashes, readSchedule, log, now, suspensionAwareNow } = this._state
     const { catalog: listing, own } = this._source.decode(mirror.values)
     this._ownValues = own
     readSchedule.onRead(requestedAt)
     this._notify(catalog.applyListing(listing, requestedAt, suspensionAwareNow()))
     fronts.applyRecords(this._frontRecords(own), now())
     fronts.applyHosts(this._ownEntries(HOST_KEY_PREFIX).map(({ name }) => name))
-    crashes.applyBlocks(this._ownEntries(CRASH_KEY_PREFIX).map(({ name, revision }) => ({ fingerprint: name, revision })), now())
+    crashes.applyBlocks(this._ownEntries(CRASH_KEY_PREFIX).flatMap(({ name, value, revision }) => {
+      const record = parseCrashRecord(value)
+      if (record === undefined) log.decision('crash-record-unreadable', { name })
+      return record === undefined ? [] : { name, ...record, revision }
+    }), suspensionAwareNow())
   }
 
   private async _requestPeerListing (peer: FrontRecord | undefined): Promise<void> {
@@ -201,11 +205,11 @@
     }
   }
 
-  /** Names and revisions of the own values whose keys start with the own prefix and `keys`; a name is the rest of the key. */
-  private _ownEntries (keys: string): { name: string, revision: number }[] {
+  /** The own values whose keys start with the own prefix and `keys`; a name is the rest of the key. */
+  private _ownEntries (keys: string): { name: string, value: string, revision: number }[] {
     const prefix = `${this._source.ownPrefix}${keys}`
     const found = this._ownValues.filter(({ key }) => key.startsWith(prefix))
-    return found.map(({ key, revision }) => ({ name: key.slice(prefix.length), revision }))
+    return found.map(({ key, value, revision }) => ({ name: key.slice(prefix.length), value, revision }))
   }
 
   private _frontRecords (own: readonly VersionedValue[]): FrontRecord[] {
--- a/packages/gateway/src/catalog/crashRecords.ts
+++ b/packages/gateway/src/catalog/crashRecords.ts
@@ -1,10 +1,21 @@
 /** Records in the store which requests crash replicas, for instances that start later or were disconnected from their peers. */
-import { ABSENT_REVISION, CRASH_LIFETIME, type KeyValueService } from '@wasabihead/coordination'
+import { ABSENT_REVISION, crashBlockSchema, type CrashBlock, type KeyValueService, type Milliseconds, type UnwrittenBlock } from '@wasabihead/coordination'
 import type { GatewayState } from '../requests/index.js'
 
 /** Follows the own prefix in the keys of crash records; each blocked request has one. */
 export const CRASH_KEY_PREFIX = 'crashes/'
 
+const MINIMUM_RECORD_LIFETIME: Milliseconds = 1_000
+
+/** Decodes the value of a record; undefined if it is not one. */
+export function parseCrashRecord (value: string): CrashBlock | undefined {
+  try {
+    return crashBlockSchema.parse(JSON.parse(value))
+  } catch {
+    return undefined
+  }
+}
+
 /** Writes and removes the records. Each instance receives them with its next read of the store. */
 export class CrashRecords {
   private _isWriting = false
@@ -19,37 +30,41 @@
   }
 
   private async _writeChanges (): Promise<void> {
-    const { crashes, now } = this._state
+    const { crashes, suspensionAwareNow } = this._state
     this._isWriting = true
     try {
-      for (const fingerprint of crashes.takeLiftedBlocks()) await this._remove(fingerprint)
-      for (const fingerprint of crashes.unwrittenBlocks(now())) {
-        if (await this._add(fingerprint)) crashes.onBlockWritten(fingerprint)
+      for (const name of crashes.takeLiftedBlocks(suspensionAwareNow())) await this._remove(name)
+      for (const block of crashes.unwrittenBlocks(suspensionAwareNow())) {
+        if (await this._ensure(block)) crashes.onBlockWritten(block.name, suspensionAwareNow())
       }
     } finally {
       this._isWriting = false
     }
   }
 
-  private async _add (fingerprint: string): Promise<boolean> {
-    const lease = await this._store.grantLease(CRASH_LIFETIME)
+  /** Writes the record unless the store has it; returns whether the store has it now. */
+  private async _ensure ({ name, features, age, timeLeft }: UnwrittenBlock): Promise<boolean> {
+    const key = this._keyOf(name)
+    const existing = await this._store.read(key)
+    if (existing.isErr) return false
+    if (existing.value !== undefined) return true
+    const lease = await this._store.grantLease(Math.max(MINIMUM_RECORD_LIFETIME, timeLeft))
     if (lease.isErr) return false
-    const key = this._keyOf(fingerprint)
-    const record = { key, expectedRevision: ABSENT_REVISION, value: fingerprint, leaseId: lease.value }
-    const written = await this._store.compareAndSwap(record)
+    const value = JSON.stringify({ features, age: Math.round(age) })
+    const written = await this._store.compareAndSwap({ key, expectedRevision: ABSENT_REVISION, value, leaseId: lease.value })
     if (written.isErr) return false
-    this._state.log.change('crashing-request-recorded', { key, outcome: written.value.kind })
+    this._state.log.change('crashing-request-recorded', { key, features: features.join(','), outcome: written.value.kind })
     return true
   }
 
   /** Failures are not retried; the record then expires with its lease. */
-  private async _remove (fingerprint: string): Promise<void> {
-    const key = this._keyOf(fingerprint)
+  private async _remove (name: string): Promise<void> {
+    const key = this._keyOf(name)
     const existing = await this._store.read(key)
     if (existing.isOk && existing.value !== undefined) await this._store.remove(key, existing.value.revision)
   }
 
-  private _keyOf (fingerprint: string): string {
-    return `${this._ownPrefix}${CRASH_KEY_PREFIX}${fingerprint}`
+  private _keyOf (name: string): string {
+    return `${this._ownPrefix}${CRASH_KEY_PREFIX}${name}`
   }
 }
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -143,7 +143,7 @@
       leaving: notices.updates(now()),
       limits: replicaLimits.updates(suspensionAwareNow()).map(({ run, rate, heardAge, sentAge }) => (
         [run, rate ?? null, Math.ceil(heardAge), Math.ceil(sentAge)])),
-      crashes: crashes.updates(now())
+      ...crashes.update(suspensionAwareNow())
     }
   }
 
@@ -203,7 +203,7 @@
         this._state.log.decision('replica-limit', { run, change, rate: rate ?? undefined, age: heardAge, toldBy: heartbeat.from.name })
       }
     }
-    for (const crash of heartbeat.crashes) this._state.crashes.receive(crash, now)
+    this._state.crashes.receive(heartbeat, suspensionAwareNow)
     const { catalog, from, namings } = heartbeat
     for (
       const change of this._state.catalog.applyPeerAnnouncements(namings, suspensionAwareNow)
--- a/packages/gateway/src/requests/callerRequest.ts
+++ b/packages/gateway/src/requests/callerRequest.ts
@@ -18,5 +18,7 @@
   deadline: Milliseconds
   /** Digest of the API key, host, target and body; the same when a caller sends a request again. */
   fingerprint: string
+  /** What it may have in common with other requests that crash replicas: its content without the caller, and its prompt parts. */
+  features: readonly string[]
   response: http.ServerResponse
 }
--- a/packages/gateway/src/requests/frontServer.ts
+++ b/packages/gateway/src/requests/frontServer.ts
@@ -5,6 +5,7 @@
 import type { Milliseconds, RouteMatch } from '@wasabihead/coordination'
 import type { CallerHead } from '../protocol/index.js'
 import type { GatewayState } from './gatewayState.js'
+import type { CallerRequest } from './callerRequest.js'
 import { refuse, type RefusalReason } from './refusals.js'
 import { RequestRun } from './requestRun.js'
 
@@ -16,6 +17,9 @@
 const IDLE_MARGIN: Milliseconds = 1_000
 /** Applies to requests without a time budget of their caller; the timeout of the route applies if it is shorter. */
 const DEFAULT_TIME_BUDGET: Milliseconds = 600_000
+/** Limits on what identifies a request among those that crash replicas. */
+const MAXIMUM_FEATURE_PARTS = 60
+const MAXIMUM_FEATURE_LENGTH = 256
 
 /** The server that callers connect to. */
 export class FrontServer {
@@ -107,7 +111,7 @@
         workspace: match.workspace,
         receivedAt,
         deadline,
-        fingerprint: fingerprintOf(head.apiKey ?? '', `${request.headers.host ?? ''}${target}`, body),
+        ...identify(head, `${request.headers.host ?? ''}${target}`, body),
         response
       }, () => { this._running -= 1 }).start()
     })
@@ -158,8 +162,11 @@
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
 }
 
-function fingerprintOf (caller: string, target: string, body: Buffer): string {
-  return createHash('sha1').update(`${caller}\n${target}\n`).update(body).digest('base64')
+function identify ({ apiKey, prompt }: CallerHead, target: string, body: Buffer): Pick<CallerRequest, 'fingerprint' | 'features'> {
+  const content = createHash('sha1').update(`${target}\n`).update(body).digest('base64')
+  const fingerprint = createHash('sha1').update(`${apiKey ?? ''}\n${content}`).digest('base64')
+  const parts = prompt?.parts.map(({ id }) => `${prompt.model}/${id}`.slice(0, MAXIMUM_FEATURE_LENGTH)) ?? []
+  return { fingerprint, features: [content, ...parts.slice(0, MAXIMUM_FEATURE_PARTS)] }
 }
 
 /** If the head was sent already, the connection stays open until the next answer on it closes it. */
--- a/packages/gateway/src/requests/replicaAttempt.ts
+++ b/packages/gateway/src/requests/replicaAttempt.ts
@@ -12,6 +12,8 @@
   readonly suspensionAwareSentAt: Milliseconds
   /** Whether the head of the answer was received. */
   hasHead = false
+  /** Whether a complete event or the whole answer was received. */
+  hasAnswered = false
   private _hasBody = false
   private _isOver = false
   /** Whether the load of the prefill and of the fetches still counts: until the first body chunk or the end. */
@@ -44,11 +46,6 @@
     return this.selection.replica
   }
 
-  /** Whether part of the answer's body was received. */
-  get hasBody (): boolean {
-    return this._hasBody
-  }
-
   /** Whether the attempt has ended; anything received for it afterwards is ignored. */
   get isOver (): boolean {
     return this._isOver
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -67,16 +67,25 @@
 
   /** Starts the first attempt; refuses a request that has repeatedly crashed replicas. */
   start (): void {
-    const now = this._state.now()
-    if (this._state.crashes.isBlocked(this._request.fingerprint, now)) {
-      this._refuse('crashes-replicas')
-      return
-    }
-    this._state.retryBudget.onRequest(this._placement.service, now)
+    if (this._endIfBlocked()) return
+    this._state.retryBudget.onRequest(this._placement.service, this._state.now())
     this._tryNext()
   }
 
+  /** Ends a request that must not be sent to any replica, or not once more; returns whether it did. */
+  private _endIfBlocked (): boolean {
+    const blockedFeatures = this._state.crashes.blockOf(this._request, this._state.suspensionAwareNow())
+    if (blockedFeatures === undefined) return false
+    const { requestId } = this._request.head
+    this._state.log.decision('request-blocked', { requestId, features: blockedFeatures.join(','), attempts: this._attempts })
+    if (this._relay.hasBegun) this._breakOff()
+    else if (this._possibleRuns === 0) this._refuse('crashes-replicas')
+    else this._fail('crashes-replicas')
+    return true
+  }
+
   private _tryNext (): void {
+    if (this._endIfBlocked()) return
     const selection = this._placement.select(this._tried)
     if (selection === undefined) {
       if (this._waitForReservedSend()) return
@@ -258,7 +267,10 @@
     const { exceededLimit } = this._relay
     if (exceededLimit !== undefined) return this._endOversized(attempt, exceededLimit)
     // Bytes alone do not count as progress: a stalled replica may send some now and then.
-    if (this._relay.progress > progress) this._watchProgress(attempt)
+    if (this._relay.progress > progress) {
+      this._recordAnswer(attempt, false)
+      this._watchProgress(attempt)
+    }
     if (!canContinue) this._waitForCaller(attempt)
   }
 
@@ -305,12 +317,12 @@
 
   private _onEnd (attempt: ReplicaAttempt): void {
     if (attempt.isOver) return
+    this._recordAnswer(attempt, true)
     if (this._failure !== undefined) {
       this._endAttempt(attempt, 'failed', `status ${this._failure.head.status}`)
       return
     }
     this._closeAttempt(attempt, 'answered')
-    this._state.crashes.clear(this._request.fingerprint)
     this._relay.onEnd()
     this._finish('answered')
   }
@@ -324,20 +336,31 @@
 
   /** Records that the replica's connection ended during this request, which suggests that the replica crashed. */
   private _recordCrash (attempt: ReplicaAttempt): void {
-    const { crashes, log, metrics, now } = this._state
-    const { fingerprint, head } = this._request
+    const { crashes, log, metrics, suspensionAwareNow } = this._state
+    const { fingerprint, features, head } = this._request
     const replicaRun = replicaRunOf(attempt.replica)
-    crashes.record({ fingerprint, replicaRun }, now())
-    metrics.count('suspected_replica_crashes_total', attempt.hasBody ? 'answering' : 'before-answer')
+    // A replica crashes as it begins an answer; one that had begun is lost with others.
+    const suspected = attempt.hasAnswered ? [] : [...features]
+    const report = { fingerprint, replicaRun, service: this._placement.service, features: suspected, age: 0 }
+    crashes.record(report, suspensionAwareNow())
+    metrics.count('suspected_replica_crashes_total', attempt.hasAnswered ? 'answering' : 'before-answer')
     log.decision('replica-crash-suspected', {
       requestId: head.requestId,
       replicaRun,
       fingerprint,
       parts: head.prompt?.parts.map(({ id }) => id).join(','),
-      hasBegunAnswer: attempt.hasBody
+      hasBegunAnswer: attempt.hasAnswered
     })
   }
 
+  private _recordAnswer (attempt: ReplicaAttempt, isComplete: boolean): void {
+    if (attempt.hasAnswered && !isComplete) return
+    attempt.hasAnswered = true
+    const { fingerprint, features } = this._request
+    this._state.crashes.onAnswered(
+      { service: this._placement.service, fingerprint, features }, isComplete, this._state.suspensionAwareNow())
+  }
+
   /** Whether the replica may have closed the reused connection just as the request was sent. */
   private _mayBeStale (attempt: ReplicaAttempt): boolean {
     return attempt.channel.completedExchanges > 0 && this._state.now() - attempt.sentAt < STALE_CHANNEL_WINDOW
