fix(requests): treat a stream that ends inside an event as broken off

What callers saw: a stream whose replica stopped inside an event reached them as a complete one, with the piece of the event at its end; nothing went on elsewhere. Cause: the end of a properly framed answer ended the stream, whatever was buffered. Change: an event stream that ends inside an event, or without a length before any event, counts as a connection that ended.

--- a/packages/gateway/src/requests/answerRelay.ts
+++ b/packages/gateway/src/requests/answerRelay.ts
@@ -4,6 +4,8 @@
 import { EventSplitter } from './eventSplitter.js'
 import { forwardedHeaders } from './forwardedHeaders.js'
 
+const FIRST_STATUS_AFTER_SUCCESS = 300
+
 /** Forwards the answer to one request, which may come from several replicas one after another. */
 export abstract class AnswerRelay {
   /** @param onDrained called when the response's write buffer is empty again */
@@ -25,6 +27,9 @@
   /** Says for the log which size limit the answer exceeds, so that it is abandoned; undefined while it exceeds none. */
   abstract readonly exceededLimit: string | undefined
 
+  /** Whether the answer is incomplete where it ends now, however it is framed. */
+  abstract readonly isCutOff: boolean
+
   /** Starts an answer. Where part of an earlier one was already written, the new one continues its stream. */
   abstract onHead (head: AnswerHead): void
 
@@ -46,6 +51,7 @@
   override readonly lastEventId = undefined
   override readonly progress = 0
   override readonly exceededLimit = undefined
+  override readonly isCutOff = false
   private _head: AnswerHead | undefined
   private _buffer = new BufferedBytes()
   private _isStreaming = false
@@ -96,6 +102,8 @@
   override readonly kind = 'events'
   private _splitter = new EventSplitter()
   private _head: AnswerHead | undefined
+  /** Head of the current replica's answer. */
+  private _currentHead: AnswerHead | undefined
   private _hasBegun = false
   private _lastEventId: string | undefined
   private _progress = 0
@@ -121,8 +129,17 @@
     return this._splitter.bufferedBytes > EventStreamRelay._maximumEventBytes ? 'an event exceeds the maximum size' : undefined
   }
 
+  override get isCutOff (): boolean {
+    const head = this._currentHead
+    if (head === undefined || head.status >= FIRST_STATUS_AFTER_SUCCESS || !isEventStream(head)) return false
+    // Without a length, a replica that crashes before its first event looks as if it had nothing to send.
+    const isEmptyByCrash = head.endsWithConnection && this._lastEventId === undefined && !this._hasBegun
+    return this._splitter.bufferedBytes > 0 || isEmptyByCrash
+  }
+
   override onHead (head: AnswerHead): void {
     this._splitter = new EventSplitter()
+    this._currentHead = head
     if (this._hasBegun) return
     this._head = head
   }
@@ -148,3 +165,7 @@
     this._response.writeHead(this._head.status, this._head.statusText, forwardedHeaders(this._head.rawHeaders, () => true).flat())
   }
 }
+
+function isEventStream ({ headers }: AnswerHead): boolean {
+  return String(headers['content-type'] ?? '').startsWith('text/event-stream')
+}
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -317,6 +317,10 @@
 
   private _onEnd (attempt: ReplicaAttempt): void {
     if (attempt.isOver) return
+    if (this._failure === undefined && this._relay.isCutOff) {
+      this._onFault(attempt, 'connection-ended', 'the stream ended inside an event')
+      return
+    }
     this._recordAnswer(attempt, true)
     if (this._failure !== undefined) {
       this._endAttempt(attempt, 'failed', `status ${this._failure.head.status}`)
