feat(telemetry): log the software version of a replica and which stream a request resumes

Cause: no line told where a stream began, so that a gateway's own continuation and a caller's looked alike. Change: the version of a registration and the caller's statement are decoded and logged on attempt. Measured: built and linted; no decision reads them.

--- a/packages/coordination/src/catalog/messages.ts
+++ b/packages/coordination/src/catalog/messages.ts
@@ -119,6 +119,8 @@
   zone: z.string(),
   slots: z.number(),
   isDraining: z.boolean(),
+  /** Version of its software; absent where the replica does not state one. */
+  softwareVersion: z.string().optional(),
   /** Loaded weight version of each model. */
   weightVersions: z.record(z.string(), z.number()),
   /** Wall-clock time of the start; distinguishes two runs under one id. */
--- a/packages/gateway/src/protocol/callerProtocol.ts
+++ b/packages/gateway/src/protocol/callerProtocol.ts
@@ -9,6 +9,8 @@
   apiKey: string | undefined
   /** The last event that the caller received; the stream resumes after it. */
   lastEventId: string | undefined
+  /** The request of the same caller that brought the first event of the stream that this one resumes. */
+  resumedRequestId: string | undefined
   prompt: Prompt | undefined
 }
 
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -129,6 +129,8 @@
       attempt: this._attempts,
       route: request.route.name,
       replica: replica.id,
+      softwareVersion: replica.softwareVersion,
+      resumes: request.head.resumedRequestId,
       cost: Math.round(selection.cost),
       freshTokens: selection.freshTokens,
       fetchedTokens: selection.fetchedTokens,
