test(platform): show that streams are joined from two software versions

Three gateways, replicas of two versions. On the present code all 6 tests fail: of 40 streams that callers take up 6 to 14 go on at the other version, a gateway's own continuation does so too.

--- /dev/null
+++ b/tests/platform/softwareVersions.spec.ts
@@ -0,0 +1,136 @@
+/** Streams of a service whose replicas run two versions of their software, which must not be joined. */
+import { setTimeout as delay } from 'node:timers/promises'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { waitUntil } from '@wasabihead/experiments'
+import { call, configurationOf, PlatformFleet, type GatewayProcess, type ReplicaStandIn } from './platformFleet.js'
+
+const GATEWAYS = 3
+const EVENTS = 3
+const PROPAGATION_MS = 600
+
+let fleet: PlatformFleet
+let requests = 0
+
+test.before.each(async () => {
+  fleet = new PlatformFleet()
+  await fleet.start(GATEWAYS)
+  fleet.store.put('op/config', configurationOf(1))
+})
+test.after.each(async () => { await fleet.stop() })
+
+async function addReplicas (counts: Record<string, number>): Promise<void> {
+  for (const [version, count] of Object.entries(counts)) {
+    for (let index = 0; index < count; index++) {
+      const replica = await fleet.addReplica(`${version}-${index}`, 'desk')
+      fleet.register(replica, 'desk', { version })
+      serve(replica)
+    }
+  }
+  await waitUntil(async () => fleet.gateways.every(({ output }) => fleet.replicas.every(({ id }) => (
+    output.split('\n').some(line => line.includes('"event":"replica-added"') && line.includes(`"${id}"`))))))
+}
+
+function versionOf ({ id }: ReplicaStandIn): string {
+  return id.split('-')[0] ?? ''
+}
+
+/** Writes events with the replica's version, after the one that the request names; cuts the first stream of a path with `cut`. */
+function serve (replica: ReplicaStandIn): void {
+  replica.respond = (request, response) => {
+    response.writeHead(200, { ...replica.answerHeaders(request), 'Content-Type': 'text/event-stream' })
+    const after = Number(request.headers['last-event-id'] ?? 0)
+    for (let id = after + 1; id <= EVENTS; id++) {
+      response.write(`id: ${id}\ndata: ${versionOf(replica)}\n\n`)
+      if (!request.url?.includes('cut') || after > 0) continue
+      setTimeout(() => { response.destroy() }, 30)
+      return
+    }
+    response.end()
+  }
+}
+
+interface Answer {
+  requestId: string
+  status: number
+  versions: string[]
+}
+
+async function send (gateway: GatewayProcess, path: string, headers: Record<string, string> = {}): Promise<Answer> {
+  requests += 1
+  const requestId = `attempt-${requests}`
+  const { status, body } = await call(gateway.addresses.front, path, { headers: { 'X-Wasabihead-Attempt-Id': requestId, ...headers } })
+    .catch(() => ({ status: 0, body: '' }))
+  return { requestId, status, versions: [...body.matchAll(/data: (\S+)/g)].map(match => match[1] ?? '') }
+}
+
+interface Stream {
+  begun: string
+  resumed: Answer
+}
+
+async function begin (count: number, gateway: GatewayProcess): Promise<Answer[]> {
+  return await Promise.all(Array.from({ length: count }, async () => await send(gateway, '/events/x')))
+}
+
+/** Takes up streams after their first event, as a caller does whose connection broke. */
+async function resume (begun: readonly Answer[], gateway: GatewayProcess): Promise<Stream[]> {
+  return await Promise.all(begun.map(async ({ requestId, versions }) => {
+    const resumed = await send(gateway, '/events/x', { 'Last-Event-Id': '1', Resumes: requestId })
+    return { begun: versions[0] ?? '', resumed }
+  }))
+}
+
+function servedOf (streams: readonly Stream[]): number {
+  return streams.filter(({ resumed }) => resumed.status === 200).length
+}
+
+function joinedOf (streams: readonly Stream[]): number {
+  return streams.filter(({ begun, resumed }) => resumed.versions.some(version => version !== begun)).length
+}
+
+// Guards against streams that are joined from the events of two software versions (issue 29).
+test('should go on with a broken stream at the software version that began it', async () => {
+  await addReplicas({ v1: 2, v2: 4 })
+  const answers = await Promise.all(Array.from({ length: 30 }, async () => await send(fleet.gateways[0] as GatewayProcess, '/events/cut')))
+  assert.equal(answers.filter(({ versions }) => new Set(versions).size > 1), [])
+  assert.ok(answers.filter(({ versions }) => versions.length === EVENTS).length >= 15)
+})
+
+const resumptions: { title: string, gateway: number, isFirstKilled: boolean }[] = [
+  { title: 'at the same gateway', gateway: 0, isFirstKilled: false },
+  { title: 'at another gateway', gateway: 1, isFirstKilled: false },
+  { title: 'after its gateway was killed', gateway: 2, isFirstKilled: true }
+]
+for (const { title, gateway, isFirstKilled } of resumptions) {
+  test(`should take a caller's stream up ${title} at the software version that began it`, async () => {
+    await addReplicas({ v1: 2, v2: 2 })
+    const begun = await begin(40, fleet.gateways[0] as GatewayProcess)
+    assert.is(new Set(begun.flatMap(({ versions }) => versions)).size, 2)
+    await delay(PROPAGATION_MS)
+    if (isFirstKilled) fleet.gateways[0]?.signal('SIGKILL')
+    const streams = await resume(begun, fleet.gateways[gateway] as GatewayProcess)
+    assert.is(joinedOf(streams), 0)
+    assert.ok(servedOf(streams) >= 20)
+  })
+}
+
+test('should not join versions where streams began before the second version came', async () => {
+  await addReplicas({ v1: 2 })
+  const [first, second] = fleet.gateways as [GatewayProcess, GatewayProcess]
+  assert.is(servedOf(await resume(await begin(40, first), second)), 40)
+  const begun = await begin(40, first)
+  await addReplicas({ v2: 4 })
+  await delay(PROPAGATION_MS)
+  const streams = await resume(begun, second)
+  assert.is(joinedOf(streams), 0)
+  assert.ok(servedOf(streams) >= 20)
+})
+
+test('should refuse to go on with a stream of which no gateway knows where it began, while two versions serve', async () => {
+  await addReplicas({ v1: 2, v2: 2 })
+  const answer = await send(fleet.gateways[0] as GatewayProcess, '/events/x', { 'Last-Event-Id': '1', Resumes: 'unknown' })
+  assert.is(answer.status, 503)
+})
+
+test.run()
