fix(requests): go on with a stream only at the software version that began it

Cause: nothing read the version of a replica's software. A gateway's own continuation and a caller's resumption were placed on any replica. Class: what may be joined is identified too narrowly, by the id of the last event alone; a resumption even drew the service of a split anew. Change: from a stream's first event on, only replicas of its service and version may go on with it. Its origin is kept until the caller's deadline; while a service runs several versions, or did in the last 30 s, it is sent to three live peers by rendezvous, at once with all that are still open when a second version comes. A gateway that does not know asks five peers, 200 ms at most. Why it works: an origin does not change, so that it can be told late, twice or from anywhere, and a store that goes back does not matter.

--- a/packages/coordination/src/dispatch/index.ts
+++ b/packages/coordination/src/dispatch/index.ts
@@ -14,6 +14,10 @@
 export { ReplicaHealth, type HealthSignal } from './replicaHealth.js'
 export { type PartSource, type PartStores } from './partStores.js'
 export { SentPrompts, type SentPrompt } from './sentPrompts.js'
+export {
+  originHolders, SoftwareVersions, StreamOrigins, streamOriginSchema, streamOriginsMessageSchema, type StreamOrigin,
+  type StreamOriginsMessage
+} from './streamOrigins.js'
 export {
   selectReplica, type Prompt, type PromptDemand, type Selection, type SelectionRequest, type SelectionView
 } from './selectReplica.js'
--- /dev/null
+++ b/packages/coordination/src/dispatch/streamOrigins.spec.ts
@@ -0,0 +1,74 @@
+import fc from 'fast-check'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { Replica } from '../catalog/index.js'
+import { originHolders, SoftwareVersions, StreamOrigins, type StreamOrigin } from './index.js'
+
+const ORIGIN: StreamOrigin = { service: 's', softwareVersion: 'v1' }
+const PEERS = ['a', 'b', 'c', 'd', 'e', 'f', 'g']
+const replica = (softwareVersion: string | undefined, service = 's'): Replica => ({
+  id: 'r', service, address: '10.0.0.1:1', zone: 'z', slots: 8, isDraining: false, softwareVersion, weightVersions: {}, startedAt: 1
+})
+
+test('should remember where a stream began until its caller can no longer take it up', () => {
+  const origins = new StreamOrigins()
+  origins.onBegan('x', ORIGIN, 6_000, 0)
+  assert.equal([0, 6_000, 11_000, 11_001].map(now => origins.find('x', now)), [ORIGIN, ORIGIN, ORIGIN, undefined])
+  assert.is(origins.find('y', 0), undefined)
+})
+
+test('should send each origin once, and not before streams of its service can be joined wrongly', () => {
+  const origins = new StreamOrigins()
+  origins.onBegan('x', ORIGIN, 6_000, 0)
+  assert.is(origins.takeUnsent(PEERS, () => false, 100).size, 0)
+  assert.is(origins.takeUnsent([], () => true, 200).size, 0)
+  const messages = origins.takeUnsent(PEERS, () => true, 300)
+  assert.is(messages.size, 3)
+  for (const message of messages.values()) assert.equal(message, { streamOrigins: [['x', 's', 'v1', 10_700]] })
+  assert.is(origins.takeUnsent(PEERS, () => true, 400).size, 0)
+})
+
+test('should not send an origin after its end', () => {
+  const origins = new StreamOrigins()
+  origins.onBegan('x', ORIGIN, 1_000, 0)
+  assert.is(origins.takeUnsent(PEERS, () => true, 7_000).size, 0)
+})
+
+test('should be asked for at an instance that was told, also after two instances have gone', () => {
+  fc.assert(fc.property(fc.uuid(), fc.subarray(PEERS, { minLength: 0, maxLength: 2 }), (requestId, gone) => {
+    const began = new StreamOrigins()
+    began.onBegan(requestId, ORIGIN, 6_000, 0)
+    const told = new Set(began.takeUnsent(PEERS, () => true, 100).keys())
+    const asked = originHolders(requestId, PEERS.filter(name => !gone.includes(name)))
+    assert.ok(asked.some(name => told.has(name)))
+  }), { seed: 20_261_204, numRuns: 500 })
+})
+
+interface VersionCase {
+  title: string
+  listed: Replica[]
+  removed: { replica: Replica, at: number }[]
+  now: number
+  expected: boolean
+}
+const versionCases: VersionCase[] = [
+  { title: 'one version', listed: [replica('v1'), replica('v1')], removed: [], now: 0, expected: false },
+  { title: 'two versions', listed: [replica('v1'), replica('v2')], removed: [], now: 0, expected: true },
+  { title: 'a stated version beside an unstated one', listed: [replica('v1'), replica(undefined)], removed: [], now: 0, expected: true },
+  { title: 'another version at another service', listed: [replica('v1'), replica('v2', 'other')], removed: [], now: 0, expected: false },
+  {
+    title: 'another version that has just left', listed: [replica('v2')], removed: [{ replica: replica('v1'), at: 0 }], now: 30_000, expected: true
+  },
+  {
+    title: 'another version that left long ago', listed: [replica('v2')], removed: [{ replica: replica('v1'), at: 0 }], now: 30_001, expected: false
+  }
+]
+for (const { title, listed, removed, now, expected } of versionCases) {
+  test(`should ${expected ? '' : 'not '}count a service as mixed with ${title}`, () => {
+    const versions = new SoftwareVersions()
+    for (const { replica: gone, at } of removed) versions.onRemoved(gone, at)
+    assert.is(versions.isMixed('s', listed, now), expected)
+  })
+}
+
+test.run()
--- /dev/null
+++ b/packages/coordination/src/dispatch/streamOrigins.ts
@@ -0,0 +1,136 @@
+/**
+ * Where resumable streams began: their service and the version of its software. What two versions write does not fit together,
+ * so that a stream goes on only at the version that began it. Callers may take a stream up at any instance; each instance
+ * therefore sends the origins of its streams to a few holders, which any instance can ask.
+ */
+import * as z from 'zod'
+import { rankByRendezvous, type Milliseconds } from '../common/index.js'
+import type { Replica } from '../catalog/index.js'
+
+/** A caller that takes a stream up may do so until its deadline; messages and clocks take the rest. */
+const RETENTION_MARGIN: Milliseconds = 5_000
+/** A version counts as serving for this long after its last replica left, since callers may still have streams of it. */
+const VERSION_RETENTION: Milliseconds = 30_000
+/** Instances that each origin is sent to, and that are asked for one; more are asked, since some may have left meanwhile. */
+const HOLDERS = 3
+const ASKED_HOLDERS = 5
+/** Maximum number of origins retained; the oldest are evicted first. */
+const MAXIMUM_ORIGINS = 50_000
+const MAXIMUM_ID_LENGTH = 128
+const MAXIMUM_ORIGINS_OF_MESSAGE = 10_000
+
+/** The service that began a stream, and the version of its software; empty where its replicas state none. */
+export const streamOriginSchema = z.object({ service: z.string(), softwareVersion: z.string() })
+/** The service that began a stream, and the version of its software; empty where its replicas state none. */
+export type StreamOrigin = z.infer<typeof streamOriginSchema>
+
+/** Origins that an instance sends to a holder: request, service, version, and milliseconds for which it may be asked for. */
+export const streamOriginsMessageSchema = z.object({
+  streamOrigins: z.array(z.tuple([
+    z.string().max(MAXIMUM_ID_LENGTH), z.string(), z.string(), z.number().nonnegative().max(3_600_000)
+  ])).max(MAXIMUM_ORIGINS_OF_MESSAGE)
+})
+/** Origins that an instance sends to a holder. */
+export type StreamOriginsMessage = z.infer<typeof streamOriginsMessageSchema>
+
+interface KnownOrigin extends StreamOrigin {
+  expiresAt: Milliseconds
+}
+
+/** The instances that hold the origin of a stream, in the order in which they are asked. */
+export function originHolders (requestId: string, names: readonly string[]): string[] {
+  return rankByRendezvous(requestId, names).slice(0, ASKED_HOLDERS)
+}
+
+/** The versions of the software of each service that serve or served recently. */
+export class SoftwareVersions {
+  /** When the last replica of a version left, by service and version. */
+  private readonly _leftAt = new Map<string, Map<string, Milliseconds>>()
+
+  /** Records that a replica has left. */
+  onRemoved ({ service, softwareVersion = '' }: Replica, now: Milliseconds): void {
+    const versions = this._leftAt.get(service) ?? new Map<string, Milliseconds>()
+    for (const [version, at] of versions) if (now - at > VERSION_RETENTION) versions.delete(version)
+    versions.set(softwareVersion, now)
+    this._leftAt.set(service, versions)
+  }
+
+  /** Whether streams of several versions of the service may be open. */
+  isMixed (service: string, replicas: readonly Replica[], now: Milliseconds): boolean {
+    const versions = new Set<string>()
+    for (const replica of replicas) if (replica.service === service) versions.add(replica.softwareVersion ?? '')
+    for (const [version, at] of this._leftAt.get(service) ?? []) if (now - at <= VERSION_RETENTION) versions.add(version)
+    return versions.size > 1
+  }
+}
+
+/** The origins of streams that this instance began or was told of, by the request that brought their first event. */
+export class StreamOrigins {
+  private readonly _origins = new Map<string, KnownOrigin>()
+  /** Streams begun by this instance whose origin was not sent to its holders. */
+  private readonly _unsent = new Set<string>()
+
+  /**
+   * Records that this instance has passed on the first event of a stream.
+   * @param timeLeft until the deadline of the request
+   */
+  onBegan (requestId: string, origin: StreamOrigin, timeLeft: Milliseconds, now: Milliseconds): void {
+    this._add(requestId, origin, now + timeLeft + RETENTION_MARGIN, now)
+    this._unsent.add(requestId)
+  }
+
+  /** Applies origins that another instance sent. */
+  receive ({ streamOrigins }: StreamOriginsMessage, now: Milliseconds): void {
+    for (const [requestId, service, softwareVersion, timeLeft] of streamOrigins) {
+      this._add(requestId, { service, softwareVersion }, now + timeLeft, now)
+    }
+  }
+
+  /** Where the stream began; undefined if this instance does not know. */
+  find (requestId: string, now: Milliseconds): StreamOrigin | undefined {
+    const origin = this._origins.get(requestId)
+    if (origin === undefined || origin.expiresAt < now) return undefined
+    return { service: origin.service, softwareVersion: origin.softwareVersion }
+  }
+
+  /**
+   * Returns the origins to send now, by the name of their holder. Each is returned once.
+   * @param isNeeded whether streams of a service may be joined wrongly; the origins of other services are sent if that changes
+   */
+  takeUnsent (
+    holders: readonly string[], isNeeded: (service: string) => boolean, now: Milliseconds
+  ): Map<string, StreamOriginsMessage> {
+    const messages = new Map<string, StreamOriginsMessage>()
+    if (holders.length === 0) return messages
+    const needed = new Map<string, boolean>()
+    for (const requestId of this._unsent) {
+      const origin = this._origins.get(requestId)
+      if (origin === undefined || origin.expiresAt < now) {
+        this._unsent.delete(requestId)
+        continue
+      }
+      const { service, softwareVersion, expiresAt } = origin
+      const isServiceNeeded = needed.get(service) ?? isNeeded(service)
+      needed.set(service, isServiceNeeded)
+      if (!isServiceNeeded) continue
+      this._unsent.delete(requestId)
+      for (const holder of rankByRendezvous(requestId, holders).slice(0, HOLDERS)) {
+        const message = messages.get(holder) ?? { streamOrigins: [] }
+        messages.set(holder, message)
+        message.streamOrigins.push([requestId, service, softwareVersion, Math.round(expiresAt - now)])
+      }
+    }
+    return messages
+  }
+
+  private _add (requestId: string, origin: StreamOrigin, expiresAt: Milliseconds, now: Milliseconds): void {
+    if (requestId.length > MAXIMUM_ID_LENGTH) return
+    this._origins.set(requestId, { ...origin, expiresAt })
+    // Entries expire roughly in the order in which they were added.
+    for (const [oldest, known] of this._origins) {
+      if (known.expiresAt >= now && this._origins.size <= MAXIMUM_ORIGINS) break
+      this._origins.delete(oldest)
+      this._unsent.delete(oldest)
+    }
+  }
+}
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -2,8 +2,8 @@
 import dgram from 'node:dgram'
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import {
-  heartbeatSchema, isRoundDue, PauseGuard, type CatalogChange, type CatalogStatus, type FrontRecord, type Heartbeat,
-  type Milliseconds, type ReplicaLoad
+  heartbeatSchema, isRoundDue, PauseGuard, streamOriginsMessageSchema, type CatalogChange, type CatalogStatus, type FrontRecord,
+  type Heartbeat, type Milliseconds, type ReplicaLoad, type StreamOriginsMessage
 } from '@wasabihead/coordination'
 import { splitAddress } from '../channels/index.js'
 import type { GatewayState } from '../requests/index.js'
@@ -35,6 +35,7 @@
 const IPV4_FAMILY = 4
 /** Number of instance records in one heartbeat. */
 const RECORDS_PER_HEARTBEAT = 1
+const ORIGINS_PER_DATAGRAM = 500
 /** In its first rounds an instance sends its own record, since its peers may not know it yet. */
 const ROUNDS_WITH_OWN_RECORD = 6
 /** Limit on the size of a message after decompression. */
@@ -87,11 +88,16 @@
       // A store that restarted during the pause may already have been written to again.
       storedParts.invalidateAll()
     }
+    this._sendStreamOrigins()
     this._ticks += 1
     if (!isRoundDue(this._ticks, peers.length, this._isUrgent)) return
     this._round += 1
     if (peers.length === 0) return
-    const message = deflateRawSync(JSON.stringify(this._heartbeat()))
+    this._sendTo(peers, this._heartbeat())
+  }
+
+  private _sendTo (peers: readonly FrontRecord[], content: Heartbeat | StreamOriginsMessage): void {
+    const message = deflateRawSync(JSON.stringify(content))
     if (message.length > MAXIMUM_DATAGRAM_BYTES) {
       this._state.log.warn('heartbeat-too-large', { bytes: message.length, peers: peers.length })
       return
@@ -104,6 +110,21 @@
     }
   }
 
+  /** Sends the origins of streams to their holders, only while a service runs several versions of its software. */
+  private _sendStreamOrigins (): void {
+    const { fronts, streamOrigins, softwareVersions, catalog, now, suspensionAwareNow } = this._state
+    const peers = new Map(fronts.livePeers(now()).map(peer => [peer.name, peer]))
+    const isMixed = (service: string): boolean => softwareVersions.isMixed(service, catalog.replicas, suspensionAwareNow())
+    const messages = streamOrigins.takeUnsent([...peers.keys()], isMixed, suspensionAwareNow())
+    for (const [holder, { streamOrigins: origins }] of messages) {
+      const peer = peers.get(holder)
+      if (peer === undefined) continue
+      for (let start = 0; start < origins.length; start += ORIGINS_PER_DATAGRAM) {
+        this._sendTo([peer], { streamOrigins: origins.slice(start, start + ORIGINS_PER_DATAGRAM) })
+      }
+    }
+  }
+
   /**
    * Whether peers have to be notified in each interval. Loading weights takes a fraction of a second, and the replica refuses
    * requests meanwhile.
@@ -165,7 +186,12 @@
   }
 
   private _receive (message: Buffer): void {
-    const heartbeat = parseHeartbeat(message)
+    const received = parseMessage(message)
+    if (received !== undefined && 'streamOrigins' in received) {
+      this._state.streamOrigins.receive(received, this._state.suspensionAwareNow())
+      return
+    }
+    const heartbeat = received
     if (heartbeat === undefined) {
       this._state.log.decision('heartbeat-unreadable', { bytes: message.length })
       return
@@ -220,10 +246,12 @@
   }
 }
 
-function parseHeartbeat (message: Buffer): Heartbeat | undefined {
+function parseMessage (message: Buffer): Heartbeat | StreamOriginsMessage | undefined {
   try {
     const text = inflateRawSync(message, { maxOutputLength: MAXIMUM_INFLATED_BYTES }).toString('utf8')
-    return heartbeatSchema.parse(JSON.parse(text))
+    const content: unknown = JSON.parse(text)
+    const isOrigins = typeof content === 'object' && content !== null && 'streamOrigins' in content
+    return isOrigins ? streamOriginsMessageSchema.parse(content) : heartbeatSchema.parse(content)
   } catch {
     return undefined
   }
--- a/packages/gateway/src/peers/peerListing.ts
+++ b/packages/gateway/src/peers/peerListing.ts
@@ -1,7 +1,7 @@
 /** Requests the catalog from another instance, for a start while the store is unreachable. */
-import http from 'node:http'
 import { catalogListingSchema, frontRecordSchema, type Milliseconds } from '@wasabihead/coordination'
 import * as z from 'zod'
+import { requestFromPeer } from './peerRequest.js'
 
 /** The catalog and the instances that a running instance sends to a starting one. */
 const peerListingSchema = z.object({
@@ -22,19 +22,6 @@
  * or malformed.
  */
 export async function requestPeerListing (controlAddress: string, timeout: Milliseconds): Promise<PeerListing> {
-  const body = await new Promise<string>((resolve, reject) => {
-    const request = http.get(`http://${controlAddress}${LISTING_PATH}`, { signal: AbortSignal.timeout(timeout), agent: false }, response => {
-      const chunks: Buffer[] = []
-      let length = 0
-      response.on('data', (chunk: Buffer) => {
-        length += chunk.length
-        if (length > MAXIMUM_LISTING_BYTES) request.destroy(new Error('the catalog is too large'))
-        chunks.push(chunk)
-      })
-      response.once('end', () => { resolve(Buffer.concat(chunks).toString('utf8')) })
-      response.once('error', reject)
-    })
-    request.once('error', reject)
-  })
+  const body = await requestFromPeer(controlAddress, LISTING_PATH, timeout, MAXIMUM_LISTING_BYTES)
   return peerListingSchema.parse(JSON.parse(body))
 }
--- /dev/null
+++ b/packages/gateway/src/peers/streamOriginRequest.ts
@@ -0,0 +1,28 @@
+/** Asks other instances where a stream began that this one does not know. */
+import { originHolders, streamOriginSchema, type Milliseconds, type StreamOrigin } from '@wasabihead/coordination'
+import type { GatewayState } from '../requests/index.js'
+import { requestFromPeer } from './peerRequest.js'
+
+/** Path of the origins of streams at the control address; the query has the id of the request. */
+export const STREAM_ORIGIN_PATH = '/v1/stream-origin'
+/** Name of the query parameter with the id of the request. */
+export const REQUEST_ID_PARAMETER = 'request'
+
+const TIMEOUT: Milliseconds = 200
+const MAXIMUM_ANSWER_BYTES = 4_096
+
+/** Resolves with the first origin that a holder answers with; undefined if none does before the timeout. */
+export async function requestStreamOrigin (
+  requestId: string, { fronts, log, now }: GatewayState
+): Promise<StreamOrigin | undefined> {
+  const peers = new Map(fronts.livePeers(now()).map(({ name, controlAddress }) => [name, controlAddress]))
+  const addresses = originHolders(requestId, [...peers.keys()]).flatMap(name => peers.get(name) ?? [])
+  const path = `${STREAM_ORIGIN_PATH}?${REQUEST_ID_PARAMETER}=${encodeURIComponent(requestId)}`
+  try {
+    return await Promise.any(addresses.map(async address => (
+      streamOriginSchema.parse(JSON.parse(await requestFromPeer(address, path, TIMEOUT, MAXIMUM_ANSWER_BYTES))))))
+  } catch (error) {
+    log.decision('stream-origin-unknown', { resumes: requestId, asked: addresses.length, detail: String(error) })
+    return undefined
+  }
+}
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -1,13 +1,15 @@
 /** One gateway instance: creates its components, starts them and shuts them down. */
 import {
   CachedParts, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, ReadSchedule,
-  RepeatedCrashes, ReplicaHealth, ReplicaLimits, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog, StoredParts,
-  StoreMirror, type CatalogChange, type FrontRecord, type KeyValueService, type Milliseconds
+  RepeatedCrashes, ReplicaHealth, ReplicaLimits, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog, SoftwareVersions,
+  StoredParts, StoreMirror, StreamOrigins, type CatalogChange, type FrontRecord, type KeyValueService, type Milliseconds
 } from '@wasabihead/coordination'
 import { CatalogLoop, CrashRecords, FRONT_KEY_PREFIX, HOST_KEY_PREFIX, Registration } from '../catalog/index.js'
 import { ChannelPool, splitAddress } from '../channels/index.js'
-import { EndpointServer, type EndpointHandler } from '../directory/index.js'
-import { Heartbeats, LISTING_PATH, type PeerListing } from '../peers/index.js'
+import { EndpointServer, type EndpointHandler, type EndpointResponse } from '../directory/index.js'
+import {
+  Heartbeats, LISTING_PATH, REQUEST_ID_PARAMETER, requestStreamOrigin, STREAM_ORIGIN_PATH, type PeerListing
+} from '../peers/index.js'
 import type { CallerProtocol, CatalogSource, ReplicaProtocol } from '../protocol/index.js'
 import { FrontServer, type GatewayState } from '../requests/index.js'
 import { RolloutLoop } from '../rollout/index.js'
@@ -88,6 +90,9 @@
       cachedParts: new CachedParts(),
       retryBudget: new FleetRetryBudget(settings.retryBudget, now(), settings.isFirstRun),
       crashes: new RepeatedCrashes(),
+      softwareVersions: new SoftwareVersions(),
+      streamOrigins: new StreamOrigins(),
+      requestStreamOrigin: async requestId => await requestStreamOrigin(requestId, this.state),
       channels: new ChannelPool(settings.channels, now),
       callerProtocol: adapter.callerProtocol,
       replicaProtocol: adapter.replicaProtocol,
@@ -120,7 +125,8 @@
     this._directory = new EndpointServer(adapter.directoryEndpoints(this))
     this._readiness = new EndpointServer(adapter.readinessEndpoints(this))
     this._control = new EndpointServer(new Map([
-      [`GET ${LISTING_PATH}`, () => ({ status: 200, contentType: 'application/json', body: JSON.stringify(this._peerListing()) })]
+      [`GET ${LISTING_PATH}`, () => ({ status: 200, contentType: 'application/json', body: JSON.stringify(this._peerListing()) })],
+      [`GET ${STREAM_ORIGIN_PATH}`, (query: URLSearchParams) => this._streamOrigin(query.get(REQUEST_ID_PARAMETER) ?? '')]
     ]))
     this._metricsServer = new EndpointServer(new Map([
       ['GET /metrics', () => ({ status: 200, contentType: 'text/plain', body: this.state.metrics.format() })]
@@ -197,6 +203,13 @@
     this.state.log.close()
   }
 
+  private _streamOrigin (requestId: string): EndpointResponse {
+    const origin = this.state.streamOrigins.find(requestId, this.state.suspensionAwareNow())
+    return origin === undefined
+      ? { status: 404 }
+      : { status: 200, contentType: 'application/json', body: JSON.stringify(origin) }
+  }
+
   private _peerListing (): PeerListing {
     const { catalog, mirror, fronts, now, suspensionAwareNow } = this.state
     return {
@@ -233,7 +246,7 @@
   }
 
   private _onChange (change: CatalogChange): void {
-    const { log, channels, health, cachedParts } = this.state
+    const { log, channels, health, cachedParts, softwareVersions, suspensionAwareNow } = this.state
     switch (change.kind) {
       case 'configuration':
         this._front.applyLimits()
@@ -257,6 +270,7 @@
         channels.closeIdleConnections(change.replica.id)
         health.forget(change.replica.id)
         cachedParts.forget(change.replica.id)
+        softwareVersions.onRemoved(change.replica, suspensionAwareNow())
         log.change(change.kind, { ...replicaFields(change), reason: change.reason })
     }
   }
--- a/packages/gateway/src/requests/gatewayState.ts
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -2,7 +2,7 @@
 import type {
   CachedParts, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, Milliseconds,
   ReadSchedule, RepeatedCrashes, ReplicaHealth, ReplicaLimits, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog,
-  StoredParts, StoreMirror
+  SoftwareVersions, StoredParts, StoreMirror, StreamOrigin, StreamOrigins
 } from '@wasabihead/coordination'
 import type { ChannelPool } from '../channels/index.js'
 import type { CallerProtocol, ReplicaProtocol } from '../protocol/index.js'
@@ -34,6 +34,10 @@
   cachedParts: CachedParts
   retryBudget: FleetRetryBudget
   crashes: RepeatedCrashes
+  softwareVersions: SoftwareVersions
+  streamOrigins: StreamOrigins
+  /** Asks other instances where a stream began; undefined if none knows. */
+  requestStreamOrigin: (requestId: string) => Promise<StreamOrigin | undefined>
   channels: ChannelPool
   callerProtocol: CallerProtocol
   replicaProtocol: ReplicaProtocol
--- a/packages/gateway/src/requests/requestPlacement.ts
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -1,24 +1,39 @@
 /** Selects the replica for one request by the observed state of the replicas. */
 import {
-  admitPrompt, saltOf, selectReplica, type Milliseconds, type PromptAdmission, type PromptDemand, type Replica, type Selection
+  admitPrompt, saltOf, selectReplica, type Milliseconds, type PromptAdmission, type PromptDemand, type Replica, type Selection,
+  type StreamOrigin
 } from '@wasabihead/coordination'
 import type { CallerRequest } from './callerRequest.js'
 import type { GatewayState } from './gatewayState.js'
 
 /** Selects replicas for one request, and records where it was sent. */
 export class RequestPlacement {
-  /** The service that handles the request; picked at random from the targets of the route, by weight. */
-  readonly service: string
+  /** Picked at random from the targets of the route, by weight, unless the request goes on with a stream. */
+  private _service: string
   /** Name of an isolated workspace; empty for the other workspaces, which share cached parts. */
   private readonly _workspace: string
   /** The replica for which this request has reserved a send. */
   private _reserved: Replica | undefined
+  /** Where the stream began that the request goes on with; undefined for a new one. */
+  private _origin: StreamOrigin | undefined
 
   constructor (private readonly _state: GatewayState, private readonly _request: CallerRequest) {
-    this.service = pickService(_request, _state.random.next())
+    this._service = pickService(_request, _state.random.next())
     this._workspace = _request.workspace?.isIsolated === true ? _request.workspace.name : ''
   }
 
+  /** The service that handles the request. */
+  get service (): string {
+    return this._service
+  }
+
+  /** Restricts the request to replicas that can go on with a stream. A service that the route has left is not asked. */
+  continueFrom (origin: StreamOrigin): void {
+    if (!this._request.route.targets.some(({ service }) => service === origin.service)) return
+    this._service = origin.service
+    this._origin = origin
+  }
+
   /** The best of the replicas that the request was not sent to yet; undefined if none can be used. */
   select (tried: ReadonlySet<string>): Selection | undefined {
     const { fronts, loads, health, cachedParts, storedParts, speeds, zone, random } = this._state
@@ -157,9 +172,13 @@
     return this._replicas.filter(replica => !notices.isClosed(replica, now))
   }
 
-  /** The usable replicas whose weights are recent enough for the request. */
+  /** The usable replicas that can go on with the request's stream, and whose weights are recent enough for it. */
   private get _replicas (): readonly Replica[] {
-    const replicas = this._state.catalog.usableReplicas(this.service)
+    const usable = this._state.catalog.usableReplicas(this.service)
+    const origin = this._origin
+    const replicas = origin === undefined
+      ? usable
+      : usable.filter(({ softwareVersion = '' }) => softwareVersion === origin.softwareVersion)
     const { prompt } = this._request.head
     const required = this.requiredVersion
     if (prompt === undefined || required === undefined) return replicas
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -47,6 +47,7 @@
   private _possibleRuns = 0
   private _isOver = false
   private _hasTriedReservation = false
+  private _hasOrigin = false
   private _holdTimer: NodeJS.Timeout | undefined
   private _stallTimer: NodeJS.Timeout | undefined
   private _firstByteAt: Milliseconds | undefined
@@ -68,10 +69,32 @@
   /** Starts the first attempt; refuses a request that has repeatedly crashed replicas. */
   start (): void {
     if (this._endIfBlocked()) return
+    const { head: { lastEventId, resumedRequestId }, route } = this._request
+    if (route.kind === 'streaming' && lastEventId !== undefined) this._state.log.detach('stream-origin', this._resume(resumedRequestId))
+    else this._begin()
+  }
+
+  private _begin (): void {
     this._state.retryBudget.onRequest(this._placement.service, this._state.now())
     this._tryNext()
   }
 
+  /** Goes on with a stream at the version of the software that began it. Refuses if there are several and it is not known. */
+  private async _resume (resumedRequestId: string | undefined): Promise<void> {
+    const { streamOrigins, softwareVersions, catalog, requestStreamOrigin, suspensionAwareNow } = this._state
+    const { targets } = this._request.route
+    let origin = resumedRequestId === undefined ? undefined : streamOrigins.find(resumedRequestId, suspensionAwareNow())
+    if (origin === undefined) {
+      const isMixed = targets.some(({ service }) => softwareVersions.isMixed(service, catalog.replicas, suspensionAwareNow()))
+      if (!isMixed) return this._begin()
+      if (resumedRequestId !== undefined) origin = await requestStreamOrigin(resumedRequestId)
+      if (this._isOver) return
+    }
+    if (origin === undefined) return this._refuse('origin-unknown')
+    this._placement.continueFrom(origin)
+    this._begin()
+  }
+
   /** Ends a request that must not be sent to any replica, or not once more; returns whether it did. */
   private _endIfBlocked (): boolean {
     const blockedFeatures = this._state.crashes.blockOf(this._request, this._state.suspensionAwareNow())
@@ -270,12 +293,25 @@
     if (exceededLimit !== undefined) return this._endOversized(attempt, exceededLimit)
     // Bytes alone do not count as progress: a stalled replica may send some now and then.
     if (this._relay.progress > progress) {
+      this._recordOrigin(attempt)
       this._recordAnswer(attempt, false)
       this._watchProgress(attempt)
     }
     if (!canContinue) this._waitForCaller(attempt)
   }
 
+  /** Once the caller has an event, only replicas with the same version of the software may go on. */
+  private _recordOrigin ({ replica }: ReplicaAttempt): void {
+    const { head, deadline, route } = this._request
+    if (this._hasOrigin || !route.isResumable || head.requestId === undefined) return
+    this._hasOrigin = true
+    const { streamOrigins, now, suspensionAwareNow } = this._state
+    const origin = { service: this._placement.service, softwareVersion: replica.softwareVersion ?? '' }
+    this._placement.continueFrom(origin)
+    // A resumed stream is named by the request that brought its first event.
+    if (head.lastEventId === undefined) streamOrigins.onBegan(head.requestId, origin, deadline - now(), suspensionAwareNow())
+  }
+
   private _watchProgress (attempt: ReplicaAttempt): void {
     const silence = this._isRepeatable && this._relay.kind === 'events' ? STREAM_SILENCE_TIMEOUT : undefined
     attempt.watchSilence(silence, elapsed => { this._onSilence(attempt, elapsed) })
