fix(crashes): take over no block whose crashes are explained by another cause

What callers would have seen: a sound part that was blocked for a moment, until more crashes showed the cause, stayed blocked for a minute, since instances went on sending the block to each other. Cause: a received block was held to be true whatever the receiver knew.

--- a/packages/coordination/src/crashes/crashEvidence.ts
+++ b/packages/coordination/src/crashes/crashEvidence.ts
@@ -95,6 +95,13 @@
     return (this._answeredAt.get(feature) ?? -Infinity) >= time
   }
 
+  /** Whether enough crashes with all of these features are known, and a cause without one of them was there each time. */
+  isExplainedBy (cause: readonly string[], features: readonly string[]): boolean {
+    if (features.every(feature => cause.includes(feature))) return false
+    const crashes = this._crashes.filter(crash => hasLost(crash, features))
+    return crashes.length >= CRASHES_TO_BLOCK && crashes.every(crash => hasLost(crash, cause))
+  }
+
   /** The causes that explain the crashes: the one that explains most comes first, and the others explain what it does not. */
   causes (now: Milliseconds): CrashCause[] {
     this._crashes = this._crashes.filter(({ at }) => now - at <= CRASH_LIFETIME)
@@ -169,6 +176,11 @@
   }
 }
 
+/** Whether a request with all of these features was lost in the crash. */
+function hasLost ({ requests }: Crash, features: readonly string[]): boolean {
+  return [...requests.values()].some(lost => features.every(feature => lost.includes(feature)))
+}
+
 /** The feature with the most crashes; among those, the one that most different requests have. */
 function mostFrequent (crashesByFeature: ReadonlyMap<string, readonly Crash[]>): string | undefined {
   let best: { feature: string, crashes: readonly Crash[], requests: number | undefined } | undefined
--- a/packages/coordination/src/crashes/crashingPart.spec.ts
+++ b/packages/coordination/src/crashes/crashingPart.spec.ts
@@ -349,4 +349,24 @@
   })
 }
 
+// Guards against a wrong block that instances go on sending each other after the cause was found.
+test('should not take over a block whose crashes have another cause, as this instance knows', () => {
+  const crashes = new RepeatedCrashes()
+  const lose = (topic: string, at: Milliseconds): void => {
+    const report = { fingerprint: `request${at}`, replicaRun: `r/${at}`, service: SERVICE, features: [topic, 'dead'], age: 0 }
+    crashes.record(report, at)
+  }
+  const block = { crashes: [], answeredFeatures: [], crashBlocks: [{ features: ['topic1'], age: 0 }] }
+  for (const at of [1_000, 2_000]) lose('topic1', at)
+  crashes.receive(block, 2_000)
+  const blockOf = (feature: string): unknown => crashes.blockOf({ fingerprint: 'x', features: [feature] }, 5_000)
+  assert.equal(blockOf('topic1'), ['topic1'])
+  crashes.onAnswered({ service: SERVICE, fingerprint: 'y', features: ['other'] }, false, 2_500)
+  lose('topic1', 3_000)
+  lose('topic2', 4_000)
+  assert.equal([blockOf('topic1'), blockOf('dead')], [undefined, ['dead']])
+  crashes.receive(block, 5_000)
+  assert.is(blockOf('topic1'), undefined)
+})
+
 test.run()
--- a/packages/coordination/src/crashes/repeatedCrashes.ts
+++ b/packages/coordination/src/crashes/repeatedCrashes.ts
@@ -115,7 +115,7 @@
       if (!isNew) continue
       const block = this._blocks.get(name)
       if (block !== undefined) block.lastCrashAt = Math.max(block.lastCrashAt, at)
-      else if (features.some(feature => !this._evidence.wasAnsweredSince(feature, at))) this._addReceived(name, features, at)
+      else if (!this._isRefuted(features, at)) this._addReceived(name, features, at)
     }
   }
 
@@ -186,11 +186,20 @@
   /** A known block keeps its time: blocks are passed on, so that it would grow with each delay. */
   private _receiveBlock (features: readonly string[], lastCrashAt: Milliseconds): void {
     const name = blockName(features)
-    if (this._blocks.has(name)) return
-    if (features.every(feature => this._evidence.wasAnsweredSince(feature, lastCrashAt - UPDATE_DELAY))) return
+    if (this._blocks.has(name) || this._isExplained(features)) return
+    if (this._isRefuted(features, lastCrashAt - UPDATE_DELAY)) return
     this._addReceived(name, features, lastCrashAt)
   }
 
+  /** Whether a block that this instance derived itself explains the crashes with these features. */
+  private _isExplained (features: readonly string[]): boolean {
+    return [...this._blocks.values()].some(block => block.isDerived && this._evidence.isExplainedBy(block.features, features))
+  }
+
+  private _isRefuted (features: readonly string[], time: Milliseconds): boolean {
+    return features.every(feature => this._evidence.wasAnsweredSince(feature, time))
+  }
+
   private _addReceived (name: string, features: readonly string[], lastCrashAt: Milliseconds): void {
     this._addBlock(name, {
       features,
@@ -247,7 +256,8 @@
     for (const [name, block] of this._blocks) {
       // Crashes expire, and a block cannot be derived from the later ones alone.
       const hasEvidence = now - block.firstCrashAt <= CRASH_LIFETIME
-      if (block.isDerived && hasEvidence && !current.has(name)) this._remove(name, block.isObservedLocally)
+      const isJudged = block.isDerived ? hasEvidence : this._isExplained(block.features)
+      if (isJudged && !current.has(name)) this._remove(name, block.isObservedLocally)
     }
   }
 
