--- a/packages/gateway/src/catalog/crashRecords.ts
+++ b/packages/gateway/src/catalog/crashRecords.ts
@@ -35,7 +35,7 @@
     try {
       for (const name of crashes.takeLiftedBlocks(suspensionAwareNow())) await this._remove(name)
       for (const block of crashes.unwrittenBlocks(suspensionAwareNow())) {
-        if (await this._ensure(block)) crashes.onBlockWritten(block.name, suspensionAwareNow())
+        if (await this._ensureRecord(block)) crashes.onBlockWritten(block.name, suspensionAwareNow())
       }
     } finally {
       this._isWriting = false
@@ -43,7 +43,7 @@
   }
 
   /** Writes the record unless the store has it; returns whether the store has it now. */
-  private async _ensure ({ name, features, age, timeLeft }: UnwrittenBlock): Promise<boolean> {
+  private async _ensureRecord ({ name, features, age, timeLeft }: UnwrittenBlock): Promise<boolean> {
     const key = this._keyOf(name)
     const existing = await this._store.read(key)
     if (existing.isErr) return false
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -186,16 +186,13 @@
   }
 
   private _receive (message: Buffer): void {
-    const received = parseMessage(message)
-    if (received !== undefined && 'streamOrigins' in received) {
-      this._state.streamOrigins.receive(received, this._state.suspensionAwareNow())
-      return
-    }
-    const heartbeat = received
-    if (heartbeat === undefined) {
-      this._state.log.decision('heartbeat-unreadable', { bytes: message.length })
-      return
-    }
+    const content = parseMessage(message)
+    if (content === undefined) this._state.log.decision('heartbeat-unreadable', { bytes: message.length })
+    else if ('streamOrigins' in content) this._state.streamOrigins.receive(content, this._state.suspensionAwareNow())
+    else this._receiveHeartbeat(content)
+  }
+
+  private _receiveHeartbeat (heartbeat: Heartbeat): void {
     const now = this._state.now()
     const suspensionAwareNow = this._state.suspensionAwareNow()
     if (this._pauseGuard.mayBeBuffered(suspensionAwareNow)) {
