feat(telemetry): log that an instance can connect to no replica of a service

ServiceLinks sees each connection that is opened or is not; service-cut-off and service-reachable are logged. No request is handled differently.

--- /dev/null
+++ b/packages/coordination/src/links/index.ts
@@ -0,0 +1,1 @@
+export { ServiceLinks, type LinkChange } from './serviceLinks.js'
--- /dev/null
+++ b/packages/coordination/src/links/serviceLinks.ts
@@ -0,0 +1,138 @@
+/**
+ * Detects that this instance can connect to no replica of a service, by the connections that it opens. Peers may still reach
+ * these replicas, so this says nothing of the replicas themselves.
+ */
+import type { Milliseconds, SeededRandom } from '../common/index.js'
+
+/** Different replicas to which no connection can be opened, without one that is opened, after which a service is cut off. */
+const FAILURES_TO_CUT_OFF = 8
+/** After failures at this many replicas the others are probed. A single replica fails more often than the link of a host. */
+const FAILURES_TO_PROBE = 2
+const FAILURE_LIFETIME: Milliseconds = 2_000
+/** Requests that wait while no replica of their service sends anything for this long may be on dead connections. */
+const QUIET_TIMEOUT: Milliseconds = 500
+/** Interval of the probes of a service that is cut off, and shortest time between two verifications of one that may be. */
+const PROBE_INTERVAL: Milliseconds = 400
+/** A link that fails again within this time after its return has to prove itself for longer. */
+const FLAP_WINDOW: Milliseconds = 5_000
+const MAXIMUM_CONNECTIONS_TO_RETURN = 4
+
+/** What a connection that was opened, or could not be, changes. */
+export type LinkChange = 'cut-off' | 'reachable'
+
+interface ServiceLink {
+  /** Time of the last failure for each replica to which no connection could be opened since one was opened to any. */
+  failures: Map<string, Milliseconds>
+  /** When a connection was last opened. */
+  connectedAt: Milliseconds
+  /** When the oldest request was sent since a replica of the service last sent bytes. */
+  waitingSince: Milliseconds | undefined
+  probedAt: Milliseconds
+  cutOffAt: Milliseconds | undefined
+  returnedAt: Milliseconds
+  /** Connections in a row that end a cut; more if the link fails again soon after its return. */
+  connectionsToReturn: number
+  connectionsInARow: number
+}
+
+/** The links of this instance to the replicas of each service. */
+export class ServiceLinks {
+  private readonly _links = new Map<string, ServiceLink>()
+
+  /** Records that a request was sent to a replica of the service. */
+  onSent (service: string, now: Milliseconds): void {
+    this._link(service).waitingSince ??= now
+  }
+
+  /** Records that a replica of the service has sent bytes. */
+  onBytes (service: string): void {
+    this._link(service).waitingSince = undefined
+  }
+
+  /** Records that a connection to a replica of the service was opened. */
+  onConnected (service: string, now: Milliseconds): LinkChange | undefined {
+    const link = this._link(service)
+    link.connectedAt = now
+    link.failures.clear()
+    link.connectionsInARow += 1
+    if (link.cutOffAt === undefined || link.connectionsInARow < link.connectionsToReturn) return undefined
+    link.cutOffAt = undefined
+    link.returnedAt = now
+    return 'reachable'
+  }
+
+  /**
+   * Records that no connection to a replica could be opened.
+   * @param replicas ids of the replicas of the service that may be used; a failure at any other says nothing
+   */
+  onConnectFailed (service: string, replicaId: string, replicas: readonly string[], now: Milliseconds): LinkChange | undefined {
+    if (!replicas.includes(replicaId)) return undefined
+    const link = this._link(service)
+    link.connectionsInARow = 0
+    link.failures.set(replicaId, now)
+    for (const [id, at] of link.failures) if (now - at > FAILURE_LIFETIME || !replicas.includes(id)) link.failures.delete(id)
+    if (link.cutOffAt !== undefined || link.failures.size < Math.min(FAILURES_TO_CUT_OFF, replicas.length)) return undefined
+    link.cutOffAt = Math.min(...link.failures.values())
+    const isFlapping = now - link.returnedAt < FLAP_WINDOW
+    link.connectionsToReturn = isFlapping ? Math.min(MAXIMUM_CONNECTIONS_TO_RETURN, link.connectionsToReturn * 2) : 1
+    return 'cut-off'
+  }
+
+  /** When the connections to the service began to fail; undefined while it is not cut off. */
+  cutOffAt (service: string): Milliseconds | undefined {
+    return this._links.get(service)?.cutOffAt
+  }
+
+  /** The services that are cut off. */
+  get cutOff (): string[] {
+    return [...this._links].flatMap(([service, { cutOffAt }]) => cutOffAt === undefined ? [] : service)
+  }
+
+  /** The services that may be cut off, or are, so that `probes` may return replicas. */
+  get suspected (): string[] {
+    return [...this._links].flatMap(([service, link]) => (
+      link.cutOffAt !== undefined || link.failures.size > 0 || link.waitingSince !== undefined ? service : []))
+  }
+
+  /**
+   * The replicas to open a connection to now: one at each interval while the service is cut off, and as many as a verdict needs
+   * if it may be.
+   * @param replicas ids of the replicas that may be used
+   */
+  probes (service: string, replicas: readonly string[], random: SeededRandom, now: Milliseconds): string[] {
+    const link = this._link(service)
+    if (replicas.length === 0 || now - link.probedAt < PROBE_INTERVAL) return []
+    if (link.cutOffAt !== undefined) {
+      link.probedAt = now
+      return [random.pick(replicas)]
+    }
+    const isQuiet = link.waitingSince !== undefined && now - link.waitingSince >= QUIET_TIMEOUT
+    const needed = Math.min(FAILURES_TO_CUT_OFF, replicas.length)
+    const isFailing = link.failures.size >= Math.min(FAILURES_TO_PROBE, needed)
+    if (now - link.connectedAt < PROBE_INTERVAL || (!isQuiet && !isFailing)) return []
+    link.probedAt = now
+    const others = replicas.filter(id => !link.failures.has(id))
+    const probes: string[] = []
+    while (probes.length < needed - link.failures.size && others.length > 0) {
+      probes.push(...others.splice(random.integer(others.length), 1))
+    }
+    return probes
+  }
+
+  private _link (service: string): ServiceLink {
+    const known = this._links.get(service)
+    if (known !== undefined) return known
+    const link: ServiceLink = {
+      failures: new Map(),
+      connectedAt: -Infinity,
+      waitingSince: undefined,
+      probedAt: -Infinity,
+      cutOffAt: undefined,
+      returnedAt: -Infinity,
+      connectionsToReturn: 1,
+      connectionsInARow: 0
+    }
+    this._links.set(service, link)
+    return link
+  }
+}
--- a/packages/gateway/src/channels/addressCalls.spec.ts
+++ b/packages/gateway/src/channels/addressCalls.spec.ts
@@ -32,7 +32,7 @@
       })
     })
     await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-    const pool = new ChannelPool({ connectTimeout: TIMEOUT, longestIdleForUnrepeatable: 0 }, () => performance.now())
+    const pool = new ChannelPool({ connectTimeout: TIMEOUT, longestIdleForUnrepeatable: 0 }, () => performance.now(), () => {})
     const target = { id: 'r', address: `127.0.0.1:${(server.address() as AddressInfo).port}` }
     const outcome = await callAddress(pool, target, { ...CALL, headers: [] }, TIMEOUT)
     assert.ok(!outcome.isAnswered)
--- a/packages/gateway/src/channels/channelPool.ts
+++ b/packages/gateway/src/channels/channelPool.ts
@@ -24,7 +24,12 @@
   /** Number of connections opened since the process started. */
   opened = 0
 
-  constructor (private readonly _settings: ChannelPoolSettings, private readonly _now: () => Milliseconds) {}
+  /** @param _onLink called when a connection to a target was opened, or could not be */
+  constructor (
+    private readonly _settings: ChannelPoolSettings,
+    private readonly _now: () => Milliseconds,
+    private readonly _onLink: (target: CallTarget, isConnected: boolean) => void
+  ) {}
 
   /** Removes the most recently used idle connection from the pool if it is still usable, or opens a new one. */
   acquire (target: CallTarget, isRepeatable: boolean): ReplicaChannel {
@@ -39,6 +44,7 @@
     this.opened += 1
     return new ReplicaChannel(
       target.address, this._settings.connectTimeout, this._now,
+      isConnected => { this._onLink({ id: target.id, address: target.address }, isConnected) },
       idle => { channels.idle.push(idle) },
       () => { channels.open -= 1 }
     )
--- a/packages/gateway/src/channels/replicaChannel.spec.ts
+++ b/packages/gateway/src/channels/replicaChannel.spec.ts
@@ -30,7 +30,7 @@
   })
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
   try {
-    await run(new ChannelPool(SETTINGS, () => performance.now()), `127.0.0.1:${(server.address() as AddressInfo).port}`)
+    await run(new ChannelPool(SETTINGS, () => performance.now(), () => {}), `127.0.0.1:${(server.address() as AddressInfo).port}`)
   } finally {
     for (const socket of sockets) socket.destroy()
     await new Promise<void>(resolve => { server.close(() => { resolve() }) })
@@ -116,7 +116,7 @@
 })
 
 test('should distinguish a refused connection from a failure after which the request may have run', async () => {
-  const pool = new ChannelPool(SETTINGS, () => performance.now())
+  const pool = new ChannelPool(SETTINGS, () => performance.now(), () => {})
   const server = net.createServer()
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
@@ -127,7 +127,7 @@
 test('should open a new channel for a request that must not be repeated if the idle one was used too long ago', async () => {
   await withReplica(socket => { socket.write(WHOLE) }, async (_pool, address) => {
     let now = 0
-    const pool = new ChannelPool(SETTINGS, () => now)
+    const pool = new ChannelPool(SETTINGS, () => now, () => {})
     const channel = pool.acquire({ id: 'r', address }, true)
     await exchange(channel)
     now = 2_500
--- a/packages/gateway/src/channels/replicaChannel.ts
+++ b/packages/gateway/src/channels/replicaChannel.ts
@@ -51,6 +51,7 @@
   private _endsWithConnection = false
   private _isReusable = true
   private _isConnected = false
+  private _hasConnectFailed = false
   private _isClosed = false
   private _closeReason = 'closed'
   private _keepAliveTimeout = DEFAULT_KEEP_ALIVE_TIMEOUT
@@ -60,6 +61,7 @@
 
   /**
    * @param address IP address and port
+   * @param _onLink called once it is known whether the connection could be opened; not if it was closed locally before
    * @param _onIdle called when the channel may be reused for another request
    * @param _onClosed called once when the socket has closed
    */
@@ -67,6 +69,7 @@
     address: string,
     connectTimeout: Milliseconds,
     private readonly _now: () => Milliseconds,
+    private readonly _onLink: (isConnected: boolean) => void,
     private readonly _onIdle: (channel: ReplicaChannel) => void,
     private readonly _onClosed: (channel: ReplicaChannel) => void
   ) {
@@ -82,14 +85,21 @@
       noDelay: true,
       onread: onreadOption(bytes => this._onBytes(bytes))
     })
-    const timer = setTimeout(() => { this.close() }, connectTimeout)
+    const timer = setTimeout(() => {
+      this._hasConnectFailed = true
+      this.close()
+    }, connectTimeout)
     this._socket.once('connect', () => {
       clearTimeout(timer)
       this._isConnected = true
+      this._onLink(true)
     })
     this._socket.once('end', () => { this._onSocketEnd() })
     // A close event follows, which ends the exchange.
-    this._socket.on('error', error => { this._closeReason = error.message })
+    this._socket.on('error', error => {
+      this._closeReason = error.message
+      this._hasConnectFailed ||= !this._isConnected
+    })
     this._socket.once('close', () => {
       clearTimeout(timer)
       this._onSocketClose()
@@ -220,6 +230,7 @@
   private _onSocketClose (): void {
     this._isClosed = true
     this._onClosed(this)
+    if (this._hasConnectFailed) this._onLink(false)
     this._fail(this._isConnected ? 'connection-ended' : 'not-connected', this._closeReason)
   }
 }
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -1,11 +1,12 @@
 /** One gateway instance: creates its components, starts them and shuts them down. */
 import {
   CachedParts, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, ReadSchedule,
-  RepeatedCrashes, ReplicaHealth, ReplicaLimits, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog, SoftwareVersions,
-  StoredParts, StoreMirror, StreamOrigins, type CatalogChange, type FrontRecord, type KeyValueService, type Milliseconds
+  RepeatedCrashes, ReplicaHealth, ReplicaLimits, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog, ServiceLinks,
+  SoftwareVersions, StoredParts, StoreMirror, StreamOrigins, type CatalogChange, type FrontRecord, type KeyValueService,
+  type Milliseconds
 } from '@wasabihead/coordination'
 import { CatalogLoop, CrashRecords, FRONT_KEY_PREFIX, HOST_KEY_PREFIX, Registration } from '../catalog/index.js'
-import { ChannelPool, splitAddress } from '../channels/index.js'
+import { ChannelPool, splitAddress, type CallTarget } from '../channels/index.js'
 import { EndpointServer, type EndpointHandler, type EndpointResponse } from '../directory/index.js'
 import {
   Heartbeats, LISTING_PATH, REQUEST_ID_PARAMETER, requestStreamOrigin, STREAM_ORIGIN_PATH, type PeerListing
@@ -84,6 +85,7 @@
       storedParts: new StoredParts(),
       health: new ReplicaHealth(),
       notices: new ReplicaNotices(),
+      links: new ServiceLinks(),
       replicaLimits: new ReplicaLimits(self.name),
       retryDelays: new RetryDelays(),
       speeds: new EngineSpeeds(),
@@ -93,7 +95,7 @@
       softwareVersions: new SoftwareVersions(),
       streamOrigins: new StreamOrigins(),
       requestStreamOrigin: async requestId => await requestStreamOrigin(requestId, this.state),
-      channels: new ChannelPool(settings.channels, now),
+      channels: new ChannelPool(settings.channels, now, (target, isConnected) => { this._onLink(target, isConnected) }),
       callerProtocol: adapter.callerProtocol,
       replicaProtocol: adapter.replicaProtocol,
       log: new DecisionLog({ host: self.name, ...settings.log }),
@@ -245,6 +247,17 @@
     this._storeFollower.follow()
   }
 
+  /** Records that a connection could be opened, or not; those to stores belong to no service with replicas. */
+  private _onLink ({ id }: CallTarget, isConnected: boolean): void {
+    const { catalog, links, log, now } = this.state
+    const service = catalog.replica(id)?.service
+    if (service === undefined) return
+    const replicas = catalog.usableReplicas(service).map(replica => replica.id)
+    const change = isConnected ? links.onConnected(service, now()) : links.onConnectFailed(service, id, replicas, now())
+    if (change === 'cut-off') log.change('service-cut-off', { service, replicas: replicas.length })
+    else if (change === 'reachable') log.change('service-reachable', { service, through: id })
+  }
+
   private _onChange (change: CatalogChange): void {
     const { log, channels, health, cachedParts, softwareVersions, suspensionAwareNow } = this.state
     switch (change.kind) {
--- a/packages/gateway/src/requests/gatewayState.ts
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -2,7 +2,7 @@
 import type {
   CachedParts, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, Milliseconds,
   ReadSchedule, RepeatedCrashes, ReplicaHealth, ReplicaLimits, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog,
-  SoftwareVersions, StoredParts, StoreMirror, StreamOrigin, StreamOrigins
+  ServiceLinks, SoftwareVersions, StoredParts, StoreMirror, StreamOrigin, StreamOrigins
 } from '@wasabihead/coordination'
 import type { ChannelPool } from '../channels/index.js'
 import type { CallerProtocol, ReplicaProtocol } from '../protocol/index.js'
@@ -28,6 +28,7 @@
   storedParts: StoredParts
   health: ReplicaHealth
   notices: ReplicaNotices
+  links: ServiceLinks
   replicaLimits: ReplicaLimits
   retryDelays: RetryDelays
   speeds: EngineSpeeds
--- a/packages/gateway/src/requests/replicaAttempt.spec.ts
+++ b/packages/gateway/src/requests/replicaAttempt.spec.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { FleetLoads, ReplicaHealth, type HealthSignal, type Replica, type Selection } from '@wasabihead/coordination'
+import { FleetLoads, ReplicaHealth, ServiceLinks, type HealthSignal, type Replica, type Selection } from '@wasabihead/coordination'
 import type { ReplicaChannel } from '../channels/index.js'
 import type { GatewayState } from './gatewayState.js'
 import { ReplicaAttempt } from './replicaAttempt.js'
@@ -22,7 +22,8 @@
   test(`should ${title}`, () => {
     const health = new ReplicaHealth()
     health.record(replica.id, 'unreachable', 0)
-    const state = { health, loads: new FleetLoads(), now: () => AFTER_EXCLUSION, suspensionAwareNow: () => AFTER_EXCLUSION }
+    const now = (): number => AFTER_EXCLUSION
+    const state = { health, loads: new FleetLoads(), links: new ServiceLinks(), now, suspensionAwareNow: now }
     const channel = { cancel: () => {} } as unknown as ReplicaChannel
     const attempt = new ReplicaAttempt(state as unknown as GatewayState, selection, channel, undefined, false)
     assert.is(health.isExcluded(replica.id, AFTER_EXCLUSION), true, 'only one probe at a time')
--- a/packages/gateway/src/requests/replicaAttempt.ts
+++ b/packages/gateway/src/requests/replicaAttempt.ts
@@ -37,6 +37,7 @@
     this._prefillTokens = selection.freshTokens
     this._memoryTokens = prompt === undefined ? 0 : prompt.inputTokens + prompt.maximumOutputTokens
     _state.health.onSend(this.replica.id)
+    _state.links.onSent(this.replica.service, this.sentAt)
     _state.loads.add(this.replica.id, { requests: 1, prefillTokens: this._prefillTokens, memoryTokens: this._memoryTokens })
     this._addFetchLoads(1)
   }
@@ -58,6 +59,7 @@
     this._hasBody = true
     if (isFirst && this._isStream) this._state.health.onStream(this.replica.id, 1, now)
     this._state.health.onBytes(this.replica.id, now)
+    this._state.links.onBytes(this.replica.service)
     this._releasePrefill()
     return isFirst
   }
