--- /dev/null
+++ b/tests/platform/linkFault.ts
@@ -0,0 +1,55 @@
+/**
+ * Preloaded into a gateway by tests: breaks its links to some ports. A file says how, as JSON; it is read on SIGUSR2. Links of
+ * other gateways to the same ports stay as they are.
+ */
+import { readFileSync } from 'node:fs'
+import net from 'node:net'
+
+/**
+ * `silent` carries nothing on any connection, `reset` closes the open ones and carries nothing on new ones, `refused` closes
+ * new ones and leaves the open ones as they are.
+ */
+export type LinkFaultMode = 'none' | 'silent' | 'reset' | 'refused'
+
+/** Content of the file. */
+export interface LinkFaultFile {
+  mode: LinkFaultMode
+  ports: number[]
+}
+
+/** Nothing listens there. */
+const CLOSED_PORT = 1
+
+const file = process.env.WASABIHEAD_TEST_LINK_FILE
+let fault: LinkFaultFile = { mode: 'none', ports: [] }
+const open = new Set<net.Socket>()
+
+function silence (socket: net.Socket): void {
+  socket.pause()
+  socket.resume = () => socket
+  socket._write = () => {}
+  socket._writev = () => {}
+}
+
+function apply (text: string): void {
+  fault = JSON.parse(text) as LinkFaultFile
+  for (const socket of open) {
+    if (!fault.ports.includes(socket.remotePort ?? 0)) continue
+    if (fault.mode === 'silent') silence(socket)
+    if (fault.mode === 'reset') socket.destroy(Object.assign(new Error('read ECONNRESET'), { code: 'ECONNRESET' }))
+  }
+}
+
+if (file !== undefined) {
+  const connect = net.connect as (options: net.TcpNetConnectOpts) => net.Socket
+  net.connect = ((options: net.TcpNetConnectOpts) => {
+    const isAffected = fault.mode !== 'none' && fault.ports.includes(options.port)
+    // A socket that is never told to connect behaves as one whose first packet is lost.
+    if (isAffected && fault.mode !== 'refused') return Object.assign(new net.Socket(), { connecting: true })
+    const socket = connect(isAffected ? { ...options, port: CLOSED_PORT } : options)
+    open.add(socket)
+    socket.once('close', () => { open.delete(socket) })
+    return socket
+  }) as typeof net.connect
+  process.on('SIGUSR2', () => { apply(readFileSync(file, 'utf8')) })
+}
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -9,10 +9,12 @@
 import { fileURLToPath } from 'node:url'
 import { waitUntil } from '@wasabihead/experiments'
 import { MetadataStoreStandIn } from '@wasabihead/standins'
+import type { LinkFaultFile, LinkFaultMode } from './linkFault.js'
 
 const ENTRY = fileURLToPath(import.meta.resolve('@wasabihead/platform/main'))
-/** Path of the compiled module. */
+/** Paths of the compiled modules. */
 const CLOCK_FAULT = fileURLToPath(new URL('../soak/clockFault.js', import.meta.url))
+const LINK_FAULT = fileURLToPath(new URL('linkFault.js', import.meta.url))
 const LOOPBACK = '127.0.0.1'
 const FIRST_PORT = 12_000
 const LAST_PORT = 30_000
@@ -92,10 +94,10 @@
   /** Offset in `output` at which the output of the latest process begins. */
   private _startedAt = 0
 
-  /** @param _folder holds the settings file and, with a clock fault, the file with the clock's offset */
+  /** @param _folder holds the settings file, and the files that faults are read from */
   constructor (
     readonly name: string, readonly addresses: GatewayAddresses, private _settings: object, private readonly _folder: string,
-    private readonly _hasClockFault: boolean
+    private readonly _faults: Pick<GatewayOptions, 'hasClockFault' | 'hasLinkFault'>
   ) {
     this._writeSettings()
   }
@@ -108,9 +110,15 @@
   /** Starts the process, also again after the previous one has exited. */
   startProcess (): void {
     this._startedAt = this.output.length
-    const clockFault = this._hasClockFault ? ['--import', CLOCK_FAULT] : []
-    const child = spawn(process.execPath, [...clockFault, ENTRY], {
-      env: { WASABIHEAD_NODE_FILE: this._file, WASABIHEAD_METRICS_PORT: '0', WASABIHEAD_TEST_CLOCK_FILE: `${this._file}.clock` },
+    const { hasClockFault, hasLinkFault } = this._faults
+    const faults = [...hasClockFault ? ['--import', CLOCK_FAULT] : [], ...hasLinkFault ? ['--import', LINK_FAULT] : []]
+    const child = spawn(process.execPath, [...faults, ENTRY], {
+      env: {
+        WASABIHEAD_NODE_FILE: this._file,
+        WASABIHEAD_METRICS_PORT: '0',
+        WASABIHEAD_TEST_CLOCK_FILE: `${this._file}.clock`,
+        WASABIHEAD_TEST_LINK_FILE: `${this._file}.links`
+      },
       stdio: ['ignore', 'pipe', 'pipe']
     })
     child.stdout.on('data', (data: Buffer) => { this.output += data.toString() })
@@ -141,6 +149,13 @@
     this.signal('SIGUSR2')
   }
 
+  /** Breaks the links of the running process to some addresses, or repairs them; only for one with `hasLinkFault`. */
+  setLinkFault (mode: LinkFaultMode, addresses: readonly string[]): void {
+    const content: LinkFaultFile = { mode, ports: addresses.map(address => Number(address.split(':')[1])) }
+    writeFileSync(`${this._file}.links`, JSON.stringify(content))
+    this.signal('SIGUSR2')
+  }
+
   private get _file (): string {
     return join(this._folder, `${this.name}.json`)
   }
@@ -162,7 +177,9 @@
   /** IP address and port of the metadata store, or of a proxy before it. */
   storeAddress?: string
   /** Whether `setClockOffset` can change its time of day. */
-  hasClockFault?: boolean
+  hasClockFault?: boolean | undefined
+  /** Whether `setLinkFault` can break its links. */
+  hasLinkFault?: boolean | undefined
 }
 
 /** The store, the replicas and the gateways of one test; `stop` ends all of them and deletes the settings. */
@@ -173,13 +190,13 @@
   storeAddress = ''
   private readonly _folder = mkdtempSync(join(tmpdir(), 'wasabihead-platform-'))
 
-  async start (gateways: number): Promise<void> {
+  async start (gateways: number, options: GatewayOptions = {}): Promise<void> {
     this.storeAddress = (await this.store.start(0)).replace('http://', '')
-    for (let index = 0; index < gateways; index++) await this.startGateway(`gateway-${index}`)
+    for (let index = 0; index < gateways; index++) await this.startGateway(`gateway-${index}`, options)
   }
 
   async startGateway (
-    name: string, { storeAddress = this.storeAddress, hasClockFault = false }: GatewayOptions = {}
+    name: string, { storeAddress = this.storeAddress, hasClockFault, hasLinkFault }: GatewayOptions = {}
   ): Promise<GatewayProcess> {
     const [front, ready, control, directory, inner] = await freePorts(5)
     const addresses = {
@@ -202,7 +219,7 @@
       bounds: { drain_ms: 2_000, config_apply_ms: 2_000, grace_s: 8, lease_ms: 3_000, retry_budget_slack: 50 },
       provider: { address: storeAddress, ttl_min_ms: 1_000 },
       an_unknown_field: true
-    }, this._folder, hasClockFault)
+    }, this._folder, { hasClockFault, hasLinkFault })
     gateway.startProcess()
     this.gateways.push(gateway)
     await waitUntil(async () => gateway.output.includes('"event":"started"'))
