--- a/packages/coordination/src/dispatch/replicaHealth.ts
+++ b/packages/coordination/src/dispatch/replicaHealth.ts
@@ -118,6 +118,11 @@
     return activity !== undefined && activity.lastAt >= time
   }
 
+  /** Forgets failures of a replica that were those of this instance's links to all replicas. Its active streams still count. */
+  clearFailures (replicaId: string): void {
+    this._states.delete(replicaId)
+  }
+
   /** Discards the state of a replica that was removed. */
   forget (replicaId: string): void {
     this._states.delete(replicaId)
--- a/packages/coordination/src/fronts/frontDirectory.spec.ts
+++ b/packages/coordination/src/fronts/frontDirectory.spec.ts
@@ -18,6 +18,7 @@
   loaded: [],
   leaving: [],
   limits: [],
+  cutOff: [],
   crashes: [],
   answeredFeatures: [],
   crashBlocks: [],
--- a/packages/coordination/src/fronts/frontDirectory.ts
+++ b/packages/coordination/src/fronts/frontDirectory.ts
@@ -104,6 +104,12 @@
     return [...this._fronts.values()].filter(front => this._isLive(front, now)).map(({ record }) => record)
   }
 
+  /** Whether heartbeats of a peer arrive, also of one that is leaving or not ready. */
+  isHeard (name: string, now: Milliseconds): boolean {
+    const receivedAt = this._fronts.get(name)?.receivedAt
+    return receivedAt !== undefined && now - receivedAt <= this._silenceTimeout
+  }
+
   /** Number of live instances, this one included; at least 1. */
   size (now: Milliseconds): number {
     return this.livePeers(now).length + 1
--- a/packages/coordination/src/fronts/messages.ts
+++ b/packages/coordination/src/fronts/messages.ts
@@ -14,7 +14,7 @@
   frontAddress: z.string(),
   /** Where other instances fetch the catalog. */
   controlAddress: z.string(),
-  /** Where heartbeats are sent, over UDP. */
+  /** Where heartbeats are sent, over UDP, and requests are relayed, over TCP. */
   heartbeatAddress: z.string(),
   isLeaving: z.boolean()
 })
@@ -64,6 +64,8 @@
   limits: z.array(z.tuple([
     z.string(), z.number().nonnegative().nullable(), z.number().nonnegative(), z.number().nonnegative()
   ])).default([]),
+  /** Services of which the sender can connect to no replica. */
+  cutOff: z.array(z.string()).default([]),
   ...crashUpdateSchema.shape
 })
 /** A heartbeat between instances. */
--- a/packages/coordination/src/links/serviceLinks.ts
+++ b/packages/coordination/src/links/serviceLinks.ts
@@ -12,10 +12,11 @@
 /** Requests that wait while no replica of their service sends anything for this long may be on dead connections. */
 const QUIET_TIMEOUT: Milliseconds = 500
 /** Interval of the probes of a service that is cut off, and shortest time between two verifications of one that may be. */
-const PROBE_INTERVAL: Milliseconds = 400
-/** A link that fails again within this time after its return has to prove itself for longer. */
+const PROBE_INTERVAL: Milliseconds = 250
+/** A link that fails again within this time after its return flaps: peers are preferred for a while after its next return. */
 const FLAP_WINDOW: Milliseconds = 5_000
-const MAXIMUM_CONNECTIONS_TO_RETURN = 4
+const FIRST_SETTLING_TIME: Milliseconds = 500
+const MAXIMUM_SETTLING_TIME: Milliseconds = 2_000
 
 /** What a connection that was opened, or could not be, changes. */
 export type LinkChange = 'cut-off' | 'reachable'
@@ -30,14 +31,15 @@
   probedAt: Milliseconds
   cutOffAt: Milliseconds | undefined
   returnedAt: Milliseconds
-  /** Connections in a row that end a cut; more if the link fails again soon after its return. */
-  connectionsToReturn: number
-  connectionsInARow: number
+  /** How long peers are preferred after the next return; 0 unless the link flaps. */
+  settlingTime: Milliseconds
 }
 
 /** The links of this instance to the replicas of each service. */
 export class ServiceLinks {
   private readonly _links = new Map<string, ServiceLink>()
+  /** When a service was last cut off or reached again. */
+  changedAt: Milliseconds = -Infinity
 
   /** Records that a request was sent to a replica of the service. */
   onSent (service: string, now: Milliseconds): void {
@@ -54,10 +56,10 @@
     const link = this._link(service)
     link.connectedAt = now
     link.failures.clear()
-    link.connectionsInARow += 1
-    if (link.cutOffAt === undefined || link.connectionsInARow < link.connectionsToReturn) return undefined
+    if (link.cutOffAt === undefined) return undefined
     link.cutOffAt = undefined
     link.returnedAt = now
+    this.changedAt = now
     return 'reachable'
   }
 
@@ -68,13 +70,13 @@
   onConnectFailed (service: string, replicaId: string, replicas: readonly string[], now: Milliseconds): LinkChange | undefined {
     if (!replicas.includes(replicaId)) return undefined
     const link = this._link(service)
-    link.connectionsInARow = 0
     link.failures.set(replicaId, now)
     for (const [id, at] of link.failures) if (now - at > FAILURE_LIFETIME || !replicas.includes(id)) link.failures.delete(id)
     if (link.cutOffAt !== undefined || link.failures.size < Math.min(FAILURES_TO_CUT_OFF, replicas.length)) return undefined
     link.cutOffAt = Math.min(...link.failures.values())
+    this.changedAt = now
     const isFlapping = now - link.returnedAt < FLAP_WINDOW
-    link.connectionsToReturn = isFlapping ? Math.min(MAXIMUM_CONNECTIONS_TO_RETURN, link.connectionsToReturn * 2) : 1
+    link.settlingTime = isFlapping ? Math.min(MAXIMUM_SETTLING_TIME, Math.max(FIRST_SETTLING_TIME, link.settlingTime * 2)) : 0
     return 'cut-off'
   }
 
@@ -83,6 +85,18 @@
     return this._links.get(service)?.cutOffAt
   }
 
+  /** Whether a peer that reaches the service serves better than a replica that this instance connects to. */
+  prefersPeers (service: string, now: Milliseconds): boolean {
+    const link = this._links.get(service)
+    return link !== undefined && (link.cutOffAt !== undefined || now < link.returnedAt + link.settlingTime)
+  }
+
+  /** Has the service probed at once if it is cut off, since a peer reaches it again. */
+  onReachedByPeer (service: string): void {
+    const link = this._links.get(service)
+    if (link?.cutOffAt !== undefined) link.probedAt = -Infinity
+  }
+
   /** The services that are cut off. */
   get cutOff (): string[] {
     return [...this._links].flatMap(([service, { cutOffAt }]) => cutOffAt === undefined ? [] : service)
@@ -129,8 +143,7 @@
       probedAt: -Infinity,
       cutOffAt: undefined,
       returnedAt: -Infinity,
-      connectionsToReturn: 1,
-      connectionsInARow: 0
+      settlingTime: 0
     }
     this._links.set(service, link)
     return link
--- a/packages/gateway/src/channels/channelPool.ts
+++ b/packages/gateway/src/channels/channelPool.ts
@@ -40,14 +40,19 @@
       if (!channel.isClosed && now < channel.usableUntil && isFresh) return channel
       channel.close()
     }
-    channels.open += 1
-    this.opened += 1
-    return new ReplicaChannel(
-      target.address, this._settings.connectTimeout, this._now,
-      isConnected => { this._onLink({ id: target.id, address: target.address }, isConnected) },
-      idle => { channels.idle.push(idle) },
-      () => { channels.open -= 1 }
-    )
+    return this._open(target, channels)
+  }
+
+  /** Opens a connection to find out whether that is possible, which `onLink` is told. It stays in the pool for requests. */
+  probe (target: CallTarget): void {
+    this._open(target, this._channelsFor(target)).keepOnceConnected()
+  }
+
+  /** Whether there is an idle connection that was opened, or carried a complete answer, at or after a time. */
+  hasIdleSince (targetId: string, time: Milliseconds): boolean {
+    const now = this._now()
+    const idle = this._replicas.get(targetId)?.idle ?? []
+    return idle.some(channel => !channel.isClosed && channel.lastUsedAt >= time && now < channel.usableUntil)
   }
 
   /** Closes the idle connections to a replica. */
@@ -74,6 +79,17 @@
     }
   }
 
+  private _open (target: CallTarget, channels: ReplicaChannels): ReplicaChannel {
+    channels.open += 1
+    this.opened += 1
+    return new ReplicaChannel(
+      target.address, this._settings.connectTimeout, this._now,
+      isConnected => { this._onLink({ id: target.id, address: target.address }, isConnected) },
+      idle => { channels.idle.push(idle) },
+      () => { channels.open -= 1 }
+    )
+  }
+
   private _channelsFor ({ id, address }: CallTarget): ReplicaChannels {
     const known = this._replicas.get(id)
     if (known !== undefined && known.address === address) return known
--- a/packages/gateway/src/channels/replicaChannel.ts
+++ b/packages/gateway/src/channels/replicaChannel.ts
@@ -52,6 +52,7 @@
   private _isReusable = true
   private _isConnected = false
   private _hasConnectFailed = false
+  private _isKeptOnceConnected = false
   private _isClosed = false
   private _closeReason = 'closed'
   private _keepAliveTimeout = DEFAULT_KEEP_ALIVE_TIMEOUT
@@ -92,6 +93,10 @@
     this._socket.once('connect', () => {
       clearTimeout(timer)
       this._isConnected = true
+      if (this._isKeptOnceConnected) {
+        this._lastUsedAt = this._now()
+        this._onIdle(this)
+      }
       this._onLink(true)
     })
     this._socket.once('end', () => { this._onSocketEnd() })
@@ -121,6 +126,11 @@
     return this._lastUsedAt
   }
 
+  /** Makes a new channel, on which nothing is sent, idle as soon as it is connected. */
+  keepOnceConnected (): void {
+    this._isKeptOnceConnected = true
+  }
+
   /** Sends a request. The channel must be idle or new. */
   send (request: ExchangeRequest, listener: ExchangeListener): void {
     this._listener = listener
--- /dev/null
+++ b/packages/gateway/src/links/index.ts
@@ -0,0 +1,1 @@
+export { LinkProber } from './linkProber.js'
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -29,6 +29,8 @@
 
 /** Intervals without a run of the timer after which the process counts as having been paused. */
 const PAUSE_INTERVALS = 3
+/** Peers that relay requests should soon stop to use an instance that is cut off itself. */
+const URGENT_AFTER_LINK_CHANGE: Milliseconds = 500
 /** Larger messages are not sent: their datagrams would be fragmented on the way. */
 const MAXIMUM_DATAGRAM_BYTES = 60_000
 /** Address family in the result of a DNS lookup. */
@@ -130,9 +132,10 @@
    * requests meanwhile.
    */
   private get _isUrgent (): boolean {
-    const { fronts, loadingReplicas, now } = this._state
+    const { fronts, loadingReplicas, links, now } = this._state
     const orders = loadingReplicas.reportedBy(fronts.self.name, now())
-    return fronts.self.isLeaving || orders.loading.length > 0 || orders.loaded.length > 0
+    const isLoading = orders.loading.length > 0 || orders.loaded.length > 0
+    return fronts.self.isLeaving || isLoading || now() - links.changedAt < URGENT_AFTER_LINK_CHANGE
   }
 
   private _heartbeat (): Heartbeat {
@@ -141,7 +144,7 @@
       loads[id] = [load.requests, Math.round(load.prefillTokens), Math.round(load.memoryTokens)]
     }
     const {
-      fronts, sentPrompts, storedParts, loadingReplicas, crashes, notices, replicaLimits, now, suspensionAwareNow
+      fronts, sentPrompts, storedParts, loadingReplicas, crashes, notices, replicaLimits, links, now, suspensionAwareNow
     } = this._state
     const orders = loadingReplicas.reportedBy(fronts.self.name, now())
     return {
@@ -162,6 +165,7 @@
       loading: orders.loading,
       loaded: [...orders.loaded],
       leaving: notices.updates(now()),
+      cutOff: links.cutOff,
       limits: replicaLimits.updates(suspensionAwareNow()).map(({ run, rate, heardAge, sentAge }) => (
         [run, rate ?? null, Math.ceil(heardAge), Math.ceil(sentAge)])),
       ...crashes.update(suspensionAwareNow())
@@ -200,6 +204,9 @@
       return
     }
     this._state.fronts.receive(heartbeat, now)
+    for (
+      const service of this._state.peerLinks.receive(heartbeat.from.name, heartbeat.cutOff, now)
+    ) this._state.links.onReachedByPeer(service)
     const loads = new Map<string, ReplicaLoad>()
     for (const [id, [requests, prefillTokens, memoryTokens]] of Object.entries(heartbeat.loads)) {
       loads.set(id, { requests, prefillTokens, memoryTokens })
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -1,6 +1,6 @@
 /** One gateway instance: creates its components, starts them and shuts them down. */
 import {
-  CachedParts, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, ReadSchedule,
+  CachedParts, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, PeerLinks, ReadSchedule,
   RepeatedCrashes, ReplicaHealth, ReplicaLimits, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog, ServiceLinks,
   SoftwareVersions, StoredParts, StoreMirror, StreamOrigins, type CatalogChange, type FrontRecord, type KeyValueService,
   type Milliseconds
@@ -12,7 +12,8 @@
   Heartbeats, LISTING_PATH, REQUEST_ID_PARAMETER, requestStreamOrigin, STREAM_ORIGIN_PATH, type PeerListing
 } from '../peers/index.js'
 import type { CallerProtocol, CatalogSource, ReplicaProtocol } from '../protocol/index.js'
-import { FrontServer, type GatewayState } from '../requests/index.js'
+import { FrontServer, RelayServer, type GatewayState, type RequestServer } from '../requests/index.js'
+import { LinkProber } from '../links/index.js'
 import { RolloutLoop } from '../rollout/index.js'
 import { StoreCollector, StoreFollower } from '../stores/index.js'
 import { DecisionLog, describeFailure, GatewayMetrics } from '../telemetry/index.js'
@@ -49,11 +50,13 @@
 export class Gateway {
   readonly state: GatewayState
   private readonly _front: FrontServer
+  private readonly _relayServer: RelayServer
   private readonly _catalogLoop: CatalogLoop
   private readonly _registration: Registration
   private readonly _hostRegistration: Registration
   private readonly _crashRecords: CrashRecords
   private readonly _heartbeats: Heartbeats
+  private readonly _linkProber: LinkProber
   private readonly _rollout: RolloutLoop
   private readonly _storeFollower: StoreFollower
   private readonly _storeCollector: StoreCollector
@@ -86,6 +89,7 @@
       health: new ReplicaHealth(),
       notices: new ReplicaNotices(),
       links: new ServiceLinks(),
+      peerLinks: new PeerLinks(),
       replicaLimits: new ReplicaLimits(self.name),
       retryDelays: new RetryDelays(),
       speeds: new EngineSpeeds(),
@@ -107,6 +111,7 @@
       random: new SeededRandom(seed)
     }
     this._front = new FrontServer(this.state)
+    this._relayServer = new RelayServer(this.state)
     this._catalogLoop = new CatalogLoop(
       this.state, adapter.catalogSource, settings.catalogLoop, settings.seeds, change => { this._onChange(change) }
     )
@@ -115,6 +120,7 @@
     const hostKey = `${ownPrefix}${HOST_KEY_PREFIX}${self.name}`
     this._hostRegistration = new Registration(this.state, adapter.store, { key: hostKey, ...settings.hostRegistration })
     this._crashRecords = new CrashRecords(this.state, adapter.store, ownPrefix)
+    this._linkProber = new LinkProber(this.state)
     this._heartbeats = new Heartbeats(this.state, settings.heartbeats, {
       isReady: () => this.isReady,
       onPeerCatalogStatus: (news, peer) => { this._catalogLoop.onPeerStatus(news, peer) },
@@ -153,6 +159,7 @@
     this._catalogLoop.start()
     await Promise.all([
       this._front.listen(...splitAddress(listen.front)),
+      this._relayServer.listen(...splitAddress(this._settings.self.heartbeatAddress)),
       this._directory.listen(...splitAddress(listen.directory)),
       this._readiness.listen(...splitAddress(listen.readiness)),
       this._control.listen(...splitAddress(listen.control)),
@@ -160,6 +167,7 @@
       this._heartbeats.start(this._settings.self.heartbeatAddress)
     ])
     this._isListening = true
+    this._linkProber.start()
     this._registration.start()
     this._hostRegistration.start()
     this._rollout.start()
@@ -184,27 +192,37 @@
     this._isLeaving = true
     this.state.fronts.leave()
     this._heartbeats.send()
-    this._front.disableKeepAlive()
+    for (const server of this._requestServers) server.disableKeepAlive()
     this._rollout.stop()
     this._storeCollector.stop()
-    this.state.log.change('leaving', { running: this._front.running })
+    this.state.log.change('leaving', { running: this._running })
     const leavingSince = this.state.now()
     this.state.log.detach('withdrawal', this._registration.withdraw())
     await new Promise<void>(resolve => {
       const timer = setInterval(() => {
         const elapsed = this.state.now() - leavingSince
-        if (elapsed >= this._settings.leaving.acceptFor) this._front.closeIdleConnections()
-        if (elapsed >= this._settings.leaving.refuseAfter) this._front.refuseNewRequests()
-        const isDone = elapsed >= this._settings.leaving.acceptFor && this._front.running === 0
+        for (const server of this._requestServers) {
+          if (elapsed >= this._settings.leaving.acceptFor) server.closeIdleConnections()
+          if (elapsed >= this._settings.leaving.refuseAfter) server.refuseNewRequests()
+        }
+        const isDone = elapsed >= this._settings.leaving.acceptFor && this._running === 0
         if (!isDone && elapsed < this._settings.leaving.timeout) return
         clearInterval(timer)
         resolve()
       }, LEAVING_CHECK_INTERVAL)
     })
-    this.state.log.change('stopped', { running: this._front.running })
+    this.state.log.change('stopped', { running: this._running })
     this.state.log.close()
   }
 
+  private get _requestServers (): readonly RequestServer[] {
+    return [this._front, this._relayServer]
+  }
+
+  private get _running (): number {
+    return this._requestServers.reduce((sum, { running }) => sum + running, 0)
+  }
+
   private _streamOrigin (requestId: string): EndpointResponse {
     const origin = this.state.streamOrigins.find(requestId, this.state.suspensionAwareNow())
     return origin === undefined
@@ -232,6 +250,7 @@
       this.state.channels.closeExpiringConnections()
     }
     this.state.loads.expire(now)
+    this.state.peerLinks.retain(new Set(this.state.fronts.peers.map(({ name }) => name)))
     this._crashRecords.write()
     this.state.log.tick()
   }
@@ -249,13 +268,17 @@
 
   /** Records that a connection could be opened, or not; those to stores belong to no service with replicas. */
   private _onLink ({ id }: CallTarget, isConnected: boolean): void {
-    const { catalog, links, log, now } = this.state
+    const { catalog, links, health, log, now } = this.state
     const service = catalog.replica(id)?.service
     if (service === undefined) return
     const replicas = catalog.usableReplicas(service).map(replica => replica.id)
     const change = isConnected ? links.onConnected(service, now()) : links.onConnectFailed(service, id, replicas, now())
     if (change === 'cut-off') log.change('service-cut-off', { service, replicas: replicas.length })
-    else if (change === 'reachable') log.change('service-reachable', { service, through: id })
+    else if (change === 'reachable') {
+      for (const replica of replicas) health.clearFailures(replica)
+      log.change('service-reachable', { service, through: id })
+    }
+    if (!isConnected) this._linkProber.probe()
   }
 
   private _onChange (change: CatalogChange): void {
--- a/packages/gateway/src/requests/callerRequest.ts
+++ b/packages/gateway/src/requests/callerRequest.ts
@@ -2,6 +2,7 @@
 import type http from 'node:http'
 import type { Milliseconds, Route, WorkspaceAccess } from '@wasabihead/coordination'
 import type { CallerHead } from '../protocol/index.js'
+import type { RelayedRequest } from './relayMessages.js'
 
 /** A request with everything that decides how it is served. */
 export interface CallerRequest {
@@ -21,4 +22,6 @@
   /** What it may have in common with other requests that crash replicas: its content without the caller, and its prompt parts. */
   features: readonly string[]
   response: http.ServerResponse
+  /** What the peer that relayed the request says about it; undefined if its caller is connected to this instance. */
+  relayed: RelayedRequest | undefined
 }
--- a/packages/gateway/src/requests/forwardedHeaders.ts
+++ b/packages/gateway/src/requests/forwardedHeaders.ts
@@ -1,9 +1,10 @@
 /** Selects the headers that are forwarded between a caller and a replica. */
+import { RELAY_HEADER } from './relayMessages.js'
 
 /** Headers that apply to one connection only. */
 const CONNECTION_HEADERS = new Set([
   'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer',
-  'transfer-encoding', 'upgrade', 'content-length', 'expect'
+  'transfer-encoding', 'upgrade', 'content-length', 'expect', RELAY_HEADER
 ])
 
 /**
--- a/packages/gateway/src/requests/frontServer.ts
+++ b/packages/gateway/src/requests/frontServer.ts
@@ -1,56 +1,17 @@
-/** Accepts callers' requests, reads them completely, and refuses those that have no route or exceed a limit. */
-import http from 'node:http'
-import { createHash } from 'node:crypto'
-import type { Duplex } from 'node:stream'
-import type { Milliseconds, RouteMatch } from '@wasabihead/coordination'
+/** The server that callers connect to. */
+import type http from 'node:http'
+import type { Milliseconds, Route } from '@wasabihead/coordination'
 import type { CallerHead } from '../protocol/index.js'
-import type { GatewayState } from './gatewayState.js'
-import type { CallerRequest } from './callerRequest.js'
 import { refuse, type RefusalReason } from './refusals.js'
-import { RequestRun } from './requestRun.js'
+import { RequestServer, type RequestTerms } from './requestServer.js'
 
-/** The HTTP parser's limit; the limit of the configuration is checked after parsing. */
-const PARSER_MAXIMUM_HEADER_BYTES = 65_536
-/** Used until a configuration with limits is loaded. */
-const DEFAULT_IDLE_TIMEOUT: Milliseconds = 15_000
 /** Keeps idle connections open longer than callers do, so that no request is sent while the gateway closes the connection. */
 const IDLE_MARGIN: Milliseconds = 1_000
 /** Applies to requests without a time budget of their caller; the timeout of the route applies if it is shorter. */
 const DEFAULT_TIME_BUDGET: Milliseconds = 600_000
-/** Limits on what identifies a request among those that crash replicas. */
-const MAXIMUM_FEATURE_PARTS = 60
-const MAXIMUM_FEATURE_LENGTH = 256
-
-/** The server that callers connect to. */
-export class FrontServer {
-  private readonly _server: http.Server
-  private readonly _responses = new Set<http.ServerResponse>()
-  private _running = 0
-  private _isKeepAliveDisabled = false
-  private _isRefusing = false
-
-  constructor (private readonly _state: GatewayState) {
-    this._server = http.createServer({
-      maxHeaderSize: PARSER_MAXIMUM_HEADER_BYTES,
-      keepAliveTimeout: DEFAULT_IDLE_TIMEOUT,
-      connectionsCheckingInterval: 1_000
-    }, (request, response) => { this._accept(request, response) })
-    this._server.on('clientError', (error, socket) => { answerMalformed(error, socket) })
-  }
-
-  /** Number of requests that were read completely and are not yet answered. */
-  get running (): number {
-    return this._running
-  }
-
-  /** Starts listening. */
-  async listen (host: string, port: number): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this._server.once('error', reject)
-      this._server.listen({ host, port, backlog: 1_024 }, resolve)
-    })
-  }
 
+/** Serves callers. */
+export class FrontServer extends RequestServer {
   /** Applies the timeouts of the current configuration; does nothing while there is none. */
   applyLimits (): void {
     const limits = this._state.catalog.routes?.configuration.limits
@@ -59,128 +20,22 @@
     this._server.headersTimeout = limits.headerTimeout
   }
 
-  /** Makes each answer from now on close its connection. */
-  disableKeepAlive (): void {
-    this._isKeepAliveDisabled = true
-    for (const response of this._responses) closeWithAnswer(response)
-  }
-
-  /** Stops accepting connections, and refuses new requests on the existing ones. */
-  refuseNewRequests (): void {
-    if (this._isRefusing) return
-    this._isRefusing = true
-    this._server.close()
-  }
-
-  /** Closes connections on which no request is being served. */
-  closeIdleConnections (): void {
-    this._server.closeIdleConnections()
+  protected override _refusalOf (request: http.IncomingMessage): RefusalReason | undefined {
+    const limit = this._state.catalog.routes?.configuration.limits.maximumHeaderBytes ?? Infinity
+    return headerSize(request.rawHeaders) > limit ? 'head-too-large' : undefined
   }
 
-  private _accept (request: http.IncomingMessage, response: http.ServerResponse): void {
-    this._responses.add(response)
-    response.once('close', () => { this._responses.delete(response) })
-    if (this._isKeepAliveDisabled) closeWithAnswer(response)
-    const state = this._state
-    const receivedAt = state.now()
-    const head = state.callerProtocol.readHead(request.headers)
-    const match = this._match(request, head)
-    if (typeof match === 'string') {
-      state.log.decision('refused', { requestId: head.requestId, reason: match, configurationRevision: state.catalog.configurationRevision })
-      state.metrics.count('requests_total', `refused-${match}`)
-      refuse(response, match, state)
-      request.resume()
-      return
-    }
-    const deadline = receivedAt + Math.min(match.route.timeout, head.timeBudget ?? DEFAULT_TIME_BUDGET)
-    readBody(request, state.catalog.routes?.configuration.limits.maximumBodyBytes ?? 0, deadline - receivedAt, body => {
-      if (typeof body === 'string') {
-        refuse(response, body, state)
-        return
-      }
-      if (response.destroyed) return
-      const target = request.url ?? '/'
-      this._running += 1
-      new RequestRun(state, {
-        head,
-        method: request.method ?? 'GET',
-        target,
-        rawHeaders: request.rawHeaders,
-        body,
-        route: match.route,
-        workspace: match.workspace,
-        receivedAt,
-        deadline,
-        ...identify(head, `${request.headers.host ?? ''}${target}`, body),
-        response
-      }, () => { this._running -= 1 }).start()
-    })
+  protected override _termsOf (
+    _request: http.IncomingMessage, head: CallerHead, { timeout }: Route, receivedAt: Milliseconds
+  ): RequestTerms {
+    return { head, deadline: receivedAt + Math.min(timeout, head.timeBudget ?? DEFAULT_TIME_BUDGET), relayed: undefined }
   }
 
-  private _match (request: http.IncomingMessage, head: CallerHead): RouteMatch | RefusalReason {
-    if (this._isRefusing) return 'leaving'
-    const { routes } = this._state.catalog
-    if (routes === undefined) return 'no-configuration'
-    if (head.requestId === undefined || hasSeveralHosts(request.rawHeaders)) return 'malformed'
-    if (headerSize(request.rawHeaders) > routes.configuration.limits.maximumHeaderBytes) return 'head-too-large'
-    const path = (request.url ?? '/').split('?', 1)[0] as string
-    return routes.match(request.headers.host ?? '', path, head.apiKey)
+  protected override _refuse (response: http.ServerResponse, reason: RefusalReason): void {
+    refuse(response, reason, this._state)
   }
 }
 
-function readBody (
-  request: http.IncomingMessage, limit: number, timeout: Milliseconds, done: (body: Buffer | RefusalReason) => void
-): void {
-  const chunks: Buffer[] = []
-  let length = 0
-  let isDone = false
-  const finish = (body: Buffer | RefusalReason): void => {
-    if (isDone) return
-    isDone = true
-    clearTimeout(timer)
-    if (typeof body === 'string') request.resume()
-    done(body)
-  }
-  const timer = setTimeout(() => { finish('body-not-read') }, timeout)
-  request.on('data', (chunk: Buffer) => {
-    length += chunk.length
-    if (length > limit) finish('body-too-large')
-    else chunks.push(chunk)
-  })
-  request.once('end', () => { finish(chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks)) })
-  // The caller disconnected before its request was complete, so that there is nothing to answer.
-  request.once('error', () => { clearTimeout(timer) })
-  request.once('close', () => { clearTimeout(timer) })
-}
-
-/** Two recipients could read such a request as one to different hosts; RFC 9112, 3.2 requires that it is refused. */
-function hasSeveralHosts (rawHeaders: readonly string[]): boolean {
-  return rawHeaders.filter((name, index) => index % 2 === 0 && name.toLowerCase() === 'host').length > 1
-}
-
 function headerSize (rawHeaders: readonly string[]): number {
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
 }
-
-function identify ({ apiKey, prompt }: CallerHead, target: string, body: Buffer): Pick<CallerRequest, 'fingerprint' | 'features'> {
-  const content = createHash('sha1').update(`${target}\n`).update(body).digest('base64')
-  const fingerprint = createHash('sha1').update(`${apiKey ?? ''}\n${content}`).digest('base64')
-  const parts = prompt?.parts.map(({ id }) => `${prompt.model}/${id}`.slice(0, MAXIMUM_FEATURE_LENGTH)) ?? []
-  return { fingerprint, features: [content, ...parts.slice(0, MAXIMUM_FEATURE_PARTS)] }
-}
-
-/** If the head was sent already, the connection stays open until the next answer on it closes it. */
-function closeWithAnswer (response: http.ServerResponse): void {
-  if (!response.headersSent) response.setHeader('connection', 'close')
-}
-
-function answerMalformed (error: NodeJS.ErrnoException, socket: Duplex): void {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy()
-    return
-  }
-  const isTooLarge = error.code === 'HPE_HEADER_OVERFLOW'
-  const isTooSlow = error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
-  const status = isTooLarge ? '431 Request Header Fields Too Large' : isTooSlow ? '408 Request Timeout' : '400 Bad Request'
-  socket.end(`HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`)
-}
--- a/packages/gateway/src/requests/gatewayState.ts
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -1,6 +1,6 @@
 /** State that is shared by the components of one gateway instance. */
 import type {
-  CachedParts, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, Milliseconds,
+  CachedParts, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, Milliseconds, PeerLinks,
   ReadSchedule, RepeatedCrashes, ReplicaHealth, ReplicaLimits, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog,
   ServiceLinks, SoftwareVersions, StoredParts, StoreMirror, StreamOrigin, StreamOrigins
 } from '@wasabihead/coordination'
@@ -29,6 +29,7 @@
   health: ReplicaHealth
   notices: ReplicaNotices
   links: ServiceLinks
+  peerLinks: PeerLinks
   replicaLimits: ReplicaLimits
   retryDelays: RetryDelays
   speeds: EngineSpeeds
--- /dev/null
+++ b/packages/gateway/src/requests/peerAttempt.ts
@@ -0,0 +1,74 @@
+/** An attempt to have a request served by a peer that reaches replicas which this instance does not reach. */
+import type { AttemptEnd, FrontRecord, HealthSignal, Milliseconds, StreamOrigin } from '@wasabihead/coordination'
+import type { AnswerHead, ReplicaChannel } from '../channels/index.js'
+import type { AnswerFacts } from '../protocol/index.js'
+import { Attempt } from './attempt.js'
+import type { CallerRequest } from './callerRequest.js'
+import type { GatewayState } from './gatewayState.js'
+import { readRelayedAnswer, type RelayedAnswer } from './relayMessages.js'
+
+/** An attempt at a peer. What its replicas say of themselves is recorded and reported by the peer. */
+export class PeerAttempt extends Attempt {
+  private _answer: RelayedAnswer | undefined
+
+  constructor (
+    state: GatewayState, private readonly _request: CallerRequest, private readonly _service: string, readonly peer: FrontRecord,
+    channel: ReplicaChannel
+  ) {
+    super(state, channel)
+    state.peerLinks.onSent(peer.name)
+  }
+
+  override get destination (): string {
+    return this.peer.name
+  }
+
+  override get origin (): StreamOrigin | undefined {
+    return this._answer?.origin
+  }
+
+  /** When the peer, which refused the request, expects to be able to serve it. */
+  get retryAfter (): Milliseconds | undefined {
+    return this._answer?.retryAfter
+  }
+
+  override isExpected (head: AnswerHead): boolean {
+    return readRelayedAnswer(head.headers)?.requestId === this._request.head.requestId
+  }
+
+  override readHead (head: AnswerHead): AnswerFacts {
+    this._answer = readRelayedAnswer(head.headers)
+    const refusal = this._answer?.refusal
+    if (refusal === 'cut-off') this._state.peerLinks.onCutOff(this.peer.name, this._service, this._state.now())
+    const facts = this._state.replicaProtocol.readAnswer(head.status, head.headers)
+    return { ...facts, isNotRun: refusal !== undefined }
+  }
+
+  override onConnectionLost (): void {}
+
+  override healthSignalOf (end: AttemptEnd): HealthSignal {
+    return end === 'not-sent' || end === 'timed-out' || !this.hasHead ? 'unreachable' : 'failed'
+  }
+
+  override possibleRunsAfter (end: AttemptEnd, possibleRuns: number): number {
+    return end === 'not-sent' ? possibleRuns - 1 : this._answer?.possibleRuns ?? possibleRuns
+  }
+
+  override isUnsent (end: AttemptEnd): boolean {
+    return end === 'not-sent' || (end === 'not-run' && this._answer?.hasArrived === false)
+  }
+
+  protected override _onBody (): void {}
+
+  protected override _onClosed (signal: HealthSignal | undefined): void {
+    const isReachable = signal === undefined ? undefined : signal !== 'unreachable'
+    this._state.peerLinks.onEnded(this.peer.name, isReachable, this._state.now())
+  }
+
+  /** Whether the peer is alive is known from its heartbeats, so that it may be silent while a replica works. */
+  protected override _isDead (now: Milliseconds): boolean {
+    return !this._state.fronts.isHeard(this.peer.name, now)
+  }
+
+  protected override readonly _isLikelyQueued = false
+}
--- a/packages/gateway/src/requests/refusals.ts
+++ b/packages/gateway/src/requests/refusals.ts
@@ -6,7 +6,7 @@
 /** Why a request is refused. */
 export type RefusalReason =
   | 'no-configuration' | 'no-replica' | 'at-limit' | 'not-run' | 'crashes-replicas' | 'no-time-left' | 'no-route' | 'unknown-key'
-  | 'crowded' | 'leaving' | 'origin-unknown' | 'body-too-large' | 'head-too-large' | 'body-not-read' | 'malformed'
+  | 'crowded' | 'leaving' | 'origin-unknown' | 'cut-off' | 'relays-full' | 'configuration-behind' | 'body-too-large' | 'head-too-large' | 'body-not-read' | 'malformed'
 
 interface Refusal {
   status: number
@@ -22,6 +22,9 @@
   'crashes-replicas': { status: 503, retryAfter: 30_000 },
   'no-time-left': { status: 503, retryAfter: 50 },
   'origin-unknown': { status: 503, retryAfter: 100 },
+  'cut-off': { status: 503, retryAfter: 400 },
+  'relays-full': { status: 503, retryAfter: 300 },
+  'configuration-behind': { status: 503, retryAfter: 100 },
   crowded: { status: 503, retryAfter: 300 },
   leaving: { status: 503, retryAfter: 50 },
   'no-route': { status: 404 },
--- a/packages/gateway/src/requests/replicaAttempt.ts
+++ b/packages/gateway/src/requests/replicaAttempt.ts
@@ -1,44 +1,38 @@
-/** One attempt to serve a request on one replica: the load that it adds, and the detection of a silent replica. */
-import type { HealthSignal, Milliseconds, Prompt, Replica, Selection } from '@wasabihead/coordination'
-import type { ReplicaChannel } from '../channels/index.js'
+/** An attempt to serve a request on one replica: the load that it adds, and what the replica says and shows of itself. */
+import {
+  replicaRunOf, type AttemptEnd, type HealthSignal, type Milliseconds, type Replica, type Selection, type StreamOrigin
+} from '@wasabihead/coordination'
+import type { AnswerHead, ReplicaChannel } from '../channels/index.js'
+import type { AnswerFacts, StatedRate } from '../protocol/index.js'
+import { Attempt } from './attempt.js'
+import type { CallerRequest } from './callerRequest.js'
 import type { GatewayState } from './gatewayState.js'
 
-const SILENCE_CHECK_INTERVAL: Milliseconds = 200
-
-/** One attempt, from its start to its end. Its load counts until it is closed, that of its prefill until the first body chunk. */
-export class ReplicaAttempt {
-  readonly sentAt: Milliseconds
-  /** The same on the clock that counts suspensions of the machine. */
-  readonly suspensionAwareSentAt: Milliseconds
-  /** Whether the head of the answer was received. */
-  hasHead = false
-  /** Whether a complete event or the whole answer was received. */
-  hasAnswered = false
-  private _hasBody = false
-  private _isOver = false
+/** A reused connection that ends within this time after a request was probably closed before it. */
+const STALE_CHANNEL_WINDOW: Milliseconds = 10
+
+/** An attempt on a replica. Its load counts until it is closed, that of its prefill until the first body chunk. */
+export class ReplicaAttempt extends Attempt {
   /** Whether the load of the prefill and of the fetches still counts: until the first body chunk or the end. */
   private _isPrefillPending = true
   private _prefillTokens: number
   private readonly _memoryTokens: number
-  private _silentSince: Milliseconds
-  private _silenceTimer: NodeJS.Timeout | undefined
 
   /** @param _isStream whether the answer is an event stream, whose chunks show that the replica is alive */
   constructor (
-    private readonly _state: GatewayState,
+    state: GatewayState,
+    private readonly _request: CallerRequest,
     readonly selection: Selection,
-    readonly channel: ReplicaChannel,
-    prompt: Prompt | undefined,
+    channel: ReplicaChannel,
     private readonly _isStream: boolean
   ) {
-    this.sentAt = _state.now()
-    this.suspensionAwareSentAt = _state.suspensionAwareNow()
-    this._silentSince = this.sentAt
+    super(state, channel)
+    const { prompt } = _request.head
     this._prefillTokens = selection.freshTokens
     this._memoryTokens = prompt === undefined ? 0 : prompt.inputTokens + prompt.maximumOutputTokens
-    _state.health.onSend(this.replica.id)
-    _state.links.onSent(this.replica.service, this.sentAt)
-    _state.loads.add(this.replica.id, { requests: 1, prefillTokens: this._prefillTokens, memoryTokens: this._memoryTokens })
+    state.health.onSend(this.replica.id)
+    state.links.onSent(this.replica.service, this.sentAt)
+    state.loads.add(this.replica.id, { requests: 1, prefillTokens: this._prefillTokens, memoryTokens: this._memoryTokens })
     this._addFetchLoads(1)
   }
 
@@ -47,66 +41,131 @@
     return this.selection.replica
   }
 
-  /** Whether the attempt has ended; anything received for it afterwards is ignored. */
-  get isOver (): boolean {
-    return this._isOver
+  override get destination (): string {
+    return this.replica.id
+  }
+
+  override get origin (): StreamOrigin {
+    return { service: this.replica.service, softwareVersion: this.replica.softwareVersion ?? '' }
+  }
+
+  override isExpected (head: AnswerHead): boolean {
+    const { requestId, isNotRun } = this._factsOf(head)
+    return requestId === undefined ? isNotRun : requestId === this._request.head.requestId
+  }
+
+  override readHead (head: AnswerHead): AnswerFacts {
+    const facts = this._factsOf(head)
+    this._recordNotices(facts)
+    const { prompt } = this._request.head
+    if (prompt !== undefined && facts.weightVersion !== undefined && facts.isSealed && !facts.isNotRun) {
+      this._state.catalog.observeWeightVersion(this.replica, prompt.model, facts.weightVersion)
+    }
+    return facts
+  }
+
+  /** Records that the replica's connection ended during this request, which suggests that the replica crashed. */
+  override onConnectionLost (): void {
+    if (!this.hasHead && this._mayBeStale) return
+    const { crashes, log, metrics, suspensionAwareNow } = this._state
+    const { fingerprint, features, head } = this._request
+    const replicaRun = replicaRunOf(this.replica)
+    // A replica crashes as it begins an answer; one that had begun is lost with others.
+    const suspected = this.hasAnswered ? [] : [...features]
+    const report = { fingerprint, replicaRun, service: this.replica.service, features: suspected, age: 0 }
+    crashes.record(report, suspensionAwareNow())
+    metrics.count('suspected_replica_crashes_total', this.hasAnswered ? 'answering' : 'before-answer')
+    log.decision('replica-crash-suspected', {
+      requestId: head.requestId,
+      replicaRun,
+      fingerprint,
+      parts: head.prompt?.parts.map(({ id }) => id).join(','),
+      hasBegunAnswer: this.hasAnswered
+    })
+  }
+
+  /** Nothing if the replica is full with our requests or stated a retry delay. */
+  override healthSignalOf (end: AttemptEnd): HealthSignal | undefined {
+    if (end === 'not-sent' || end === 'timed-out') return 'unreachable'
+    if (end !== 'not-run') return 'failed'
+    if (this._state.notices.isClosed(this.replica, this._state.now())) return undefined
+    return this._state.loads.of(this.replica.id).requests < this.replica.slots ? 'failed' : undefined
+  }
+
+  override possibleRunsAfter (end: AttemptEnd, possibleRuns: number): number {
+    return end === 'not-sent' || end === 'not-run' ? possibleRuns - 1 : possibleRuns
+  }
+
+  override isUnsent (end: AttemptEnd): boolean {
+    return end === 'not-sent'
   }
 
-  /** Records that a chunk of the body was received; returns whether it was the first one. */
-  recordBody (): boolean {
-    const now = this._state.now()
-    const isFirst = !this._hasBody
-    this._hasBody = true
-    if (isFirst && this._isStream) this._state.health.onStream(this.replica.id, 1, now)
-    this._state.health.onBytes(this.replica.id, now)
-    this._state.links.onBytes(this.replica.service)
+  protected override _onBody (isFirst: boolean): void {
+    const { health, links, now } = this._state
+    if (isFirst && this._isStream) health.onStream(this.replica.id, 1, now())
+    health.onBytes(this.replica.id, now())
+    links.onBytes(this.replica.service)
     this._releasePrefill()
-    return isFirst
   }
 
-  /** Ends the attempt. Where the signal is undefined, the attempt does not change the health of the replica. */
-  close (signal: HealthSignal | undefined): void {
-    if (this._isOver) return
-    this._isOver = true
-    clearTimeout(this._silenceTimer)
+  protected override _onClosed (signal: HealthSignal | undefined): void {
     const { health, loads, now } = this._state
     if (this._hasBody && this._isStream) health.onStream(this.replica.id, -1, now())
     this._releasePrefill()
     loads.add(this.replica.id, { requests: -1, prefillTokens: 0, memoryTokens: -this._memoryTokens })
     if (signal === undefined) health.onInconclusive(this.replica.id)
     else health.record(this.replica.id, signal, now())
-    // Anything that still arrives on the channel belongs to an abandoned request.
-    if (signal !== 'answered') this.channel.cancel()
-  }
-
-  /**
-   * Restarts the silence timer. Once `silence` has passed without another restart, or the replica seems dead, `onSilent` is
-   * called repeatedly until the attempt ends.
-   * @param silence undefined stops the timer
-   * @param onSilent receives the milliseconds since the restart
-   */
-  watchSilence (silence: Milliseconds | undefined, onSilent: (elapsed: Milliseconds) => void): void {
-    clearTimeout(this._silenceTimer)
-    if (silence === undefined) return
-    this._silentSince = this._state.now()
-    this._silenceTimer = setTimeout(() => { this._checkSilence(silence, onSilent) }, Math.min(silence, SILENCE_CHECK_INTERVAL))
-  }
-
-  private _checkSilence (silence: Milliseconds, onSilent: (elapsed: Milliseconds) => void): void {
-    if (this._isOver) return
-    const now = this._state.now()
+  }
+
+  protected override _isDead (now: Milliseconds): boolean {
     const { health, loadingReplicas } = this._state
-    const { id } = this.replica
-    const elapsed = now - this._silentSince
-    // After a pause of this process, data that the replica sent meanwhile is read before the silence is judged.
-    const isCheckLate = elapsed > silence + SILENCE_CHECK_INTERVAL
-    const isDead = health.isSilent(id, now) && !loadingReplicas.has(id, now)
-    // A busy replica queues a request while it serves others; sending it elsewhere as well would only add load.
-    const isLikelyQueued = this._isStream && !this._hasBody && health.hasSentBytesSince(id, this.sentAt)
-    if (isCheckLate) this._silentSince = now
-    else if (isDead || (elapsed >= silence && !isLikelyQueued)) onSilent(elapsed)
-    if (this._isOver) return
-    this._silenceTimer = setTimeout(() => { this._checkSilence(silence, onSilent) }, SILENCE_CHECK_INTERVAL)
+    return health.isSilent(this.replica.id, now) && !loadingReplicas.has(this.replica.id, now)
+  }
+
+  /** A busy replica queues a request while it serves others; sending it elsewhere as well would only add load. */
+  protected override get _isLikelyQueued (): boolean {
+    return this._isStream && !this._hasBody && this._state.health.hasSentBytesSince(this.replica.id, this.sentAt)
+  }
+
+  /** Whether the replica may have closed the reused connection just as the request was sent. */
+  private get _mayBeStale (): boolean {
+    return this.channel.completedExchanges > 0 && this._state.now() - this.sentAt < STALE_CHANNEL_WINDOW
+  }
+
+  private _factsOf (head: AnswerHead): AnswerFacts {
+    return this._state.replicaProtocol.readAnswer(head.status, head.headers)
+  }
+
+  /** Records what the replica says about the requests that it still accepts. Ignores an answer that is not the replica's own. */
+  private _recordNotices ({ isLeaving, retryAfter, rateLimit, isNotRun, isSealed }: AnswerFacts): void {
+    if (!isNotRun && !isSealed) return
+    const { notices, channels, log, now } = this._state
+    const { requestId } = this._request.head
+    this._recordLimit(rateLimit)
+    if (isLeaving && notices.onLeaving(this.replica, now())) {
+      channels.closeIdleConnections(this.replica.id)
+      log.change('replica-leaving', { replica: this.replica.id, requestId })
+    }
+    if (retryAfter === undefined) return
+    notices.onRetryAfter(this.replica, retryAfter, now())
+    log.decision('replica-closed', { replica: this.replica.id, requestId, for: retryAfter })
+  }
+
+  private _recordLimit (rate: StatedRate | undefined): void {
+    const { replicaLimits, log, metrics, suspensionAwareNow } = this._state
+    const { requestId } = this._request.head
+    if (rate !== undefined) metrics.count('answers_with_rate_limit_total', rate === 'unreadable' ? 'unreadable' : 'stated')
+    if (rate === 'unreadable') {
+      // The previous limit stays, since the new one is not known.
+      log.decision('replica-limit-unreadable', { replica: this.replica.id, requestId, rate: replicaLimits.rateOf(this.replica) })
+      return
+    }
+    const now = suspensionAwareNow()
+    const change = replicaLimits.onAnswer(this.replica, rate, this.suspensionAwareSentAt, now)
+    if (change === undefined) return
+    log.decision('replica-limit', {
+      replica: this.replica.id, requestId, change, rate, after: Math.round(now - this.suspensionAwareSentAt)
+    })
   }
 
   private _addFetchLoads (sign: 1 | -1): void {
--- a/packages/gateway/src/requests/requestPlacement.spec.ts
+++ b/packages/gateway/src/requests/requestPlacement.spec.ts
@@ -1,7 +1,7 @@
 /** Tests which replicas a request may still be sent to. */
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { LoadingReplicas, ReplicaLimits, ReplicaNotices, SeededRandom, type Replica } from '@wasabihead/coordination'
+import { LoadingReplicas, ReplicaLimits, ReplicaNotices, SeededRandom, ServiceLinks, type Replica } from '@wasabihead/coordination'
 import type { CallerRequest } from './callerRequest.js'
 import type { GatewayState } from './gatewayState.js'
 import { RequestPlacement } from './requestPlacement.js'
@@ -27,6 +27,7 @@
     const state = {
       catalog: { usableReplicas: () => replicas },
       notices: new ReplicaNotices(),
+      links: new ServiceLinks(),
       replicaLimits: new ReplicaLimits('self'),
       fronts: { knownNames: ['self'] },
       loadingReplicas: new LoadingReplicas(),
--- a/packages/gateway/src/requests/requestPlacement.ts
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -6,6 +6,10 @@
 import type { CallerRequest } from './callerRequest.js'
 import type { GatewayState } from './gatewayState.js'
 
+/** Delay before a caller should retry where this instance reaches no replica. */
+const MINIMUM_CUT_OFF_DELAY: Milliseconds = 400
+const MAXIMUM_CUT_OFF_DELAY: Milliseconds = 2_000
+
 /** Selects replicas for one request, and records where it was sent. */
 export class RequestPlacement {
   /** Picked at random from the targets of the route, by weight, unless the request goes on with a stream. */
@@ -27,6 +31,21 @@
     return this._service
   }
 
+  /** Where the stream began that the request goes on with; undefined for a new one. */
+  get origin (): StreamOrigin | undefined {
+    return this._origin
+  }
+
+  /** Whether this instance can open no connection to the replicas of the service. */
+  get isCutOff (): boolean {
+    return this._state.links.cutOffAt(this.service) !== undefined
+  }
+
+  /** Whether a peer should serve the request, if one can. */
+  get prefersPeers (): boolean {
+    return this._state.links.prefersPeers(this.service, this._state.now())
+  }
+
   /** Restricts the request to replicas that can go on with a stream. A service that the route has left is not asked. */
   continueFrom (origin: StreamOrigin): void {
     if (!this._request.route.targets.some(({ service }) => service === origin.service)) return
@@ -75,8 +94,11 @@
    * the rates. Undefined if neither is known.
    */
   get retryDelay (): Milliseconds | undefined {
-    const { notices, replicaLimits, retryDelays, fronts } = this._state
+    const { notices, replicaLimits, retryDelays, fronts, links } = this._state
     const now = this._state.now()
+    const cutOffAt = links.cutOffAt(this.service)
+    // Nobody knows when the links return. After twice the time of the cut at most half of it was waited in vain.
+    if (cutOffAt !== undefined) return Math.min(MAXIMUM_CUT_OFF_DELAY, Math.max(MINIMUM_CUT_OFF_DELAY, now - cutOffAt))
     const opensAt = this._replicas.map(replica => notices.opensAt(replica))
     const delay = Math.min(...opensAt) - now
     if (delay > 0) return Number.isFinite(delay) ? delay : undefined
@@ -172,9 +194,9 @@
     return this._replicas.filter(replica => !notices.isClosed(replica, now))
   }
 
-  /** The usable replicas that can go on with the request's stream, and whose weights are recent enough for it. */
+  /** The replicas that can be reached, go on with the request's stream, and have weights that are recent enough for it. */
   private get _replicas (): readonly Replica[] {
-    const usable = this._state.catalog.usableReplicas(this.service)
+    const usable = this._reachable
     const origin = this._origin
     const replicas = origin === undefined
       ? usable
@@ -185,6 +207,14 @@
     return replicas.filter(({ weightVersions }) => (weightVersions[prompt.model] ?? 0) >= required)
   }
 
+  /** The usable replicas; while none can be connected to, those with an idle connection that has worked since. */
+  private get _reachable (): readonly Replica[] {
+    const { catalog, channels, links } = this._state
+    const usable = catalog.usableReplicas(this.service)
+    const cutOffAt = links.cutOffAt(this.service)
+    return cutOffAt === undefined ? usable : usable.filter(({ id }) => channels.hasIdleSince(id, cutOffAt))
+  }
+
   private _demand (): PromptDemand | undefined {
     const { catalog, oldWeights } = this._state
     const { prompt } = this._request.head
--- /dev/null
+++ b/packages/gateway/src/requests/requestServer.ts
@@ -0,0 +1,188 @@
+/** Accepts requests over HTTP/1.1, reads them completely, and starts them; refuses those that have no route or exceed a limit. */
+import http from 'node:http'
+import { createHash } from 'node:crypto'
+import type { Duplex } from 'node:stream'
+import type { Milliseconds, Route, RouteMatch } from '@wasabihead/coordination'
+import type { CallerHead } from '../protocol/index.js'
+import type { CallerRequest } from './callerRequest.js'
+import type { GatewayState } from './gatewayState.js'
+import type { RefusalReason } from './refusals.js'
+import { RequestRun } from './requestRun.js'
+
+/** The HTTP parser's limit; the limit of the configuration is checked after parsing. */
+const PARSER_MAXIMUM_HEADER_BYTES = 65_536
+/** Used until a configuration with limits is loaded. */
+const DEFAULT_IDLE_TIMEOUT: Milliseconds = 15_000
+/** Limits on what identifies a request among those that crash replicas. */
+const MAXIMUM_FEATURE_PARTS = 60
+const MAXIMUM_FEATURE_LENGTH = 256
+
+/** What the server adds to a request that it has accepted. */
+export type RequestTerms = Pick<CallerRequest, 'head' | 'deadline' | 'relayed'>
+
+/** A server for requests, with the connections that it keeps open. */
+export abstract class RequestServer {
+  protected readonly _server: http.Server
+  private readonly _responses = new Set<http.ServerResponse>()
+  private _running = 0
+  private _isKeepAliveDisabled = false
+  private _isRefusing = false
+
+  constructor (protected readonly _state: GatewayState) {
+    this._server = http.createServer({
+      maxHeaderSize: PARSER_MAXIMUM_HEADER_BYTES,
+      keepAliveTimeout: DEFAULT_IDLE_TIMEOUT,
+      connectionsCheckingInterval: 1_000
+    }, (request, response) => { this._accept(request, response) })
+    this._server.on('clientError', (error, socket) => { answerMalformed(error, socket) })
+  }
+
+  /** Number of requests that were read completely and are not yet answered. */
+  get running (): number {
+    return this._running
+  }
+
+  /** Starts listening. */
+  async listen (host: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this._server.once('error', reject)
+      this._server.listen({ host, port, backlog: 1_024 }, resolve)
+    })
+  }
+
+  /** Makes each answer from now on close its connection. */
+  disableKeepAlive (): void {
+    this._isKeepAliveDisabled = true
+    for (const response of this._responses) closeWithAnswer(response)
+  }
+
+  /** Stops accepting connections, and refuses new requests on the existing ones. */
+  refuseNewRequests (): void {
+    if (this._isRefusing) return
+    this._isRefusing = true
+    this._server.close()
+  }
+
+  /** Closes connections on which no request is being served. */
+  closeIdleConnections (): void {
+    this._server.closeIdleConnections()
+  }
+
+  /** Why a request is refused before it is matched to a route; undefined if it is not. */
+  protected abstract _refusalOf (request: http.IncomingMessage, head: CallerHead): RefusalReason | undefined
+
+  /** What holds for a request on the route, which was received at a time. */
+  protected abstract _termsOf (
+    request: http.IncomingMessage, head: CallerHead, route: Route, receivedAt: Milliseconds
+  ): RequestTerms
+
+  /** Answers a request that was not started. */
+  protected abstract _refuse (response: http.ServerResponse, reason: RefusalReason, head: CallerHead): void
+
+  private _accept (request: http.IncomingMessage, response: http.ServerResponse): void {
+    this._responses.add(response)
+    response.once('close', () => { this._responses.delete(response) })
+    if (this._isKeepAliveDisabled) closeWithAnswer(response)
+    const state = this._state
+    const receivedAt = state.now()
+    const head = state.callerProtocol.readHead(request.headers)
+    const match = this._match(request, head)
+    if (typeof match === 'string') {
+      state.log.decision('refused', { requestId: head.requestId, reason: match, configurationRevision: state.catalog.configurationRevision })
+      state.metrics.count('requests_total', `refused-${match}`)
+      this._refuse(response, match, head)
+      request.resume()
+      return
+    }
+    const terms = this._termsOf(request, head, match.route, receivedAt)
+    const maximumBodyBytes = state.catalog.routes?.configuration.limits.maximumBodyBytes ?? 0
+    readBody(request, maximumBodyBytes, terms.deadline - receivedAt, body => {
+      if (typeof body === 'string') this._refuse(response, body, head)
+      else if (!response.destroyed) this._start(request, response, match, body, receivedAt, terms)
+    })
+  }
+
+  private _start (
+    request: http.IncomingMessage, response: http.ServerResponse, { route, workspace }: RouteMatch, body: Buffer,
+    receivedAt: Milliseconds, terms: RequestTerms
+  ): void {
+    const target = request.url ?? '/'
+    this._running += 1
+    new RequestRun(this._state, {
+      method: request.method ?? 'GET',
+      target,
+      rawHeaders: request.rawHeaders,
+      body,
+      route,
+      workspace,
+      receivedAt,
+      ...terms,
+      ...identify(terms.head, `${request.headers.host ?? ''}${target}`, body),
+      response
+    }, () => { this._running -= 1 }).start()
+  }
+
+  private _match (request: http.IncomingMessage, head: CallerHead): RouteMatch | RefusalReason {
+    if (this._isRefusing) return 'leaving'
+    const { routes } = this._state.catalog
+    if (routes === undefined) return 'no-configuration'
+    if (head.requestId === undefined || hasSeveralHosts(request.rawHeaders)) return 'malformed'
+    const refusal = this._refusalOf(request, head)
+    if (refusal !== undefined) return refusal
+    const path = (request.url ?? '/').split('?', 1)[0] as string
+    return routes.match(request.headers.host ?? '', path, head.apiKey)
+  }
+}
+
+function readBody (
+  request: http.IncomingMessage, limit: number, timeout: Milliseconds, done: (body: Buffer | RefusalReason) => void
+): void {
+  const chunks: Buffer[] = []
+  let length = 0
+  let isDone = false
+  const finish = (body: Buffer | RefusalReason): void => {
+    if (isDone) return
+    isDone = true
+    clearTimeout(timer)
+    if (typeof body === 'string') request.resume()
+    done(body)
+  }
+  const timer = setTimeout(() => { finish('body-not-read') }, timeout)
+  request.on('data', (chunk: Buffer) => {
+    length += chunk.length
+    if (length > limit) finish('body-too-large')
+    else chunks.push(chunk)
+  })
+  request.once('end', () => { finish(chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks)) })
+  // The caller disconnected before its request was complete, so that there is nothing to answer.
+  request.once('error', () => { clearTimeout(timer) })
+  request.once('close', () => { clearTimeout(timer) })
+}
+
+/** Two recipients could read such a request as one to different hosts; RFC 9112, 3.2 requires that it is refused. */
+function hasSeveralHosts (rawHeaders: readonly string[]): boolean {
+  return rawHeaders.filter((name, index) => index % 2 === 0 && name.toLowerCase() === 'host').length > 1
+}
+
+function identify ({ apiKey, prompt }: CallerHead, target: string, body: Buffer): Pick<CallerRequest, 'fingerprint' | 'features'> {
+  const content = createHash('sha1').update(`${target}\n`).update(body).digest('base64')
+  const fingerprint = createHash('sha1').update(`${apiKey ?? ''}\n${content}`).digest('base64')
+  const parts = prompt?.parts.map(({ id }) => `${prompt.model}/${id}`.slice(0, MAXIMUM_FEATURE_LENGTH)) ?? []
+  return { fingerprint, features: [content, ...parts.slice(0, MAXIMUM_FEATURE_PARTS)] }
+}
+
+/** If the head was sent already, the connection stays open until the next answer on it closes it. */
+function closeWithAnswer (response: http.ServerResponse): void {
+  if (!response.headersSent) response.setHeader('connection', 'close')
+}
+
+function answerMalformed (error: NodeJS.ErrnoException, socket: Duplex): void {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy()
+    return
+  }
+  const isTooLarge = error.code === 'HPE_HEADER_OVERFLOW'
+  const isTooSlow = error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
+  const status = isTooLarge ? '431 Request Header Fields Too Large' : isTooSlow ? '408 Request Timeout' : '400 Bad Request'
+  socket.end(`HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`)
+}
