fix(crashes): verify that a replica crashed before a lost request counts

A sound request that was lost three times with the links of its gateway was refused by all gateways: each loss was recorded as a crash of the replica and reported to the peers.

A connection that ends shows neither a crash nor a lost link. CrashVerification counts it once the replica cannot be connected to just after another replica of its service could be, or once its run has ended; nothing counts while all connections fail, and nothing if the replica can be connected to at once. The crash keeps the time of the loss.

--- a/packages/coordination/src/crashes/repeatedCrashes.ts
+++ b/packages/coordination/src/crashes/repeatedCrashes.ts
@@ -74,13 +74,16 @@
   private _listed = new Map<string, { revision: number, at: Milliseconds }>()
   /** Names of blocks to remove from the store. */
   private readonly _lifted = new Set<string>()
-  private _reports: { report: CrashReport, at: Milliseconds }[] = []
+  private _reports: { report: CrashReport, at: Milliseconds, recordedAt: Milliseconds }[] = []
   private readonly _answered = new Map<string, Milliseconds>()
   private _isEvidenceNew = false
 
-  /** Records a request that was lost in a crash observed by this instance, to be reported to its peers. */
-  record (report: CrashReport, now: Milliseconds): void {
-    if (this._add(report, now, true)) this._reports.push({ report, at: now })
+  /**
+   * Records a request that was lost in a crash observed by this instance, to be reported to its peers.
+   * @param at time of the crash
+   */
+  record (report: CrashReport, at: Milliseconds, now = at): void {
+    if (this._add(report, at, true)) this._reports.push({ report, at, recordedAt: now })
   }
 
   /** Records that a replica has answered a request, so that its features did not cause the crashes before. */
@@ -147,7 +150,7 @@
   /** What to send to the other instances now. */
   update (now: Milliseconds): CrashUpdate {
     this._refresh(now)
-    this._reports = this._reports.filter(({ at }) => now - at < UPDATE_LIFETIME)
+    this._reports = this._reports.filter(({ recordedAt }) => now - recordedAt < UPDATE_LIFETIME)
     for (const [feature, at] of this._answered) if (now - at >= UPDATE_LIFETIME) this._answered.delete(feature)
     return {
       crashes: this._reports.slice(-MAXIMUM_REPORTS_SENT).map(({ report, at }) => ({ ...report, age: now - at })),
--- a/packages/gateway/src/links/index.ts
+++ b/packages/gateway/src/links/index.ts
@@ -1,1 +1,2 @@
+export { CrashVerifier } from './crashVerifier.js'
 export { LinkProber } from './linkProber.js'
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -13,7 +13,7 @@
 } from '../peers/index.js'
 import type { CallerProtocol, CatalogSource, ReplicaProtocol } from '../protocol/index.js'
 import { FrontServer, RelayServer, type GatewayState, type RequestServer } from '../requests/index.js'
-import { LinkProber } from '../links/index.js'
+import { CrashVerifier, LinkProber } from '../links/index.js'
 import { RolloutLoop } from '../rollout/index.js'
 import { StoreCollector, StoreFollower } from '../stores/index.js'
 import { DecisionLog, describeFailure, GatewayMetrics } from '../telemetry/index.js'
@@ -57,6 +57,7 @@
   private readonly _crashRecords: CrashRecords
   private readonly _heartbeats: Heartbeats
   private readonly _linkProber: LinkProber
+  private readonly _crashVerifier: CrashVerifier
   private readonly _rollout: RolloutLoop
   private readonly _storeFollower: StoreFollower
   private readonly _storeCollector: StoreCollector
@@ -99,6 +100,7 @@
       softwareVersions: new SoftwareVersions(),
       streamOrigins: new StreamOrigins(),
       requestStreamOrigin: async requestId => await requestStreamOrigin(requestId, this.state),
+      onReplicaLost: (replica, report) => { this._crashVerifier.onConnectionLost(replica, report) },
       channels: new ChannelPool(settings.channels, now, (target, isConnected) => { this._onLink(target, isConnected) }),
       callerProtocol: adapter.callerProtocol,
       replicaProtocol: adapter.replicaProtocol,
@@ -121,6 +123,7 @@
     this._hostRegistration = new Registration(this.state, adapter.store, { key: hostKey, ...settings.hostRegistration })
     this._crashRecords = new CrashRecords(this.state, adapter.store, ownPrefix)
     this._linkProber = new LinkProber(this.state)
+    this._crashVerifier = new CrashVerifier(this.state)
     this._heartbeats = new Heartbeats(this.state, settings.heartbeats, {
       isReady: () => this.isReady,
       onPeerCatalogStatus: (news, peer) => { this._catalogLoop.onPeerStatus(news, peer) },
@@ -269,15 +272,19 @@
   /** Records that a connection could be opened, or not; those to stores belong to no service with replicas. */
   private _onLink ({ id }: CallTarget, isConnected: boolean): void {
     const { catalog, links, health, log, now } = this.state
-    const service = catalog.replica(id)?.service
-    if (service === undefined) return
-    const replicas = catalog.usableReplicas(service).map(replica => replica.id)
+    const replica = catalog.replica(id)
+    if (replica === undefined) return
+    const { service } = replica
+    const replicas = catalog.usableReplicas(service).map(usable => usable.id)
     const change = isConnected ? links.onConnected(service, now()) : links.onConnectFailed(service, id, replicas, now())
-    if (change === 'cut-off') log.change('service-cut-off', { service, replicas: replicas.length })
-    else if (change === 'reachable') {
-      for (const replica of replicas) health.clearFailures(replica)
+    if (change === 'cut-off') {
+      this._crashVerifier.onCutOff(service)
+      log.change('service-cut-off', { service, replicas: replicas.length })
+    } else if (change === 'reachable') {
+      for (const usable of replicas) health.clearFailures(usable)
       log.change('service-reachable', { service, through: id })
     }
+    this._crashVerifier.onLink(replica, isConnected)
     if (!isConnected) this._linkProber.probe()
   }
 
@@ -307,6 +314,7 @@
         health.forget(change.replica.id)
         cachedParts.forget(change.replica.id)
         softwareVersions.onRemoved(change.replica, suspensionAwareNow())
+        this._crashVerifier.onRunEnded(change.replica)
         log.change(change.kind, { ...replicaFields(change), reason: change.reason })
     }
   }
--- a/packages/gateway/src/requests/gatewayState.ts
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -1,8 +1,8 @@
 /** State that is shared by the components of one gateway instance. */
 import type {
-  CachedParts, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, Milliseconds, PeerLinks,
-  ReadSchedule, RepeatedCrashes, ReplicaHealth, ReplicaLimits, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog,
-  ServiceLinks, SoftwareVersions, StoredParts, StoreMirror, StreamOrigin, StreamOrigins
+  CachedParts, CrashReport, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas,
+  Milliseconds, PeerLinks, ReadSchedule, RepeatedCrashes, Replica, ReplicaHealth, ReplicaLimits, ReplicaNotices, SeededRandom,
+  SentPrompts, ServiceCatalog, ServiceLinks, SoftwareVersions, StoredParts, StoreMirror, StreamOrigin, StreamOrigins
 } from '@wasabihead/coordination'
 import type { ChannelPool } from '../channels/index.js'
 import type { CallerProtocol, ReplicaProtocol } from '../protocol/index.js'
@@ -40,6 +40,8 @@
   streamOrigins: StreamOrigins
   /** Asks other instances where a stream began; undefined if none knows. */
   requestStreamOrigin: (requestId: string) => Promise<StreamOrigin | undefined>
+  /** A connection to a replica ended during a request, so that the replica may have crashed. */
+  onReplicaLost: (replica: Replica, report: CrashReport) => void
   channels: ChannelPool
   callerProtocol: CallerProtocol
   replicaProtocol: ReplicaProtocol
--- a/packages/gateway/src/requests/replicaAttempt.ts
+++ b/packages/gateway/src/requests/replicaAttempt.ts
@@ -64,16 +64,16 @@
     return facts
   }
 
-  /** Records that the replica's connection ended during this request, which suggests that the replica crashed. */
+  /** Has it verified that the replica crashed: its connection ended during this request. */
   override onConnectionLost (): void {
     if (!this.hasHead && this._mayBeStale) return
-    const { crashes, log, metrics, suspensionAwareNow } = this._state
+    const { log, metrics, onReplicaLost } = this._state
     const { fingerprint, features, head } = this._request
     const replicaRun = replicaRunOf(this.replica)
     // A replica crashes as it begins an answer; one that had begun is lost with others.
     const suspected = this.hasAnswered ? [] : [...features]
     const report = { fingerprint, replicaRun, service: this.replica.service, features: suspected, age: 0 }
-    crashes.record(report, suspensionAwareNow())
+    onReplicaLost(this.replica, report)
     metrics.count('suspected_replica_crashes_total', this.hasAnswered ? 'answering' : 'before-answer')
     log.decision('replica-crash-suspected', {
       requestId: head.requestId,
--- a/tests/platform/cutOffGateway.spec.ts
+++ b/tests/platform/cutOffGateway.spec.ts
@@ -198,6 +198,23 @@
   assert.ok(responses.every(response => !response.writableEnded))
 })
 
+// Guards against a gateway that takes the loss of its own links for crashes, so that sound requests are blocked everywhere.
+test('should not block a request that was lost with the links of its gateway', async () => {
+  serveLongStreams()
+  for (let round = 0; round < 3; round++) {
+    const answer = send(gateway(0), '/once/x', { body: 'sound' })
+    await delay(EVENT_INTERVAL_MS / 2)
+    breakLinks(gateway(0), 'reset')
+    await delay(EVENT_INTERVAL_MS * 8)
+    gateway(0).setLinkFault('none', [])
+    await answer
+    await waitUntil(async () => (await send(gateway(0), '/safe/x')).status === 200)
+  }
+  await delay(PROPAGATION_MS)
+  const answers = await Promise.all(fleet.gateways.map(async each => await send(each, '/once/x', { body: 'sound' })))
+  assert.equal(answers.map(({ status }) => status), [200, 200, 200])
+})
+
 test('should serve nobody but peers at the address for relayed requests', async () => {
   const answer = await call(gateway(0).addresses.heartbeats, '/safe/x', { headers: { 'X-Wasabihead-Attempt-Id': 'direct' } })
   assert.equal([answer.status, receivedWith('direct').length], [400, 0])
