test(platform): show that streams are joined after gateways restarted

Three gateways, streams begun at v1, which v2 replaces before, during or between restarts of all gateways, or before that of the only one that lives: 6 of 6 tests red, each resumption answered 200 by v2. Where the version never changes, streams go on after the restart, as they should.

--- a/tests/platform/softwareVersions.spec.ts
+++ b/tests/platform/softwareVersions.spec.ts
@@ -136,4 +136,77 @@
   assert.is(answer.status, 503)
 })
 
+async function killAll (): Promise<void> {
+  await Promise.all(fleet.gateways.map(async gateway => {
+    gateway.signal('SIGKILL')
+    await gateway.exited
+  }))
+}
+
+async function restartAll (): Promise<void> {
+  await killAll()
+  await startAll()
+}
+
+async function startAll (): Promise<void> {
+  for (const gateway of fleet.gateways) gateway.startProcess()
+  for (const gateway of fleet.gateways) {
+    await waitUntil(async () => gateway.hasStarted && (await call(gateway.addresses.ready, '/v1/ready')).status === 200)
+    await waitUntil(async () => (await send(gateway, '/events/x')).status === 200)
+  }
+}
+
+/** Registers three replicas of the version and removes all others, as the platform does also while no gateway runs. */
+async function replaceBy (version: string): Promise<void> {
+  for (const { id } of fleet.replicas) fleet.store.remove(`servers/${id}`)
+  for (let index = 0; index < 3; index++) {
+    const replica = await fleet.addReplica(`${version}-${index}`, 'desk')
+    fleet.register(replica, 'desk', { version })
+    serve(replica)
+  }
+  await delay(PROPAGATION_MS)
+}
+
+// Guards against streams joined after all gateways restarted, none of which knows a version that left before (issue 33).
+const releases: { title: string, run: () => Promise<void> }[] = [
+  { title: 'before the restart', run: async () => { await replaceBy('v2'); await killAll(); await startAll() } },
+  { title: 'during the restart', run: async () => { await killAll(); await replaceBy('v2'); await startAll() } },
+  { title: 'before the second of two', run: async () => { await restartAll(); await replaceBy('v2'); await restartAll() } },
+  { title: 'in two steps', run: async () => { await replaceBy('v2'); await replaceBy('v3'); await restartAll() } },
+  { title: 'between two restarts in a row', run: async () => { await killAll(); await replaceBy('v2'); await startAll(); await restartAll() } }
+]
+for (const { title, run } of releases) {
+  test(`should not join versions after all gateways restarted where the older one left ${title}`, async () => {
+    await addReplicas({ v1: 3 })
+    await delay(PROPAGATION_MS)
+    const begun = await begin(12, fleet.gateways[0] as GatewayProcess)
+    await run()
+    const streams = await resume(begun, fleet.gateways[1] as GatewayProcess)
+    assert.equal([joinedOf(streams), streams.filter(({ resumed }) => resumed.status === 503).length], [0, 12])
+  })
+}
+
+test('should not join versions at the only gateway that restarted, after the older one left', async () => {
+  await addReplicas({ v1: 3 })
+  await delay(PROPAGATION_MS)
+  const [first, second] = fleet.gateways as [GatewayProcess, GatewayProcess]
+  const begun = await begin(12, first)
+  await replaceBy('v2')
+  for (const killed of [first, second]) {
+    killed.signal('SIGKILL')
+    await killed.exited
+  }
+  second.startProcess()
+  await waitUntil(async () => second.hasStarted && (await send(second, '/events/x')).status === 200)
+  assert.is(joinedOf(await resume(begun, second)), 0)
+})
+
+test('should go on with streams after all gateways restarted where the version never changed', async () => {
+  await addReplicas({ v1: 3 })
+  await delay(PROPAGATION_MS)
+  const begun = await begin(12, fleet.gateways[0] as GatewayProcess)
+  await restartAll()
+  assert.is(servedOf(await resume(begun, fleet.gateways[1] as GatewayProcess)), 12)
+})
+
 test.run()
