fix(requests): know the software versions that left before a gateway started

Cause: a service counted as mixed by the versions that this instance lists and those that it saw leave. A process that starts has seen none leave, and the peers that saw it had ended, too, so that an unknown stream went on at whatever was listed. Class: an instance takes its own lifetime for that of the fleet.

Instances that read the store keep a record there for each service: the versions that serve or served within the last 30 s. It has no lease, so that it outlives all instances; it is written when a version comes, and again 30 s after one left. A process that starts takes every recorded version as one of which streams may be open, for 30 s. Until it has read the store, and for 30 s where the record of a service is missing though the fleet has run before, it goes on with no stream of unknown origin. A store that comes back older has the record written again where it lacks a version, and at worst names one for another 30 s.

--- a/packages/coordination/src/dispatch/index.ts
+++ b/packages/coordination/src/dispatch/index.ts
@@ -15,9 +15,10 @@
 export { type PartSource, type PartStores } from './partStores.js'
 export { SentPrompts, type SentPrompt } from './sentPrompts.js'
 export {
-  originHolders, SoftwareVersions, StreamOrigins, streamOriginSchema, streamOriginsMessageSchema, type StreamOrigin,
+  originHolders, StreamOrigins, streamOriginSchema, streamOriginsMessageSchema, type StreamOrigin,
   type StreamOriginsMessage
 } from './streamOrigins.js'
+export { SoftwareVersions, versionRecordSchema, type VersionRecord } from './softwareVersions.js'
 export {
   selectReplica, type Prompt, type PromptDemand, type Selection, type SelectionRequest, type SelectionView
 } from './selectReplica.js'
--- a/packages/coordination/src/dispatch/streamOrigins.spec.ts
+++ b/packages/coordination/src/dispatch/streamOrigins.spec.ts
@@ -65,7 +65,7 @@
 ]
 for (const { title, listed, removed, now, expected } of versionCases) {
   test(`should ${expected ? '' : 'not '}count a service as mixed with ${title}`, () => {
-    const versions = new SoftwareVersions()
+    const versions = new SoftwareVersions(true)
     for (const { replica: gone, at } of removed) versions.onRemoved(gone, at)
     assert.is(versions.isMixed('s', listed, now), expected)
   })
--- a/packages/coordination/src/dispatch/streamOrigins.ts
+++ b/packages/coordination/src/dispatch/streamOrigins.ts
@@ -5,12 +5,9 @@
  */
 import * as z from 'zod'
 import { rankByRendezvous, type Milliseconds } from '../common/index.js'
-import type { Replica } from '../catalog/index.js'
 
 /** A caller that takes a stream up may do so until its deadline; messages and clocks take the rest. */
 const RETENTION_MARGIN: Milliseconds = 5_000
-/** A version counts as serving for this long after its last replica left, since callers may still have streams of it. */
-const VERSION_RETENTION: Milliseconds = 30_000
 /** Instances that each origin is sent to, and that are asked for one; more are asked, since some may have left meanwhile. */
 const HOLDERS = 3
 const ASKED_HOLDERS = 5
@@ -42,28 +39,6 @@
   return rankByRendezvous(requestId, names).slice(0, ASKED_HOLDERS)
 }
 
-/** The versions of the software of each service that serve or served recently. */
-export class SoftwareVersions {
-  /** When the last replica of a version left, by service and version. */
-  private readonly _leftAt = new Map<string, Map<string, Milliseconds>>()
-
-  /** Records that a replica has left. */
-  onRemoved ({ service, softwareVersion = '' }: Replica, now: Milliseconds): void {
-    const versions = this._leftAt.get(service) ?? new Map<string, Milliseconds>()
-    for (const [version, at] of versions) if (now - at > VERSION_RETENTION) versions.delete(version)
-    versions.set(softwareVersion, now)
-    this._leftAt.set(service, versions)
-  }
-
-  /** Whether streams of several versions of the service may be open. */
-  isMixed (service: string, replicas: readonly Replica[], now: Milliseconds): boolean {
-    const versions = new Set<string>()
-    for (const replica of replicas) if (replica.service === service) versions.add(replica.softwareVersion ?? '')
-    for (const [version, at] of this._leftAt.get(service) ?? []) if (now - at <= VERSION_RETENTION) versions.add(version)
-    return versions.size > 1
-  }
-}
-
 /** The origins of streams that this instance began or was told of, by the request that brought their first event. */
 export class StreamOrigins {
   private readonly _origins = new Map<string, KnownOrigin>()
--- a/packages/gateway/src/catalog/catalogLoop.ts
+++ b/packages/gateway/src/catalog/catalogLoop.ts
@@ -1,12 +1,13 @@
 /** Updates the catalog from the store, and from peers while the store does not answer. */
 import {
   frontRecordSchema, MESSAGE_DELAY_MARGIN, type CatalogChange, type CatalogStatus, type FrontRecord, type Milliseconds,
-  type PeerChanges, type VersionedValue
+  type PeerChanges, type VersionedValue, type VersionRecord
 } from '@wasabihead/coordination'
 import type { CatalogSource } from '../protocol/index.js'
 import { requestPeerListing } from '../peers/index.js'
 import { connectedInstances, type GatewayState } from '../requests/index.js'
 import { CRASH_KEY_PREFIX, parseCrashRecord } from './crashRecords.js'
+import { parseVersionRecord, VERSION_KEY_PREFIX } from './versionRecords.js'
 
 /** Settings of the loop. */
 export interface CatalogLoopSettings {
@@ -160,11 +161,12 @@
   }
 
   private _applyMirror (requestedAt: Milliseconds): void {
-    const { mirror, catalog, fronts, crashes, readSchedule, log, now, suspensionAwareNow } = this._state
+    const { mirror, catalog, fronts, crashes, softwareVersions, readSchedule, log, now, suspensionAwareNow } = this._state
     const { catalog: listing, own } = this._source.decode(mirror.values)
     this._ownValues = own
     readSchedule.onRead(requestedAt)
     this._notify(catalog.applyListing(listing, requestedAt, suspensionAwareNow()))
+    softwareVersions.applyRecords(this._versionRecords(), catalog.replicas, suspensionAwareNow())
     fronts.applyRecords(this._frontRecords(own), now())
     fronts.applyHosts(this._ownEntries(HOST_KEY_PREFIX).map(({ name }) => name))
     crashes.applyBlocks(this._ownEntries(CRASH_KEY_PREFIX).flatMap(({ name, value, revision }) => {
@@ -211,6 +213,14 @@
     return found.map(({ key, value, revision }) => ({ name: key.slice(prefix.length), value, revision }))
   }
 
+  private _versionRecords (): VersionRecord[] {
+    return this._ownEntries(VERSION_KEY_PREFIX).flatMap(({ name, value }) => {
+      const record = parseVersionRecord(value)
+      if (record === undefined) this._state.log.decision('version-record-unreadable', { name })
+      return record ?? []
+    })
+  }
+
   private _frontRecords (own: readonly VersionedValue[]): FrontRecord[] {
     const prefix = `${this._source.ownPrefix}${FRONT_KEY_PREFIX}`
     const records: FrontRecord[] = []
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -5,7 +5,7 @@
   SoftwareVersions, StoredParts, StoreMirror, StreamOrigins, type CatalogChange, type FrontRecord, type KeyValueService,
   type Milliseconds
 } from '@wasabihead/coordination'
-import { CatalogLoop, CrashRecords, FRONT_KEY_PREFIX, HOST_KEY_PREFIX, Registration } from '../catalog/index.js'
+import { CatalogLoop, CrashRecords, FRONT_KEY_PREFIX, HOST_KEY_PREFIX, Registration, VersionRecords } from '../catalog/index.js'
 import { ChannelPool, splitAddress, type CallTarget } from '../channels/index.js'
 import { EndpointServer, type EndpointHandler, type EndpointResponse } from '../directory/index.js'
 import {
@@ -55,6 +55,7 @@
   private readonly _registration: Registration
   private readonly _hostRegistration: Registration
   private readonly _crashRecords: CrashRecords
+  private readonly _versionRecords: VersionRecords
   private readonly _heartbeats: Heartbeats
   private readonly _linkProber: LinkProber
   private readonly _crashVerifier: CrashVerifier
@@ -97,7 +98,7 @@
       cachedParts: new CachedParts(),
       retryBudget: new FleetRetryBudget(settings.retryBudget, now(), settings.isFirstRun),
       crashes: new RepeatedCrashes(),
-      softwareVersions: new SoftwareVersions(),
+      softwareVersions: new SoftwareVersions(settings.isFirstRun),
       streamOrigins: new StreamOrigins(),
       requestStreamOrigin: async requestId => await requestStreamOrigin(requestId, this.state),
       onReplicaLost: (replica, report) => { this._crashVerifier.onConnectionLost(replica, report) },
@@ -122,6 +123,7 @@
     const hostKey = `${ownPrefix}${HOST_KEY_PREFIX}${self.name}`
     this._hostRegistration = new Registration(this.state, adapter.store, { key: hostKey, ...settings.hostRegistration })
     this._crashRecords = new CrashRecords(this.state, adapter.store, ownPrefix)
+    this._versionRecords = new VersionRecords(this.state, adapter.store, ownPrefix)
     this._linkProber = new LinkProber(this.state)
     this._crashVerifier = new CrashVerifier(this.state)
     this._heartbeats = new Heartbeats(this.state, settings.heartbeats, {
@@ -255,6 +257,7 @@
     this.state.loads.expire(now)
     this.state.peerLinks.retain(new Set(this.state.fronts.peers.map(({ name }) => name)))
     this._crashRecords.write()
+    this._versionRecords.write()
     this.state.log.tick()
   }
 
@@ -303,6 +306,7 @@
         })
         break
       case 'replica-added':
+        this._versionRecords.write()
         log.change(change.kind, replicaFields(change))
         break
       case 'replica-draining':
