fix(requests): keep using a peer that is slow because its replicas are

A relayed request that timed out excluded its peer for a second, so that with few peers that reach replicas the next requests were refused though these peers were alive.

--- a/packages/gateway/src/requests/peerAttempt.ts
+++ b/packages/gateway/src/requests/peerAttempt.ts
@@ -46,8 +46,10 @@
 
   override onConnectionLost (): void {}
 
+  /** A peer whose heartbeats arrive is slow because its replicas are, or closed a connection that was idle for long. */
   override healthSignalOf (end: AttemptEnd): HealthSignal {
-    return end === 'not-sent' || end === 'timed-out' || !this.hasHead ? 'unreachable' : 'failed'
+    const { fronts, now } = this._state
+    return end === 'not-sent' || !fronts.isHeard(this.peer.name, now()) ? 'unreachable' : 'failed'
   }
 
   override possibleRunsAfter (end: AttemptEnd, possibleRuns: number): number {
