test(soak): cut gateways off from the replicas

One to all gateways, whose links hang, are reset or refuse new connections, beside the other faults. The series of faults of a seed differs from before.

--- a/tests/platform/linkFault.ts
+++ b/tests/platform/linkFault.ts
@@ -1,8 +1,8 @@
 /**
- * Preloaded into a gateway by tests: breaks its links to some ports. A file says how, as JSON; it is read on SIGUSR2. Links of
- * other gateways to the same ports stay as they are.
+ * Preloaded into a gateway by tests: breaks its links to some ports. A file says how, as JSON; it is read on SIGUSR2, which may
+ * be meant for another such module. Links of other gateways to the same ports stay as they are.
  */
-import { readFileSync } from 'node:fs'
+import { existsSync, readFileSync } from 'node:fs'
 import net from 'node:net'
 
 /**
@@ -51,5 +51,5 @@
     socket.once('close', () => { open.delete(socket) })
     return socket
   }) as typeof net.connect
-  process.on('SIGUSR2', () => { apply(readFileSync(file, 'utf8')) })
+  process.on('SIGUSR2', () => { if (existsSync(file)) apply(readFileSync(file, 'utf8')) })
 }
--- a/tests/soak/soakFaults.ts
+++ b/tests/soak/soakFaults.ts
@@ -1,5 +1,6 @@
 /** Faults injected from outside the processes, in a seeded series in which they overlap. */
 import type { SeededRandom } from '@wasabihead/coordination'
+import type { LinkFaultMode } from '../platform/linkFault.js'
 import type { FaultProxy, LinkFault } from './faultProxy.js'
 import type { SoakFleet } from './soakFleet.js'
 
@@ -9,6 +10,7 @@
   run: (fleet: SoakFleet, random: SeededRandom) => Promise<void>
 }
 
+const CUT_OFF_MODES: readonly LinkFaultMode[] = ['silent', 'reset', 'refused']
 const LINK_FAULTS: readonly LinkFault[] = ['delayed', 'one-way', 'silent', 'refused']
 const SHORTEST_FAULT_MILLISECONDS = 200
 const LONGEST_FAULT_MILLISECONDS = 2_500
@@ -60,6 +62,16 @@
   },
   { name: 'store compaction', run: async fleet => { fleet.store.compact() } },
   { name: 'replica link', run: async (fleet, random) => { await injectLinkFault(random.pick(fleet.replicas).proxy, random) } },
+  {
+    name: 'cut off',
+    run: async (fleet, random) => {
+      const cut = random.shuffle(fleet.gateways).slice(0, 1 + random.integer(fleet.gateways.length))
+      const mode = random.pick(CUT_OFF_MODES)
+      for (const gateway of cut) fleet.breakLinks(gateway, mode)
+      await pause(randomDuration(random))
+      for (const gateway of cut) fleet.breakLinks(gateway, 'none')
+    }
+  },
   { name: 'replica cuts', run: async (fleet, random) => { random.pick(fleet.replicas).proxy.closeConnections() } },
   { name: 'replica crash', run: async (fleet, random) => { await fleet.replaceReplica(random.pick(fleet.replicas), false) } },
   { name: 'replica drain', run: async (fleet, random) => { await fleet.replaceReplica(random.pick(fleet.replicas), true) } },
--- a/tests/soak/soakFleet.ts
+++ b/tests/soak/soakFleet.ts
@@ -1,6 +1,7 @@
 /** Gateways that each reach the metadata store through their own proxy, and replicas behind proxies. */
 import type { SeededRandom } from '@wasabihead/coordination'
 import type { MetadataStoreStandIn } from '@wasabihead/standins'
+import type { LinkFaultMode } from '../platform/linkFault.js'
 import { configurationOf, PlatformFleet, type GatewayProcess } from '../platform/platformFleet.js'
 import { FaultProxy } from './faultProxy.js'
 import type { SoakLedger } from './soakLedger.js'
@@ -38,7 +39,7 @@
     for (let index = 0; index < gateways; index++) {
       const link = await FaultProxy.start(this._fleet.storeAddress)
       this.storeLinks.push(link)
-      this._watchEnd(await this._fleet.startGateway(`gateway-${index}`, { storeAddress: link.address, hasClockFault: true }))
+      this._watchEnd(await this._fleet.startGateway(`gateway-${index}`, { storeAddress: link.address, hasClockFault: true, hasLinkFault: true }))
     }
   }
 
@@ -74,6 +75,12 @@
     if (gateway.hasStarted && !this._restarting.has(gateway.name)) gateway.setClockOffset(milliseconds)
   }
 
+  /** Breaks a gateway's links to the replicas of now, or repairs them. A process that starts again has sound links. */
+  breakLinks (gateway: GatewayProcess, mode: LinkFaultMode): void {
+    const addresses = this.replicas.map(({ proxy }) => proxy.address)
+    if (gateway.hasStarted && !this._restarting.has(gateway.name)) gateway.setLinkFault(mode, addresses)
+  }
+
   /** Replaces a replica by a new one; a draining replica continues to run for `DRAIN_MILLISECONDS`. */
   async replaceReplica (replica: SoakReplica, isDraining: boolean): Promise<void> {
     const index = this.replicas.indexOf(replica)
