fix(requests): know where streams began after all gateways restarted

While two software versions served, a fleet that restarted as a whole refused every stream that its callers took up again: 0 of 12 went on, since the origins of streams were known to its processes only.

--- a/packages/coordination/src/dispatch/streamOrigins.ts
+++ b/packages/coordination/src/dispatch/streamOrigins.ts
@@ -15,6 +15,8 @@
 const MAXIMUM_ORIGINS = 50_000
 const MAXIMUM_ID_LENGTH = 128
 const MAXIMUM_ORIGINS_OF_MESSAGE = 10_000
+/** Limit on the origins in the record of one instance; the newest are kept. */
+const MAXIMUM_RECORDED = 200
 
 /** The service that began a stream, and the version of its software; empty where its replicas state none. */
 export const streamOriginSchema = z.object({ service: z.string(), softwareVersion: z.string() })
@@ -44,6 +46,10 @@
   private readonly _origins = new Map<string, KnownOrigin>()
   /** Streams begun by this instance whose origin was not sent to its holders. */
   private readonly _unsent = new Set<string>()
+  /** Streams begun by this instance. */
+  private readonly _own = new Set<string>()
+  /** Whether a stream was begun since the last record. */
+  private _hasUnrecorded = false
 
   /**
    * Records that this instance has passed on the first event of a stream.
@@ -52,6 +58,8 @@
   onBegan (requestId: string, origin: StreamOrigin, timeLeft: Milliseconds, now: Milliseconds): void {
     this._add(requestId, origin, now + timeLeft + RETENTION_MARGIN, now)
     this._unsent.add(requestId)
+    this._own.add(requestId)
+    this._hasUnrecorded = true
   }
 
   /** Applies origins that another instance sent. */
@@ -98,6 +106,29 @@
     return messages
   }
 
+  /**
+   * Returns the origins of this instance's streams to be recorded in the store, for a fleet that restarts as a whole; undefined
+   * if the last record has them.
+   * @param isNeeded whether streams of a service may be joined wrongly; those of other services are recorded if that changes
+   */
+  takeRecord (isNeeded: (service: string) => boolean, now: Milliseconds): StreamOriginsMessage | undefined {
+    if (!this._hasUnrecorded) return undefined
+    const streamOrigins: StreamOriginsMessage['streamOrigins'] = []
+    let isComplete = true
+    for (const requestId of this._own) {
+      const origin = this._origins.get(requestId)
+      if (origin === undefined || origin.expiresAt < now) {
+        this._own.delete(requestId)
+        continue
+      }
+      const { service, softwareVersion, expiresAt } = origin
+      if (isNeeded(service)) streamOrigins.push([requestId, service, softwareVersion, Math.round(expiresAt - now)])
+      else isComplete = false
+    }
+    this._hasUnrecorded = !isComplete
+    return streamOrigins.length === 0 ? undefined : { streamOrigins: streamOrigins.slice(-MAXIMUM_RECORDED) }
+  }
+
   private _add (requestId: string, origin: StreamOrigin, expiresAt: Milliseconds, now: Milliseconds): void {
     if (requestId.length > MAXIMUM_ID_LENGTH) return
     this._origins.set(requestId, { ...origin, expiresAt })
--- a/packages/gateway/src/catalog/catalogLoop.ts
+++ b/packages/gateway/src/catalog/catalogLoop.ts
@@ -7,6 +7,7 @@
 import { requestPeerListing } from '../peers/index.js'
 import { connectedInstances, type GatewayState } from '../requests/index.js'
 import { CRASH_KEY_PREFIX, parseCrashRecord } from './crashRecords.js'
+import { ORIGIN_KEY_PREFIX, parseOriginRecord } from './originRecords.js'
 import { parseVersionRecord, VERSION_KEY_PREFIX } from './versionRecords.js'
 
 /** Settings of the loop. */
@@ -27,6 +28,7 @@
   private _isReading = false
   private _isRequestingFromPeer = false
   private _isStopped = false
+  private _hasReadOrigins = false
   private _peerRequestedAt: Milliseconds = -Infinity
   private _isStoreReachable = true
   private _ownValues: readonly VersionedValue[] = []
@@ -166,6 +168,7 @@
     this._ownValues = own
     readSchedule.onRead(requestedAt)
     this._notify(catalog.applyListing(listing, requestedAt, suspensionAwareNow()))
+    if (!this._hasReadOrigins) this._applyOriginRecords()
     softwareVersions.applyRecords(this._versionRecords(), catalog.replicas, suspensionAwareNow())
     fronts.applyRecords(this._frontRecords(own), now())
     fronts.applyHosts(this._ownEntries(HOST_KEY_PREFIX).map(({ name }) => name))
@@ -213,6 +216,17 @@
     return found.map(({ key, value, revision }) => ({ name: key.slice(prefix.length), value, revision }))
   }
 
+  /** Read once: what peers begin later they send to its holders, or answer for it. */
+  private _applyOriginRecords (): void {
+    const { streamOrigins, log, suspensionAwareNow } = this._state
+    this._hasReadOrigins = true
+    for (const { name, value } of this._ownEntries(ORIGIN_KEY_PREFIX)) {
+      const record = parseOriginRecord(value)
+      if (record === undefined) log.decision('origin-record-unreadable', { name })
+      else streamOrigins.receive(record, suspensionAwareNow())
+    }
+  }
+
   private _versionRecords (): VersionRecord[] {
     return this._ownEntries(VERSION_KEY_PREFIX).flatMap(({ name, value }) => {
       const record = parseVersionRecord(value)
--- a/packages/gateway/src/catalog/index.ts
+++ b/packages/gateway/src/catalog/index.ts
@@ -1,4 +1,5 @@
 export { CatalogLoop, FRONT_KEY_PREFIX, HOST_KEY_PREFIX, type CatalogLoopSettings } from './catalogLoop.js'
+export { OriginRecords } from './originRecords.js'
 export { VersionRecords } from './versionRecords.js'
 export { CrashRecords } from './crashRecords.js'
 export { Registration, type RegistrationSettings } from './registration.js'
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -5,7 +5,7 @@
   SoftwareVersions, StoredParts, StoreMirror, StreamOrigins, type CatalogChange, type FrontRecord, type KeyValueService,
   type Milliseconds
 } from '@wasabihead/coordination'
-import { CatalogLoop, CrashRecords, FRONT_KEY_PREFIX, HOST_KEY_PREFIX, Registration, VersionRecords } from '../catalog/index.js'
+import { CatalogLoop, CrashRecords, FRONT_KEY_PREFIX, HOST_KEY_PREFIX, OriginRecords, Registration, VersionRecords } from '../catalog/index.js'
 import { ChannelPool, splitAddress, type CallTarget } from '../channels/index.js'
 import { EndpointServer, type EndpointHandler, type EndpointResponse } from '../directory/index.js'
 import {
@@ -56,6 +56,7 @@
   private readonly _hostRegistration: Registration
   private readonly _crashRecords: CrashRecords
   private readonly _versionRecords: VersionRecords
+  private readonly _originRecords: OriginRecords
   private readonly _heartbeats: Heartbeats
   private readonly _linkProber: LinkProber
   private readonly _crashVerifier: CrashVerifier
@@ -124,6 +125,7 @@
     this._hostRegistration = new Registration(this.state, adapter.store, { key: hostKey, ...settings.hostRegistration })
     this._crashRecords = new CrashRecords(this.state, adapter.store, ownPrefix)
     this._versionRecords = new VersionRecords(this.state, adapter.store, ownPrefix)
+    this._originRecords = new OriginRecords(this.state, adapter.store, ownPrefix)
     this._linkProber = new LinkProber(this.state)
     this._crashVerifier = new CrashVerifier(this.state)
     this._heartbeats = new Heartbeats(this.state, settings.heartbeats, {
@@ -258,6 +260,7 @@
     this.state.peerLinks.retain(new Set(this.state.fronts.peers.map(({ name }) => name)))
     this._crashRecords.write()
     this._versionRecords.write()
+    this._originRecords.write()
     this.state.log.tick()
   }
 
--- a/tests/platform/softwareVersions.spec.ts
+++ b/tests/platform/softwareVersions.spec.ts
@@ -209,4 +209,16 @@
   assert.is(servedOf(await resume(begun, fleet.gateways[1] as GatewayProcess)), 12)
 })
 
+// Guards against a fleet that refuses all streams of before its restart while their version still serves.
+test('should go on with most streams after all gateways restarted while two versions serve', async () => {
+  await addReplicas({ v1: 2, v2: 2 })
+  await delay(PROPAGATION_MS)
+  const begun = await begin(12, fleet.gateways[0] as GatewayProcess)
+  await delay(PROPAGATION_MS * 2)
+  await restartAll()
+  const streams = await resume(begun, fleet.gateways[1] as GatewayProcess)
+  assert.is(joinedOf(streams), 0)
+  assert.ok(servedOf(streams) * 2 >= begun.length, `${servedOf(streams)} of ${begun.length} go on`)
+})
+
 test.run()
