--- a/tests/platform/cutOffGateway.spec.ts
+++ b/tests/platform/cutOffGateway.spec.ts
@@ -132,6 +132,13 @@
   assert.equal(answers.map(servedOf), [12, 12, 12])
 })
 
+test('should serve the callers of a cut gateway through another peer while one is paused', async () => {
+  await cutOff([gateway(0)])
+  gateway(1).signal('SIGSTOP')
+  await delay(CONTACT_MS)
+  assert.is(servedOf(await sendSeries(gateway(0), 12, REQUEST_INTERVAL_MS)), 12)
+})
+
 test('should refuse at once where no gateway reaches a replica, and serve again after the links return', async () => {
   await cutOff(fleet.gateways)
   const answer = await send(gateway(0), '/unsafe/x', { headers: { 'X-Wasabihead-Attempt-Id': 'refused' } })
