fix(rollout): leave the role to an instance that reaches the engines, whatever else it does not reach

An outage of a service without engines, such as an application of three replicas, is noticed first by instances with requests for it. Each of them gave up its duties for engines and cache stores in turn. Found by reading. Only services with engines count now. peerLinks.spec.ts.

--- a/packages/coordination/src/links/peerLinks.spec.ts
+++ b/packages/coordination/src/links/peerLinks.spec.ts
@@ -39,17 +39,18 @@
   assert.ok([...counts.values()].every(count => count >= 95 && count <= 105), [...counts.values()].join(', '))
 })
 
-const duties: { title: string, isSelfCutOff: boolean, cutOff: string[], expected: string[] }[] = [
-  { title: 'all while none is cut off', isSelfCutOff: false, cutOff: [], expected: ['a', 'b', 'c', 'self'] },
-  { title: 'not itself while it is cut off', isSelfCutOff: true, cutOff: [], expected: ['a', 'b', 'c'] },
-  { title: 'itself while the others are cut off', isSelfCutOff: false, cutOff: ['a', 'b', 'c'], expected: ['self'] },
-  { title: 'all where all are cut off', isSelfCutOff: true, cutOff: ['a', 'b', 'c'], expected: ['a', 'b', 'c', 'self'] }
+const duties: { title: string, selfCutOff: string[], cutOff: string[], service?: string, expected: string[] }[] = [
+  { title: 'all while none is cut off', selfCutOff: [], cutOff: [], expected: ['a', 'b', 'c', 'self'] },
+  { title: 'not itself while it is cut off', selfCutOff: ['s'], cutOff: [], expected: ['a', 'b', 'c'] },
+  { title: 'all while they are cut off from another service', selfCutOff: ['t'], cutOff: ['a'], service: 't', expected: ['a', 'b', 'c', 'self'] },
+  { title: 'itself while the others are cut off', selfCutOff: [], cutOff: ['a', 'b', 'c'], expected: ['self'] },
+  { title: 'all where all are cut off', selfCutOff: ['s'], cutOff: ['a', 'b', 'c'], expected: ['a', 'b', 'c', 'self'] }
 ]
-for (const { title, isSelfCutOff, cutOff, expected } of duties) {
+for (const { title, selfCutOff, cutOff, service = 's', expected } of duties) {
   test(`should take for connected instances ${title}`, () => {
     const links = new PeerLinks()
-    for (const name of cutOff) links.receive(name, ['s'], 0)
-    assert.equal(links.connectedInstances('self', isSelfCutOff, near, 1), expected)
+    for (const name of cutOff) links.receive(name, [service], 0)
+    assert.equal(links.connectedInstances(['s'], 'self', selfCutOff, near, 1), expected)
   })
 }
 
--- a/packages/coordination/src/links/peerLinks.ts
+++ b/packages/coordination/src/links/peerLinks.ts
@@ -76,14 +76,17 @@
   }
 
   /**
-   * Names of the live instances that can connect to the replicas of every service; of all live ones if none is known to.
+   * Names of the live instances that can connect to the replicas of all these services; of all live ones if none is known to.
    * @param self name of this instance
-   * @param isSelfCutOff whether this instance cannot connect to the replicas of some service
+   * @param selfCutOff the services of which this instance can connect to no replica
    */
-  connectedInstances (self: string, isSelfCutOff: boolean, peers: readonly { name: string }[], now: Milliseconds): string[] {
+  connectedInstances (
+    services: readonly string[], self: string, selfCutOff: readonly string[], peers: readonly { name: string }[],
+    now: Milliseconds
+  ): string[] {
     const names = peers.map(({ name }) => name)
-    const connected = names.filter(name => ![...this._peers.get(name)?.cutOffUntil.values() ?? []].some(until => until > now))
-    if (!isSelfCutOff) connected.push(self)
+    const connected = names.filter(name => !services.some(service => this._isCutOff(name, service, now)))
+    if (!services.some(service => selfCutOff.includes(service))) connected.push(self)
     return connected.length > 0 ? connected : [...names, self]
   }
 
@@ -95,8 +98,11 @@
   }
 
   private _mayServe (name: string, service: string, now: Milliseconds): boolean {
-    const link = this._peers.get(name)
-    return link === undefined || (link.excludedUntil <= now && (link.cutOffUntil.get(service) ?? -Infinity) <= now)
+    return (this._peers.get(name)?.excludedUntil ?? -Infinity) <= now && !this._isCutOff(name, service, now)
+  }
+
+  private _isCutOff (name: string, service: string, now: Milliseconds): boolean {
+    return (this._peers.get(name)?.cutOffUntil.get(service) ?? -Infinity) > now
   }
 
   private _runningAt ({ name }: RelayPeer): number {
