fix(channels): reset the connection of a cancelled exchange

A request whose caller's deadline had passed reached a leaving replica 2.25 s after its departure was acknowledged (DRAIN, allowed 2 s): it had been sent 6 s before, while the link to the replica was cut.

Cause: an abandoned exchange closed its connection in an orderly way, after which the system goes on sending the bytes that are held up. A reset discards them.

--- a/packages/gateway/src/channels/replicaChannel.spec.ts
+++ b/packages/gateway/src/channels/replicaChannel.spec.ts
@@ -148,4 +148,31 @@
   })
 })
 
+// Guards against a cancelled request whose bytes were held up on the way, and reached a replica seconds later (DRAIN).
+test('should reset the connection of a cancelled exchange, so that bytes on their way are discarded', async () => {
+  let replica: net.Socket | undefined
+  const ended = new Promise<string>(resolve => {
+    const server = net.createServer(socket => {
+      replica = socket
+      socket.on('error', (error: NodeJS.ErrnoException) => { resolve(error.code ?? '') })
+      socket.once('end', () => { resolve('end') })
+      socket.once('close', () => { server.close() })
+      socket.resume()
+    })
+    server.listen(0, '127.0.0.1', () => {
+      const pool = new ChannelPool(SETTINGS, () => performance.now(), () => {})
+      const channel = pool.acquire({ id: 'r', address: `127.0.0.1:${(server.address() as AddressInfo).port}` }, true)
+      channel.send({ method: 'GET', target: '/', headers: [['Host', 'h']], body: undefined }, {
+        isExpected: () => true, onHead: () => {}, onBody: () => {}, onEnd: () => {}, onFault: () => {}
+      })
+      const timer = setInterval(() => {
+        if (replica === undefined || replica.bytesRead === 0) return
+        clearInterval(timer)
+        channel.cancel()
+      }, 5)
+    })
+  })
+  assert.is(await ended, 'ECONNRESET')
+})
+
 test.run()
--- a/packages/gateway/src/channels/replicaChannel.ts
+++ b/packages/gateway/src/channels/replicaChannel.ts
@@ -155,10 +155,16 @@
     this._socket.resume()
   }
 
-  /** Cancels the current exchange and closes the connection. The exchange's listener is not called any more. */
+  /**
+   * Cancels the current exchange and resets the connection, so that bytes of the request that are on their way are discarded. The
+   * exchange's listener is not called any more.
+   */
   cancel (): void {
     this._listener = undefined
-    this.close()
+    this._isReusable = false
+    // In Node.js 20, a reset during a write leaves a handle that keeps the event loop busy.
+    if (this._isConnected && this._socket.writableLength === 0) this._socket.resetAndDestroy()
+    else this.close()
   }
 
   /** Closes the connection at once. A current exchange ends with a fault. */
