test(platform): crash replicas in earnest where a crashing request is refused after a restart

The stand-ins reset one connection and went on listening under the same registration. They stop listening now, and come back half a second later as a new run. What the test asks for is as before: 503 after the restart, and not one more send.

--- a/tests/platform/wholePath.spec.ts
+++ b/tests/platform/wholePath.spec.ts
@@ -1,9 +1,13 @@
 /** One gateway process over the platform's protocol, with stand-ins for the store and the replicas. */
+import { setTimeout as delay } from 'node:timers/promises'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { waitUntil } from '@wasabihead/experiments'
 import { call, configurationOf, PlatformFleet, sendBytes, type GatewayProcess, type ReplicaStandIn } from './platformFleet.js'
 
+/** How long a crashed replica is away. */
+const RESTART_MS = 500
+
 let fleet: PlatformFleet
 let first: ReplicaStandIn
 let second: ReplicaStandIn
@@ -258,19 +262,30 @@
   assert.match(gateway().output, /"event":"stopped"/)
 })
 
+async function crashAndRestart (replica: ReplicaStandIn): Promise<void> {
+  replica.crash()
+  await delay(RESTART_MS)
+  await replica.restart()
+  fleet.register(replica, 'desk', { born: Date.now() })
+}
+
 // Guards against a restart that forgets crashing requests: a restarted process had no record of a request that crashes replicas,
 // and sent it to three more (issue 14).
 test('should go on refusing a request that crashes replicas after its process was killed', async () => {
   await fleet.addReplica('replica-3', 'desk')
+  const restarts: Promise<void>[] = []
   for (const replica of fleet.replicas) {
     replica.respond = (request, response) => {
-      if (request.url === '/unsafe/crash') setTimeout(() => { response.destroy() }, 20)
+      if (request.url === '/unsafe/crash') setTimeout(() => { restarts.push(crashAndRestart(replica)) }, 20)
       else response.writeHead(200, replica.answerHeaders(request)).end('x')
     }
   }
   const crash = async (): Promise<number> => (await call(front(), '/unsafe/crash', { method: 'POST' })).status
-  await waitUntil(async () => await crash() === 503)
-  await waitUntil(async () => gateway().output.includes('crashing-request-recorded'))
+  await waitUntil(async () => {
+    await crash()
+    return gateway().output.includes('crashing-request-recorded')
+  })
+  await Promise.all(restarts)
   gateway().signal('SIGKILL')
   await gateway().exited
   gateway().startProcess()
