--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -144,10 +144,12 @@
 export async function runCase (folder, play) {
   const fleet = new Fleet()
   let code = EXIT_NOT_RUN
-  setTimeout(() => {
+  const giveUp = () => {
     fleet.kill()
     process.exit(EXIT_NOT_RUN)
-  }, LONGEST_RUN_MILLISECONDS)
+  }
+  setTimeout(giveUp, LONGEST_RUN_MILLISECONDS)
+  for (const event of ['SIGTERM', 'SIGINT', 'uncaughtException']) process.once(event, giveUp)
   try {
     await fleet.store.start()
     const broken = await play(fleet)
