--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -4,7 +4,7 @@
 import { configuration } from '../lib/replica.mjs'
 import { sendAtRate } from '../lib/traffic.mjs'
 
-const RATE = 28
+const RATE = 75
 const EVENTS = Array.from({ length: 13 }, (_, index) => `id: ${index + 1}\ndata: part ${index + 1}\n\n`).join('')
 
 await runCase(import.meta.url, async fleet => {
@@ -14,6 +14,7 @@
     faulty: 2,
     every: 50,
     duration: 5_500,
+    pause: 9_000,
     whole: (replica, { attempt }) => replica.whole(attempt, 200, EVENTS, 'text/event-stream'),
     // One byte of a header's value is wrong.
     spoil: bytes => bytes.replace('text/event-stream', 'text/event-stream\x01')
