test(platform): give test processes disjoint ports, and fail at once where a gateway ends before it started

Change: a fleet claims blocks of 50 ports; it listens at the first port of each, so that the system lets one process claim it. Ports are looked at over TCP and UDP and are given back when the fleet has stopped. GatewayProcess.untilStarted rejects with the exit code and the output of a process that ends before it started, and startGateway then stops the fleet.

--- a/tests/platform/crashingPart.spec.ts
+++ b/tests/platform/crashingPart.spec.ts
@@ -148,7 +148,8 @@
   gateway.signal('SIGKILL')
   await gateway.exited
   gateway.startProcess()
-  await waitUntil(async () => gateway.hasStarted && await send(gateway, ['first', 'topic']) === 200)
+  await gateway.untilStarted()
+  await waitUntil(async () => await send(gateway, ['first', 'topic']) === 200)
   const before = sent.filter(({ parts }) => parts.includes('dead')).length
   assert.equal([await send(gateway, ['first', 'other', 'dead']), sent.filter(({ parts }) => parts.includes('dead')).length - before], [503, 0])
 })
--- /dev/null
+++ b/tests/platform/platformFleet.spec.ts
@@ -0,0 +1,19 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { PlatformFleet, type GatewayProcess } from './platformFleet.js'
+
+// Guards against specs that hung for minutes because a gateway had ended at its start.
+test('should report how a gateway ended that has not started', async () => {
+  const fleet = new PlatformFleet()
+  await fleet.start(1)
+  const gateway = fleet.gateways[0] as GatewayProcess
+  gateway.signal('SIGKILL')
+  await gateway.exited
+  gateway.changeSettings({ provider: 'none' })
+  gateway.startProcess()
+  const error: unknown = await gateway.untilStarted().catch((reason: unknown) => reason)
+  await fleet.stop()
+  assert.match(String(error), /gateway-0 ended with code 2 before it had started:\n[^]*provider/)
+})
+
+test.run()
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -1,6 +1,5 @@
 /** A small fleet on loopback: stand-ins for the metadata store and the replicas, and gateways in separate processes. */
 import { spawn, type ChildProcess } from 'node:child_process'
-import { randomInt } from 'node:crypto'
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import http from 'node:http'
 import net, { type AddressInfo } from 'node:net'
@@ -10,14 +9,13 @@
 import { waitUntil } from '@wasabihead/experiments'
 import { MetadataStoreStandIn } from '@wasabihead/standins'
 import type { LinkFaultFile, LinkFaultMode } from './linkFault.js'
+import { PortBlocks } from './portBlocks.js'
 
 const ENTRY = fileURLToPath(import.meta.resolve('@wasabihead/platform/main'))
 /** Paths of the compiled modules. */
 const CLOCK_FAULT = fileURLToPath(new URL('../soak/clockFault.js', import.meta.url))
 const LINK_FAULT = fileURLToPath(new URL('linkFault.js', import.meta.url))
 const LOOPBACK = '127.0.0.1'
-const FIRST_PORT = 12_000
-const LAST_PORT = 30_000
 
 /** A request as a replica received it. */
 export interface ReceivedRequest {
@@ -91,6 +89,8 @@
   output = ''
   exited: Promise<number | null> = Promise.resolve(null)
   private _child: ChildProcess | undefined
+  /** How the latest process ended, once all of its output was read. */
+  private _end: string | undefined
   /** Offset in `output` at which the output of the latest process begins. */
   private _startedAt = 0
 
@@ -110,6 +110,7 @@
   /** Starts the process, also again after the previous one has exited. */
   startProcess (): void {
     this._startedAt = this.output.length
+    this._end = undefined
     const { hasClockFault, hasLinkFault } = this._faults
     const faults = [...hasClockFault ? ['--import', CLOCK_FAULT] : [], ...hasLinkFault ? ['--import', LINK_FAULT] : []]
     const child = spawn(process.execPath, [...faults, ENTRY], {
@@ -124,9 +125,21 @@
     child.stdout.on('data', (data: Buffer) => { this.output += data.toString() })
     child.stderr.on('data', (data: Buffer) => { this.output += data.toString() })
     this.exited = new Promise(resolve => { child.once('exit', resolve) })
+    child.once('close', (code, signal) => {
+      if (this._child === child) this._end = signal ?? `code ${code}`
+    })
     this._child = child
   }
 
+  /** Waits until the latest process has started. Rejects with its output if it ends before. */
+  async untilStarted (): Promise<void> {
+    await waitUntil(async () => {
+      if (this.hasStarted) return true
+      if (this._end === undefined) return false
+      throw new Error(`${this.name} ended with ${this._end} before it had started:\n${this.output.slice(this._startedAt)}`)
+    })
+  }
+
   signal (signal: NodeJS.Signals): void {
     this._child?.kill(signal)
   }
@@ -189,6 +202,7 @@
   readonly replicas: ReplicaStandIn[] = []
   storeAddress = ''
   private readonly _folder = mkdtempSync(join(tmpdir(), 'wasabihead-platform-'))
+  private readonly _ports = new PortBlocks()
 
   async start (gateways: number, options: GatewayOptions = {}): Promise<void> {
     this.storeAddress = (await this.store.start(0)).replace('http://', '')
@@ -198,12 +212,12 @@
   async startGateway (
     name: string, { storeAddress = this.storeAddress, hasClockFault, hasLinkFault }: GatewayOptions = {}
   ): Promise<GatewayProcess> {
-    const [front, ready, control, directory, inner] = await freePorts(5)
+    const inner = await this._ports.take()
     const addresses = {
-      front: `${LOOPBACK}:${front}`,
-      ready: `${LOOPBACK}:${ready}`,
-      control: `${LOOPBACK}:${control}`,
-      directory: `${LOOPBACK}:${directory}`,
+      front: `${LOOPBACK}:${await this._ports.take()}`,
+      ready: `${LOOPBACK}:${await this._ports.take()}`,
+      control: `${LOOPBACK}:${await this._ports.take()}`,
+      directory: `${LOOPBACK}:${await this._ports.take()}`,
       heartbeats: `${LOOPBACK}:${inner}`
     }
     const gateway = new GatewayProcess(name, addresses, {
@@ -222,7 +236,13 @@
     }, this._folder, { hasClockFault, hasLinkFault })
     gateway.startProcess()
     this.gateways.push(gateway)
-    await waitUntil(async () => gateway.output.includes('"event":"started"'))
+    try {
+      await gateway.untilStarted()
+    } catch (error) {
+      // Otherwise the processes of a hook that failed would keep the spec file from ending.
+      await this.stop()
+      throw error
+    }
     gateway.changeSettings({ bootstrap: false })
     return gateway
   }
@@ -249,7 +269,8 @@
     await Promise.all(this.gateways.map(async gateway => await gateway.exited))
     await Promise.all(this.replicas.map(async replica => { await replica.stop() }))
     await this.store.stop()
-    rmSync(this._folder, { recursive: true })
+    this._ports.release()
+    rmSync(this._folder, { recursive: true, force: true })
   }
 }
 
@@ -323,21 +344,3 @@
     socket.write(text, 'latin1')
   })
 }
-
-/** Finds ports that nothing listens on, below the system's range of ephemeral ports for outgoing connections. */
-async function freePorts (count: number): Promise<number[]> {
-  const ports = new Set<number>()
-  while (ports.size < count) {
-    const port = randomInt(FIRST_PORT, LAST_PORT)
-    if (await isFree(port)) ports.add(port)
-  }
-  return [...ports]
-}
-
-async function isFree (port: number): Promise<boolean> {
-  const server = net.createServer()
-  return await new Promise(resolve => {
-    server.once('error', () => { resolve(false) })
-    server.listen(port, LOOPBACK, () => { server.close(() => { resolve(true) }) })
-  })
-}
--- a/tests/platform/softwareVersions.spec.ts
+++ b/tests/platform/softwareVersions.spec.ts
@@ -151,7 +151,8 @@
 async function startAll (): Promise<void> {
   for (const gateway of fleet.gateways) gateway.startProcess()
   for (const gateway of fleet.gateways) {
-    await waitUntil(async () => gateway.hasStarted && (await call(gateway.addresses.ready, '/v1/ready')).status === 200)
+    await gateway.untilStarted()
+    await waitUntil(async () => (await call(gateway.addresses.ready, '/v1/ready')).status === 200)
     await waitUntil(async () => (await send(gateway, '/events/x')).status === 200)
   }
 }
@@ -197,7 +198,8 @@
     await killed.exited
   }
   second.startProcess()
-  await waitUntil(async () => second.hasStarted && (await send(second, '/events/x')).status === 200)
+  await second.untilStarted()
+  await waitUntil(async () => (await send(second, '/events/x')).status === 200)
   assert.is(joinedOf(await resume(begun, second)), 0)
 })
 
--- a/tests/platform/weightVersions.spec.ts
+++ b/tests/platform/weightVersions.spec.ts
@@ -55,7 +55,7 @@
   instance.signal('SIGKILL')
   await instance.exited
   instance.startProcess()
-  await waitUntil(async () => instance.hasStarted)
+  await instance.untilStarted()
   await waitUntil(async () => (await call(instance.addresses.ready, '/v1/ready')).status === 200)
 }
 
--- a/tests/platform/wholePath.spec.ts
+++ b/tests/platform/wholePath.spec.ts
@@ -289,7 +289,8 @@
   gateway().signal('SIGKILL')
   await gateway().exited
   gateway().startProcess()
-  await waitUntil(async () => gateway().hasStarted && (await call(front(), '/safe/x')).status === 200)
+  await gateway().untilStarted()
+  await waitUntil(async () => (await call(front(), '/safe/x')).status === 200)
   const sent = (): number => fleet.replicas.flatMap(replica => replica.received).filter(({ url }) => url === '/unsafe/crash').length
   const before = sent()
   assert.equal([await crash(), sent() - before], [503, 0])
