test(platform): replace the settings file of a test gateway as a whole

Seen: soak once, "gateway-2 ended with 2" (bad settings). Cause: changeSettings truncates and writes the file in place, while a gateway that starts again reads it. The file is written beside and renamed now. Not reproduced before; concluded from the exit code and the only writer of the file.

--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -1,6 +1,6 @@
 /** A small fleet on loopback: stand-ins for the metadata store and the replicas, and gateways in separate processes. */
 import { spawn, type ChildProcess } from 'node:child_process'
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, readFileSync, renameSync, rmSync, writeFileSync } from 'node:fs'
 import http from 'node:http'
 import net, { type AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
@@ -174,7 +174,9 @@
   }
 
   private _writeSettings (): void {
-    writeFileSync(this._file, JSON.stringify(this._settings))
+    // Replaced as a whole: a process that starts meanwhile must not read half of the settings.
+    writeFileSync(`${this._file}.new`, JSON.stringify(this._settings))
+    renameSync(`${this._file}.new`, this._file)
   }
 }
 
