fix(leases): give each era of the store fencing numbers of its own

Cause: the token was counted from the role's record, and the store had come back from a copy without the records of the last holders. Nothing read Store-Era. A record of the copy also counted as that of the last holder, so that nobody waited for the lost one, and the copy of the store kept changes of the earlier era over what was listed. The record keeps its form; an older build counts on from it.

--- a/packages/coordination/src/catalog/storeMirror.ts
+++ b/packages/coordination/src/catalog/storeMirror.ts
@@ -1,6 +1,6 @@
 /** A copy of what the metadata store holds, from one listing and the changes since. */
 import type { Milliseconds } from '../common/index.js'
-import type { VersionedValue } from '../platform/index.js'
+import { NO_ERA, type VersionedValue } from '../platform/index.js'
 import { ChangeLog, type PeerChanges } from './changeLog.js'
 
 /** A change of one key; without a value the key was removed. */
@@ -13,12 +13,16 @@
 
 /** All changes after a revision, up to another. */
 export interface StoreChanges {
+  /** The era of the store in which the revisions were given out; absent where it states none. */
+  era?: number
   revision: number
   changes: readonly StoreChange[]
 }
 
 /** Everything that the store held at a revision; single keys may be newer, since later pages of a listing are read later. */
 export interface StoreSnapshot {
+  /** The era of the store in which the revisions were given out; absent where it states none. */
+  era?: number
   revision: number
   values: readonly VersionedValue[]
 }
@@ -29,6 +33,7 @@
  */
 export class StoreMirror {
   private _values = new Map<string, VersionedValue>()
+  private _era = NO_ERA
   private _revision = 0
   private _changedAt = 0
   /** The revision up to which peers have sent all significant changes. */
@@ -44,6 +49,11 @@
     private readonly _isQuiet: (key: string) => boolean
   ) {}
 
+  /** The era of the store that the copy was read in. */
+  get era (): number {
+    return this._era
+  }
+
   /** The store's revision up to which this instance has read it; 0 before the first listing. */
   get revision (): number {
     return this._revision
@@ -64,20 +74,24 @@
     return [...this._values.values()]
   }
 
-  /** Replaces the copy by a complete listing, unless peers have sent later changes. */
-  applyListing ({ revision, values }: StoreSnapshot): void {
+  /** Replaces the copy by a complete listing, unless peers have sent later changes of the same era. */
+  applyListing ({ era = NO_ERA, revision, values }: StoreSnapshot): void {
+    // Revisions are given out again in another era.
+    if (era !== this._era) this._reset()
     // Changes that peers have sent are newer, and an older listing could bring back keys that have been removed since.
     if (revision < this._peerChangesUpTo) return
     const listed = new Map(values.map(value => [value.key, value]))
     const isMissing = [...this._values.keys()].some(key => !listed.has(key) && !this._isQuiet(key))
     if (this._revision === 0 || isMissing || values.some(value => this._isSignificant(value))) this._changedAt = revision
     this._values = listed
+    this._era = era
     this._revision = revision
     this._log.reset(revision)
   }
 
   /** Applies changes read from the store; false where some are missing, so that a listing is needed. */
-  applyChanges ({ revision, changes }: StoreChanges, now: Milliseconds): boolean {
+  applyChanges ({ era = NO_ERA, revision, changes }: StoreChanges, now: Milliseconds): boolean {
+    if (era !== this._era) return false
     if (revision < this._revision || (revision > this._revision && changes.length === 0)) return false
     if (revision < this._peerChangesUpTo) return true
     for (const change of changes) this._apply(change, now)
@@ -104,6 +118,13 @@
     return true
   }
 
+  private _reset (): void {
+    this._values = new Map()
+    this._revision = 0
+    this._changedAt = 0
+    this._peerChangesUpTo = 0
+  }
+
   private _apply (change: StoreChange, now: Milliseconds): void {
     const { key, revision, value } = change
     const known = this._values.get(key)
--- a/packages/coordination/src/fronts/frontDirectory.spec.ts
+++ b/packages/coordination/src/fronts/frontDirectory.spec.ts
@@ -18,6 +18,7 @@
   loaded: [],
   leaving: [],
   limits: [],
+  rolloutEpoch: 0,
   cutOff: [],
   crashes: [],
   answeredFeatures: [],
--- a/packages/coordination/src/fronts/messages.ts
+++ b/packages/coordination/src/fronts/messages.ts
@@ -64,6 +64,8 @@
   limits: z.array(z.tuple([
     z.string(), z.number().nonnegative().nullable(), z.number().nonnegative(), z.number().nonnegative()
   ])).default([]),
+  /** The highest epoch of the rollout role that the sender knows of; the store may have lost its record. */
+  rolloutEpoch: z.number().int().nonnegative().default(0),
   /** Services of which the sender can connect to no replica. */
   cutOff: z.array(z.string()).default([]),
   ...crashUpdateSchema.shape
--- a/packages/coordination/src/leases/leases.spec.ts
+++ b/packages/coordination/src/leases/leases.spec.ts
@@ -3,7 +3,7 @@
 import { CallBudget, type CallPriority } from './callBudget.js'
 import { HeldLease } from './heldLease.js'
 import { SuspensionClock } from './suspensionClock.js'
-import { LeaseRenewer, type LeaseEffect, type RoleRecord } from './roleLease.js'
+import { LeaseRenewer, type LeaseEffect, type LeaseMessage, type RoleRecord } from './roleLease.js'
 
 const TIME_TO_LIVE = 9_000
 const holder = { host: 'entry-0', incarnation: 1 }
@@ -76,6 +76,63 @@
   assert.is(renewer.epoch(6_200), undefined)
 })
 
+const EPOCHS_PER_ERA = 2 ** 32
+const copied: RoleRecord = { ...held, epoch: EPOCHS_PER_ERA + 4 }
+const returns = [
+  { title: 'an older copy has it released', record: { ...copied, isReleased: true } },
+  { title: 'an older copy does not have it yet', record: undefined },
+  { title: 'an older copy has an earlier term of this instance', record: { ...copied, holder } },
+  { title: 'an older copy has a term of another instance', record: copied }
+]
+for (const { title, record } of returns) {
+  // Guards against a fencing token that was used before the store came back, by a holder whose record was lost.
+  test(`should take a role with a higher epoch than any lost one, after every lost lease, where ${title}`, () => {
+    const renewer = new LeaseRenewer(holder, TIME_TO_LIVE)
+    renewer.handle({ kind: 'want', isWanted: true }, 0)
+    renewer.handle({ kind: 'role-read', record: { ...held, epoch: EPOCHS_PER_ERA + 6 }, keyRevision: 40, era: 1 }, 0)
+    renewer.handle({ kind: 'tick' }, 3_000)
+    const early = renewer.handle({ kind: 'role-read', record, keyRevision: 20, era: 2 }, 4_000)
+    assert.equal(early, [])
+    const late = renewer.handle({ kind: 'tick' }, 4_000 + TIME_TO_LIVE - 1)
+    assert.is(writtenRecord(late), undefined)
+    if (late.length > 0) renewer.handle({ kind: 'role-read', record, keyRevision: 20, era: 2 }, 4_000 + TIME_TO_LIVE - 1)
+    const effects = renewer.handle({ kind: 'tick' }, 4_000 + TIME_TO_LIVE)
+    assert.is(writtenRecord(effects)?.epoch, 2 * EPOCHS_PER_ERA + 21)
+    assert.is(renewer.formerHeldUntil, 4_000 + HeldLease.safeDuration(TIME_TO_LIVE))
+  })
+}
+
+const lostTerms: { title: string, message: LeaseMessage }[] = [
+  { title: 'its renewal is applied in another era', message: { kind: 'role-written', outcome: { kind: 'won', revision: 9, era: 2 } } },
+  { title: 'its renewal is refused in another era', message: { kind: 'role-written', outcome: { kind: 'lost', era: 2 } } },
+  { title: 'another instance knows of a higher epoch', message: { kind: 'epoch-seen', epoch: 2 * EPOCHS_PER_ERA } }
+]
+for (const { title, message } of lostTerms) {
+  test(`should not hold the role once ${title}`, () => {
+    const renewer = new LeaseRenewer(holder, TIME_TO_LIVE)
+    renewer.handle({ kind: 'want', isWanted: true }, 0)
+    renewer.handle({ kind: 'role-read', record: { ...copied, isReleased: true }, keyRevision: 7, era: 1 }, 0)
+    renewer.handle({ kind: 'role-written', outcome: { kind: 'won', revision: 8, era: 1 } }, 100)
+    assert.is(renewer.epoch(200), EPOCHS_PER_ERA + 8)
+    renewer.handle({ kind: 'tick' }, 3_100)
+    renewer.handle(message, 3_200)
+    assert.is(renewer.epoch(3_200), undefined)
+  })
+}
+
+// Builds before this one count on from the record and know no eras.
+test('should count on from the record of a build that knows no eras, and be counted on from by it', () => {
+  const renewer = new LeaseRenewer(holder, TIME_TO_LIVE)
+  renewer.handle({ kind: 'want', isWanted: true }, 0)
+  renewer.handle({ kind: 'role-read', record: { ...held, isReleased: true }, keyRevision: 7, era: 1 }, 0)
+  const taken = writtenRecord(renewer.handle({ kind: 'tick' }, TIME_TO_LIVE))
+  assert.is(taken?.epoch, EPOCHS_PER_ERA + 8)
+  const counted = { ...held, epoch: EPOCHS_PER_ERA + 9, isReleased: true }
+  const next = new LeaseRenewer(holder, TIME_TO_LIVE)
+  next.handle({ kind: 'want', isWanted: true }, 0)
+  assert.is(writtenRecord(next.handle({ kind: 'role-read', record: counted, keyRevision: 9, era: 1 }, 0))?.epoch, EPOCHS_PER_ERA + 10)
+})
+
 test('should keep the sum of all shares under the rates of the fleet', () => {
   const budgets = Array.from({ length: 340 }, () => new CallBudget({ readsPerSecond: 1_600, writesPerSecond: 300 }, 0))
   for (const budget of budgets) budget.setLiveMembers(340, 0)
--- a/packages/coordination/src/leases/roleLease.ts
+++ b/packages/coordination/src/leases/roleLease.ts
@@ -3,9 +3,12 @@
  * which increases with each new holder and serves as the fencing number of every action in the role. The holder renews the
  * lease by writing the key. A candidate takes over once it has observed the key unchanged for the time to live on its own clock,
  * so the clocks of two hosts are never compared.
+ *
+ * A service that comes back from an older copy may have lost records of later holders. Each era of the service therefore has
+ * epochs of its own, above those of the eras before, and a record of an earlier era does not show who held the role last.
  */
 import * as z from 'zod'
-import type { CompareAndSwapOutcome } from '../platform/index.js'
+import { NO_ERA, type CompareAndSwapOutcome } from '../platform/index.js'
 import { instanceIdentitySchema, isSameInstance, type InstanceIdentity, type Milliseconds } from '../common/index.js'
 import { HeldLease } from './heldLease.js'
 
@@ -13,6 +16,10 @@
 const READ_INTERVAL_SHARE = 1 / 3
 /** Share of the time to live after which a failed call is retried. */
 const RETRY_DELAY_SHARE = 1 / 10
+const EPOCHS_PER_ERA = 2 ** 32
+/** Epochs of later eras would not be exact as numbers. */
+const HIGHEST_ERA = 2 ** 20
+const HIGHEST_EPOCH = (HIGHEST_ERA + 1) * EPOCHS_PER_ERA
 
 /** The value of a role's key. */
 export const roleRecordSchema = z.strictObject({
@@ -33,10 +40,13 @@
   | { kind: 'tick' }
   /** Whether this instance should hold the role if it can, for example by its rank among the members. */
   | { kind: 'want', isWanted: boolean }
-  | { kind: 'role-read', record: RoleRecord | undefined, keyRevision: number }
+  /** `era` is that of the service in which the key was read; absent where it states none. */
+  | { kind: 'role-read', record: RoleRecord | undefined, keyRevision: number, era?: number }
   | { kind: 'role-written', outcome: CompareAndSwapOutcome }
   /** A read or a write gave no result; an ambiguous write may still take effect. */
   | { kind: 'call-failed' }
+  /** Another instance knows of this epoch, of which the service may have lost the record. */
+  | { kind: 'epoch-seen', epoch: number }
 
 /** A call to make, at most one at a time. Its result is passed in as `role-read`, `role-written` or `call-failed`. */
 export type LeaseEffect =
@@ -60,6 +70,13 @@
   private _unchangedSince: Milliseconds = 0
   private _formerHeldUntil: Milliseconds = -Infinity
   private _sentWrite: { record: RoleRecord, at: Milliseconds } | undefined
+  /** The era of the service; undefined before its first answer. */
+  private _era: number | undefined
+  /** When this instance noticed last that the service may have lost records, on the takeover clock. */
+  private _lossNoticedAt: Milliseconds = -Infinity
+  private _highestEpoch = 0
+  /** Whether the record that was observed last is certainly that of the last holder. */
+  private _hasLatestRecord = false
 
   /**
    * @param _self this instance in its current incarnation
@@ -74,6 +91,11 @@
     return this._lease.isHeld(now) ? this._view?.record?.epoch : undefined
   }
 
+  /** The highest fencing number that is known to have been given to a holder; 0 where none is. */
+  get highestEpoch (): number {
+    return this._highestEpoch
+  }
+
   /** Until when the role is safely held, on the local monotonic clock; -Infinity while it is not held. */
   get heldUntil (): Milliseconds {
     return this._lease.heldUntil
@@ -97,6 +119,7 @@
         break
       case 'role-read':
         this._isCalling = false
+        this._observeEra(message.era ?? NO_ERA, takeoverNow)
         this._observe({ record: message.record, keyRevision: message.keyRevision }, takeoverNow)
         break
       case 'role-written':
@@ -107,6 +130,9 @@
         // The same write may be sent again: both expect the same revision of the key, so at most one of them succeeds.
         this._isCalling = false
         this._nextCallAt = now + this.timeToLive * RETRY_DELAY_SHARE
+        break
+      case 'epoch-seen':
+        this._observeEpoch(message.epoch, takeoverNow)
     }
     return this._isCalling || now < this._nextCallAt ? [] : this._nextCall(now, takeoverNow)
   }
@@ -114,22 +140,53 @@
   private _nextCall (now: Milliseconds, takeoverNow: Milliseconds): LeaseEffect[] {
     const view = this._view
     const isOwn = view?.record !== undefined && !view.record.isReleased && isSameInstance(view.record.holder, this._self)
-    if (!this._isWanted && !isOwn) return []
+    const isHolder = isOwn && this._isLatest(view.record)
+    if (!this._isWanted && !isHolder) return []
     if (view === undefined) return this._read(now)
-    if (isOwn) return this._renewOrRelease(view, view.record as RoleRecord, now)
-    const isFree = view.record === undefined || view.record.isReleased || takeoverNow - this._unchangedSince >= this.timeToLive
-    if (isFree) {
+    if (isHolder) return this._renewOrRelease(view, view.record as RoleRecord, now)
+    if (takeoverNow >= this._freeAt(view)) {
       this._formerHeldUntil = this._mayHaveActedUntil(view)
-      const epoch = (view.record?.epoch ?? 0) + 1
-      return this._write(view, { holder: this._self, epoch, renewal: 0, isReleased: false }, now)
+      return this._write(view, { holder: this._self, epoch: this._nextEpoch(view), renewal: 0, isReleased: false }, now)
     }
     return now >= this._nextReadAt ? this._read(now) : []
   }
 
+  /** When a candidate may take the role, on the takeover clock, if the key does not change before. */
+  private _freeAt ({ record }: RoleView): Milliseconds {
+    const expiresAt = this._unchangedSince + this.timeToLive
+    // The key may also have been replaced by a write that an earlier holder sent in an earlier era.
+    if (!this._isLatest(record)) return Math.max(expiresAt, this._lossNoticedAt + this.timeToLive)
+    return record === undefined || record.isReleased ? -Infinity : expiresAt
+  }
+
   /** Every renewal was sent before it was observed here, and a holder stops acting before it writes its release. */
   private _mayHaveActedUntil ({ record }: RoleView): Milliseconds {
+    const safeDuration = HeldLease.safeDuration(this.timeToLive)
+    // A holder whose record was lost cannot have renewed its lease since then.
+    if (!this._isLatest(record)) return Math.max(this._unchangedSince, this._lossNoticedAt) + safeDuration
     if (record === undefined) return -Infinity
-    return record.isReleased ? this._unchangedSince : this._unchangedSince + HeldLease.safeDuration(this.timeToLive)
+    return record.isReleased ? this._unchangedSince : this._unchangedSince + safeDuration
+  }
+
+  /**
+   * Within an era, only the revision of the key is sure to rise: a write that an earlier holder sent in an earlier era may have
+   * replaced the record of a holder of this era.
+   */
+  private _nextEpoch ({ record, keyRevision }: RoleView): number {
+    const known = Math.max(record?.epoch ?? 0, this._highestEpoch)
+    if (this._epochsBefore === 0) return known + 1
+    return Math.max(known, this._epochsBefore + Math.min(keyRevision, EPOCHS_PER_ERA - 1)) + 1
+  }
+
+  /** All epochs of earlier eras are at most this number. */
+  private get _epochsBefore (): number {
+    return Math.min(this._era ?? NO_ERA, HIGHEST_ERA) * EPOCHS_PER_ERA
+  }
+
+  /** Whether the record is certainly that of the last holder: no later one was lost with an earlier era. */
+  private _isLatest (record: RoleRecord | undefined): boolean {
+    const epoch = record?.epoch ?? 0
+    return epoch >= this._highestEpoch && (epoch > this._epochsBefore || this._epochsBefore === 0)
   }
 
   /** Keeps the epoch: a write that succeeds on the last observed revision proves that there was no other holder in between. */
@@ -157,11 +214,35 @@
   private _observe (view: RoleView, takeoverNow: Milliseconds): void {
     if (view.keyRevision !== this._view?.keyRevision) this._unchangedSince = takeoverNow
     this._view = view
+    const isLatest = this._isLatest(view.record)
+    if (this._hasLatestRecord && !isLatest) this._lossNoticedAt = takeoverNow
+    this._hasLatestRecord = isLatest
+    this._observeEpoch(view.record?.epoch ?? 0, takeoverNow)
+  }
+
+  private _observeEra (era: number, takeoverNow: Milliseconds): boolean {
+    if (era === this._era) return false
+    this._era = era
+    this._lossNoticedAt = takeoverNow
+    this._lease.invalidate()
+    this._view = undefined
+    return true
+  }
+
+  private _observeEpoch (epoch: number, takeoverNow: Milliseconds): void {
+    if (epoch <= this._highestEpoch || epoch > HIGHEST_EPOCH) return
+    this._highestEpoch = epoch
+    if (epoch <= (this._view?.record?.epoch ?? 0)) return
+    // There is or was a later holder, whose record this instance has not read yet, or the service has lost.
+    this._lease.invalidate()
+    this._lossNoticedAt = takeoverNow
   }
 
   private _finishWrite (outcome: CompareAndSwapOutcome, takeoverNow: Milliseconds): void {
     const sent = this._sentWrite
-    if (outcome.kind === 'lost' || sent === undefined) {
+    // A write that was applied in another era may have replaced a later record than the one that was read.
+    const isOtherEra = this._observeEra(outcome.era ?? NO_ERA, takeoverNow)
+    if (outcome.kind === 'lost' || sent === undefined || isOtherEra) {
       this._lease.invalidate()
       this._view = undefined
       return
--- a/packages/coordination/src/platform/index.ts
+++ b/packages/coordination/src/platform/index.ts
@@ -7,7 +7,8 @@
   PlatformAmbiguousError, PlatformRefusedError, WeightVersionRefusedError, type PlatformError
 } from './errors.js'
 export {
-  ABSENT_REVISION, KeyValueService,
-  type CompareAndSwap, type CompareAndSwapOutcome, type VersionedValue, type Watch
+  ABSENT_REVISION, KeyValueService, NO_ERA,
+  type CompareAndSwap, type CompareAndSwapOutcome, type KeyState, type VersionedValue, type Watch
 } from './keyValueService.js'
+export { StoreEra, type EraVerdict } from './storeEra.js'
 export { CacheStore, HostList, WeightStore, type ListedHost } from './stores.js'
--- a/packages/coordination/src/platform/keyValueService.ts
+++ b/packages/coordination/src/platform/keyValueService.ts
@@ -6,6 +6,9 @@
 /** Revision that stands for "the key does not exist" in a compare-and-swap. */
 export const ABSENT_REVISION = 0
 
+/** Stands for the era of a service that states none. */
+export const NO_ERA = 0
+
 /** A key's value with the revision of its last write. */
 export interface VersionedValue {
   key: string
@@ -24,21 +27,41 @@
   leaseId?: string
 }
 
-/** Outcome of a compare-and-swap: won, with the new revision, or lost, because the key had another revision. */
+/** What a key held, and the era of the service in which it was read. */
+export interface KeyState {
+  /** `undefined` where the key does not exist. */
+  value: VersionedValue | undefined
+  era: number
+}
+
+/**
+ * Outcome of a compare-and-swap: won, with the new revision, or lost, because the key had another revision. The era is that in
+ * which the service decided; absent where it states none.
+ */
 export type CompareAndSwapOutcome =
-  | { kind: 'won', revision: number }
-  | { kind: 'lost' }
+  | { kind: 'won', revision: number, era?: number }
+  | { kind: 'lost', era?: number }
 
 /** An active watch. `stop` ends it and may be called more than once. */
 export interface Watch {
   stop (): void
 }
 
-/** Access to the platform's key-value service. Each method call counts as one against the service's budget. */
+/**
+ * Access to the platform's key-value service. Each method call counts as one against the service's budget. A service may come
+ * back from an older copy of itself: acknowledged writes are gone, and revisions are given out again. Where it states an era,
+ * that changes each time.
+ */
 export abstract class KeyValueService {
   /** Reads one key; `undefined` where it does not exist. */
   abstract read (key: string): Promise<Result<VersionedValue | undefined, PlatformError>>
 
+  /** Reads one key, and the era that its revision belongs to. */
+  async readState (key: string): Promise<Result<KeyState, PlatformError>> {
+    const read = await this.read(key)
+    return read.map(value => ({ value, era: NO_ERA }))
+  }
+
   /** Reads all keys under a prefix, in key order. */
   abstract list (prefix: string): Promise<Result<VersionedValue[], PlatformError>>
 
--- a/packages/experiments/src/simulation/replayedInstance.ts
+++ b/packages/experiments/src/simulation/replayedInstance.ts
@@ -387,7 +387,7 @@
 }
 
 function mapAnswer<From, To> (answer: SimulatedAnswer<From>, convert: (value: From) => To): SimulatedAnswer<To> {
-  return answer.kind === 'answered' ? { kind: 'answered', value: convert(answer.value) } : answer
+  return answer.kind === 'answered' ? { ...answer, value: convert(answer.value) } : answer
 }
 
 function toChangeMessage<Value> (answer: SimulatedAnswer<Value>, toMessage: (value: Value) => ChangeMessage): ChangeMessage {
--- a/packages/experiments/src/simulation/simulatedKeyValue.ts
+++ b/packages/experiments/src/simulation/simulatedKeyValue.ts
@@ -1,6 +1,6 @@
 /** Simulates the platform's key-value service in virtual time, with delays, outages, lost answers and late writes. */
 import {
-  ABSENT_REVISION,
+  ABSENT_REVISION, NO_ERA,
   type CompareAndSwap, type CompareAndSwapOutcome, type Milliseconds, type SeededRandom, type VersionedValue
 } from '@wasabihead/coordination'
 import type { VirtualTime } from './virtualTime.js'
@@ -18,8 +18,11 @@
   lateWriteShare: number
 }
 
-/** Outcome of a call: its result, a refusal that had no effect, or a timeout, after which the effect is unknown. */
-export type SimulatedAnswer<Value> = { kind: 'answered', value: Value } | { kind: 'refused' } | { kind: 'no-answer' }
+/**
+ * Outcome of a call: its result with the era in which it took effect, a refusal that had no effect, or a timeout, after which
+ * the effect is unknown.
+ */
+export type SimulatedAnswer<Value> = { kind: 'answered', value: Value, era: number } | { kind: 'refused' } | { kind: 'no-answer' }
 
 /** Settings of a service without faults. */
 export const FAULTLESS: KeyValueFaults = {
@@ -35,7 +38,9 @@
 export class SimulatedKeyValue {
   faults: KeyValueFaults = FAULTLESS
   private _revision = ABSENT_REVISION
-  private readonly _entries = new Map<string, VersionedValue>()
+  private _entries = new Map<string, VersionedValue>()
+  private _era = NO_ERA
+  private readonly _copies: { at: Milliseconds, revision: number, entries: Map<string, VersionedValue> }[] = []
   private _reads = 0
   private _writes = 0
   private _bytesWritten = 0
@@ -47,6 +52,20 @@
     return { reads: this._reads, writes: this._writes, bytesWritten: this._bytesWritten }
   }
 
+  /** Keeps a copy to which `restore` may return. */
+  keepCopy (): void {
+    this._copies.push({ at: this._time.now, revision: this._revision, entries: new Map(this._entries) })
+  }
+
+  /** Comes back from the newest copy that is at least this old, in a new era. Revisions are given out again. */
+  restore (age: Milliseconds): void {
+    const copy = this._copies.findLast(({ at }) => at <= this._time.now - age)
+    this._era += 1
+    this._revision = copy?.revision ?? ABSENT_REVISION
+    this._entries = new Map(copy?.entries)
+    this._copies.length = 0
+  }
+
   /** Reads the stored value directly, without a simulated call. */
   peek (key: string): VersionedValue | undefined {
     return this._entries.get(key)
@@ -109,7 +128,8 @@
     const isAnswerLost = this._happens(faults.lostAnswerShare)
     this._time.after(this._delay(), () => {
       const value = perform()
-      if (!isAnswerLost) this._time.after(this._delay(), () => { answered({ kind: 'answered', value }) })
+      const era = this._era
+      if (!isAnswerLost) this._time.after(this._delay(), () => { answered({ kind: 'answered', value, era }) })
     })
     if (isAnswerLost) this._timeOut(answered)
   }
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -23,6 +23,10 @@
    * @param peer the sender's record; undefined if this instance does not know it
    */
   onPeerCatalogStatus (status: CatalogStatus, peer: FrontRecord | undefined): void
+  /** The highest epoch of the rollout role that this instance knows of. */
+  rolloutEpoch (): number
+  /** A peer knows of this epoch of the rollout role. */
+  onRolloutEpoch (epoch: number): void
   /** A weight version that a peer announced changed the catalog. */
   onCatalogChange (change: CatalogChange): void
 }
@@ -165,6 +169,7 @@
       loading: orders.loading,
       loaded: [...orders.loaded],
       leaving: notices.updates(now()),
+      rolloutEpoch: this._callbacks.rolloutEpoch(),
       cutOff: links.cutOff,
       limits: replicaLimits.updates(suspensionAwareNow()).map(({ run, rate, heardAge, sentAge }) => (
         [run, rate ?? null, Math.ceil(heardAge), Math.ceil(sentAge)])),
@@ -233,6 +238,7 @@
       }
     }
     this._state.crashes.receive(heartbeat, suspensionAwareNow)
+    this._callbacks.onRolloutEpoch(heartbeat.rolloutEpoch)
     const { catalog, from, namings } = heartbeat
     for (
       const change of this._state.catalog.applyPeerAnnouncements(namings, suspensionAwareNow)
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -131,6 +131,8 @@
     this._heartbeats = new Heartbeats(this.state, settings.heartbeats, {
       isReady: () => this.isReady,
       onPeerCatalogStatus: (news, peer) => { this._catalogLoop.onPeerStatus(news, peer) },
+      rolloutEpoch: () => this._rollout.highestEpoch,
+      onRolloutEpoch: epoch => { this._rollout.onEpochSeen(epoch) },
       onCatalogChange: change => { this._onChange(change) }
     })
     const rollout = { roleKey, ...settings.rollout }
--- a/packages/gateway/src/rollout/rolloutLoop.ts
+++ b/packages/gateway/src/rollout/rolloutLoop.ts
@@ -1,7 +1,8 @@
 /** Sends the orders to load new weight versions to the replicas while this instance holds the rollout role. */
 import {
-  LeaseRenewer, RolloutPlanner, roleRecordSchema, type KeyValueService, type LeaseEffect, type LeaseMessage,
-  type Milliseconds, type RolloutSettings, type RolloutStep, type VersionedValue, type WeightOrder
+  ABSENT_REVISION, LeaseRenewer, RolloutPlanner, roleRecordSchema, type KeyState, type KeyValueService, type LeaseEffect,
+  type LeaseMessage, type Milliseconds, type RoleRecord, type RolloutSettings, type RolloutStep, type VersionedValue,
+  type WeightOrder
 } from '@wasabihead/coordination'
 import { callAddress } from '../channels/index.js'
 import type { ReplicaCall } from '../protocol/index.js'
@@ -50,6 +51,16 @@
     return this._leaseRenewer.epoch(this._suspensionAwareNow()) !== undefined
   }
 
+  /** The highest epoch of the role that this instance knows of; 0 where it knows none. */
+  get highestEpoch (): number {
+    return this._leaseRenewer.highestEpoch
+  }
+
+  /** Another instance knows of an epoch, of which the store may have lost the record. */
+  onEpochSeen (epoch: number): void {
+    this._handleLeaseMessage({ kind: 'epoch-seen', epoch })
+  }
+
   /** Runs one round and schedules the next one, until stopped. */
   start (): void {
     this._tick()
@@ -156,16 +167,25 @@
   /** Takes the role from the last listing, unless the key was written since: that write may have lost against another one. */
   private async _readRole (key: string): Promise<void> {
     if (this._state.readSchedule.ownReadAt > this._writtenAt) {
-      this._handleRoleRead(this._ownValues().find(value => value.key === key))
+      this._handleRoleRead({ value: this._ownValues().find(value => value.key === key), era: this._state.mirror.era })
       return
     }
-    const read = await this._store.read(key)
+    const read = await this._store.readState(key)
     if (read.isErr) this._handleLeaseMessage({ kind: 'call-failed' })
     else this._handleRoleRead(read.value)
   }
 
-  private _handleRoleRead (listed: VersionedValue | undefined): void {
-    const record = listed === undefined ? undefined : roleRecordSchema.safeParse(JSON.parse(listed.value))
-    this._handleLeaseMessage({ kind: 'role-read', record: record?.data, keyRevision: listed?.revision ?? 0 })
+  private _handleRoleRead ({ value, era }: KeyState): void {
+    const record = value === undefined ? undefined : parseRoleRecord(value.value)
+    if (value !== undefined && record === undefined) this._state.log.decision('role-record-unreadable', { key: value.key })
+    this._handleLeaseMessage({ kind: 'role-read', record, keyRevision: value?.revision ?? ABSENT_REVISION, era })
+  }
+}
+
+function parseRoleRecord (text: string): RoleRecord | undefined {
+  try {
+    return roleRecordSchema.parse(JSON.parse(text))
+  } catch {
+    return undefined
   }
 }
--- a/packages/standins/src/common/standInServer.ts
+++ b/packages/standins/src/common/standInServer.ts
@@ -59,6 +59,11 @@
     await new Promise<void>(resolve => { server.close(() => { resolve() }) })
   }
 
+  /** Refuses calls before they take effect, or serves them again, in place of a test that sets the fault over HTTP. */
+  protected setDown (isDown: boolean): void {
+    this._faults = { ...this._faults, isDown }
+  }
+
   /** Closes all connections, without answering the calls in flight. */
   protected closeConnections (): void {
     this._server?.closeAllConnections()
--- a/tests/promises/roleLease.spec.ts
+++ b/tests/promises/roleLease.spec.ts
@@ -21,14 +21,20 @@
   })
 }
 
-test('should find a holder that counts its lease from too late a time', () => {
-  const proof = new RoleLeaseProof(5_000)
-  for (let seed = 1; seed <= RUNS_OF_BROKEN_VARIANT; seed++) {
-    const [violation] = proof.run(seed).violations
-    if (violation !== undefined) return assert.match(violation.problem, /at once|older epoch/)
-  }
-  assert.unreachable('no run was found broken')
-})
+const brokenVariants = [
+  { title: 'a holder that counts its lease from too late a time', variant: { renewalDelay: 5_000 }, problem: /at once|older epoch/ },
+  { title: 'holders that take the records of an older copy for the latest', variant: { isEraKnown: false }, problem: /at once|older epoch|one epoch/ }
+]
+for (const { title, variant, problem } of brokenVariants) {
+  test(`should find ${title}`, () => {
+    const proof = new RoleLeaseProof(variant)
+    for (let seed = 1; seed <= RUNS_OF_BROKEN_VARIANT; seed++) {
+      const [violation] = proof.run(seed).violations
+      if (violation !== undefined) return assert.match(violation.problem, problem)
+    }
+    assert.unreachable('no run was found broken')
+  })
+}
 
 test('should hold in seeded runs', () => {
   const proof = new RoleLeaseProof()
--- a/tests/promises/roleLease.ts
+++ b/tests/promises/roleLease.ts
@@ -1,6 +1,6 @@
 /** Proof: a role has at most one holder at a time, and each holder a higher fencing number than those before. */
 import {
-  LeaseRenewer, roleRecordSchema, SeededRandom, type LeaseEffect, type LeaseMessage, type Milliseconds
+  LeaseRenewer, NO_ERA, roleRecordSchema, SeededRandom, type LeaseEffect, type LeaseMessage, type Milliseconds
 } from '@wasabihead/coordination'
 import { FAULTLESS, SimulatedKeyValue, VirtualTime, type SimulatedAnswer } from '@wasabihead/experiments'
 import { Proof, type ProofRun, type Violation } from './proof.js'
@@ -13,6 +13,17 @@
 const MAXIMUM_FAULT_LENGTH: Milliseconds = 25_000
 const TICK_INTERVAL: Milliseconds = 100
 const ROLE_KEY = 'role'
+const MAXIMUM_COPY_AGE: Milliseconds = 12_000
+/** Share of the messages between two instances that arrive, in each interval. */
+const GOSSIP_SHARE = 0.1
+
+/** Settings of the proof; each departure from the defaults is a broken variant. */
+export interface RoleLeaseVariant {
+  /** Counts each lease from this long after its renewal was sent. */
+  renewalDelay: Milliseconds
+  /** Whether instances are told in which era of the service a call took effect. */
+  isEraKnown: boolean
+}
 
 /** A running instance considers itself the holder of the role at this moment. */
 export interface HoldingEvent {
@@ -49,15 +60,19 @@
 export class RoleLeaseProof extends Proof {
   override readonly name = 'role-lease'
   override readonly promise = 'A role has at most one holder at a time, and each holder a higher fencing number'
-  override readonly failures = ['freezes of holders', 'service outages', 'lost answers', 'late writes', 'roles given back']
+  override readonly failures = [
+    'freezes of holders', 'service outages', 'lost answers', 'late writes', 'roles given back', 'returns of the service from an older copy'
+  ]
+
+  private readonly _variant: RoleLeaseVariant
 
-  /** @param _renewalDelay broken variant: counts each lease from this long after its renewal was sent */
-  constructor (private readonly _renewalDelay: Milliseconds = 0) {
+  constructor (variant: Partial<RoleLeaseVariant> = {}) {
     super()
+    this._variant = { renewalDelay: 0, isEraKnown: true, ...variant }
   }
 
   override run (seed: number): ProofRun {
-    const run = new RoleRun(seed, this._renewalDelay)
+    const run = new RoleRun(seed, this._variant)
     const violations = checkRoleHistory(run.perform(), RUN_LENGTH)
     return { counts: run.counts, violations }
   }
@@ -78,7 +93,7 @@
   private readonly _candidates: Candidate[]
   private readonly _events: HoldingEvent[] = []
 
-  constructor (seed: number, private readonly _renewalDelay: Milliseconds) {
+  constructor (seed: number, private readonly _variant: RoleLeaseVariant) {
     this._random = new SeededRandom(seed)
     this._keyValue = new SimulatedKeyValue(this._time, this._random)
     this._candidates = Array.from({ length: CANDIDATES }, (_, index) => {
@@ -98,10 +113,12 @@
   }
 
   private _tick (): void {
+    this._keyValue.keepCopy()
+    this._exchangeEpochs()
     for (const candidate of this._candidates) {
       if (candidate.isFrozen) continue
       this._deliver(candidate, { kind: 'tick' })
-      const epoch = candidate.renewer.epoch(this._time.now - this._renewalDelay)
+      const epoch = candidate.renewer.epoch(this._time.now - this._variant.renewalDelay)
       if (epoch !== undefined) this._events.push({ at: this._time.now, holder: candidate.host, epoch })
     }
   }
@@ -111,10 +128,32 @@
     this._random.pick([
       () => { this._freeze(this._candidates.find(({ renewer }) => renewer.epoch(this._time.now) !== undefined) ?? candidate) },
       () => { this._injectServiceFaults() },
-      () => { this._releaseRole(candidate) }
+      () => { this._releaseRole(candidate) },
+      () => { this._restoreService() }
     ])()
   }
 
+  /** The service is away for a moment and comes back from an older copy; sometimes a second time at once. */
+  private _restoreService (): void {
+    this._count('restores')
+    this._keyValue.faults = { ...this._keyValue.faults, isDown: true }
+    this._time.after(this._random.next() * 2_000, () => {
+      this._keyValue.faults = { ...this._keyValue.faults, isDown: false }
+      this._keyValue.restore(this._random.next() * MAXIMUM_COPY_AGE)
+      if (this._random.next() < 0.3) this._restoreService()
+    })
+  }
+
+  /** Some of the messages between instances arrive. */
+  private _exchangeEpochs (): void {
+    for (const from of this._candidates) {
+      for (const to of this._candidates) {
+        if (from.isFrozen || to.isFrozen || this._random.next() >= GOSSIP_SHARE) continue
+        this._deliver(to, { kind: 'epoch-seen', epoch: from.renewer.highestEpoch })
+      }
+    }
+  }
+
   private _freeze (candidate: Candidate): void {
     if (candidate.isFrozen) return
     this._count('freezes')
@@ -148,22 +187,24 @@
   }
 
   private _perform (candidate: Candidate, effect: LeaseEffect): void {
-    const finish = <Value>(answer: SimulatedAnswer<Value>, toMessage: (value: Value) => LeaseMessage): void => {
-      this._deliver(candidate, answer.kind === 'answered' ? toMessage(answer.value) : { kind: 'call-failed' })
+    const finish = <Value>(answer: SimulatedAnswer<Value>, toMessage: (value: Value, era: number) => LeaseMessage): void => {
+      const eraOf = (era: number): number => this._variant.isEraKnown ? era : NO_ERA
+      this._deliver(candidate, answer.kind === 'answered' ? toMessage(answer.value, eraOf(answer.era)) : { kind: 'call-failed' })
     }
     if (effect.kind === 'read-role') {
       return this._keyValue.read(ROLE_KEY, answer => {
-        finish(answer, entry => ({
+        finish(answer, (entry, era) => ({
           kind: 'role-read',
           record: entry === undefined ? undefined : roleRecordSchema.parse(JSON.parse(entry.value)),
-          keyRevision: entry?.revision ?? 0
+          keyRevision: entry?.revision ?? 0,
+          era
         }))
       })
     }
     this._count('writes')
     const { record, expectedRevision } = effect
     this._keyValue.compareAndSwap({ key: ROLE_KEY, value: JSON.stringify(record), expectedRevision }, answer => {
-      finish(answer, outcome => ({ kind: 'role-written', outcome }))
+      finish(answer, (outcome, era) => ({ kind: 'role-written', outcome: { ...outcome, era } }))
     })
   }
 
