fix(channels): reject answers with headers that cannot be passed on

Cause: the parser accepted any byte in a header. The relay noted that the answer had begun before writeHead threw; the stream then went on at another replica, whose head was left out, and Node.js wrote a default one. UTF-8 in a header of a sound replica did the same, since heads were read as 7-bit ASCII; an unsafe request then got 504. Why it works: what a caller's answer may hold is decided once, by the parser, before anything counts as answered; bytes beyond ASCII are read and written one by one. An answer counts as begun after its head was written.

--- a/packages/gateway/src/channels/answerParser.spec.ts
+++ b/packages/gateway/src/channels/answerParser.spec.ts
@@ -84,6 +84,34 @@
   }), { seed: SEED, numRuns: RUNS })
 })
 
+const WHOLE = 'HTTP/1.1 200 OK\r\nX-Seal: a\r\nContent-Length: 2\r\n\r\nok'
+const spoilt: { title: string, bytes: string }[] = [
+  { title: 'a control character in a value', bytes: WHOLE.replace('a\r', 'a\x01\r') },
+  { title: 'NUL in a value', bytes: WHOLE.replace('a\r', '\0\r') },
+  { title: 'DEL in a value', bytes: WHOLE.replace('a\r', '\x7f\r') },
+  { title: 'CR in a value', bytes: WHOLE.replace('a\r', 'a\rb\r') },
+  { title: 'a space before the colon', bytes: WHOLE.replace('X-Seal', 'X-Seal ') },
+  { title: 'a space in a name', bytes: WHOLE.replace('X-Seal', 'X Seal') },
+  { title: 'a byte beyond ASCII in a name', bytes: WHOLE.replace('X-Seal', 'X-S\xe9al') },
+  { title: 'no name', bytes: WHOLE.replace('X-Seal', '') },
+  { title: 'a second status line', bytes: WHOLE.replace('X-Seal: a', 'HTTP/1.1 503 Busy') },
+  { title: 'a continuation of no header', bytes: WHOLE.replace('X-Seal', ' X-Seal') },
+  { title: 'a trailer without a name', bytes: WHOLE.replace('Content-Length: 2\r\n\r\nok', 'Transfer-Encoding: chunked\r\n\r\n0\r\nodd\r\n\r\n') }
+]
+for (const { title, bytes } of spoilt) {
+  test(`should reject an answer with ${title}`, () => {
+    const { ends, isMalformed } = read([Buffer.from(bytes, 'latin1')])
+    assert.equal([ends, isMalformed], [0, true])
+  })
+}
+
+test('should report header values beyond ASCII byte by byte', () => {
+  const values: string[] = []
+  const parser = new AnswerParser({ onHead: head => { values.push(String(head.headers['x-seal'])) }, onBody: () => {}, onEnd: () => {} })
+  parser.write(ownedCopy(Buffer.from(WHOLE.replace('a\r', 'caf\u00e9 \u2013\r'))))
+  assert.is(Buffer.from(values[0] ?? '', 'latin1').toString(), 'caf\u00e9 \u2013')
+})
+
 test('should forward the bytes of complete events only, in order, wherever they are split', () => {
   const line = fc.string({ maxLength: 20, unit: 'grapheme-ascii' }).map(text => text.replaceAll(/[\r\n]/g, ''))
   const lines = fc.array(line.map(text => `data: ${text}`), { minLength: 1, maxLength: 4 })
--- a/packages/gateway/src/channels/answerParser.ts
+++ b/packages/gateway/src/channels/answerParser.ts
@@ -24,7 +24,7 @@
   onEnd (): void
 }
 
-/** The bytes are not a valid HTTP/1.1 answer. */
+/** The bytes are not a valid HTTP/1.1 answer, or one that cannot be passed on whole. */
 export class MalformedAnswerError extends Error {}
 
 const FIRST_FINAL_STATUS = 200
@@ -35,6 +35,9 @@
 const NOT_MODIFIED = 304
 const SKIP_BODY = 1
 
+// Bytes beyond ASCII are valid in header values and are passed on as they are; the default would cut off their highest bit.
+HTTPParser.encoding = 'latin1'
+
 /** Parses the bytes of one connection and reports answers to its listener. */
 export class AnswerParser {
   private readonly _parser: HTTPParserJS
@@ -47,6 +50,7 @@
   constructor (private readonly _listener: AnswerListener) {
     this._parser = new HTTPParser(HTTPParser.RESPONSE)
     checkChunkSizes(this._parser)
+    checkHeaderLines(this._parser)
     const handlers = this._parser as unknown as Record<number, unknown>
     handlers[HTTPParser.kOnHeadersComplete] = (info: ParsedHead) => this._onHeadersComplete(info)
     handlers[HTTPParser.kOnBody] = (chunk: Buffer, offset: number, length: number) => {
@@ -137,6 +141,29 @@
   }
 }
 
+/** The internals of http-parser-js that parse a line of the headers or trailers; fields are names and values in turn. */
+interface HeaderLineParser {
+  parseHeader: (line: string, fields: string[]) => void
+}
+
+/** The name of a header and its colon. */
+const HEADER_NAME = /^[!#$%&'*+\-.^_`|~0-9a-z]+:/i
+const CONTINUATION = /^[ \t]/
+/** Tabs, and visible characters and spaces of ASCII or beyond. */
+const HEADER_TEXT = /^[\t\x20-\x7e\x80-\xff]*$/
+
+/** Rejects header lines that the parser would skip, or that no answer to a caller may have. */
+function checkHeaderLines (parser: HTTPParserJS): void {
+  const reader = parser as unknown as HeaderLineParser
+  const parseHeader = reader.parseHeader.bind(parser)
+  reader.parseHeader = (line, fields) => {
+    const isContinuation = fields.length > 0 && CONTINUATION.test(line)
+    if (!isContinuation && !HEADER_NAME.test(line)) throw new MalformedAnswerError('a header line has no valid name')
+    if (!HEADER_TEXT.test(line)) throw new MalformedAnswerError('a header has an invalid character')
+    parseHeader(line, fields)
+  }
+}
+
 interface ParsedHead {
   statusCode: number
   statusMessage: string
--- a/packages/gateway/src/requests/answerRelay.ts
+++ b/packages/gateway/src/requests/answerRelay.ts
@@ -80,11 +80,11 @@
     if (this._isStreaming) return this._response.write(chunk)
     this._buffer.add(chunk)
     if (this._buffer.length <= BufferedAnswerRelay._maximumBufferedBytes || this._head === undefined) return true
-    this._isStreaming = true
     const headers = forwardedHeaders(this._head.rawHeaders, () => true)
     const length = this._head.headers['content-length']
     if (length !== undefined) headers.push(['Content-Length', String(length)])
     this._response.writeHead(this._head.status, this._head.statusText, headers.flat())
+    this._isStreaming = true
     return this._response.write(this._buffer.takeAll())
   }
 
@@ -161,8 +161,8 @@
 
   private _writeHead (): void {
     if (this._hasBegun || this._head === undefined) return
-    this._hasBegun = true
     this._response.writeHead(this._head.status, this._head.statusText, forwardedHeaders(this._head.rawHeaders, () => true).flat())
+    this._hasBegun = true
   }
 }
 
--- a/tests/platform/replicaBytes.spec.ts
+++ b/tests/platform/replicaBytes.spec.ts
@@ -3,7 +3,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { waitUntil } from '@wasabihead/experiments'
-import { call, configurationOf, PlatformFleet, type GatewayProcess } from './platformFleet.js'
+import { call, configurationOf, PlatformFleet, sendBytes, type GatewayProcess } from './platformFleet.js'
 
 const SERVICE = 'desk'
 const PIECE_GAP_MS = 100
@@ -150,6 +150,51 @@
   })
 }
 
+const SEAL = /\r\nx-wasabihead-server-seal: (.*)\r\n/i
+
+/** Sends a request on a new connection; returns all bytes of the answer as latin1. */
+async function rawAnswer (path: string): Promise<string> {
+  return await sendBytes(gateway().addresses.front, [
+    `POST ${path} HTTP/1.1`, 'Host: front.example', 'Api-Key: key-a', 'X-Wasabihead-Attempt-Id: raw', 'X-Wasabihead-Deadline-Ms: 5000',
+    'Content-Length: 0', 'Connection: close', '', ''
+  ].join('\r\n'))
+}
+
+const spoiltHeaders: { title: string, spoil: (head: string) => string }[] = [
+  { title: 'a control character in a header', spoil: head => head.replace('Content-Type: text', 'Content-Type: \x01text') },
+  { title: 'a control character in the seal', spoil: head => head.replace('seal\r', 'seal\x01\r') },
+  { title: 'a header without a name', spoil: head => head.replace('Content-Type', '') }
+]
+for (const { title, spoil } of spoiltHeaders) {
+  // Guards against streams with a default head instead of the head of the replica, whose header had a wrong byte.
+  test(`should answer a stream with the seal of another replica where the first sends ${title}`, async () => {
+    respond = ({ socket, id, arrivals }) => {
+      const events = 'id: 1\ndata: whole\n\n'
+      const head = headOf(id, `Content-Type: text/event-stream\r\nContent-Length: ${events.length}`)
+      socket.write(Buffer.from((arrivals > 1 ? head : spoil(head)) + events, 'latin1'))
+    }
+    const answer = await rawAnswer('/events/x')
+    assert.match(answer, /^HTTP\/1.1 200 /)
+    assert.is(SEAL.exec(answer)?.[1], 'seal')
+  })
+}
+
+const kinds = [
+  { path: '/events/x', headers: 'Content-Type: text/event-stream\r\n', body: 'id: 1\ndata: whole\n\n' },
+  { path: '/unsafe/x', headers: '', body: 'whole' },
+  { path: '/safe/x', headers: '', body: 'whole' }
+]
+for (const { path, headers, body } of kinds) {
+  // Guards against broken answers where a header of a sound replica is in UTF-8, whose bytes were read as control characters.
+  test(`should pass on a header in UTF-8 unchanged, for ${path}`, async () => {
+    respond = ({ socket, id }) => { socket.write(headOf(id, `${headers}X-Note: caf\u00e9 \u2013\r\nContent-Length: ${body.length}`) + body) }
+    const answer = Buffer.from(await rawAnswer(path), 'latin1').toString()
+    assert.match(answer, /^HTTP\/1.1 200 /)
+    assert.match(answer, /\r\nX-Note: caf\u00e9 \u2013\r\n/)
+    assert.ok(answer.includes(body))
+  })
+}
+
 const CHUNKED = 'Transfer-Encoding: chunked'
 const endless: { title: string, path: string, begin: (id: string) => string, text: string }[] = [
   { title: 'a head', path: '/safe/x', begin: () => 'HTTP/1.1 200 OK\r\n', text: 'X-More: and more\r\n' },
