test(platform): keep concurrent takes of ports within their block

Seen: portBlocks.spec.ts once, 299 different ports of 300. Cause: takes that waited for a block at the same time all went on in the last one that was claimed, past its end. They wait for one claim now and look again.

--- a/tests/platform/portBlocks.ts
+++ b/tests/platform/portBlocks.ts
@@ -14,11 +14,12 @@
   private readonly _claims: net.Server[] = []
   private _next = 0
   private _end = 0
+  private _claiming: Promise<void> | undefined
 
   /** Takes a port at which nothing listens over TCP or UDP. No other owner takes it before `release`. */
   async take (): Promise<number> {
     for (;;) {
-      if (this._next === this._end) await this._claimBlock()
+      while (this._next >= this._end) await (this._claiming ??= this._claimBlock())
       const port = this._next++
       if (await isFree(port)) return port
     }
@@ -40,6 +41,7 @@
       this._claims.push(claim)
       this._next = first + 1
       this._end = first + PORTS_PER_BLOCK
+      this._claiming = undefined
       return
     }
     throw new Error(`All ${BLOCKS} blocks of ports are claimed. End test processes that were left behind`)
