fix(catalog): name what the store holds by its era and revision

Cause: revisions of two eras were compared. Catalog, copy of the store and peers' notes ignored what had a lower revision. New tables in catalog.spec.ts and storeReading.spec.ts. Why it works: era and revision name one state; what cannot be true any more in the older copy (an older config, a run that left or drains) is told by its version, its run or its entry that does not change, and not by revisions. Fields on the wire are additional: older builds read revisions as before, and a status without an era confirms nothing where the store states one.

--- a/packages/coordination/src/catalog/catalog.spec.ts
+++ b/packages/coordination/src/catalog/catalog.spec.ts
@@ -56,6 +56,69 @@
   assert.is(catalog.routes?.configuration.version, 3)
 })
 
+const configured = (era: number | undefined, revision: number, version: number): Partial<CatalogListing> => (
+  { era, configuration: { era, revision, value: configuration(version, []) } })
+const returns = [
+  { title: 'keep the configuration in force while the store has an older copy', later: [configured(2, 4, 3)], version: 5 },
+  { title: 'apply the configuration that follows a return of the store, whose revision is lower', later: [configured(2, 4, 3), configured(2, 6, 5), configured(2, 7, 8)], version: 8 },
+  { title: 'apply it where what was lost is not written again', later: [configured(2, 4, 3), configured(2, 5, 8)], version: 8 },
+  { title: 'apply it after two returns at once', later: [configured(3, 2, 2), configured(3, 3, 8)], version: 8 },
+  { title: 'apply what the operator takes back once all is written again', later: [configured(2, 6, 5), configured(2, 7, 4)], version: 4 },
+  { title: 'ignore a listing of the era before that comes late', later: [configured(2, 6, 5), configured(1, 30, 5)], version: 5 }
+]
+for (const { title, later, version } of returns) {
+  // Guards against configurations that no instance applied, since revisions of two eras of the store were compared.
+  test(`should ${title}`, () => {
+    const catalog = new ServiceCatalog(settings)
+    for (const [index, rest] of [configured(1, 10, 3), configured(1, 20, 5), ...later].entries()) {
+      catalog.applyListing(listing([], rest), index * 100, index * 100)
+    }
+    assert.is(catalog.routes?.configuration.version, version)
+  })
+}
+
+test('should learn from a peer which configuration is in force where it starts with an older copy of the store', () => {
+  const [running, starting] = [new ServiceCatalog(settings), new ServiceCatalog(settings)]
+  running.applyListing(listing([], configured(1, 20, 5)), 0, 0)
+  running.applyListing(listing([], configured(2, 10, 3)), 100, 100)
+  starting.applyListing(listing([], configured(2, 10, 3)), 100, 100)
+  starting.applyPeerListing(running.listing(200), 200, 200)
+  assert.is(starting.routes?.configuration.version, 5)
+  starting.applyListing(listing([], configured(2, 12, 6)), 300, 300)
+  assert.is(starting.routes?.configuration.version, 6)
+})
+
+const inEra = (era: number, ...replicas: [Replica, revision: number][]): CatalogListing => ({
+  era, replicas: replicas.map(([value, revision]) => ({ era, value, revision })), weightVersions: []
+})
+const copies = [
+  { title: 'not take up a draining replica again', before: [inEra(1, [replica('a', { isDraining: true }), 9])], after: inEra(2, [replica('a'), 4]), usable: [] },
+  { title: 'not take up a replica that was removed', before: [inEra(1, [replica('a'), 4]), inEra(1)], after: inEra(2, [replica('a'), 4]), usable: [] },
+  { title: 'not go back to the run before', before: [inEra(1, [replica('a', { startedAt: 7, address: 'new' }), 9])], after: inEra(2, [replica('a', { address: 'old' }), 4]), usable: ['new'] },
+  { title: 'keep a replica that has yet to register again', before: [inEra(1, [replica('a'), 9])], after: inEra(2), usable: ['10.0.0.1:80'] },
+  { title: 'use a replica that has registered anew', before: [inEra(1, [replica('a'), 9])], after: inEra(2, [replica('a', { startedAt: 7, address: 'new' }), 4]), usable: ['new'] }
+]
+for (const { title, before, after, usable } of copies) {
+  test(`should ${title} once the store came back from an older copy`, () => {
+    const catalog = new ServiceCatalog(settings)
+    for (const [index, earlier] of before.entries()) catalog.applyListing(earlier, index * 100, index * 100)
+    catalog.applyListing(after, 1_000, 1_000)
+    assert.equal(catalog.usableReplicas('s').map(({ address }) => address), usable)
+  })
+}
+
+test('should use a replica that was removed before a return of the store once it registers again, or stays listed', () => {
+  for (const [revision, now] of [[6, 1_500], [4, 1_000 + settings.returnGrace + settings.longestGap]] as const) {
+    const catalog = new ServiceCatalog(settings)
+    catalog.applyListing(inEra(1, [replica('a'), 4]), 0, 0)
+    catalog.applyListing(inEra(1), 100, 100)
+    catalog.applyListing(inEra(2, [replica('a'), 4]), 1_000, 1_000)
+    assert.is(catalog.recheckAt, 1_000 + settings.returnGrace + settings.longestGap)
+    catalog.applyListing(inEra(2, [replica('a'), revision]), now, now)
+    assert.equal([catalog.usableReplicas('s').length, catalog.recheckAt], [1, Infinity])
+  }
+})
+
 test('should send nothing to a draining replica', () => {
   const catalog = new ServiceCatalog(settings)
   catalog.applyListing(listing([[replica('a'), 1], [replica('b'), 1]]), 0, 0)
--- a/packages/coordination/src/catalog/messages.ts
+++ b/packages/coordination/src/catalog/messages.ts
@@ -131,6 +131,8 @@
 
 /** A value and the store's revision of its last change. */
 export interface Revised<Value> {
+  /** The era of the store in which the revision was given out; absent where the store states none. */
+  era?: number | undefined
   revision: number
   value: Value
 }
@@ -147,6 +149,8 @@
 
 /** Everything the store lists at one time; each entry carries the revision of its last change. */
 export interface CatalogListing {
+  /** The era of the store that was listed; absent where it states none, and where an instance sends what it knows. */
+  era?: number | undefined
   configuration?: Revised<RoutingConfiguration> | undefined
   replicas: Revised<Replica>[]
   /** Announced weight versions, newest last; several of one model where an instance sends its retained history. */
@@ -155,7 +159,7 @@
 
 /** A listing as one instance sends it to another. */
 export const catalogListingSchema = z.object({
-  configuration: z.object({ revision: z.number(), value: routingConfigurationSchema }).optional(),
-  replicas: z.array(z.object({ revision: z.number(), value: replicaSchema })),
+  configuration: z.object({ era: z.number().optional(), revision: z.number(), value: routingConfigurationSchema }).optional(),
+  replicas: z.array(z.object({ era: z.number().optional(), revision: z.number(), value: replicaSchema })),
   weightVersions: z.array(announcedWeightVersionSchema)
 })
--- a/packages/coordination/src/catalog/readSchedule.ts
+++ b/packages/coordination/src/catalog/readSchedule.ts
@@ -5,6 +5,7 @@
  */
 import * as z from 'zod'
 import { rankByRendezvous, type Milliseconds } from '../common/index.js'
+import { NO_ERA } from '../platform/index.js'
 import { peerChangesSchema } from './changeLog.js'
 import { backOffDelay, type BackOffSettings } from '../retry/index.js'
 
@@ -24,6 +25,8 @@
 
 /** The state of an instance's copy of the store, as it is sent to peers. */
 export const catalogStatusSchema = z.object({
+  /** The era of the store in which revisions were given out; absent where it states none, and from builds that know no eras. */
+  era: z.number().optional(),
   /** Revision of the last significant change. */
   changedAt: z.number(),
   /** Milliseconds since the store was known to hold no later significant change. */
@@ -42,6 +45,9 @@
 const READER_KEY = 'metadata-store'
 /** An instance that polls the store has read it twice within this many times `longestAge`. */
 const READER_WINDOW_FACTOR = 2.5
+/** After a return of the store, instances list it one after another within this time for each instance, and at most the limit. */
+const LISTING_SPREAD_PER_INSTANCE: Milliseconds = 5
+const MAXIMUM_LISTING_SPREAD: Milliseconds = 1_500
 
 /** Tracks how current this instance's copy of the store is, and schedules its reads. */
 export class ReadSchedule {
@@ -53,8 +59,11 @@
   private _retryAt: Milliseconds = -Infinity
   /** Since when this instance knows that it is behind. */
   private _behindSince: Milliseconds = Infinity
-  /** The highest revision of a change that a peer has reported. */
+  /** The latest era that a peer has reported, and the highest revision of a change in it. */
+  private _latestPeerEra = NO_ERA
   private _highestPeerRevision = 0
+  /** When this instance lists a store of whose return a peer has told. */
+  private _listingAt: Milliseconds = Infinity
 
   constructor (private readonly _settings: ReadScheduleSettings) {}
 
@@ -75,6 +84,7 @@
     this._failures = 0
     this._retryAt = -Infinity
     this._behindSince = Infinity
+    this._listingAt = Infinity
     this._currentAsOf = Math.max(this._currentAsOf, askedAt)
   }
 
@@ -92,9 +102,22 @@
     return now >= this._retryAt
   }
 
-  /** A peer reported the state of its copy; `revision` is the one that this instance's copy reaches. */
-  onPeerStatus ({ changedAt, age }: CatalogStatus, revision: number, now: Milliseconds): StatusVerdict {
+  /**
+   * A peer reported the state of its copy.
+   * @param revision the one that this instance's copy reaches
+   * @param ownEra the era of that copy
+   */
+  onPeerStatus (
+    { era = NO_ERA, changedAt, age }: CatalogStatus, revision: number, now: Milliseconds, ownEra = NO_ERA
+  ): StatusVerdict {
+    // Its copy is that of a store which has come back since, or it cannot tell.
+    if (era < ownEra || era < this._latestPeerEra) return 'old'
+    if (era > this._latestPeerEra) {
+      this._latestPeerEra = era
+      this._highestPeerRevision = 0
+    }
     this._highestPeerRevision = Math.max(this._highestPeerRevision, changedAt)
+    if (era > ownEra) return 'behind'
     if (changedAt > revision) {
       this._behindSince = Math.min(this._behindSince, now)
       return 'behind'
@@ -106,11 +129,27 @@
     return 'confirmed'
   }
 
-  /** Whether a peer has reported a change that this instance's copy lacks. */
-  isBehind (revision: number): boolean {
+  /** The latest era of the store that a peer has reported. */
+  get latestPeerEra (): number {
+    return this._latestPeerEra
+  }
+
+  /** Whether a peer has reported a change that this instance's copy lacks, or a later era of the store. */
+  isBehind (revision: number, ownEra = NO_ERA): boolean {
+    if (this._latestPeerEra !== ownEra) return this._latestPeerEra > ownEra
     return this._highestPeerRevision > revision
   }
 
+  /**
+   * A peer told of a return of the store, which every instance has to list then.
+   * @param instances number of instances
+   * @param sample random number in [0, 1), so that they do not list it in the same moment
+   */
+  onReturnTold (instances: number, sample: number, now: Milliseconds): void {
+    const spread = Math.min(MAXIMUM_LISTING_SPREAD, instances * LISTING_SPREAD_PER_INSTANCE)
+    if (!Number.isFinite(this._listingAt)) this._listingAt = now + sample * spread
+  }
+
   /**
    * Whether this instance is a reader.
    * @param instances names of the live instances that may be readers
@@ -137,12 +176,14 @@
   nextReadAt (self: string, instances: readonly string[], recheckAt: Milliseconds): Milliseconds {
     const { interval, longestAge, peerChangesTimeout } = this._settings
     const regularReadAt = this.isReader(self, instances) ? this._ownReadAt + interval : this._currentAsOf + longestAge
-    const dueAt = Math.min(recheckAt, regularReadAt, this._behindSince + peerChangesTimeout)
+    const dueAt = Math.min(recheckAt, regularReadAt, this._behindSince + peerChangesTimeout, this._listingAt)
     return Math.max(dueAt, this._retryAt)
   }
 
   /** The status to send to peers, without the changes; undefined before the first listing. */
-  status (changedAt: number, now: Milliseconds): CatalogStatus | undefined {
-    return Number.isFinite(this._currentAsOf) ? { changedAt, age: Math.ceil(now - this._currentAsOf) } : undefined
+  status (changedAt: number, now: Milliseconds, era = NO_ERA): CatalogStatus | undefined {
+    if (!Number.isFinite(this._currentAsOf)) return undefined
+    const status = { changedAt, age: Math.ceil(now - this._currentAsOf) }
+    return era === NO_ERA ? status : { ...status, era }
   }
 }
--- a/packages/coordination/src/catalog/serviceCatalog.ts
+++ b/packages/coordination/src/catalog/serviceCatalog.ts
@@ -1,5 +1,6 @@
 /** One instance's copy of the configuration, the replicas and the announced weight versions, and how old it is. */
 import type { Milliseconds } from '../common/index.js'
+import { NO_ERA } from '../platform/index.js'
 import type { CatalogListing, AnnouncedWeightVersion, Replica, Revised, RoutingConfiguration } from './messages.js'
 import { MESSAGE_DELAY_MARGIN } from './readSchedule.js'
 import { RouteTable } from './routeTable.js'
@@ -26,6 +27,18 @@
 /** The age of an announcement is sent to peers for this long; beyond it, an unknown age leads to the same decisions. */
 const ANNOUNCEMENT_GOSSIP_DURATION: Milliseconds = 15_000
 
+/** For how long the catalog remembers which runs of replicas were removed. */
+const REMOVED_RETENTION: Milliseconds = 60_000
+
+/** A run of a replica that was removed: an older copy of the store may list it again. */
+interface RemovedReplica {
+  startedAt: number
+  at: Milliseconds
+  era: number
+  /** The entry that an older copy has of it, and until when it is ignored unless it changes. */
+  copied?: { revision: number, era: number, ignoredUntil: Milliseconds }
+}
+
 interface KnownReplica extends Revised<Replica> {
   /** Whether it has been listed since the last outage of the store. */
   isConfirmed: boolean
@@ -39,15 +52,18 @@
 }
 
 /**
- * The catalog of one instance, from the store's listings and from peers. The higher revision always wins, whatever its
- * source, so that no entry goes back to an older state within one run.
+ * The catalog of one instance, from the store's listings and from peers. Within an era of the store the higher revision always
+ * wins, whatever its source, so that no entry goes back to an older state within one run. In a later era the store may hold an
+ * older copy: what cannot be true any more is ignored until it is written again.
  */
 export class ServiceCatalog {
   private _configuration: Revised<RouteTable> | undefined
   private readonly _replicas = new Map<string, KnownReplica>()
+  private readonly _removed = new Map<string, RemovedReplica>()
   /** The latest announced versions of each model, newest last. */
   private readonly _weightVersions = new Map<string, AnnouncedVersion[]>()
   private _listedAt: Milliseconds = -Infinity
+  private _listedEra: number | undefined
   private _graceUntil: Milliseconds = -Infinity
   private _byService = new Map<string, Replica[]>()
   private _hasRetainedUnlisted = false
@@ -64,6 +80,17 @@
     return this._configuration?.revision ?? 0
   }
 
+  /** The era of the store in which that revision was given out. */
+  get configurationEra (): number {
+    return this._configuration?.era ?? NO_ERA
+  }
+
+  /** Whether another instance's configuration is newer than the one in force here. */
+  isConfigurationBehind (era: number | undefined, revision: number): boolean {
+    if (era === undefined || era === this.configurationEra) return revision > this.configurationRevision
+    return era > this.configurationEra
+  }
+
   /** The latest time at which the catalog is known to have matched the store. */
   get listedAt (): Milliseconds {
     return this._listedAt
@@ -71,7 +98,8 @@
 
   /** When another listing is needed to decide on entries that expired during an outage of the store; Infinity where none is. */
   get recheckAt (): Milliseconds {
-    return this._hasRetainedUnlisted ? this._graceUntil : Infinity
+    const ignored = [...this._removed.values()].map(({ copied }) => copied?.ignoredUntil ?? Infinity)
+    return Math.min(this._hasRetainedUnlisted ? this._graceUntil : Infinity, ...ignored)
   }
 
   /** The replicas of a service that may receive new requests. */
@@ -114,7 +142,10 @@
 
   /** Applies a complete listing of the store that was requested at `askedAt`, and removes unlisted replicas. */
   applyListing (listing: CatalogListing, askedAt: Milliseconds, now: Milliseconds): CatalogChange[] {
-    if (now - this._listedAt > this._settings.longestGap) {
+    const era = listing.era ?? NO_ERA
+    const isReturned = this._listedEra !== undefined && era !== this._listedEra
+    this._listedEra = era
+    if (isReturned || now - this._listedAt > this._settings.longestGap) {
       this._graceUntil = now + this._settings.returnGrace
       for (const known of this._replicas.values()) known.isConfirmed = false
     }
@@ -133,8 +164,12 @@
         continue
       }
       this._replicas.delete(id)
+      this._removed.set(id, { startedAt: known.value.startedAt, at: now, era })
       changes.push({ kind: 'replica-removed', replica: known.value, reason: 'unlisted' })
     }
+    for (const [id, { at }] of this._removed) {
+      if (now - at > REMOVED_RETENTION || !this._mayBeCopied(id, listed)) this._removed.delete(id)
+    }
     this._rebuildServiceIndex()
     return changes
   }
@@ -182,8 +217,10 @@
   listing (now: Milliseconds): CatalogListing {
     const configuration = this._configuration
     return {
-      configuration: configuration && { revision: configuration.revision, value: configuration.value.configuration },
-      replicas: [...this._replicas.values()].map(({ revision, value }) => ({ revision, value })),
+      configuration: configuration && {
+        era: configuration.era, revision: configuration.revision, value: configuration.value.configuration
+      },
+      replicas: [...this._replicas.values()].map(({ era, revision, value }) => ({ era, revision, value })),
       weightVersions: [...this._weightVersions].flatMap(([model, versions]) => (
         versions.map(version => toAnnouncement(model, version, now))))
     }
@@ -193,7 +230,7 @@
   private _applyNewer (listing: CatalogListing, announcedAfter: Milliseconds, now: Milliseconds): CatalogChange[] {
     const changes: CatalogChange[] = []
     this._applyConfiguration(listing.configuration, changes)
-    for (const replica of listing.replicas) this._applyReplica(replica, changes)
+    for (const replica of listing.replicas) this._applyReplica(replica, changes, now)
     for (const { revision, value: { model, version } } of listing.weightVersions) {
       const known = this._weightVersions.get(model) ?? []
       if ((known.at(-1)?.value ?? 0) >= version) continue
@@ -234,27 +271,52 @@
   }
 
   private _applyConfiguration (received: Revised<RoutingConfiguration> | undefined, changes: CatalogChange[]): void {
-    if (received === undefined || received.revision <= this.configurationRevision) return
-    this._configuration = { revision: received.revision, value: new RouteTable(received.value) }
+    if (received === undefined || !this._isNewerConfiguration(received)) return
+    this._configuration = { era: received.era, revision: received.revision, value: new RouteTable(received.value) }
     changes.push({ kind: 'configuration', version: received.value.version, revision: received.revision })
   }
 
-  private _applyReplica (received: Revised<Replica>, changes: CatalogChange[]): void {
-    const { id } = received.value
+  /** Revisions of two eras cannot be compared; the operator's version shows which configuration was accepted later. */
+  private _isNewerConfiguration ({ era = NO_ERA, revision, value: { version } }: Revised<RoutingConfiguration>): boolean {
+    const known = this._configuration
+    if (known === undefined) return true
+    if (era === this.configurationEra) return revision > known.revision
+    const knownVersion = known.value.configuration.version
+    return version === knownVersion ? era > this.configurationEra : version > knownVersion
+  }
+
+  private _applyReplica (entry: Revised<Replica>, changes: CatalogChange[], now: Milliseconds): void {
+    const { id } = entry.value
     const known = this._replicas.get(id)
-    if (known !== undefined && known.revision >= received.revision) return
+    const received = known === undefined ? entry : withoutReturn(entry, known)
+    if (known === undefined ? this._isCopyOfRemoved(entry, now) : !isNewerReplica(received, known)) return
     const isRestarted = known !== undefined && known.value.startedAt !== received.value.startedAt
     if (isRestarted) changes.push({ kind: 'replica-removed', replica: known.value, reason: 'restarted' })
     const value = known === undefined || isRestarted
       ? received.value
       : withHigherVersions(received.value, known.value.weightVersions)
-    this._replicas.set(id, { revision: received.revision, value, isConfirmed: false })
+    this._removed.delete(id)
+    this._replicas.set(id, { era: received.era, revision: received.revision, value, isConfirmed: false })
     if (known === undefined || isRestarted) changes.push({ kind: 'replica-added', replica: received.value })
     if (received.value.isDraining && !(known?.value.isDraining === true && !isRestarted)) {
       changes.push({ kind: 'replica-draining', replica: received.value })
     }
   }
 
+  /** Whether an entry of an older copy names a run that was removed. One that is alive writes its entry again within seconds. */
+  private _isCopyOfRemoved ({ era = NO_ERA, revision, value: { id, startedAt } }: Revised<Replica>, now: Milliseconds): boolean {
+    const removed = this._removed.get(id)
+    if (removed === undefined || removed.era === era || startedAt > removed.startedAt) return false
+    const { returnGrace, longestGap } = this._settings
+    if (removed.copied?.era !== era) removed.copied = { revision, era, ignoredUntil: now + returnGrace + longestGap }
+    return removed.copied.revision === revision && now < removed.copied.ignoredUntil
+  }
+
+  /** Whether an entry of a removed run may still have to be ignored. */
+  private _mayBeCopied (id: string, listed: ReadonlySet<string>): boolean {
+    return this._removed.get(id)?.copied === undefined || (listed.has(id) && !this._replicas.has(id))
+  }
+
   private _rebuildServiceIndex (): void {
     this._byService = new Map()
     for (const { value } of this._replicas.values()) {
@@ -266,6 +328,20 @@
   }
 }
 
+function isNewerReplica (received: Revised<Replica>, known: Revised<Replica>): boolean {
+  const [era, knownEra] = [received.era ?? NO_ERA, known.era ?? NO_ERA]
+  if (era === knownEra) return received.revision > known.revision
+  // An older copy may have the run before the one that is known.
+  return era > knownEra && received.value.startedAt >= known.value.startedAt
+}
+
+/** An older copy may have a draining run as it was before; it does not accept requests again. */
+function withoutReturn (received: Revised<Replica>, known: Revised<Replica>): Revised<Replica> {
+  const isSameRun = received.value.startedAt === known.value.startedAt
+  if ((received.era ?? NO_ERA) === (known.era ?? NO_ERA) || !isSameRun || !known.value.isDraining) return received
+  return { ...received, value: { ...received.value, isDraining: true } }
+}
+
 /** Registrations are written periodically and may lag behind observed versions; versions never go back within one run. */
 function withHigherVersions (replica: Replica, observed: Replica['weightVersions']): Replica {
   const weightVersions = { ...replica.weightVersions }
--- a/packages/coordination/src/catalog/storeReading.spec.ts
+++ b/packages/coordination/src/catalog/storeReading.spec.ts
@@ -112,6 +112,44 @@
   assert.is(schedule.onPeerStatus({ changedAt: 6, age: 500 }, 7, 450), 'old')
 })
 
+const eraStatuses = [
+  { title: 'confirm a copy of the same era', own: 2, era: 2, verdict: 'confirmed' },
+  { title: 'show that the store has come back', own: 2, era: 3, verdict: 'behind' },
+  { title: 'not confirm by a copy of the era before', own: 2, era: 1, verdict: 'old' },
+  { title: 'not confirm by a peer that knows no eras', own: 2, era: undefined, verdict: 'old' },
+  { title: 'show that the store states eras', own: undefined, era: 2, verdict: 'behind' },
+  { title: 'confirm a copy of a store that states no eras', own: undefined, era: undefined, verdict: 'confirmed' }
+]
+for (const { title, own, era, verdict } of eraStatuses) {
+  test(`should ${title}`, () => {
+    const schedule = new ReadSchedule(SETTINGS)
+    schedule.onRead(0)
+    assert.is(schedule.onPeerStatus({ changedAt: 5, age: 0, ...era === undefined ? {} : { era } }, 7, 400, own), verdict)
+  })
+}
+
+test('should list a store that has come back within a spread, and not rely on peers that have not noticed it', () => {
+  const schedule = new ReadSchedule(SETTINGS)
+  schedule.onRead(0)
+  schedule.onPeerStatus({ changedAt: 5, age: 0, era: 3 }, 7, 100, 2)
+  schedule.onReturnTold(340, 0.5, 100)
+  schedule.onReturnTold(340, 0.9, 150)
+  assert.is(schedule.nextReadAt('z', NAMES, Infinity), 850)
+  assert.is(schedule.onPeerStatus({ changedAt: 9, age: 0, era: 2 }, 9, 400, 2), 'old')
+  schedule.onRead(850)
+  assert.is(schedule.onPeerStatus({ changedAt: 5, age: 0, era: 3 }, 5, 1_300, 3), 'confirmed')
+  assert.not(schedule.isBehind(5, 3))
+})
+
+test('should replace the copy by a listing of another era, and need one for changes of it', () => {
+  const mirror = new StoreMirror(isSameBesidesCount, () => false)
+  mirror.applyListing({ era: 1, revision: 50, values: [{ key: 'k', value: 'a1', revision: 40 }] })
+  mirror.applyPeerChanges({ after: 50, changes: [['k', 60, 'b1']] }, 60, 0)
+  assert.not(mirror.applyChanges({ era: 2, revision: 70, changes: [{ key: 'k', value: 'c1', revision: 65 }] }, 0))
+  mirror.applyListing({ era: 2, revision: 45, values: [{ key: 'k', value: 'a1', revision: 40 }] })
+  assert.equal([mirror.era, mirror.reach, mirror.changedAt, mirror.values[0]?.value], [2, 45, 45, 'a1'])
+})
+
 // A status that is passed on from peer to peer never claims to be more recent than the read that it is based on.
 test('should never report a copy as complete after the read was sent, over any chain of instances', () => {
   fc.assert(fc.property(fc.array(fc.record({ lag: fc.nat(140), rest: fc.nat(2_000) }), { minLength: 1, maxLength: 6 }), steps => {
--- a/packages/coordination/src/dispatch/streamOrigins.ts
+++ b/packages/coordination/src/dispatch/streamOrigins.ts
@@ -129,6 +129,11 @@
     return streamOrigins.length === 0 ? undefined : { streamOrigins: streamOrigins.slice(-MAXIMUM_RECORDED) }
   }
 
+  /** The last record may be lost, so that the next one is needed even if nothing is new. */
+  recordAgain (): void {
+    this._hasUnrecorded = this._own.size > 0
+  }
+
   private _add (requestId: string, origin: StreamOrigin, expiresAt: Milliseconds, now: Milliseconds): void {
     if (requestId.length > MAXIMUM_ID_LENGTH) return
     this._origins.set(requestId, { ...origin, expiresAt })
--- a/packages/gateway/src/catalog/catalogLoop.ts
+++ b/packages/gateway/src/catalog/catalogLoop.ts
@@ -1,6 +1,6 @@
 /** Updates the catalog from the store, and from peers while the store does not answer. */
 import {
-  frontRecordSchema, MESSAGE_DELAY_MARGIN, type CatalogChange, type CatalogStatus, type FrontRecord, type Milliseconds,
+  frontRecordSchema, MESSAGE_DELAY_MARGIN, NO_ERA, type CatalogChange, type CatalogStatus, type FrontRecord, type Milliseconds,
   type PeerChanges, type VersionedValue, type VersionRecord
 } from '@wasabihead/coordination'
 import type { CatalogSource } from '../protocol/index.js'
@@ -17,11 +17,21 @@
   peerTimeout: Milliseconds
 }
 
+/** Callbacks to the instance whose catalog is updated. */
+export interface CatalogCallbacks {
+  onChange (change: CatalogChange): void
+  /** The store came back from an older copy, in another era. */
+  onStoreReturned (): void
+}
+
 /** Follows the own prefix in the keys of instances; each instance has one. */
 export const FRONT_KEY_PREFIX = 'instances/'
 /** Follows the own prefix in the keys of hosts; each host that recently ran an instance has one, even if it no longer does. */
 export const HOST_KEY_PREFIX = 'hosts/'
 
+/** The listed instances may have ended since the copy was made. */
+const MAXIMUM_PEERS_COMPARED = 3
+
 /** Reads the store when the schedule says so, or when a peer reports changes that this instance lacks. */
 export class CatalogLoop {
   private _timer: NodeJS.Timeout | undefined
@@ -32,19 +42,19 @@
   private _peerRequestedAt: Milliseconds = -Infinity
   private _isStoreReachable = true
   private _ownValues: readonly VersionedValue[] = []
-  /** The highest revision of the store among the catalogs that were received from peers. */
-  private _peerRevision = 0
+  /** The latest revision of the store among the catalogs that were received from peers. */
+  private _peerPosition = { era: NO_ERA, revision: 0 }
+  private _hasComparedWithPeers = false
 
   /**
    * @param seeds control addresses of instances that are asked for their catalog while no live peer is known
-   * @param _onChange called for each change of the catalog
    */
   constructor (
     private readonly _state: GatewayState,
     private readonly _source: CatalogSource,
     private readonly _settings: CatalogLoopSettings,
     public seeds: readonly string[],
-    private readonly _onChange: (change: CatalogChange) => void
+    private readonly _callbacks: CatalogCallbacks
   ) {}
 
   /** The values that instances of this project wrote, as of the last read. */
@@ -71,23 +81,32 @@
   onPeerStatus (status: CatalogStatus, peer: FrontRecord | undefined): void {
     const { readSchedule, mirror, catalog, log, suspensionAwareNow } = this._state
     if (this._isStopped) return
-    if (status.told !== undefined && status.changedAt > mirror.reach) this._applyPeerChanges(status, status.told)
-    const verdict = readSchedule.onPeerStatus(status, mirror.reach, suspensionAwareNow())
+    const { era = NO_ERA } = status
+    const isSameEra = era === mirror.era && era >= readSchedule.latestPeerEra
+    if (isSameEra && status.told !== undefined && status.changedAt > mirror.reach) this._applyPeerChanges(status, status.told)
+    const verdict = readSchedule.onPeerStatus(status, mirror.reach, suspensionAwareNow(), mirror.era)
     if (verdict === 'confirmed') catalog.confirm(readSchedule.currentAsOf)
     if (verdict !== 'behind' || this._isReading) return
     if (!readSchedule.mayRead(suspensionAwareNow())) log.detach('peer-catalog', this._requestPeerListing(peer))
+    else if (era > mirror.era && mirror.revision > 0) this._listAfterReturn()
     // The peer, which reads the store, could not send all the changes that the own copy lacked.
     else if (status.told !== undefined) log.detach('catalog', this._read(peer))
     else this._schedule()
   }
 
+  private _listAfterReturn (): void {
+    const { readSchedule, random, fronts, now, suspensionAwareNow } = this._state
+    readSchedule.onReturnTold(fronts.size(now()), random.next(), suspensionAwareNow())
+    this._schedule()
+  }
+
   private _applyPeerChanges ({ changedAt, age }: CatalogStatus, peerChanges: PeerChanges): void {
     const { mirror, catalog, log, suspensionAwareNow } = this._state
     const now = suspensionAwareNow()
     const before = mirror.reach
     if (!mirror.applyPeerChanges(peerChanges, changedAt, now)) return
     log.decision('store-changes-told', { before, reach: mirror.reach, changes: peerChanges.changes.length, age })
-    const { catalog: listing } = this._source.decode(mirror.values)
+    const { catalog: listing } = this._source.decode(mirror.values, mirror.era)
     this._notify(catalog.applyListing(listing, Math.max(catalog.listedAt, now - age - MESSAGE_DELAY_MARGIN), now))
   }
 
@@ -111,6 +130,7 @@
     this._recordReachability(failure === undefined, failure ?? '')
     if (failure === undefined) {
       this._applyMirror(requestedAt)
+      this._state.log.detach('peer-catalog', this._compareWithPeers())
       return
     }
     this._state.readSchedule.onFailure(this._state.random.next(), this._state.suspensionAwareNow())
@@ -149,7 +169,8 @@
 
   /** Updates the mirror from the store. Returns the reason if that failed. */
   private async _readStore (): Promise<string | undefined> {
-    const { mirror, log, suspensionAwareNow } = this._state
+    const { mirror, log, metrics, suspensionAwareNow } = this._state
+    const before = { era: mirror.era, revision: mirror.revision }
     if (mirror.revision > 0) {
       const changes = await this._source.changesSince(mirror.revision)
       if (changes.isErr) return changes.error.message
@@ -159,12 +180,19 @@
     const snapshot = await this._source.list()
     if (snapshot.isErr) return snapshot.error.message
     mirror.applyListing(snapshot.value)
+    if (before.revision > 0 && mirror.era !== before.era) {
+      metrics.count('store_returns_total')
+      log.change('store-returned', {
+        eraBefore: before.era, era: mirror.era, revisionBefore: before.revision, revision: mirror.revision
+      })
+      this._callbacks.onStoreReturned()
+    }
     return undefined
   }
 
   private _applyMirror (requestedAt: Milliseconds): void {
     const { mirror, catalog, fronts, crashes, softwareVersions, readSchedule, log, now, suspensionAwareNow } = this._state
-    const { catalog: listing, own } = this._source.decode(mirror.values)
+    const { catalog: listing, own } = this._source.decode(mirror.values, mirror.era)
     this._ownValues = own
     readSchedule.onRead(requestedAt)
     this._notify(catalog.applyListing(listing, requestedAt, suspensionAwareNow()))
@@ -179,6 +207,16 @@
     }), suspensionAwareNow())
   }
 
+  /**
+   * The store may hold an older copy when this instance starts: a peer knows the configuration that is in force, which then
+   * applies until the operator has written it again.
+   */
+  private async _compareWithPeers (): Promise<void> {
+    if (this._hasComparedWithPeers || this._state.mirror.era === NO_ERA) return
+    this._hasComparedWithPeers = true
+    for (let asked = 0; asked < MAXIMUM_PEERS_COMPARED; asked++) if (await this._fetchPeerListing(undefined)) return
+  }
+
   private async _requestPeerListing (peer: FrontRecord | undefined): Promise<void> {
     if (this._isRequestingFromPeer || this._state.now() - this._peerRequestedAt < this._settings.peerInterval) return
     this._isRequestingFromPeer = true
@@ -191,21 +229,34 @@
   }
 
   private async _requestPeerListingOnce (peer: FrontRecord | undefined): Promise<void> {
-    const { fronts, now, suspensionAwareNow, random, catalog, mirror, readSchedule } = this._state
+    const { catalog, mirror, readSchedule } = this._state
     const isStarting = catalog.routes === undefined
-    if (!isStarting && !readSchedule.isBehind(Math.max(mirror.reach, this._peerRevision))) return
+    const { era, revision } = this._peerPosition
+    const isBehind = era > mirror.era || (era === mirror.era && revision > mirror.reach)
+      ? readSchedule.isBehind(revision, era)
+      : readSchedule.isBehind(mirror.reach, mirror.era)
+    if (isStarting || isBehind) await this._fetchPeerListing(peer)
+  }
+
+  /** Returns whether the catalog of a peer was received. */
+  private async _fetchPeerListing (peer: FrontRecord | undefined): Promise<boolean> {
+    const { fronts, now, suspensionAwareNow, random, catalog } = this._state
     const live = fronts.livePeers(now()).map(({ controlAddress }) => controlAddress)
     const addresses = (live.length > 0 ? live : this.seeds).filter(address => address !== fronts.self.controlAddress)
-    if (addresses.length === 0) return
+    if (addresses.length === 0) return false
     const address = peer?.controlAddress ?? random.pick(addresses)
     try {
       const requestedAt = suspensionAwareNow()
       const listing = await requestPeerListing(address, this._settings.peerTimeout)
-      this._peerRevision = Math.max(this._peerRevision, listing.revision)
+      const { era = NO_ERA, revision } = listing
+      const known = this._peerPosition
+      if (era > known.era || (era === known.era && revision > known.revision)) this._peerPosition = { era, revision }
       fronts.addPeers(listing.fronts, now())
       this._notify(catalog.applyPeerListing(listing.catalog, requestedAt, suspensionAwareNow()))
+      return true
     } catch (error) {
       this._state.log.decision('peer-listing-failed', { address, detail: String(error) })
+      return false
     }
   }
 
@@ -248,7 +299,7 @@
   }
 
   private _notify (changes: readonly CatalogChange[]): void {
-    for (const change of changes) this._onChange(change)
+    for (const change of changes) this._callbacks.onChange(change)
   }
 
   private _recordReachability (isReachable: boolean, detail: string): void {
--- a/packages/gateway/src/catalog/originRecords.ts
+++ b/packages/gateway/src/catalog/originRecords.ts
@@ -44,6 +44,12 @@
     this._state.log.detach('stream-origins', this._write(record))
   }
 
+  /** The store may have lost the record: writes it once more. */
+  writeAgain (): void {
+    this._revision = undefined
+    this._state.streamOrigins.recordAgain()
+  }
+
   private async _write (record: StreamOriginsMessage): Promise<void> {
     this._isWriting = true
     try {
--- a/packages/gateway/src/catalog/registration.ts
+++ b/packages/gateway/src/catalog/registration.ts
@@ -16,6 +16,9 @@
   private _leaseId: string | undefined
   private _timer: NodeJS.Timeout | undefined
   private _registeredIncarnation: number | undefined
+  private _isCalling = false
+  /** How often the store came back from an older copy. */
+  private _returns = 0
   private _isStopped = false
 
   constructor (
@@ -29,6 +32,14 @@
     this._state.log.detach('registration', this._registerOrRenew())
   }
 
+  /** The store has lost the lease and the record, or may have: registers again after a delay. */
+  registerAgain (delay: Milliseconds): void {
+    this._leaseId = undefined
+    this._returns += 1
+    clearTimeout(this._timer)
+    if (!this._isStopped && !this._isCalling) this._timer = setTimeout(() => { this.start() }, delay)
+  }
+
   /** Stops the renewal and removes the record. If that fails, the record expires with its lease. */
   async withdraw (): Promise<void> {
     this._isStopped = true
@@ -39,8 +50,13 @@
 
   private async _registerOrRenew (): Promise<void> {
     const isCurrent = this._registeredIncarnation === this._state.fronts.self.incarnation
-    if (this._leaseId === undefined || !isCurrent) await this._register()
-    else await this._renew(this._leaseId)
+    this._isCalling = true
+    try {
+      if (this._leaseId === undefined || !isCurrent) await this._register()
+      else await this._renew(this._leaseId)
+    } finally {
+      this._isCalling = false
+    }
     const delay = this._leaseId === undefined ? this._settings.retryAfter : this._settings.renewEvery
     if (!this._isStopped) this._timer = setTimeout(() => { this.start() }, delay)
   }
@@ -55,6 +71,7 @@
 
   private async _register (): Promise<void> {
     const { key, timeToLive } = this._settings
+    const returns = this._returns
     const lease = await this._store.grantLease(timeToLive)
     if (lease.isErr) return
     const { self } = this._state.fronts
@@ -62,7 +79,7 @@
     const existing = await this._store.read(key)
     if (existing.isOk && existing.value !== undefined) expectedRevision = existing.value.revision
     const written = await this._store.compareAndSwap({ key, expectedRevision, value: JSON.stringify(self), leaseId: lease.value })
-    if (written.isErr || written.value.kind === 'lost') return
+    if (written.isErr || written.value.kind === 'lost' || returns !== this._returns) return
     this._leaseId = lease.value
     this._registeredIncarnation = self.incarnation
     this._state.log.change('registered', { key, revision: written.value.revision })
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -179,7 +179,7 @@
 
   private _catalogStatus (): CatalogStatus | undefined {
     const { fronts, mirror, readSchedule, suspensionAwareNow } = this._state
-    const status = readSchedule.status(mirror.changedAt, suspensionAwareNow())
+    const status = readSchedule.status(mirror.changedAt, suspensionAwareNow(), mirror.era)
     if (status === undefined) return undefined
     return readSchedule.isReader(fronts.self.name, connectedInstances(this._state))
       ? { ...status, told: mirror.recentChanges(suspensionAwareNow()) }
--- a/packages/gateway/src/peers/peerListing.ts
+++ b/packages/gateway/src/peers/peerListing.ts
@@ -5,6 +5,8 @@
 
 /** The catalog and the instances that a running instance sends to a starting one. */
 const peerListingSchema = z.object({
+  /** The era of the store in which that revision was given out; absent from builds that know no eras. */
+  era: z.number().optional(),
   /** Revision of the store up to which the catalog is complete. */
   revision: z.number(),
   catalog: catalogListingSchema,
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -43,6 +43,9 @@
 const TICK_INTERVAL: Milliseconds = 500
 /** A longer gap between two ticks means that the process or its host was paused. */
 const PAUSE_THRESHOLD: Milliseconds = 1_500
+/** After a return of the store, instances register again one after another, so that they stay within its rate of writes. */
+const REGISTRATION_SPREAD_PER_INSTANCE: Milliseconds = 15
+const MAXIMUM_REGISTRATION_SPREAD: Milliseconds = 6_000
 /** While leaving, how often the running requests are checked. */
 const LEAVING_CHECK_INTERVAL: Milliseconds = 50
 
@@ -116,9 +119,10 @@
     }
     this._front = new FrontServer(this.state)
     this._relayServer = new RelayServer(this.state)
-    this._catalogLoop = new CatalogLoop(
-      this.state, adapter.catalogSource, settings.catalogLoop, settings.seeds, change => { this._onChange(change) }
-    )
+    this._catalogLoop = new CatalogLoop(this.state, adapter.catalogSource, settings.catalogLoop, settings.seeds, {
+      onChange: change => { this._onChange(change) },
+      onStoreReturned: () => { this._onStoreReturned() }
+    })
     const key = `${ownPrefix}${FRONT_KEY_PREFIX}${self.name}`
     this._registration = new Registration(this.state, adapter.store, { key, ...settings.registration })
     const hostKey = `${ownPrefix}${HOST_KEY_PREFIX}${self.name}`
@@ -242,6 +246,7 @@
   private _peerListing (): PeerListing {
     const { catalog, mirror, fronts, now, suspensionAwareNow } = this.state
     return {
+      era: mirror.era,
       revision: mirror.revision,
       catalog: catalog.listing(suspensionAwareNow()),
       fronts: [fronts.self, ...fronts.livePeers(now())]
@@ -296,6 +301,14 @@
     if (!isConnected) this._linkProber.probe()
   }
 
+  /** What this instance wrote may be gone, and its leases may belong to others. */
+  private _onStoreReturned (): void {
+    const { random, fronts, now } = this.state
+    const spread = Math.min(MAXIMUM_REGISTRATION_SPREAD, fronts.size(now()) * REGISTRATION_SPREAD_PER_INSTANCE)
+    for (const registration of [this._registration, this._hostRegistration]) registration.registerAgain(random.next() * spread)
+    this._originRecords.writeAgain()
+  }
+
   private _onChange (change: CatalogChange): void {
     const { log, channels, health, cachedParts, softwareVersions, suspensionAwareNow } = this.state
     switch (change.kind) {
--- a/packages/gateway/src/protocol/catalogSource.ts
+++ b/packages/gateway/src/protocol/catalogSource.ts
@@ -20,8 +20,8 @@
   /** Reads the changes after a revision, in one call; undefined if the store no longer has all of them. */
   abstract changesSince (revision: number): Promise<Result<StoreChanges | undefined, PlatformError>>
 
-  /** Decodes the store's values. */
-  abstract decode (values: readonly VersionedValue[]): StoreListing
+  /** Decodes the store's values, which were read in an era. */
+  abstract decode (values: readonly VersionedValue[], era: number): StoreListing
 
   /** Whether two values of a key are equal apart from counters that rise all the time. */
   abstract isSame (before: VersionedValue, after: VersionedValue): boolean
--- a/packages/gateway/src/requests/peerPlacement.ts
+++ b/packages/gateway/src/requests/peerPlacement.ts
@@ -47,13 +47,14 @@
   }
 
   /** The caller's headers, with what the peer has to know about the request. */
-  headersFor (message: Omit<RelayedRequest, 'timeLeft' | 'configurationRevision'>): [string, string][] {
+  headersFor (message: Omit<RelayedRequest, 'timeLeft' | 'configurationRevision' | 'configurationEra'>): [string, string][] {
     const { catalog, now } = this._state
     const relayed: RelayedRequest = {
       ...message,
       tried: message.tried.slice(-MAXIMUM_TRIED_SENT),
       timeLeft: Math.max(0, this._request.deadline - now()),
-      configurationRevision: catalog.configurationRevision
+      configurationRevision: catalog.configurationRevision,
+      configurationEra: catalog.configurationEra
     }
     return [...forwardedHeaders(this._request.rawHeaders, () => true), [RELAY_HEADER, formatRelayMessage(relayed)]]
   }
--- a/packages/gateway/src/requests/relayMessages.ts
+++ b/packages/gateway/src/requests/relayMessages.ts
@@ -13,6 +13,8 @@
   timeLeft: z.number().nonnegative(),
   /** Store revision of the configuration that the sender matched the request with. */
   configurationRevision: z.number(),
+  /** The era of the store in which it was given out; absent from builds that know no eras. */
+  configurationEra: z.number().optional(),
   /** Number of replicas on which the request may have run so far. */
   possibleRuns: z.number().int().nonnegative(),
   /** Ids of these replicas. */
--- a/packages/gateway/src/requests/relayServer.ts
+++ b/packages/gateway/src/requests/relayServer.ts
@@ -17,7 +17,8 @@
     const relayed = readRelayedRequest(request.headers)
     if (relayed === undefined || !this._isPeer(request.socket.remoteAddress)) return 'malformed'
     if (this.running >= MAXIMUM_RUNNING) return 'relays-full'
-    if (this._state.catalog.configurationRevision < relayed.configurationRevision) return 'configuration-behind'
+    const { configurationEra, configurationRevision } = relayed
+    if (this._state.catalog.isConfigurationBehind(configurationEra, configurationRevision)) return 'configuration-behind'
     return undefined
   }
 
--- a/tests/platform/storeReturn.spec.ts
+++ b/tests/platform/storeReturn.spec.ts
@@ -2,7 +2,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { waitUntil } from '@wasabihead/experiments'
-import { configurationOf, PlatformFleet, type GatewayProcess, type ReplicaStandIn } from './platformFleet.js'
+import { call, configurationOf, PlatformFleet, type GatewayProcess, type ReplicaStandIn } from './platformFleet.js'
 
 const MODEL = 'model-a'
 const ROLE_KEY = 'wasabihead/rollout'
@@ -80,4 +80,49 @@
   assert.equal(tokens, [...new Set(tokens)].sort((left, right) => left - right))
 })
 
+async function statusOf ({ addresses }: GatewayProcess, key: string): Promise<number> {
+  return (await call(addresses.front, '/safe/x', { headers: { 'Api-Key': key } })).status
+}
+
+function withKeys (version: number, ...keys: string[]): object {
+  return configurationOf(version, { tenants: [{ name: 'tenant-a', api_keys: keys, isolated: false }] })
+}
+
+async function untilServed (key: string): Promise<void> {
+  for (const gateway of fleet.gateways) await waitUntil(async () => await statusOf(gateway, key) === 200)
+}
+
+// Guards against a configuration that no instance applied, since its revision was lower than that of the one before the return.
+test('should apply the next configuration after the store came back from an older copy', async () => {
+  await fleet.start(3)
+  fleet.store.put('op/config', withKeys(1, 'key-a'))
+  const replica = await fleet.addReplica('replica-1', 'desk')
+  await untilServed('key-a')
+  const copy = fleet.store.copy()
+  for (let count = 0; count < WRITES_AFTER_RETURN; count++) fleet.register(replica, 'desk', { seq: count })
+  fleet.store.put('op/config', withKeys(2, 'key-a', 'key-b'))
+  await untilServed('key-b')
+  await fleet.store.restore(copy, AWAY_MS)
+  fleet.store.put('op/config', withKeys(2, 'key-a', 'key-b'))
+  fleet.store.put('op/config', withKeys(5, 'key-a', 'key-c'))
+  await untilServed('key-c')
+  for (const gateway of fleet.gateways) assert.is(await statusOf(gateway, 'key-b'), 401)
+})
+
+// Guards against a key that was taken away and serves again, as only the older copy of the store allows.
+test('should not accept a key that was taken away before the store came back, also where an instance starts then', async () => {
+  await fleet.start(2)
+  fleet.store.put('op/config', withKeys(1, 'key-a', 'key-b'))
+  await fleet.addReplica('replica-1', 'desk')
+  await untilServed('key-b')
+  const copy = fleet.store.copy()
+  fleet.store.put('op/config', withKeys(2, 'key-a'))
+  for (const gateway of fleet.gateways) await waitUntil(async () => await statusOf(gateway, 'key-b') === 401)
+  await fleet.store.restore(copy, AWAY_MS)
+  await waitUntil(async () => fleet.gateways.every(({ output }) => output.includes('"event":"store-returned"')))
+  const started = await fleet.startGateway('gateway-new')
+  await waitUntil(async () => started.output.includes('"version":2,'))
+  for (const gateway of fleet.gateways) assert.equal([await statusOf(gateway, 'key-a'), await statusOf(gateway, 'key-b')], [200, 401])
+})
+
 test.run()
