fix(requests): answer callers whatever an answer's status line holds

Cause: the parser accepted any byte in the reason phrase. writeHead threw when the attempt was already closed as answered, nobody caught it, and at the deadline it threw once more on the same reason phrase, inside the last timer. Why it works: the parser decides what can be passed on, so that the answer counts as broken before it counts as given. Each entrance to a run is guarded: what fails unexpectedly is logged with the request's id and closes the caller's connection. The guard has no test of its own, since no input is known that reaches it.

--- a/packages/gateway/src/channels/answerParser.spec.ts
+++ b/packages/gateway/src/channels/answerParser.spec.ts
@@ -86,6 +86,9 @@
 
 const WHOLE = 'HTTP/1.1 200 OK\r\nX-Seal: a\r\nContent-Length: 2\r\n\r\nok'
 const spoilt: { title: string, bytes: string }[] = [
+  { title: 'a control character in the reason phrase', bytes: WHOLE.replace('OK', '\x01K') },
+  { title: 'NUL in the reason phrase', bytes: WHOLE.replace('OK', 'O\0') },
+  { title: 'a control character in the reason phrase of an interim answer', bytes: `HTTP/1.1 103 \x01\r\n\r\n${WHOLE}` },
   { title: 'a control character in a value', bytes: WHOLE.replace('a\r', 'a\x01\r') },
   { title: 'NUL in a value', bytes: WHOLE.replace('a\r', '\0\r') },
   { title: 'DEL in a value', bytes: WHOLE.replace('a\r', '\x7f\r') },
--- a/packages/gateway/src/channels/answerParser.ts
+++ b/packages/gateway/src/channels/answerParser.ts
@@ -91,6 +91,7 @@
   }
 
   private _onHeadersComplete (info: ParsedHead): number {
+    if (!HEADER_TEXT.test(info.statusMessage)) throw new MalformedAnswerError('the reason phrase has an invalid character')
     if (info.statusCode === SWITCHING_PROTOCOLS) throw new MalformedAnswerError('switching protocols is not supported')
     if (info.statusCode < FIRST_FINAL_STATUS) {
       this._isInterim = true
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -4,6 +4,7 @@
   type HealthSignal, type Milliseconds, type Selection
 } from '@wasabihead/coordination'
 import { BufferedBytes, type AnswerHead, type ExchangeFault, type OwnedBytes } from '../channels/index.js'
+import { describeFailure } from '../telemetry/index.js'
 import { AnswerRelay, EventStreamRelay, BufferedAnswerRelay } from './answerRelay.js'
 import type { Attempt } from './attempt.js'
 import type { CallerRequest } from './callerRequest.js'
@@ -80,12 +81,31 @@
     this._possibleRuns = relayed?.possibleRuns ?? 0
     this._isCounted = relayed?.isCounted ?? false
     for (const id of relayed?.tried ?? []) this._tried.add(id)
-    this._deadlineTimer = setTimeout(() => { this._onDeadline() }, Math.max(0, _request.deadline - _state.now()))
+    const timeLeft = Math.max(0, _request.deadline - _state.now())
+    this._deadlineTimer = setTimeout(() => { this._guard(() => { this._onDeadline() }) }, timeLeft)
     response.once('close', () => { this._onCallerDisconnected() })
   }
 
   /** Starts the first attempt; refuses a request that has repeatedly crashed replicas. */
   start (): void {
+    this._guard(() => { this._start() })
+  }
+
+  /** Whatever fails here, the caller must not wait for ever, nor be told that a request has not run that may have run. */
+  private _guard (action: () => void): void {
+    try {
+      action()
+    } catch (error) {
+      this._state.metrics.count('unexpected_failures_total')
+      const { requestId } = this._request.head
+      this._state.log.warn('request-failed-unexpectedly', { requestId, detail: describeFailure(error) })
+      if (this._isOver) return
+      if (this._attempt !== undefined) this._closeAttempt(this._attempt, undefined)
+      this._breakOff()
+    }
+  }
+
+  private _start (): void {
     if (this._endIfBlocked()) return
     const { head: { lastEventId, resumedRequestId }, route, relayed } = this._request
     if (relayed?.origin !== undefined) this._placement.continueFrom(relayed.origin)
@@ -108,7 +128,7 @@
     }
     if (origin === undefined) return this._refuse('origin-unknown')
     this._placement.continueFrom(origin)
-    this._tryNext()
+    this._guard(() => { this._tryNext() })
   }
 
   /** Ends a request that must not be sent to any replica, or not once more; returns whether it did. */
@@ -139,7 +159,7 @@
     switch (this._attempts > 0 ? 'send' : this._placement.admit(selection)) {
       case 'send': return this._sendToReplica(selection)
       case 'hold':
-        this._holdTimer = setTimeout(() => { if (!this._isOver) this._tryNext() }, HOLD_CHECK_INTERVAL)
+        this._tryNextAfter(HOLD_CHECK_INTERVAL)
         return
       case 'refuse': this._refuse('crowded')
     }
@@ -152,10 +172,14 @@
     this._hasTriedReservation = true
     const delay = this._placement.reserveSend(this._tried, receivedAt + route.objective * LIMIT_WAIT_SHARE)
     if (delay === undefined) return false
-    this._holdTimer = setTimeout(() => { if (!this._isOver) this._tryNext() }, delay)
+    this._tryNextAfter(delay)
     return true
   }
 
+  private _tryNextAfter (delay: Milliseconds): void {
+    this._holdTimer = setTimeout(() => { this._guard(() => { if (!this._isOver) this._tryNext() }) }, delay)
+  }
+
   private _sendToReplica (selection: Selection): void {
     const [state, request] = [this._state, this._request]
     const { replica } = selection
@@ -202,7 +226,7 @@
     this._attempt = attempt
     this._possibleRuns += 1
     this._stampAnswer({ origin: attempt.origin })
-    attempt.watchSilence(silence, elapsed => { this._onSilence(attempt, elapsed) })
+    this._watchSilence(attempt, silence)
     attempt.channel.send({
       method,
       target,
@@ -210,13 +234,17 @@
       body: body.length > 0 ? body : undefined
     }, {
       isExpected: head => attempt.isExpected(head),
-      onHead: head => { this._onHead(attempt, head) },
-      onBody: chunk => { this._onBody(attempt, chunk) },
-      onEnd: () => { this._onEnd(attempt) },
-      onFault: (fault, detail) => { this._onFault(attempt, fault, detail) }
+      onHead: head => { this._guard(() => { this._onHead(attempt, head) }) },
+      onBody: chunk => { this._guard(() => { this._onBody(attempt, chunk) }) },
+      onEnd: () => { this._guard(() => { this._onEnd(attempt) }) },
+      onFault: (fault, detail) => { this._guard(() => { this._onFault(attempt, fault, detail) }) }
     })
   }
 
+  private _watchSilence (attempt: Attempt, silence: Milliseconds | undefined): void {
+    attempt.watchSilence(silence, elapsed => { this._guard(() => { this._onSilence(attempt, elapsed) }) })
+  }
+
   private get _bodyHeaders (): [string, string][] {
     const { body, rawHeaders } = this._request
     return body.length > 0 || hasBodyHeaders(rawHeaders) ? [['Content-Length', String(body.length)]] : []
@@ -282,7 +310,7 @@
 
   private _watchProgress (attempt: Attempt): void {
     const silence = this._isRepeatable && this._relay.kind === 'events' ? STREAM_SILENCE_TIMEOUT : undefined
-    attempt.watchSilence(silence, elapsed => { this._onSilence(attempt, elapsed) })
+    this._watchSilence(attempt, silence)
   }
 
   /** Pauses the replica while the caller reads more slowly than it writes. A caller that stops reading is disconnected. */
--- a/tests/platform/replicaBytes.spec.ts
+++ b/tests/platform/replicaBytes.spec.ts
@@ -179,6 +179,20 @@
   })
 }
 
+// Guards against callers that were never answered: a wrong byte in the status line passed the parser, and broke the answer's end.
+for (const { path, expected } of [{ path: '/unsafe/x', expected: 502 }, { path: '/safe/x', expected: 200 }, { path: '/events/x', expected: 200 }]) {
+  test(`should answer ${expected} to ${path} where the replica sends a wrong byte in its status line`, async () => {
+    const events = 'id: 1\ndata: whole\n\n'
+    respond = ({ socket, id, arrivals }) => {
+      const answer = path === '/events/x' ? headOf(id, `Content-Length: ${events.length}`) + events : wholeAnswer(id, 'whole')
+      socket.write(arrivals > 1 ? answer : answer.replace('Status', '\x01tatus'))
+    }
+    const timeout = new Promise<string>(resolve => { setTimeout(() => { resolve('no answer') }, 2 * ROUTE_TIMEOUT_MS).unref() })
+    assert.match(await Promise.race([rawAnswer(path), timeout]), new RegExp(`^HTTP/1.1 ${expected} `))
+    assert.not(gateway().output.includes('unexpected'))
+  })
+}
+
 const kinds = [
   { path: '/events/x', headers: 'Content-Type: text/event-stream\r\n', body: 'id: 1\ndata: whole\n\n' },
   { path: '/unsafe/x', headers: '', body: 'whole' },
