fix(requests): judge by the age of the catalog whether versions may be mixed

Cause: a stream of unknown origin went on anywhere where the gateway knew one version only, however old that knowledge was. Why it works: what others may have begun is known only to the time of the last confirmation. Beyond its bound, a majority that is heard and knows nothing later has to agree, so that streams also go on while the store is away; else the origin is asked for, or the stream is refused.

The link fault of the tests also loses datagrams and holds up HTTP calls now.

--- /dev/null
+++ b/packages/coordination/src/catalog/catalogCurrency.ts
@@ -0,0 +1,41 @@
+/**
+ * Whether this instance may rely on knowing all that other instances know of the store. One that was paused, or was cut off from
+ * the store and its peers, lacks replicas to which others have sent requests already.
+ */
+import type { Milliseconds } from '../common/index.js'
+
+/** Settings of the judgement. */
+export interface CatalogCurrencySettings {
+  /** A copy that was confirmed within this time is current. */
+  longestAge: Milliseconds
+  /** Within this time a peer that is alive reports the state of its copy. */
+  reportTimeout: Milliseconds
+}
+
+/** What the peers last reported of their copies of the store, in comparison with the own one. */
+export class CatalogCurrency {
+  private readonly _reports = new Map<string, { isAhead: boolean, at: Milliseconds }>()
+
+  constructor (private readonly _settings: CatalogCurrencySettings) {}
+
+  /**
+   * A peer reported the state of its copy.
+   * @param isAhead whether it may have changes that the own copy lacks
+   */
+  onReport (peer: string, isAhead: boolean, now: Milliseconds): void {
+    this._reports.set(peer, { isAhead, at: now })
+  }
+
+  /**
+   * Whether the own copy is as new as that of any other instance.
+   * @param currentAsOf the latest time at which it is known to have been complete
+   * @param peers names of all known peers, alive or not
+   */
+  isCurrent (currentAsOf: Milliseconds, peers: readonly string[], now: Milliseconds): boolean {
+    if (now - currentAsOf <= this._settings.longestAge) return true
+    for (const peer of this._reports.keys()) if (!peers.includes(peer)) this._reports.delete(peer)
+    const recent = [...this._reports.values()].filter(({ at }) => now - at <= this._settings.reportTimeout)
+    // While the store answers nobody, no instance learns of a change; a minority may be cut off from those that do.
+    return recent.every(({ isAhead }) => !isAhead) && 2 * (recent.length + 1) >= peers.length + 1 && recent.length > 0
+  }
+}
--- a/packages/coordination/src/catalog/index.ts
+++ b/packages/coordination/src/catalog/index.ts
@@ -5,6 +5,7 @@
   type RequestKind, type Revised, type Route, type RouteTarget, type RoutingConfiguration, type ServiceDescription,
   type WorkspaceAccess
 } from './messages.js'
+export { CatalogCurrency, type CatalogCurrencySettings } from './catalogCurrency.js'
 export { RouteTable, type RouteMatch, type RouteRefusal } from './routeTable.js'
 export { ChangeLog, peerChangesSchema, type PeerChanges } from './changeLog.js'
 export { ServiceCatalog, type CatalogChange, type CatalogSettings } from './serviceCatalog.js'
--- a/packages/gateway/src/catalog/catalogLoop.ts
+++ b/packages/gateway/src/catalog/catalogLoop.ts
@@ -79,12 +79,16 @@
    * catalog is requested instead.
    */
   onPeerStatus (status: CatalogStatus, peer: FrontRecord | undefined): void {
-    const { readSchedule, mirror, catalog, log, suspensionAwareNow } = this._state
+    const { readSchedule, catalogCurrency, mirror, catalog, log, suspensionAwareNow } = this._state
     if (this._isStopped) return
     const { era = NO_ERA } = status
     const isSameEra = era === mirror.era && era >= readSchedule.latestPeerEra
     if (isSameEra && status.told !== undefined && status.changedAt > mirror.reach) this._applyPeerChanges(status, status.told)
     const verdict = readSchedule.onPeerStatus(status, mirror.reach, suspensionAwareNow(), mirror.era)
+    if (peer !== undefined) {
+      // A peer of an older build does not say which era its copy is of.
+      catalogCurrency.onReport(peer.name, verdict === 'behind' || era !== mirror.era, suspensionAwareNow())
+    }
     if (verdict === 'confirmed') catalog.confirm(readSchedule.currentAsOf)
     if (verdict !== 'behind' || this._isReading) return
     if (!readSchedule.mayRead(suspensionAwareNow())) log.detach('peer-catalog', this._requestPeerListing(peer))
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -1,6 +1,6 @@
 /** One gateway instance: creates its components, starts them and shuts them down. */
 import {
-  CachedParts, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, PeerLinks, ReadSchedule,
+  CachedParts, CatalogCurrency, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, PeerLinks, ReadSchedule,
   RepeatedCrashes, ReplicaHealth, ReplicaLimits, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog, ServiceLinks,
   SoftwareVersions, StoredParts, StoreMirror, StreamOrigins, type CatalogChange, type FrontRecord, type KeyValueService,
   type Milliseconds
@@ -87,6 +87,7 @@
       // Own keys are quiet: instances send each other heartbeats, and only those that read the store follow the rollout role.
       mirror: new StoreMirror((before, after) => adapter.catalogSource.isSame(before, after), key => key.startsWith(ownPrefix)),
       readSchedule: new ReadSchedule(settings.readSchedule),
+      catalogCurrency: new CatalogCurrency(settings.catalogCurrency),
       fronts: new FrontDirectory(self, settings.directory),
       loads: new FleetLoads(),
       loadingReplicas: new LoadingReplicas(),
--- a/packages/gateway/src/process/gatewaySettings.ts
+++ b/packages/gateway/src/process/gatewaySettings.ts
@@ -1,6 +1,7 @@
 /** Settings of one gateway instance. Durations are milliseconds. */
 import type {
-  CatalogSettings, FleetRetryBudgetSettings, FrontDirectorySettings, FrontRecord, Milliseconds, ReadScheduleSettings
+  CatalogCurrencySettings, CatalogSettings, FleetRetryBudgetSettings, FrontDirectorySettings, FrontRecord, Milliseconds,
+  ReadScheduleSettings
 } from '@wasabihead/coordination'
 import type { CatalogLoopSettings, RegistrationSettings } from '../catalog/index.js'
 import type { ChannelPoolSettings } from '../channels/index.js'
@@ -19,6 +20,7 @@
   catalog: CatalogSettings
   catalogLoop: CatalogLoopSettings
   readSchedule: ReadScheduleSettings
+  catalogCurrency: CatalogCurrencySettings
   directory: FrontDirectorySettings
   registration: Omit<RegistrationSettings, 'key'>
   /** Its lease outlives the process, since hosts that are disconnected still count. */
--- a/packages/gateway/src/requests/gatewayState.ts
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -1,8 +1,8 @@
 /** State that is shared by the components of one gateway instance. */
 import type {
-  CachedParts, CrashReport, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas,
-  Milliseconds, PeerLinks, ReadSchedule, RepeatedCrashes, Replica, ReplicaHealth, ReplicaLimits, ReplicaNotices, SeededRandom,
-  SentPrompts, ServiceCatalog, ServiceLinks, SoftwareVersions, StoredParts, StoreMirror, StreamOrigin, StreamOrigins
+  CachedParts, CatalogCurrency, CrashReport, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory,
+  LoadingReplicas, Milliseconds, PeerLinks, ReadSchedule, RepeatedCrashes, Replica, ReplicaHealth, ReplicaLimits, ReplicaNotices,
+  SeededRandom, SentPrompts, ServiceCatalog, ServiceLinks, SoftwareVersions, StoredParts, StoreMirror, StreamOrigin, StreamOrigins
 } from '@wasabihead/coordination'
 import type { ChannelPool } from '../channels/index.js'
 import type { CallerProtocol, ReplicaProtocol } from '../protocol/index.js'
@@ -21,6 +21,7 @@
   catalog: ServiceCatalog
   mirror: StoreMirror
   readSchedule: ReadSchedule
+  catalogCurrency: CatalogCurrency
   fronts: FrontDirectory
   loads: FleetLoads
   loadingReplicas: LoadingReplicas
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -115,14 +115,12 @@
     else this._tryNext()
   }
 
-  /** Goes on with a stream at the version of the software that began it. Refuses if there are several and it is not known. */
+  /** Goes on with a stream at the version of the software that began it. Refuses if there may be several and it is not known. */
   private async _resume (resumedRequestId: string | undefined): Promise<void> {
-    const { streamOrigins, softwareVersions, catalog, requestStreamOrigin, suspensionAwareNow } = this._state
-    const { targets } = this._request.route
+    const { streamOrigins, requestStreamOrigin, suspensionAwareNow } = this._state
     let origin = resumedRequestId === undefined ? undefined : streamOrigins.find(resumedRequestId, suspensionAwareNow())
     if (origin === undefined) {
-      const isMixed = targets.some(({ service }) => softwareVersions.isMixed(service, catalog.replicas, suspensionAwareNow()))
-      if (!isMixed) return this._tryNext()
+      if (!this._mayVersionsBeMixed()) return this._tryNext()
       if (resumedRequestId !== undefined) origin = await requestStreamOrigin(resumedRequestId)
       if (this._isOver) return
     }
@@ -131,6 +129,13 @@
     this._guard(() => { this._tryNext() })
   }
 
+  private _mayVersionsBeMixed (): boolean {
+    const { softwareVersions, catalog, catalogCurrency, readSchedule, fronts, suspensionAwareNow } = this._state
+    const now = suspensionAwareNow()
+    if (!catalogCurrency.isCurrent(readSchedule.currentAsOf, fronts.peers.map(({ name }) => name), now)) return true
+    return this._request.route.targets.some(({ service }) => softwareVersions.isMixed(service, catalog.replicas, now))
+  }
+
   /** Ends a request that must not be sent to any replica, or not once more; returns whether it did. */
   private _endIfBlocked (): boolean {
     const blockedFeatures = this._state.crashes.blockOf(this._request, this._state.suspensionAwareNow())
--- a/tests/platform/linkFault.ts
+++ b/tests/platform/linkFault.ts
@@ -3,11 +3,12 @@
  * be meant for another such module. Links of other gateways to the same ports stay as they are.
  */
 import { existsSync, readFileSync } from 'node:fs'
+import dgram from 'node:dgram'
 import net from 'node:net'
 
 /**
  * `silent` carries nothing on any connection, `reset` closes the open ones and carries nothing on new ones, `refused` closes
- * new ones and leaves the open ones as they are.
+ * new ones and leaves the open ones as they are. In all of them datagrams are lost, in both directions.
  */
 export type LinkFaultMode = 'none' | 'silent' | 'reset' | 'refused'
 
@@ -51,5 +52,20 @@
     socket.once('close', () => { open.delete(socket) })
     return socket
   }) as typeof net.connect
+  // The one that HTTP requests use.
+  net.createConnection = net.connect
+  const isLost = (port: unknown): boolean => fault.mode !== 'none' && fault.ports.includes(Number(port))
+  const socketMethods = dgram.Socket.prototype as {
+    send: (...values: unknown[]) => void
+    emit: (...values: unknown[]) => boolean
+  }
+  const { send, emit } = socketMethods
+  socketMethods.send = function (message, port, ...values) {
+    if (!isLost(port)) send.call(this, message, port, ...values)
+  }
+  socketMethods.emit = function (event, ...values) {
+    if (event === 'message' && isLost((values[1] as dgram.RemoteInfo).port)) return true
+    return emit.call(this, event, ...values)
+  }
   process.on('SIGUSR2', () => { if (existsSync(file)) apply(readFileSync(file, 'utf8')) })
 }
--- a/tests/platform/softwareVersions.spec.ts
+++ b/tests/platform/softwareVersions.spec.ts
@@ -8,6 +8,8 @@
 const GATEWAYS = 3
 const EVENTS = 3
 const PROPAGATION_MS = 600
+/** Longer than a gateway relies on what it knows without hearing from the store or the others. */
+const STALE_MS = 2_500
 
 let fleet: PlatformFleet
 let requests = 0
@@ -19,7 +21,8 @@
 })
 test.after.each(async () => { await fleet.stop() })
 
-async function addReplicas (counts: Record<string, number>): Promise<void> {
+/** @param informed the gateways that are waited for until they know the replicas */
+async function addReplicas (counts: Record<string, number>, informed = fleet.gateways): Promise<void> {
   for (const [version, count] of Object.entries(counts)) {
     for (let index = 0; index < count; index++) {
       const replica = await fleet.addReplica(`${version}-${index}`, 'desk')
@@ -27,7 +30,7 @@
       serve(replica)
     }
   }
-  await waitUntil(async () => fleet.gateways.every(({ output }) => fleet.replicas.every(({ id }) => (
+  await waitUntil(async () => informed.every(({ output }) => fleet.replicas.every(({ id }) => (
     output.split('\n').some(line => line.includes('"event":"replica-added"') && line.includes(`"${id}"`))))))
 }
 
@@ -136,6 +139,53 @@
   assert.is(answer.status, 503)
 })
 
+async function setStoreDelay (delayMilliseconds: number): Promise<void> {
+  const body = JSON.stringify({ delayMilliseconds })
+  await fetch(`http://${fleet.storeAddress}/standin/faults`, { method: 'POST', headers: { 'Content-Type': 'application/json' }, body })
+}
+
+const staleGateways = [
+  {
+    title: 'paused',
+    begin: async (gateway: GatewayProcess) => { gateway.signal('SIGSTOP') },
+    end: async (gateway: GatewayProcess) => {
+      await setStoreDelay(PROPAGATION_MS)
+      gateway.signal('SIGCONT')
+    }
+  },
+  {
+    title: 'cut off from the store and the others',
+    begin: async (gateway: GatewayProcess) => {
+      const others = fleet.gateways.filter(other => other !== gateway)
+      const addresses = others.flatMap(({ addresses: { control, heartbeats } }) => [control, heartbeats])
+      gateway.setLinkFault('silent', [fleet.storeAddress, ...addresses])
+    },
+    end: async (gateway: GatewayProcess) => { gateway.setLinkFault('none', []) }
+  }
+]
+for (const { title, begin: beginFault, end: endFault } of staleGateways) {
+  // Guards against streams joined by a gateway that knew neither a version that had joined nor where the streams began.
+  test(`should not join versions at a gateway that was ${title} while the second one came, and go on there soon after`, async () => {
+    const first = fleet.gateways[0] as GatewayProcess
+    const stale = await fleet.startGateway('gateway-stale', { hasLinkFault: true })
+    await addReplicas({ v1: 2 })
+    await beginFault(stale)
+    await addReplicas({ v2: 6 }, [first])
+    await delay(STALE_MS)
+    const begun = await begin(40, first)
+    const resuming = resume(begun, stale)
+    await delay(PROPAGATION_MS)
+    if (title === 'paused') await endFault(stale)
+    assert.is(joinedOf(await resuming), 0)
+    await endFault(stale)
+    await waitUntil(async () => stale.output.includes('"v2-0"'))
+    await delay(STALE_MS)
+    const streams = await resume(await begin(40, first), stale)
+    assert.is(joinedOf(streams), 0)
+    assert.ok(servedOf(streams) >= 20)
+  })
+}
+
 async function killAll (): Promise<void> {
   await Promise.all(fleet.gateways.map(async gateway => {
     gateway.signal('SIGKILL')
