--- a/packages/gateway/src/channels/replicaChannel.spec.ts
+++ b/packages/gateway/src/channels/replicaChannel.spec.ts
@@ -65,6 +65,16 @@
   { title: 'a protocol switch', bytes: 'HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n', then: 'stay', expected: { fault: 'malformed' } },
   { title: 'both a length and chunks', bytes: 'HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n', then: 'stay', expected: { fault: 'malformed' } }
 ]
+for (const address of ['127.0.0.1:70000', '127.0.0.1:-1', '127.0.0.1:', '127.0.0.1']) {
+  // Guards against requests that waited for their deadline, since the port of a replica is out of range.
+  test(`should report at once that no connection to ${address} can be opened`, async () => {
+    const links: boolean[] = []
+    const pool = new ChannelPool(SETTINGS, () => performance.now(), (_target, isConnected) => { links.push(isConnected) })
+    assert.is((await exchange(pool.acquire({ id: 'r', address }, true))).fault, 'not-connected')
+    assert.equal(links, [false])
+  })
+}
+
 for (const { title, bytes, then, expected } of answers) {
   test(`should handle ${title}`, async () => {
     await withReplica((socket) => {
--- a/packages/gateway/src/channels/replicaChannel.ts
+++ b/packages/gateway/src/channels/replicaChannel.ts
@@ -80,12 +80,7 @@
       onBody: chunk => { this._onBody(chunk) },
       onEnd: () => { this._onEnd() }
     })
-    this._socket = net.connect({
-      host,
-      port,
-      noDelay: true,
-      onread: onreadOption(bytes => this._onBytes(bytes))
-    })
+    this._socket = connect({ host, port, noDelay: true, onread: onreadOption(bytes => this._onBytes(bytes)) })
     const timer = setTimeout(() => {
       this._hasConnectFailed = true
       this.close()
@@ -250,3 +245,12 @@
     this._fail(this._isConnected ? 'connection-ended' : 'not-connected', this._closeReason)
   }
 }
+
+/** An address that no connection can be opened to, for example with a port out of range, fails like one that refuses it. */
+function connect (options: net.NetConnectOpts): net.Socket {
+  try {
+    return net.connect(options)
+  } catch (error) {
+    return new net.Socket().destroy(error as Error)
+  }
+}
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -110,9 +110,14 @@
     }
     for (const { heartbeatAddress } of peers) {
       const [host, port] = splitAddress(heartbeatAddress)
-      this._socket.send(message, port, host, () => {
-        // Errors are ignored: the receiver detects lost datagrams by the missing heartbeats.
-      })
+      try {
+        this._socket.send(message, port, host, () => {
+          // Errors are ignored: the receiver detects lost datagrams by the missing heartbeats.
+        })
+      } catch (error) {
+        // A record with an address that cannot be one must not keep the heartbeat from the others.
+        this._state.log.decision('heartbeat-not-sent', { address: heartbeatAddress, detail: String(error) })
+      }
     }
   }
 
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -1,9 +1,9 @@
 /** One gateway instance: creates its components, starts them and shuts them down. */
 import {
-  CachedParts, CatalogCurrency, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas, PeerLinks, ReadSchedule,
-  RepeatedCrashes, ReplicaHealth, ReplicaLimits, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog, ServiceLinks,
-  SoftwareVersions, StoredParts, StoreMirror, StreamOrigins, type CatalogChange, type FrontRecord, type KeyValueService,
-  type Milliseconds
+  CachedParts, CatalogCurrency, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, LoadingReplicas,
+  PeerLinks, ReadSchedule, RepeatedCrashes, ReplicaHealth, ReplicaLimits, ReplicaNotices, SeededRandom, SentPrompts,
+  ServiceCatalog, ServiceLinks, SoftwareVersions, StoredParts, StoreMirror, StreamOrigins, type CatalogChange, type FrontRecord,
+  type KeyValueService, type Milliseconds
 } from '@wasabihead/coordination'
 import { CatalogLoop, CrashRecords, FRONT_KEY_PREFIX, HOST_KEY_PREFIX, OriginRecords, Registration, VersionRecords } from '../catalog/index.js'
 import { ChannelPool, splitAddress, type CallTarget } from '../channels/index.js'
--- a/packages/standins/src/metadataStore/metadataStoreStandIn.ts
+++ b/packages/standins/src/metadataStore/metadataStoreStandIn.ts
@@ -115,7 +115,12 @@
 
   /** Writes a value as JSON without a lease, in place of an operator or a replica. */
   put (key: string, value: object): void {
-    this._apply({ expected: [], puts: [{ key, value: Buffer.from(JSON.stringify(value)).toString('base64'), lease: 0 }], remove: [] })
+    this.putText(key, JSON.stringify(value))
+  }
+
+  /** Writes any text without a lease, in place of another writer. */
+  putText (key: string, text: string): void {
+    this._apply({ expected: [], puts: [{ key, value: Buffer.from(text).toString('base64'), lease: 0 }], remove: [] })
   }
 
   /** Removes a key. */
