fix(channels): do not reuse a connection on which bytes followed an answer

Cause: the connection was idle again at the end of the answer, while bytes of the same read were still to be parsed. The beginning of a head stayed in the parser, and the next status line became a line of it. Why it works: the parser says with the end of an answer whether bytes are left, and the connection isn't reused then. Bytes of a later read without a request close it already.

--- a/packages/gateway/src/channels/answerParser.ts
+++ b/packages/gateway/src/channels/answerParser.ts
@@ -21,7 +21,8 @@
 export interface AnswerListener {
   onHead (head: AnswerHead): void
   onBody (chunk: OwnedBytes): void
-  onEnd (): void
+  /** @param isFollowed whether bytes that belong to no request came with the end of the answer */
+  onEnd (isFollowed: boolean): void
 }
 
 /** The bytes are not a valid HTTP/1.1 answer, or one that cannot be passed on whole. */
@@ -65,7 +66,8 @@
       }
       this._isInsideAnswer = false
       this._framingBytes = 0
-      this._listener.onEnd()
+      const { offset, end } = this._parser as unknown as ReadPosition
+      this._listener.onEnd(offset < end)
     }
   }
 
@@ -115,6 +117,12 @@
   }
 }
 
+/** The internals of http-parser-js that say how far the bytes of a write are parsed. */
+interface ReadPosition {
+  offset: number
+  end: number
+}
+
 /** The internals of http-parser-js that parse the first line of a chunk. */
 interface ChunkHeadParser {
   BODY_CHUNKHEAD: () => void
--- a/packages/gateway/src/channels/replicaChannel.spec.ts
+++ b/packages/gateway/src/channels/replicaChannel.spec.ts
@@ -125,6 +125,26 @@
   })
 })
 
+const followers = [
+  { title: 'the beginning of a status line', bytes: 'HTTP' },
+  { title: 'the beginning of a refusal', bytes: 'HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n' },
+  { title: 'an empty line', bytes: '\r\n' },
+  { title: 'a whole second answer', bytes: WHOLE },
+  { title: 'bytes of no answer', bytes: 'junk' }
+]
+for (const whole of [WHOLE, 'HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n']) {
+  for (const { title, bytes } of followers) {
+    // Guards against a next answer that is read as the rest of what followed the one before.
+    test(`should not reuse a channel on which ${title} followed ${whole === WHOLE ? 'an answer' : 'chunks'} in the same read`, async () => {
+      await withReplica(socket => { socket.write(whole + bytes) }, async (pool, address) => {
+        const channel = pool.acquire({ id: 'r', address }, true)
+        assert.equal(await exchange(channel), { status: 200, body: 'hi', fault: undefined })
+        assert.is.not(pool.acquire({ id: 'r', address }, true), channel)
+      })
+    })
+  }
+}
+
 test('should distinguish a refused connection from a failure after which the request may have run', async () => {
   const pool = new ChannelPool(SETTINGS, () => performance.now(), () => {})
   const server = net.createServer()
--- a/packages/gateway/src/channels/replicaChannel.ts
+++ b/packages/gateway/src/channels/replicaChannel.ts
@@ -78,7 +78,7 @@
     this._parser = new AnswerParser({
       onHead: head => { this._onHead(head) },
       onBody: chunk => { this._onBody(chunk) },
-      onEnd: () => { this._onEnd() }
+      onEnd: isFollowed => { this._onEnd(isFollowed) }
     })
     this._socket = connect({ host, port, noDelay: true, onread: onreadOption(bytes => this._onBytes(bytes)) })
     const timer = setTimeout(() => {
@@ -220,9 +220,11 @@
     if (this._skippedBytes > MAXIMUM_SKIPPED_BYTES) this._fail('malformed', 'an answer to another request is too long to skip')
   }
 
-  private _onEnd (): void {
+  private _onEnd (isFollowed: boolean): void {
     const listener = this._listener
     if (this._isSkipping || listener === undefined) return
+    // The next answer on this connection could not be told from them.
+    if (isFollowed) this._isReusable = false
     this._listener = undefined
     this._lastUsedAt = this._now()
     this.completedExchanges += 1
