fix(requests): take a refusal without an id only on a new connection

Cause: a refusal without an id counted as the own one on any connection. Evidence: the new test of replicaBytes.spec.ts fails on the code before; six rows in replicaAttempt.spec.ts. Why it works: what arrives between the write of a request and its answer can be told from that answer only by the id. On a connection that carried no other request there is nothing to be a copy of, so that a refusal there is the own one.

--- a/packages/gateway/src/requests/replicaAttempt.spec.ts
+++ b/packages/gateway/src/requests/replicaAttempt.spec.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { FleetLoads, ReplicaHealth, ServiceLinks, type HealthSignal, type Replica, type Selection } from '@wasabihead/coordination'
-import type { ReplicaChannel } from '../channels/index.js'
+import type { AnswerHead, ReplicaChannel } from '../channels/index.js'
 import type { CallerRequest } from './callerRequest.js'
 import type { GatewayState } from './gatewayState.js'
 import { ReplicaAttempt } from './replicaAttempt.js'
@@ -34,4 +34,32 @@
   })
 }
 
+const heads: { title: string, requestId: string | undefined, isNotRun: boolean, exchanges: number, isExpected: boolean }[] = [
+  { title: 'accept an answer to its request', requestId: 'own', isNotRun: false, exchanges: 3, isExpected: true },
+  { title: 'accept a refusal of its request', requestId: 'own', isNotRun: true, exchanges: 3, isExpected: true },
+  { title: 'skip a refusal of another request', requestId: 'other', isNotRun: true, exchanges: 3, isExpected: false },
+  { title: 'skip a refusal without an id on a connection that carried another request', requestId: undefined, isNotRun: true, exchanges: 1, isExpected: false },
+  { title: 'accept a refusal without an id on a new connection', requestId: undefined, isNotRun: true, exchanges: 0, isExpected: true },
+  { title: 'skip an answer without an id', requestId: undefined, isNotRun: false, exchanges: 0, isExpected: false }
+]
+for (const { title, requestId, isNotRun, exchanges, isExpected } of heads) {
+  test(`should ${title}`, () => {
+    const now = (): number => 0
+    const state = {
+      health: new ReplicaHealth(),
+      loads: new FleetLoads(),
+      links: new ServiceLinks(),
+      metrics: { count: () => {} },
+      log: { decision: () => {} },
+      replicaProtocol: { readAnswer: () => ({ requestId, isNotRun }) },
+      now,
+      suspensionAwareNow: now
+    }
+    const own = { head: { requestId: 'own' } } as unknown as CallerRequest
+    const channel = { completedExchanges: exchanges } as unknown as ReplicaChannel
+    const attempt = new ReplicaAttempt(state as unknown as GatewayState, own, selection, channel, false)
+    assert.is(attempt.isExpected({ status: 503, headers: {} } as unknown as AnswerHead), isExpected)
+  })
+}
+
 test.run()
--- a/packages/gateway/src/requests/replicaAttempt.ts
+++ b/packages/gateway/src/requests/replicaAttempt.ts
@@ -51,7 +51,14 @@
 
   override isExpected (head: AnswerHead): boolean {
     const { requestId, isNotRun } = this._factsOf(head)
-    return requestId === undefined ? isNotRun : requestId === this._request.head.requestId
+    if (requestId !== undefined) return requestId === this._request.head.requestId
+    if (!isNotRun) return false
+    // On a connection that carried another request it may be a copy of an answer to that one; this request may be running.
+    const isFirst = this.channel.completedExchanges === 0
+    const { metrics, log } = this._state
+    metrics.count('refusals_without_id_total', isFirst ? 'first' : 'ambiguous')
+    log.decision('refusal-without-id', { requestId: this._request.head.requestId, replica: this.replica.id, status: head.status, isFirst })
+    return isFirst
   }
 
   override readHead (head: AnswerHead): AnswerFacts {
--- a/tests/platform/replicaBytes.spec.ts
+++ b/tests/platform/replicaBytes.spec.ts
@@ -193,6 +193,25 @@
   })
 }
 
+// Guards against requests that ran at two replicas, or whose callers were told that they had not run: a refusal of an earlier
+// request was written once more on their connection.
+test('should not take a refusal without an id for that of a request that runs on a kept connection', async () => {
+  const runs = new Map<string, number>()
+  respond = ({ socket, id, arrivals }) => {
+    runs.set(id, arrivals)
+    socket.write('HTTP/1.1 503 Busy\r\nX-Wasabihead-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'.repeat(kept.has(socket) ? 1 : 0))
+    kept.add(socket)
+    setTimeout(() => { socket.write(wholeAnswer(id, 'whole')) }, PIECE_GAP_MS)
+  }
+  const kept = new Set<net.Socket>()
+  const statuses: number[] = []
+  for (let index = 0; index < 20; index++) {
+    const answer = await call(gateway().addresses.front, '/unsafe/x', { method: 'POST', headers: { 'X-Wasabihead-Attempt-Id': `once-${index}` } })
+    statuses.push(answer.status)
+  }
+  assert.equal([[...new Set(statuses)], [...new Set(runs.values())]], [[200], [1]])
+})
+
 const kinds = [
   { path: '/events/x', headers: 'Content-Type: text/event-stream\r\n', body: 'id: 1\ndata: whole\n\n' },
   { path: '/unsafe/x', headers: '', body: 'whole' },
