fix(peers): end at the start where the port of the heartbeats is taken

Seen: a gateway whose UDP port is taken stayed alive without a line, and was never ready. Cause: the start waited for a bind that only reports an error. Evidence: the new test with processes does not end on the code before (stopped after 40 s) and passes now: the process ends with code 1 and names the address.

--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -68,14 +68,20 @@
   }
 
   /**
-   * Binds the socket and starts sending.
+   * Binds the socket and starts sending. Rejects if the address cannot be bound.
    * @param address IP address and port to receive heartbeats at
    */
   async start (address: string): Promise<void> {
     const [host, port] = splitAddress(address)
     // Otherwise a pause before the first round would not be detected.
     this._pauseGuard.tick(this._state.suspensionAwareNow())
-    await new Promise<void>(resolve => { this._socket.bind(port, host, resolve) })
+    await new Promise<void>((resolve, reject) => {
+      this._socket.once('error', reject)
+      this._socket.bind(port, host, () => {
+        this._socket.off('error', reject)
+        resolve()
+      })
+    })
     this._timer = setInterval(() => { this.send() }, this._settings.interval)
   }
 
--- a/tests/platform/platformFleet.spec.ts
+++ b/tests/platform/platformFleet.spec.ts
@@ -1,3 +1,4 @@
+import dgram from 'node:dgram'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { PlatformFleet, type GatewayProcess } from './platformFleet.js'
@@ -16,4 +17,21 @@
   assert.match(String(error), /gateway-0 ended with code 2 before it had started:\n[^]*provider/)
 })
 
+// Guards against a gateway that neither starts nor ends nor says why, since the port of its heartbeats is taken.
+test('should end and name the address where the UDP port of the heartbeats is taken', async () => {
+  const fleet = new PlatformFleet()
+  await fleet.start(1)
+  const gateway = fleet.gateways[0] as GatewayProcess
+  gateway.signal('SIGKILL')
+  await gateway.exited
+  const [host = '', port] = gateway.addresses.heartbeats.split(':')
+  const socket = dgram.createSocket('udp4')
+  await new Promise<void>(resolve => { socket.bind(Number(port), host, resolve) })
+  gateway.startProcess()
+  const error: unknown = await gateway.untilStarted().catch((reason: unknown) => reason)
+  socket.close()
+  await fleet.stop()
+  assert.match(String(error), new RegExp(`gateway-0 ended with code 1 before it had started:\\n[^]*EADDRINUSE ${gateway.addresses.heartbeats}`))
+})
+
 test.run()
