test(platform): echo the request's id in refusals of stand-ins, and run every second process from another build

WASABIHEAD_TEST_OTHER_ENTRY names the entry of another build for every second gateway process of a fleet.

--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -12,6 +12,9 @@
 import { PortBlocks } from './portBlocks.js'
 
 const ENTRY = fileURLToPath(import.meta.resolve('@wasabihead/platform/main'))
+/** The compiled entry of another build, which every second process runs; empty for one build only. */
+const OTHER_ENTRY = process.env.WASABIHEAD_TEST_OTHER_ENTRY ?? ''
+let startedProcesses = 0
 /** Paths of the compiled modules. */
 const CLOCK_FAULT = fileURLToPath(new URL('../soak/clockFault.js', import.meta.url))
 const LINK_FAULT = fileURLToPath(new URL('linkFault.js', import.meta.url))
@@ -25,6 +28,11 @@
   body: string
 }
 
+/** The header with the id of a request, which replicas echo in each answer; calls of the gateway's own have none. */
+export function idHeader ({ headers: { 'x-wasabihead-attempt-id': id } }: ReceivedRequest): http.OutgoingHttpHeaders {
+  return id === undefined ? {} : { 'X-Wasabihead-Attempt-Id': id }
+}
+
 /** Answers requests as a replica of the platform does. */
 export class ReplicaStandIn {
   readonly received: ReceivedRequest[] = []
@@ -55,7 +63,7 @@
   }
 
   answerHeaders (request: ReceivedRequest): http.OutgoingHttpHeaders {
-    return { 'X-Wasabihead-Attempt-Id': request.headers['x-wasabihead-attempt-id'], 'X-Wasabihead-Server-Seal': `seal-${this.id}` }
+    return { ...idHeader(request), 'X-Wasabihead-Server-Seal': `seal-${this.id}` }
   }
 
   /** Resets all connections and stops listening, as a crashed process does; `restart` brings it back at the same address. */
@@ -113,7 +121,9 @@
     this._end = undefined
     const { hasClockFault, hasLinkFault } = this._faults
     const faults = [...hasClockFault ? ['--import', CLOCK_FAULT] : [], ...hasLinkFault ? ['--import', LINK_FAULT] : []]
-    const child = spawn(process.execPath, [...faults, ENTRY], {
+    startedProcesses += 1
+    const entry = OTHER_ENTRY !== '' && startedProcesses % 2 === 0 ? OTHER_ENTRY : ENTRY
+    const child = spawn(process.execPath, [...faults, entry], {
       env: {
         WASABIHEAD_NODE_FILE: this._file,
         WASABIHEAD_METRICS_PORT: '0',
--- a/tests/platform/weightVersions.spec.ts
+++ b/tests/platform/weightVersions.spec.ts
@@ -3,7 +3,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { waitUntil } from '@wasabihead/experiments'
-import { call, configurationOf, PlatformFleet, type GatewayProcess, type ReplicaStandIn } from './platformFleet.js'
+import { call, configurationOf, idHeader, PlatformFleet, type GatewayProcess, type ReplicaStandIn } from './platformFleet.js'
 
 const MODEL = 'model-a'
 const PROMPT_HEADERS = {
@@ -67,7 +67,7 @@
   replaced.respond = (request, response) => {
     const expected = request.headers['x-wasabihead-expect-version']
     if (expected !== undefined && expected !== '2') {
-      response.writeHead(421).end()
+      response.writeHead(421, idHeader(request)).end()
       return
     }
     if (request.url === '/events/x') ran.push([String(request.headers['x-wasabihead-cache-salt']), expected?.toString()])
