fix(catalog): take no replicas from the peer that a starting instance compares with

Found by reading: the comparison with a peer, which is for the configuration that an older copy of the store lacks, also added replicas that the store no longer lists, for up to 2.5 s.

--- a/packages/gateway/src/catalog/catalogLoop.ts
+++ b/packages/gateway/src/catalog/catalogLoop.ts
@@ -1,7 +1,7 @@
 /** Updates the catalog from the store, and from peers while the store does not answer. */
 import {
-  frontRecordSchema, MESSAGE_DELAY_MARGIN, NO_ERA, type CatalogChange, type CatalogStatus, type FrontRecord, type Milliseconds,
-  type PeerChanges, type VersionedValue, type VersionRecord
+  frontRecordSchema, MESSAGE_DELAY_MARGIN, NO_ERA, type CatalogChange, type CatalogListing, type CatalogStatus,
+  type FrontRecord, type Milliseconds, type PeerChanges, type VersionedValue, type VersionRecord
 } from '@wasabihead/coordination'
 import type { CatalogSource } from '../protocol/index.js'
 import { requestPeerListing } from '../peers/index.js'
@@ -218,7 +218,10 @@
   private async _compareWithPeers (): Promise<void> {
     if (this._hasComparedWithPeers || this._state.mirror.era === NO_ERA) return
     this._hasComparedWithPeers = true
-    for (let asked = 0; asked < MAXIMUM_PEERS_COMPARED; asked++) if (await this._fetchPeerListing(undefined)) return
+    for (let asked = 0; asked < MAXIMUM_PEERS_COMPARED; asked++) {
+      // A replica that the store does not list may have left: the peer may not have noticed yet.
+      if (await this._fetchPeerListing(undefined, listing => ({ ...listing, replicas: [] }))) return
+    }
   }
 
   private async _requestPeerListing (peer: FrontRecord | undefined): Promise<void> {
@@ -242,8 +245,10 @@
     if (isStarting || isBehind) await this._fetchPeerListing(peer)
   }
 
-  /** Returns whether the catalog of a peer was received. */
-  private async _fetchPeerListing (peer: FrontRecord | undefined): Promise<boolean> {
+  /** Applies what `select` takes of a peer's catalog. Returns whether one was received. */
+  private async _fetchPeerListing (
+    peer: FrontRecord | undefined, select: (listing: CatalogListing) => CatalogListing = listing => listing
+  ): Promise<boolean> {
     const { fronts, now, suspensionAwareNow, random, catalog } = this._state
     const live = fronts.livePeers(now()).map(({ controlAddress }) => controlAddress)
     const addresses = (live.length > 0 ? live : this.seeds).filter(address => address !== fronts.self.controlAddress)
@@ -256,7 +261,7 @@
       const known = this._peerPosition
       if (era > known.era || (era === known.era && revision > known.revision)) this._peerPosition = { era, revision }
       fronts.addPeers(listing.fronts, now())
-      this._notify(catalog.applyPeerListing(listing.catalog, requestedAt, suspensionAwareNow()))
+      this._notify(catalog.applyPeerListing(select(listing.catalog), requestedAt, suspensionAwareNow()))
       return true
     } catch (error) {
       this._state.log.decision('peer-listing-failed', { address, detail: String(error) })
