refactor(catalog): give the runs that were removed a class of their own

ServiceCatalog had grown by a second duty, to tell entries of removed runs in an older copy of the store.

--- a/packages/coordination/src/catalog/serviceCatalog.ts
+++ b/packages/coordination/src/catalog/serviceCatalog.ts
@@ -3,6 +3,7 @@
 import { NO_ERA } from '../platform/index.js'
 import type { CatalogListing, AnnouncedWeightVersion, Replica, Revised, RoutingConfiguration } from './messages.js'
 import { MESSAGE_DELAY_MARGIN } from './readSchedule.js'
+import { RemovedReplicas } from './removedReplicas.js'
 import { RouteTable } from './routeTable.js'
 
 /** Settings of the catalog. */
@@ -27,18 +28,6 @@
 /** The age of an announcement is sent to peers for this long; beyond it, an unknown age leads to the same decisions. */
 const ANNOUNCEMENT_GOSSIP_DURATION: Milliseconds = 15_000
 
-/** For how long the catalog remembers which runs of replicas were removed. */
-const REMOVED_RETENTION: Milliseconds = 60_000
-
-/** A run of a replica that was removed: an older copy of the store may list it again. */
-interface RemovedReplica {
-  startedAt: number
-  at: Milliseconds
-  era: number
-  /** The entry that an older copy has of it, and until when it is ignored unless it changes. */
-  copied?: { revision: number, era: number, ignoredUntil: Milliseconds }
-}
-
 interface KnownReplica extends Revised<Replica> {
   /** Whether it has been listed since the last outage of the store. */
   isConfirmed: boolean
@@ -59,7 +48,7 @@
 export class ServiceCatalog {
   private _configuration: Revised<RouteTable> | undefined
   private readonly _replicas = new Map<string, KnownReplica>()
-  private readonly _removed = new Map<string, RemovedReplica>()
+  private readonly _removed: RemovedReplicas
   /** The latest announced versions of each model, newest last. */
   private readonly _weightVersions = new Map<string, AnnouncedVersion[]>()
   private _listedAt: Milliseconds = -Infinity
@@ -68,7 +57,9 @@
   private _byService = new Map<string, Replica[]>()
   private _hasRetainedUnlisted = false
 
-  constructor (private readonly _settings: CatalogSettings) {}
+  constructor (private readonly _settings: CatalogSettings) {
+    this._removed = new RemovedReplicas(_settings.returnGrace + _settings.longestGap)
+  }
 
   /** The configuration in force; undefined until one is known. */
   get routes (): RouteTable | undefined {
@@ -98,8 +89,7 @@
 
   /** When another listing is needed to decide on entries that expired during an outage of the store; Infinity where none is. */
   get recheckAt (): Milliseconds {
-    const ignored = [...this._removed.values()].map(({ copied }) => copied?.ignoredUntil ?? Infinity)
-    return Math.min(this._hasRetainedUnlisted ? this._graceUntil : Infinity, ...ignored)
+    return Math.min(this._hasRetainedUnlisted ? this._graceUntil : Infinity, this._removed.recheckAt)
   }
 
   /** The replicas of a service that may receive new requests. */
@@ -164,12 +154,10 @@
         continue
       }
       this._replicas.delete(id)
-      this._removed.set(id, { startedAt: known.value.startedAt, at: now, era })
+      this._removed.add(known.value, era, now)
       changes.push({ kind: 'replica-removed', replica: known.value, reason: 'unlisted' })
     }
-    for (const [id, { at }] of this._removed) {
-      if (now - at > REMOVED_RETENTION || !this._mayBeCopied(id, listed)) this._removed.delete(id)
-    }
+    this._removed.retain(listed, now)
     this._rebuildServiceIndex()
     return changes
   }
@@ -289,7 +277,7 @@
     const { id } = entry.value
     const known = this._replicas.get(id)
     const received = known === undefined ? entry : withoutReturn(entry, known)
-    if (known === undefined ? this._isCopyOfRemoved(entry, now) : !isNewerReplica(received, known)) return
+    if (known === undefined ? this._removed.isCopy(entry, now) : !isNewerReplica(received, known)) return
     const isRestarted = known !== undefined && known.value.startedAt !== received.value.startedAt
     if (isRestarted) changes.push({ kind: 'replica-removed', replica: known.value, reason: 'restarted' })
     const value = known === undefined || isRestarted
@@ -303,20 +291,6 @@
     }
   }
 
-  /** Whether an entry of an older copy names a run that was removed. One that is alive writes its entry again within seconds. */
-  private _isCopyOfRemoved ({ era = NO_ERA, revision, value: { id, startedAt } }: Revised<Replica>, now: Milliseconds): boolean {
-    const removed = this._removed.get(id)
-    if (removed === undefined || removed.era === era || startedAt > removed.startedAt) return false
-    const { returnGrace, longestGap } = this._settings
-    if (removed.copied?.era !== era) removed.copied = { revision, era, ignoredUntil: now + returnGrace + longestGap }
-    return removed.copied.revision === revision && now < removed.copied.ignoredUntil
-  }
-
-  /** Whether an entry of a removed run may still have to be ignored. */
-  private _mayBeCopied (id: string, listed: ReadonlySet<string>): boolean {
-    return this._removed.get(id)?.copied === undefined || (listed.has(id) && !this._replicas.has(id))
-  }
-
   private _rebuildServiceIndex (): void {
     this._byService = new Map()
     for (const { value } of this._replicas.values()) {
