fix(catalog): believe an own read of the store rather than a peer's era

Found by reading, for garbage in an era: after one message with an era that does not exist, an instance took every other status for an old one as long as it lived, and read the store itself all the time. Likewise where a store's era falls. Evidence: the new test of storeReading.spec.ts fails without the change (1 of 32) and passes with it. Why it works: the store knows its era; a read that it answers refutes what a peer told before. A true later era is told again.

--- a/packages/coordination/src/catalog/readSchedule.ts
+++ b/packages/coordination/src/catalog/readSchedule.ts
@@ -77,8 +77,15 @@
     return this._ownReadAt
   }
 
-  /** The store answered a read that was sent at `askedAt`. */
-  onRead (askedAt: Milliseconds): void {
+  /**
+   * The store answered a read that was sent at `askedAt`.
+   * @param era the one in which it answered; a peer that told of a later one was wrong
+   */
+  onRead (askedAt: Milliseconds, era = NO_ERA): void {
+    if (this._latestPeerEra > era) {
+      this._latestPeerEra = era
+      this._highestPeerRevision = 0
+    }
     this._previousReadAt = this._ownReadAt
     this._ownReadAt = askedAt
     this._failures = 0
--- a/packages/coordination/src/catalog/storeReading.spec.ts
+++ b/packages/coordination/src/catalog/storeReading.spec.ts
@@ -136,11 +136,21 @@
   schedule.onReturnTold(340, 0.9, 150)
   assert.is(schedule.nextReadAt('z', NAMES, Infinity), 850)
   assert.is(schedule.onPeerStatus({ changedAt: 9, age: 0, era: 2 }, 9, 400, 2), 'old')
-  schedule.onRead(850)
+  schedule.onRead(850, 3)
   assert.is(schedule.onPeerStatus({ changedAt: 5, age: 0, era: 3 }, 5, 1_300, 3), 'confirmed')
   assert.not(schedule.isBehind(5, 3))
 })
 
+test('should believe its own read of the store rather than a peer that told of a later era', () => {
+  const schedule = new ReadSchedule(SETTINGS)
+  schedule.onRead(0, 2)
+  assert.is(schedule.onPeerStatus({ changedAt: 9, age: 0, era: 1e15 }, 7, 100, 2), 'behind')
+  assert.is(schedule.onPeerStatus({ changedAt: 7, age: 0, era: 2 }, 7, 200, 2), 'old')
+  schedule.onRead(300, 2)
+  assert.not(schedule.isBehind(7, 2))
+  assert.is(schedule.onPeerStatus({ changedAt: 7, age: 0, era: 2 }, 7, 500, 2), 'confirmed')
+})
+
 test('should replace the copy by a listing of another era, and need one for changes of it', () => {
   const mirror = new StoreMirror(isSameBesidesCount, () => false)
   mirror.applyListing({ era: 1, revision: 50, values: [{ key: 'k', value: 'a1', revision: 40 }] })
--- a/packages/gateway/src/catalog/catalogLoop.ts
+++ b/packages/gateway/src/catalog/catalogLoop.ts
@@ -198,7 +198,7 @@
     const { mirror, catalog, fronts, crashes, softwareVersions, readSchedule, log, now, suspensionAwareNow } = this._state
     const { catalog: listing, own } = this._source.decode(mirror.values, mirror.era)
     this._ownValues = own
-    readSchedule.onRead(requestedAt)
+    readSchedule.onRead(requestedAt, mirror.era)
     this._notify(catalog.applyListing(listing, requestedAt, suspensionAwareNow()))
     if (!this._hasReadOrigins) this._applyOriginRecords()
     softwareVersions.applyRecords(this._versionRecords(), catalog.replicas, suspensionAwareNow())
