fix(channels): skip answers to callers' requests on connections of own calls

Why it works: replicas echo the id of a caller's request; calls of the instance's own have none, so that an answer with an id is not theirs.

--- a/packages/gateway/src/channels/addressCalls.spec.ts
+++ b/packages/gateway/src/channels/addressCalls.spec.ts
@@ -1,13 +1,37 @@
 import net, { type AddressInfo } from 'node:net'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { callAddress } from './addressCalls.js'
+import type { AnswerFacts, HeaderFields } from '../protocol/index.js'
+import { callAddress, type CallContext } from './addressCalls.js'
 import { ChannelPool } from './channelPool.js'
 
 const TIMEOUT = 5_000
 const HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
 const CALL = { method: 'GET', path: '/v1/report', headers: [], body: '' } as const
 
+function contextOf (channels: ChannelPool): CallContext {
+  const readAnswer = (_status: number, { id: requestId }: HeaderFields): AnswerFacts => ({ requestId }) as unknown as AnswerFacts
+  return { channels, replicaProtocol: { readAnswer } }
+}
+
+// Guards against a late copy of an answer to a caller's request that is read as a report, or as the answer to an order.
+test('should skip a late answer to a request before that to the call', async () => {
+  const server = net.createServer(socket => {
+    socket.on('error', () => {})
+    socket.once('data', () => {
+      socket.write('HTTP/1.1 503 Busy\r\nId: 7\r\nContent-Length: 0\r\n\r\n')
+      setTimeout(() => { socket.write(`${HEAD}Content-Length: 2\r\n\r\n{}`) }, 20)
+    })
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const pool = new ChannelPool({ connectTimeout: TIMEOUT, longestIdleForUnrepeatable: 0 }, () => performance.now(), () => {})
+  const target = { id: 'r', address: `127.0.0.1:${(server.address() as AddressInfo).port}` }
+  const outcome = await callAddress(contextOf(pool), target, { ...CALL, headers: [] }, TIMEOUT)
+  server.close()
+  pool.closeAllIdleConnections()
+  assert.equal(outcome, { isAnswered: true, status: 200, body: '{}' })
+})
+
 // Regression: the size of answers to reports, orders, and lists and events of cache stores was not limited, so the gateway read
 // for as long as bytes arrived.
 const endless: { title: string, begin: string, text: string, reason: RegExp }[] = [
@@ -34,7 +58,7 @@
     await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
     const pool = new ChannelPool({ connectTimeout: TIMEOUT, longestIdleForUnrepeatable: 0 }, () => performance.now(), () => {})
     const target = { id: 'r', address: `127.0.0.1:${(server.address() as AddressInfo).port}` }
-    const outcome = await callAddress(pool, target, { ...CALL, headers: [] }, TIMEOUT)
+    const outcome = await callAddress(contextOf(pool), target, { ...CALL, headers: [] }, TIMEOUT)
     assert.ok(!outcome.isAnswered)
     assert.match(outcome.reason, reason)
     await closed
--- a/packages/gateway/src/channels/addressCalls.ts
+++ b/packages/gateway/src/channels/addressCalls.ts
@@ -1,6 +1,6 @@
 /** The gateway's own calls to replicas and stores, apart from forwarded requests. Answers are read whole. */
 import type { Milliseconds } from '@wasabihead/coordination'
-import type { ReplicaCall } from '../protocol/index.js'
+import type { ReplicaCall, ReplicaProtocol } from '../protocol/index.js'
 import type { ChannelPool } from './channelPool.js'
 import { BufferedBytes } from './bufferedBytes.js'
 
@@ -17,12 +17,18 @@
   address: string
 }
 
+/** What calls need of their instance. */
+export interface CallContext {
+  channels: ChannelPool
+  replicaProtocol: Pick<ReplicaProtocol, 'readAnswer'>
+}
+
 /** The longest answers are lists of a cache store's parts, about 40 bytes for each part. */
 const MAXIMUM_ANSWER_BYTES = 4_194_304
 
 /** Sends a call and reads the whole answer. Never rejects: every failure is an outcome without an answer. */
 export async function callAddress (
-  channels: ChannelPool, target: CallTarget, call: ReplicaCall, timeout: Milliseconds
+  { channels, replicaProtocol }: CallContext, target: CallTarget, call: ReplicaCall, timeout: Milliseconds
 ): Promise<CallOutcome> {
   return await new Promise(resolve => {
     const channel = channels.acquire(target, true)
@@ -39,7 +45,8 @@
       headers: [['Host', target.address], ...call.headers, ...lengthHeader],
       body: call.body === '' ? undefined : Buffer.from(call.body)
     }, {
-      isExpected: () => true,
+      // The answer to a caller's request has an id, and may come late on a connection that carried the request.
+      isExpected: ({ status: received, headers }) => replicaProtocol.readAnswer(received, headers).requestId === undefined,
       onHead: head => { status = head.status },
       onBody: chunk => {
         body.add(chunk)
--- a/packages/gateway/src/channels/index.ts
+++ b/packages/gateway/src/channels/index.ts
@@ -1,5 +1,5 @@
 export { splitAddress } from './addresses.js'
-export { callAddress, type CallOutcome, type CallTarget } from './addressCalls.js'
+export { callAddress, type CallContext, type CallOutcome, type CallTarget } from './addressCalls.js'
 export { MalformedAnswerError, type AnswerHead } from './answerParser.js'
 export { ChannelPool, type ChannelPoolSettings } from './channelPool.js'
 export { BufferedBytes } from './bufferedBytes.js'
--- a/packages/gateway/src/rollout/rolloutLoop.ts
+++ b/packages/gateway/src/rollout/rolloutLoop.ts
@@ -139,7 +139,7 @@
   }
 
   private async _call ({ replica }: WeightOrder, call: ReplicaCall): Promise<{ status: number, body: string } | undefined> {
-    const outcome = await callAddress(this._state.channels, replica, call, this._settings.callTimeout)
+    const outcome = await callAddress(this._state, replica, call, this._settings.callTimeout)
     if (outcome.isAnswered) return outcome
     this._state.log.decision('replica-call-failed', { replica: replica.id, path: call.path, reason: outcome.reason })
     return undefined
--- a/packages/gateway/src/stores/storeCollector.ts
+++ b/packages/gateway/src/stores/storeCollector.ts
@@ -33,14 +33,14 @@
   }
 
   private async _collect (): Promise<void> {
-    const { storedParts, log, replicaProtocol, channels } = this._state
+    const { storedParts, log, replicaProtocol } = this._state
     for (const address of storedParts.addresses) {
       if (!this._isHolder()) return
       const stale = storedParts.partsOf(address, salt => this._isStale(salt))
       if (stale === undefined || stale.parts.length === 0) continue
       const parts = stale.parts.slice(0, MAXIMUM_PARTS_PER_CALL)
       const outcome = await callAddress(
-        channels, { id: address, address }, replicaProtocol.freeCall(parts, stale.epoch), this._settings.callTimeout
+        this._state, { id: address, address }, replicaProtocol.freeCall(parts, stale.epoch), this._settings.callTimeout
       )
       const result = outcome.isAnswered ? `status ${outcome.status}` : outcome.reason
       log.change('parts-freed', { address, parts: parts.length, epoch: stale.epoch, result })
--- a/packages/gateway/src/stores/storeFollower.ts
+++ b/packages/gateway/src/stores/storeFollower.ts
@@ -54,12 +54,12 @@
   }
 
   private async _poll (address: string): Promise<boolean> {
-    const { storedParts, replicaProtocol, channels, now, log } = this._state
+    const { storedParts, replicaProtocol, now, log } = this._state
     const { wait, callTimeout } = this._settings
     const { isListNeeded, next } = storedParts.nextRequest(address)
     const requestedAt = now()
     const call = isListNeeded ? replicaProtocol.storeListCall() : replicaProtocol.storeEventsCall(next, wait)
-    const outcome = await callAddress(channels, { id: address, address }, call, wait + callTimeout)
+    const outcome = await callAddress(this._state, { id: address, address }, call, wait + callTimeout)
     if (!outcome.isAnswered) {
       log.decision('store-events-missing', { address, reason: outcome.reason })
       return false
