--- a/packages/standins/src/common/standInServer.ts
+++ b/packages/standins/src/common/standInServer.ts
@@ -59,8 +59,8 @@
     await new Promise<void>(resolve => { server.close(() => { resolve() }) })
   }
 
-  /** Refuses calls before they take effect, or serves them again, in place of a test that sets the fault over HTTP. */
-  protected setDown (isDown: boolean): void {
+  /** Refuses calls before they take effect, or serves them again. The same fault can be set over HTTP. */
+  setDown (isDown: boolean): void {
     this._faults = { ...this._faults, isDown }
   }
 
--- a/tests/platform/storeEntries.spec.ts
+++ b/tests/platform/storeEntries.spec.ts
@@ -1,4 +1,6 @@
 /** Odd entries of another writer in the store, beside the entries of a sound replica. */
+import dgram from 'node:dgram'
+import { deflateRawSync } from 'node:zlib'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { waitUntil } from '@wasabihead/experiments'
@@ -54,4 +56,48 @@
   })
 }
 
+test('should send nothing to a replica that drains beside odd entries', async () => {
+  const gateway = fleet.gateways[0] as GatewayProcess
+  const leaving = await fleet.addReplica('leaving', 'desk')
+  await waitUntil(async () => gateway.output.includes('"replica":"leaving"'))
+  for (const [index, { key = 'servers/odd', text }] of entries.entries()) fleet.store.putText(`${key}-${index}`, text)
+  fleet.register(leaving, 'desk', { state: 'draining' })
+  await waitUntil(async () => gateway.output.includes('"event":"replica-draining"'))
+  leaving.received.splice(0)
+  for (let index = 0; index < REQUESTS; index++) assert.is(await status(), 200)
+  assert.equal(leaving.received.filter(({ url }) => url === '/unsafe/x'), [])
+})
+
+test('should serve at an instance that learns of the replicas from a peer, while the store with odd entries is away', async () => {
+  for (const [index, { key = 'servers/odd', text }] of entries.entries()) fleet.store.putText(`${key}-${index}`, text)
+  fleet.store.setDown(true)
+  const { addresses, output } = await fleet.startGateway('gateway-1')
+  await waitUntil(async () => (await call(addresses.front, '/unsafe/x', { method: 'POST' })).status === 200)
+  assert.not(output.includes('unhandled-failure'))
+})
+
+const heartbeat = {
+  from: { name: 'odd', incarnation: 1, isLeaving: false }, isReady: true, named: [], loads: {}, sent: [], stores: [], fetched: [], loading: [], loaded: []
+}
+const datagrams: { title: string, text: string }[] = [
+  { title: 'an address with a port above the range', text: JSON.stringify({ ...heartbeat, named: [{ name: 'odd', incarnation: 1, zone: 'z', region: 'r', frontAddress: 'x', controlAddress: 'x:99999', heartbeatAddress: '127.0.0.1:99999', isLeaving: false }] }) },
+  { title: 'deep nesting', text: '['.repeat(DEPTH) + ']'.repeat(DEPTH) },
+  { title: 'an epoch that is too large', text: JSON.stringify({ ...heartbeat, rolloutEpoch: Number.MAX_SAFE_INTEGER }) },
+  { title: 'an era and a revision that are too large', text: JSON.stringify({ ...heartbeat, catalog: { era: 1e300, changedAt: 1e300, age: 0, told: { after: 0, changes: [] } } }) },
+  { title: 'a number that JSON reads as infinite', text: JSON.stringify({ ...heartbeat, rolloutEpoch: 1 }).replace('"rolloutEpoch":1', '"rolloutEpoch":1e400') }
+]
+for (const { title, text } of datagrams) {
+  test(`should serve and follow the store after a heartbeat with ${title}`, async () => {
+    const gateway = fleet.gateways[0] as GatewayProcess
+    const [host, port] = gateway.addresses.heartbeats.split(':')
+    const socket = dgram.createSocket('udp4')
+    await new Promise(resolve => { socket.send(deflateRawSync(text), Number(port), host, resolve) })
+    socket.close()
+    fleet.store.put('op/config', configurationOf(2))
+    await waitUntil(async () => gateway.output.includes('"version":2,'))
+    assert.is(await status(), 200)
+    assert.not(gateway.output.includes('unhandled-failure'))
+  })
+}
+
 test.run()
--- a/tests/platform/storeReturn.spec.ts
+++ b/tests/platform/storeReturn.spec.ts
@@ -51,34 +51,40 @@
   }
 }
 
-// Guards against fencing tokens that go back: the store had lost the records of the last holders of the rollout role.
-test('should order with a higher token than all lost holders after the store came back from an older copy', async () => {
-  const orders: Order[] = []
-  await fleet.start(3)
-  fleet.store.put('op/config', configurationOf(1, { services: [{ name: 'desk', max_conns: 20, engine: ENGINE }] }))
-  const replica = await fleet.addReplica('replica-1', 'desk')
-  carryOutOrders(replica, orders)
-  fleet.register(replica, 'desk', { models: [{ name: MODEL, version: 1 }] })
-  const announce = async (version: number): Promise<void> => {
-    fleet.store.put(`op/version/${MODEL}`, { model: MODEL, version })
-    await waitUntil(async () => orders.some(order => order.version === version))
-  }
-  const first = await untilHeld()
-  await announce(2)
-  const copy = fleet.store.copy()
-  first.signal('SIGKILL')
-  const second = await untilHeld(first)
-  await announce(3)
-  second.signal('SIGKILL')
-  await fleet.store.restore(copy, AWAY_MS)
-  // Replicas write their registrations again and again, so that the revision soon passes the one before the return.
-  for (let count = 0; count < WRITES_AFTER_RETURN; count++) fleet.register(replica, 'desk', { models: [{ name: MODEL, version: 3 }], seq: count })
-  await announce(4)
-  const terms = new Map(orders.map(order => [order.holder, order.fencing_token]))
-  const tokens = [...terms.values()]
-  assert.is(terms.size, 3)
-  assert.equal(tokens, [...new Set(tokens)].sort((left, right) => left - right))
-})
+const returns = [
+  { title: 'the store came back from an older copy', count: 1 },
+  { title: 'the store came back twice in a row', count: 2 }
+]
+for (const { title, count } of returns) {
+  // Guards against fencing tokens that go back: the store had lost the records of the last holders of the rollout role.
+  test(`should order with a higher token than all lost holders after ${title}`, async () => {
+    const orders: Order[] = []
+    await fleet.start(3)
+    fleet.store.put('op/config', configurationOf(1, { services: [{ name: 'desk', max_conns: 20, engine: ENGINE }] }))
+    const replica = await fleet.addReplica('replica-1', 'desk')
+    carryOutOrders(replica, orders)
+    fleet.register(replica, 'desk', { models: [{ name: MODEL, version: 1 }] })
+    const announce = async (version: number): Promise<void> => {
+      fleet.store.put(`op/version/${MODEL}`, { model: MODEL, version })
+      await waitUntil(async () => orders.some(order => order.version === version))
+    }
+    const first = await untilHeld()
+    await announce(2)
+    const copy = fleet.store.copy()
+    first.signal('SIGKILL')
+    const second = await untilHeld(first)
+    await announce(3)
+    second.signal('SIGKILL')
+    for (let restored = 0; restored < count; restored++) await fleet.store.restore(copy, AWAY_MS)
+    // Replicas write their registrations again and again, so that the revision soon passes the one before the return.
+    for (let seq = 0; seq < WRITES_AFTER_RETURN; seq++) fleet.register(replica, 'desk', { models: [{ name: MODEL, version: 3 }], seq })
+    await announce(4)
+    const terms = new Map(orders.map(order => [order.holder, order.fencing_token]))
+    const tokens = [...terms.values()]
+    assert.is(terms.size, 3)
+    assert.equal(tokens, [...new Set(tokens)].sort((left, right) => left - right))
+  })
+}
 
 async function statusOf ({ addresses }: GatewayProcess, key: string): Promise<number> {
   return (await call(addresses.front, '/safe/x', { headers: { 'Api-Key': key } })).status
@@ -125,4 +131,28 @@
   for (const gateway of fleet.gateways) assert.equal([await statusOf(gateway, 'key-a'), await statusOf(gateway, 'key-b')], [200, 401])
 })
 
+// Guards against an instance that learns of the return from its peers alone, and compares that with what it knew before.
+test('should apply the configurations after the return where an instance is cut off from the store through it', async () => {
+  await fleet.start(2)
+  const cutOff = await fleet.startGateway('gateway-cut-off', { hasLinkFault: true })
+  fleet.store.put('op/config', withKeys(1, 'key-a'))
+  const replica = await fleet.addReplica('replica-1', 'desk')
+  await untilServed('key-a')
+  const copy = fleet.store.copy()
+  for (let seq = 0; seq < WRITES_AFTER_RETURN; seq++) fleet.register(replica, 'desk', { seq })
+  fleet.store.put('op/config', withKeys(2, 'key-a', 'key-b'))
+  await untilServed('key-b')
+  cutOff.setLinkFault('silent', [fleet.storeAddress])
+  for (let restored = 0; restored < 2; restored++) await fleet.store.restore(copy, AWAY_MS)
+  fleet.store.put('op/config', withKeys(2, 'key-a', 'key-b'))
+  fleet.store.put('op/config', withKeys(5, 'key-a', 'key-c'))
+  await untilServed('key-c')
+  assert.not(cutOff.output.includes('"event":"store-returned"'))
+  cutOff.setLinkFault('none', [])
+  await waitUntil(async () => cutOff.output.includes('"event":"store-returned"'))
+  fleet.store.put('op/config', withKeys(6, 'key-a', 'key-d'))
+  await untilServed('key-d')
+  for (const gateway of fleet.gateways) assert.equal([await statusOf(gateway, 'key-b'), await statusOf(gateway, 'key-c')], [401, 401])
+})
+
 test.run()
