fix(requests): refuse names of headers with spaces on every supported Node.js

Cause: nothing but the parser checked names. Evidence: callerBytes.spec.ts, "a space before the colon" and "a space in a name" fail on the code before, 16 of 16 pass now. Why it works: each name has to be a token (RFC 9112, 5.1); else the request gets 400, its connection closes with that answer, and what the parser takes for further requests on it is not served.

--- a/packages/gateway/src/requests/requestServer.ts
+++ b/packages/gateway/src/requests/requestServer.ts
@@ -1,6 +1,7 @@
 /** Accepts requests over HTTP/1.1, reads them completely, and starts them; refuses those that have no route or exceed a limit. */
 import http from 'node:http'
 import { createHash } from 'node:crypto'
+import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import type { Milliseconds, Route, RouteMatch } from '@wasabihead/coordination'
 import type { CallerHead } from '../protocol/index.js'
@@ -16,6 +17,7 @@
 /** Limits on what identifies a request among those that crash replicas. */
 const MAXIMUM_FEATURE_PARTS = 60
 const MAXIMUM_FEATURE_LENGTH = 256
+const HEADER_NAME = /^[!#$%&'*+\-.^_`|~0-9a-z]+$/i
 
 /** What the server adds to a request that it has accepted. */
 export type RequestTerms = Pick<CallerRequest, 'head' | 'deadline' | 'relayed'>
@@ -24,6 +26,8 @@
 export abstract class RequestServer {
   protected readonly _server: http.Server
   private readonly _responses = new Set<http.ServerResponse>()
+  /** Connections with a request whose end another HTTP parser might see elsewhere. */
+  private readonly _untrusted = new WeakSet<Socket>()
   private _running = 0
   private _isKeepAliveDisabled = false
   private _isRefusing = false
@@ -80,6 +84,12 @@
   protected abstract _refuse (response: http.ServerResponse, reason: RefusalReason, head: CallerHead): void
 
   private _accept (request: http.IncomingMessage, response: http.ServerResponse): void {
+    // What looks like a request may be the body of the one before. That one's answer closes the connection.
+    if (this._untrusted.has(request.socket)) return
+    if (hasInvalidNames(request.rawHeaders)) {
+      this._untrusted.add(request.socket)
+      closeWithAnswer(response)
+    }
     this._responses.add(response)
     response.once('close', () => { this._responses.delete(response) })
     if (this._isKeepAliveDisabled) closeWithAnswer(response)
@@ -126,7 +136,7 @@
     if (this._isRefusing) return 'leaving'
     const { routes } = this._state.catalog
     if (routes === undefined) return 'no-configuration'
-    if (head.requestId === undefined || hasSeveralHosts(request.rawHeaders)) return 'malformed'
+    if (this._untrusted.has(request.socket) || head.requestId === undefined || hasSeveralHosts(request.rawHeaders)) return 'malformed'
     const refusal = this._refusalOf(request, head)
     if (refusal !== undefined) return refusal
     const path = (request.url ?? '/').split('?', 1)[0] as string
@@ -159,6 +169,11 @@
   request.once('close', () => { clearTimeout(timer) })
 }
 
+/** Parsers of Node.js before 20.19.2 accept spaces in names; RFC 9112, 5.1 requires that such a request is refused. */
+function hasInvalidNames (rawHeaders: readonly string[]): boolean {
+  return rawHeaders.some((name, index) => index % 2 === 0 && !HEADER_NAME.test(name))
+}
+
 /** Two recipients could read such a request as one to different hosts; RFC 9112, 3.2 requires that it is refused. */
 function hasSeveralHosts (rawHeaders: readonly string[]): boolean {
   return rawHeaders.filter((name, index) => index % 2 === 0 && name.toLowerCase() === 'host').length > 1
