--- a/tests/platform/weightVersions.spec.ts
+++ b/tests/platform/weightVersions.spec.ts
@@ -156,7 +156,7 @@
         orders.push(replica)
         versions.set(id, order.version)
       }
-      response.writeHead(order === undefined ? 200 : 202, { 'X-Wasabihead-Server-Seal': 'seal', 'X-Wasabihead-Attempt-Id': 'attempt-1' })
+      response.writeHead(order === undefined ? 200 : 202, replica.answerHeaders(request))
       response.end(JSON.stringify({ seq: 0, busy: false, models: [{ name: MODEL, version: versions.get(id) ?? 2 }] }))
     }
   }
