fix(http): serve only requests that the grammar allows, whatever the parser of Node.js accepts

What callers saw (Node.js 20.19.0): a head that ends with CR LF CR and any byte was served, and what followed counted as a second request; at the addresses for readiness, the directory, control and relays, and at the daemon's own interface, spaces in names were accepted; requests in one piece with one that asks for an upgrade were never answered; a malformed request behind a sound one was answered 400 in place of the sound one, which had run. Cause: the verdict on a request was left to a parser that is more lenient than RFC 9112, in each version differently. Why it works: RequestSyntax follows the grammar on each connection, and the parser receives no byte that is not allowed, and no byte of a request together with those of the one before. A refusal waits for the answers to the requests before it.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -35,6 +35,15 @@
       }]
     }
   },
+  {
+    files: ['packages/http/src/**/*.ts'],
+    ignores: ['**/*.spec.ts'],
+    rules: {
+      'no-restricted-imports': ['error', {
+        patterns: [{ group: ['@wasabihead/*', '!@wasabihead/coordination'], message: 'The servers of all programs share this package.' }]
+      }]
+    }
+  },
   {
     files: ['packages/gateway/src/**/*.ts', 'platform/src/**/*.ts'],
     ignores: ['**/*.spec.ts'],
--- /dev/null
+++ b/packages/coordination/src/callers/index.ts
@@ -0,0 +1,1 @@
+export { RequestSyntax } from './requestSyntax.js'
--- /dev/null
+++ b/packages/coordination/src/callers/requestSyntax.ts
@@ -0,0 +1,163 @@
+/**
+ * The grammar of HTTP/1.1 requests (RFC 9112), checked on the bytes of one connection before a parser reads them. A parser that
+ * accepts more than the grammar may see the end of a request elsewhere than the sender, or another recipient, does.
+ */
+
+/** What the next bytes of the connection belong to. */
+type Position = 'request-line' | 'header' | 'body' | 'chunk-size' | 'chunk-data' | 'chunk-end' | 'trailer'
+
+interface FramingHeaders {
+  hosts: string[]
+  lengths: string[]
+  encodings: string[]
+}
+
+const LINE_FEED = 0x0a
+/** Longer lines are invalid; HTTP parsers have a similar limit on all headers of a request. */
+const MAXIMUM_LINE_LENGTH = 131_072
+/** Empty lines before a request that RFC 9112, 2.2 has servers ignore. */
+const MAXIMUM_EMPTY_LINES = 1
+/** Visible characters beyond ASCII are accepted in a target, since parsers pass them on unchanged. */
+const REQUEST_LINE = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+ [\x21-\x7e\x80-\xff]+ HTTP\/1\.([01])$/
+const HEADER_LINE = /^([!#$%&'*+\-.^_`|~0-9a-z]+):[\t ]*([\t\x20-\x7e\x80-\xff]*?)[\t ]*$/i
+const LENGTH = /^\d{1,15}$/
+const CHUNK_SIZE = /^([0-9a-f]{1,12})(?:[\t ]*;[\t\x20-\x7e\x80-\xff]*)?$/i
+const HEXADECIMAL = 16
+
+/** Follows the requests on one connection. */
+export class RequestSyntax {
+  private _position: Position = 'request-line'
+  /** The part of a line that has arrived. */
+  private _line = ''
+  private _emptyLines = 0
+  private _isOldVersion = false
+  private _framing = newFraming()
+  /** Bytes that are left of a body or chunk. */
+  private _left = 0
+  private _hasEnded = false
+  private _isInvalid = false
+
+  /** Whether a byte was invalid; the rest of the connection is then invalid, too. */
+  get isInvalid (): boolean {
+    return this._isInvalid
+  }
+
+  /** Checks bytes from an offset on. Returns where the valid ones end, at the latest where the current request ends. */
+  accept (bytes: Buffer, offset: number): number {
+    this._hasEnded = false
+    let end = offset
+    while (end < bytes.length && !this._hasEnded) {
+      const next = this._left > 0 ? this._skip(bytes, end) : this._readLine(bytes, end)
+      if (this._isInvalid) return end
+      end = next
+    }
+    return end
+  }
+
+  private _skip (bytes: Buffer, offset: number): number {
+    const skipped = Math.min(this._left, bytes.length - offset)
+    this._left -= skipped
+    if (this._left === 0) {
+      if (this._position === 'chunk-data') this._position = 'chunk-end'
+      else this._endRequest()
+    }
+    return offset + skipped
+  }
+
+  private _readLine (bytes: Buffer, offset: number): number {
+    const end = bytes.indexOf(LINE_FEED, offset)
+    const next = end < 0 ? bytes.length : end + 1
+    this._line += bytes.toString('latin1', offset, next)
+    const line = this._line
+    const carriageReturn = line.indexOf('\r')
+    const isComplete = end >= 0
+    const isInvalid = isComplete
+      ? carriageReturn < 0 || carriageReturn !== line.length - 2
+      : carriageReturn >= 0 && carriageReturn !== line.length - 1
+    if (isInvalid || line.length > MAXIMUM_LINE_LENGTH) this._isInvalid = true
+    else if (isComplete) {
+      this._line = ''
+      if (!this._acceptLine(line.slice(0, -2))) this._isInvalid = true
+    }
+    return next
+  }
+
+  private _acceptLine (line: string): boolean {
+    switch (this._position) {
+      case 'request-line': return this._acceptRequestLine(line)
+      case 'header': return line === '' ? this._endHead() : this._acceptHeader(line)
+      case 'chunk-size': return this._acceptChunkSize(line)
+      case 'chunk-end':
+        this._position = 'chunk-size'
+        return line === ''
+      case 'trailer':
+        if (line === '') this._endRequest()
+        return line === '' || HEADER_LINE.test(line)
+      case 'body':
+      case 'chunk-data':
+        throw new Error(`A ${this._position} has no lines.`)
+    }
+  }
+
+  private _acceptRequestLine (line: string): boolean {
+    if (line === '') {
+      this._emptyLines += 1
+      return this._emptyLines <= MAXIMUM_EMPTY_LINES
+    }
+    const match = REQUEST_LINE.exec(line)
+    this._isOldVersion = match?.[1] === '0'
+    this._framing = newFraming()
+    this._position = 'header'
+    return match !== null
+  }
+
+  private _acceptHeader (line: string): boolean {
+    const match = HEADER_LINE.exec(line)
+    if (match === null) return false
+    const [, name = '', value = ''] = match
+    this._valuesOf(name.toLowerCase())?.push(value)
+    return true
+  }
+
+  private _valuesOf (name: string): string[] | undefined {
+    switch (name) {
+      case 'host': return this._framing.hosts
+      case 'content-length': return this._framing.lengths
+      case 'transfer-encoding': return this._framing.encodings
+      default: return undefined
+    }
+  }
+
+  private _endHead (): boolean {
+    const { hosts, lengths, encodings } = this._framing
+    if (hosts.length > 1 || (hosts.length === 0 && !this._isOldVersion)) return false
+    if (lengths.length + encodings.length > 1) return false
+    const [length] = lengths
+    const [encoding] = encodings
+    if (length !== undefined && !LENGTH.test(length)) return false
+    if (encoding !== undefined && (encoding.toLowerCase() !== 'chunked' || this._isOldVersion)) return false
+    this._left = Number(length ?? 0)
+    if (encoding !== undefined) this._position = 'chunk-size'
+    else if (this._left > 0) this._position = 'body'
+    else this._endRequest()
+    return true
+  }
+
+  private _acceptChunkSize (line: string): boolean {
+    const size = CHUNK_SIZE.exec(line)?.[1]
+    if (size === undefined) return false
+    this._left = parseInt(size, HEXADECIMAL)
+    this._position = this._left > 0 ? 'chunk-data' : 'trailer'
+    return true
+  }
+
+  private _endRequest (): void {
+    this._hasEnded = true
+    this._position = 'request-line'
+    this._emptyLines = 0
+  }
+}
+
+function newFraming (): FramingHeaders {
+  return { hosts: [], lengths: [], encodings: [] }
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,6 +1,7 @@
 /** Coordination decisions of wasabihead, without I/O, clock or randomness: the current time is passed as an argument. */
 export * from './admission/index.js'
 export * from './cache/index.js'
+export * from './callers/index.js'
 export * from './catalog/index.js'
 export * from './claims/index.js'
 export * from './common/index.js'
--- a/packages/daemon/src/http/guardedServer.spec.ts
+++ b/packages/daemon/src/http/guardedServer.spec.ts
@@ -61,6 +61,17 @@
   assert.match(await running, /connection: close/i)
 })
 
+// Guards against an operation that runs although its caller was told that the request was malformed.
+test('should refuse a request that the grammar forbids, after the answer to the one before', async () => {
+  connection.write(`${REQUEST}GET / HTTP/1.1\r\nhost: entry-0\r\nx-a : b\r\n\r\n`)
+  const bytes = await new Promise<string>(resolve => {
+    let text = ''
+    connection.on('data', chunk => { text += String(chunk) })
+    connection.on('end', () => { resolve(text) })
+  })
+  assert.equal(bytes.match(/HTTP\/1\.1 \d+/g), ['HTTP/1.1 200', 'HTTP/1.1 400'])
+})
+
 test('should stop listening and end after the grace period', async () => {
   const short = new GuardedServer((_, response) => { response.end() }, () => ({}), { leavingGrace: 1 })
   const port = await short.start('127.0.0.1', 0)
--- a/packages/daemon/src/http/guardedServer.ts
+++ b/packages/daemon/src/http/guardedServer.ts
@@ -2,6 +2,7 @@
 import http from 'node:http'
 import type { AddressInfo } from 'node:net'
 import type { Duplex } from 'node:stream'
+import { CheckedConnections } from '@wasabihead/http'
 
 const MAXIMUM_HEADER_BYTES = 16_384
 const HEADERS_TIMEOUT_MILLISECONDS = 10_000
@@ -37,7 +38,6 @@
 /** An HTTP server that can stop at once, or gracefully after its last answer. */
 export class GuardedServer {
   private readonly _server: http.Server
-  private readonly _responses = new WeakMap<Duplex, http.ServerResponse>()
   private readonly _pendingResponses = new Set<http.ServerResponse>()
   private readonly _leavingGrace: number
   private _isLeaving = false
@@ -56,14 +56,15 @@
       connectionsCheckingInterval: check
     })
     this._server.on('request', (request, response) => {
-      this._responses.set(request.socket, response)
       this._pendingResponses.add(response)
       response.once('close', () => { this._pendingResponses.delete(response) })
       if (this._isLeaving) closeConnectionAfter(response)
       handler(request, response)
     })
+    const connections = new CheckedConnections(this._server)
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      this._refuse(socket, toFault(error), toBody)
+      if (!socket.writable || error.code === 'ECONNRESET') socket.destroy()
+      else connections.refuseAfterAnswers(socket, () => { refuse(socket, toFault(error), toBody) })
     })
   }
 
@@ -99,19 +100,14 @@
     this._server.closeAllConnections()
     await new Promise<void>(resolve => { this._server.close(() => { resolve() }) })
   }
+}
 
-  /** If a response has already started, the connection is closed without a refusal, which would corrupt that response. */
-  private _refuse (socket: Duplex, fault: TransportFault, toBody: (fault: TransportFault) => object): void {
-    const answer = this._responses.get(socket)
-    const hasBegun = answer !== undefined && answer.headersSent && !answer.writableFinished
-    if (!socket.writable || hasBegun) {
-      socket.destroy()
-      return
-    }
-    const body = JSON.stringify(toBody(fault))
-    socket.end(`HTTP/1.1 ${STATUS_LINES[fault]}\r\ncontent-type: application/json\r\n` +
-      `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`)
-  }
+function refuse (socket: Duplex, fault: TransportFault, toBody: (fault: TransportFault) => object): void {
+  // The answer before closed the connection.
+  if (!socket.writable) return
+  const body = JSON.stringify(toBody(fault))
+  socket.end(`HTTP/1.1 ${STATUS_LINES[fault]}\r\ncontent-type: application/json\r\n` +
+    `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`)
 }
 
 /** A response whose headers have been sent keeps its connection open; the answer to the next request on it closes it. */
--- a/packages/gateway/src/directory/endpointServer.ts
+++ b/packages/gateway/src/directory/endpointServer.ts
@@ -1,5 +1,6 @@
 /** HTTP server for requests without a body, with one handler for each method and path. */
 import http from 'node:http'
+import { CheckedConnections } from '@wasabihead/http'
 
 export interface EndpointResponse {
   status: number
@@ -11,6 +12,7 @@
 export type EndpointHandler = (query: URLSearchParams) => EndpointResponse
 
 const NOT_FOUND: EndpointResponse = { status: 404 }
+const BAD_REQUEST = 'HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
 const IDLE_TIMEOUT_MILLISECONDS = 10_000
 
 /** Serves the handlers, given by "METHOD /path", on one address. Answers 404 to anything else. */
@@ -26,6 +28,11 @@
       response.writeHead(status, headers)
       response.end(body)
     })
+    const connections = new CheckedConnections(this._server)
+    this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      if (!socket.writable || error.code === 'ECONNRESET') socket.destroy()
+      else connections.refuseAfterAnswers(socket, () => { socket.end(BAD_REQUEST) })
+    })
   }
 
   /** Starts listening. */
--- a/packages/gateway/src/requests/requestServer.ts
+++ b/packages/gateway/src/requests/requestServer.ts
@@ -1,9 +1,9 @@
 /** Accepts requests over HTTP/1.1, reads them completely, and starts them; refuses those that have no route or exceed a limit. */
 import http from 'node:http'
 import { createHash } from 'node:crypto'
-import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import type { Milliseconds, Route, RouteMatch } from '@wasabihead/coordination'
+import { CheckedConnections } from '@wasabihead/http'
 import type { CallerHead } from '../protocol/index.js'
 import type { CallerRequest } from './callerRequest.js'
 import type { GatewayState } from './gatewayState.js'
@@ -17,7 +17,8 @@
 /** Limits on what identifies a request among those that crash replicas. */
 const MAXIMUM_FEATURE_PARTS = 60
 const MAXIMUM_FEATURE_LENGTH = 256
-const HEADER_NAME = /^[!#$%&'*+\-.^_`|~0-9a-z]+$/i
+/** How long a refused connection stays open, so that bytes still on their way do not reset it before the caller has read why. */
+const LINGER: Milliseconds = 1_000
 
 /** What the server adds to a request that it has accepted. */
 export type RequestTerms = Pick<CallerRequest, 'head' | 'deadline' | 'relayed'>
@@ -26,8 +27,6 @@
 export abstract class RequestServer {
   protected readonly _server: http.Server
   private readonly _responses = new Set<http.ServerResponse>()
-  /** Connections with a request whose end another HTTP parser might see elsewhere. */
-  private readonly _untrusted = new WeakSet<Socket>()
   private _running = 0
   private _isKeepAliveDisabled = false
   private _isRefusing = false
@@ -38,7 +37,11 @@
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT,
       connectionsCheckingInterval: 1_000
     }, (request, response) => { this._accept(request, response) })
-    this._server.on('clientError', (error, socket) => { answerMalformed(error, socket) })
+    const connections = new CheckedConnections(this._server)
+    this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      if (!socket.writable || error.code === 'ECONNRESET') socket.destroy()
+      else connections.refuseAfterAnswers(socket, () => { answerMalformed(error, socket) })
+    })
   }
 
   /** Number of requests that were read completely and are not yet answered. */
@@ -84,12 +87,6 @@
   protected abstract _refuse (response: http.ServerResponse, reason: RefusalReason, head: CallerHead): void
 
   private _accept (request: http.IncomingMessage, response: http.ServerResponse): void {
-    // What looks like a request may be the body of the one before. That one's answer closes the connection.
-    if (this._untrusted.has(request.socket)) return
-    if (hasInvalidNames(request.rawHeaders)) {
-      this._untrusted.add(request.socket)
-      closeWithAnswer(response)
-    }
     this._responses.add(response)
     response.once('close', () => { this._responses.delete(response) })
     if (this._isKeepAliveDisabled) closeWithAnswer(response)
@@ -136,7 +133,7 @@
     if (this._isRefusing) return 'leaving'
     const { routes } = this._state.catalog
     if (routes === undefined) return 'no-configuration'
-    if (this._untrusted.has(request.socket) || head.requestId === undefined || hasSeveralHosts(request.rawHeaders)) return 'malformed'
+    if (head.requestId === undefined) return 'malformed'
     const refusal = this._refusalOf(request, head)
     if (refusal !== undefined) return refusal
     const path = (request.url ?? '/').split('?', 1)[0] as string
@@ -169,16 +166,6 @@
   request.once('close', () => { clearTimeout(timer) })
 }
 
-/** Parsers of Node.js before 20.19.2 accept spaces in names; RFC 9112, 5.1 requires that such a request is refused. */
-function hasInvalidNames (rawHeaders: readonly string[]): boolean {
-  return rawHeaders.some((name, index) => index % 2 === 0 && !HEADER_NAME.test(name))
-}
-
-/** Two recipients could read such a request as one to different hosts; RFC 9112, 3.2 requires that it is refused. */
-function hasSeveralHosts (rawHeaders: readonly string[]): boolean {
-  return rawHeaders.filter((name, index) => index % 2 === 0 && name.toLowerCase() === 'host').length > 1
-}
-
 function identify ({ apiKey, prompt }: CallerHead, target: string, body: Buffer): Pick<CallerRequest, 'fingerprint' | 'features'> {
   const content = createHash('sha1').update(`${target}\n`).update(body).digest('base64')
   const fingerprint = createHash('sha1').update(`${apiKey ?? ''}\n${content}`).digest('base64')
@@ -192,12 +179,11 @@
 }
 
 function answerMalformed (error: NodeJS.ErrnoException, socket: Duplex): void {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy()
-    return
-  }
+  // The answer before closed the connection.
+  if (!socket.writable) return
   const isTooLarge = error.code === 'HPE_HEADER_OVERFLOW'
   const isTooSlow = error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
   const status = isTooLarge ? '431 Request Header Fields Too Large' : isTooSlow ? '408 Request Timeout' : '400 Bad Request'
   socket.end(`HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`)
+  setTimeout(() => { socket.destroy() }, LINGER).unref()
 }
--- /dev/null
+++ b/packages/http/src/checkedConnections.ts
@@ -0,0 +1,61 @@
+/**
+ * Passes on to the parser of an HTTP server only what the grammar allows. Parsers of Node.js accept more than that, each version
+ * something else: before 20.19.2, for example, spaces in names, and any byte for the last one of a head.
+ */
+import type http from 'node:http'
+import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
+import { RequestSyntax } from '@wasabihead/coordination'
+
+/** The bytes of a connection are no HTTP/1.1 request. */
+export class MalformedRequestError extends Error {
+  readonly code = 'HPE_INVALID_SYNTAX'
+}
+
+/** The connections of one server. It emits `clientError` with a `MalformedRequestError` where the bytes of one are invalid. */
+export class CheckedConnections {
+  /** Responses that are not complete, in the order of their requests. */
+  private readonly _unanswered = new WeakMap<Duplex, Set<http.ServerResponse>>()
+  private readonly _refused = new WeakSet<Duplex>()
+
+  constructor (private readonly _server: http.Server) {
+    _server.on('connection', (socket: Socket) => { this._check(socket) })
+    _server.on('request', (request: http.IncomingMessage, response: http.ServerResponse) => {
+      const unanswered = this._unanswered.get(request.socket)
+      unanswered?.add(response)
+      response.once('close', () => { unanswered?.delete(response) })
+    })
+  }
+
+  /**
+   * Calls `refuse` for a connection on which bytes were invalid, once the requests before these bytes are answered: the refusal
+   * would be taken for the answer to the first of them. Closes the connection instead where an answer has begun before its
+   * request was complete. Does nothing if the connection is refused already.
+   */
+  refuseAfterAnswers (socket: Duplex, refuse: () => void): void {
+    if (this._refused.has(socket)) return
+    this._refused.add(socket)
+    const unanswered = [...this._unanswered.get(socket) ?? []]
+    const lastComplete = unanswered.filter(({ req }) => req.complete).at(-1)
+    if (unanswered.some(({ req, headersSent }) => !req.complete && headersSent)) socket.destroy()
+    else if (lastComplete === undefined) refuse()
+    else lastComplete.once('close', refuse)
+  }
+
+  private _check (socket: Socket): void {
+    const syntax = new RequestSyntax()
+    this._unanswered.set(socket, new Set())
+    const parsers = socket.listeners('data') as ((bytes: Buffer) => void)[]
+    for (const parse of parsers) socket.off('data', parse)
+    socket.on('data', (bytes: Buffer) => {
+      let offset = 0
+      while (offset < bytes.length && !syntax.isInvalid) {
+        const end = syntax.accept(bytes, offset)
+        // Not a byte of the next request: the parser drops what it is given together with a request for an upgrade.
+        if (end > offset) for (const parse of parsers) parse.call(socket, bytes.subarray(offset, end))
+        offset = end
+      }
+      if (syntax.isInvalid && !this._refused.has(socket)) this._server.emit('clientError', new MalformedRequestError(), socket)
+    })
+  }
+}
--- a/tests/platform/callerBytes.spec.ts
+++ b/tests/platform/callerBytes.spec.ts
@@ -2,7 +2,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { waitUntil } from '@wasabihead/experiments'
-import { call, configurationOf, PlatformFleet, sendBytes, type ReplicaStandIn } from './platformFleet.js'
+import { call, configurationOf, PlatformFleet, sendBytes, type GatewayAddresses, type ReplicaStandIn } from './platformFleet.js'
 
 let fleet: PlatformFleet
 let replica: ReplicaStandIn
@@ -37,6 +37,16 @@
   { title: 'a tab before the colon', bytes: `GET /safe/x HTTP/1.1\r\n${HOST}${CALLER_HEADERS}X-Long\t: a\r\n${CLOSE}\r\n`, statuses: [400], sent: 0 },
   { title: 'a space in a name', bytes: `GET /safe/x HTTP/1.1\r\n${HOST}${CALLER_HEADERS}X Long: a\r\n${CLOSE}\r\n`, statuses: [400], sent: 0 },
   { title: 'a length with a space before the colon, whose body looks like a request', bytes: `POST /unsafe/x HTTP/1.1\r\n${HOST}${CALLER_HEADERS}Content-Length : 90\r\n\r\nGET /safe/x HTTP/1.1\r\n${HOST}${CALLER_HEADERS}\r\n`, statuses: [400], sent: 0 },
+  { title: 'two carriage returns and a line feed for the end of the head', bytes: `GET /safe/x HTTP/1.1\r\n${HOST}${CALLER_HEADERS}\r\r\nGET /safe/y HTTP/1.1\r\n${HOST}${CALLER_HEADERS}\r\n`, statuses: [400], sent: 0 },
+  { title: 'a carriage return and another byte for the end of the head', bytes: `GET /safe/x HTTP/1.1\r\n${HOST}${CALLER_HEADERS}\rXGET /safe/y HTTP/1.1\r\n${HOST}${CALLER_HEADERS}\r\n`, statuses: [400], sent: 0 },
+  { title: 'a line feed alone', bytes: `GET /safe/x HTTP/1.1\r\n${HOST}X-Long: a\n${CALLER_HEADERS}${CLOSE}\r\n`, statuses: [400], sent: 0 },
+  { title: 'a carriage return in a value', bytes: `GET /safe/x HTTP/1.1\r\n${HOST}X-Long: a\rb\r\n${CALLER_HEADERS}${CLOSE}\r\n`, statuses: [400], sent: 0 },
+  { title: 'NUL in a value', bytes: `GET /safe/x HTTP/1.1\r\n${HOST}X-Long: a\0b\r\n${CALLER_HEADERS}${CLOSE}\r\n`, statuses: [400], sent: 0 },
+  { title: 'a chunk size that ends with a line feed', bytes: `POST /unsafe/x HTTP/1.1\r\n${HOST}${CALLER_HEADERS}Transfer-Encoding: chunked\r\n\r\n2\nab\r\n0\r\n\r\n`, statuses: [400], sent: 0 },
+  { title: 'a request and one that is malformed at once', bytes: `POST /unsafe/x HTTP/1.1\r\n${HOST}${CALLER_HEADERS}Content-Length: 2\r\n\r\nabGET /safe/x HTTP/1.1\r\n${HOST}X Long: a\r\n${CALLER_HEADERS}\r\n`, statuses: [200, 400], sent: 1 },
+  { title: 'a request and bytes that are none at once', bytes: `POST /unsafe/x HTTP/1.1\r\n${HOST}${CALLER_HEADERS}Content-Length: 2\r\n\r\nabcd\0\r\n\r\n`, statuses: [200, 400], sent: 1 },
+  { title: 'the last request of a connection and bytes after it', bytes: `POST /unsafe/x HTTP/1.1\r\n${HOST}${CALLER_HEADERS}${CLOSE}Content-Length: 2\r\n\r\nabcd`, statuses: [200], sent: 1 },
+  { title: 'an upgrade and a request at once', bytes: `GET /safe/x HTTP/1.1\r\n${HOST}${CALLER_HEADERS}Connection: upgrade\r\nUpgrade: websocket\r\n\r\nGET /safe/y HTTP/1.1\r\n${HOST}${CALLER_HEADERS}${CLOSE}\r\n`, statuses: [200, 200], sent: 2 },
   { title: 'two requests at once', bytes: `GET /safe/1 HTTP/1.1\r\n${HOST}${CALLER_HEADERS}\r\nGET /safe/2 HTTP/1.1\r\n${HOST}${CALLER_HEADERS}${CLOSE}\r\n`, statuses: [200, 200], sent: 2 },
   { title: 'HEAD', bytes: `HEAD /safe/x HTTP/1.1\r\n${HOST}${CALLER_HEADERS}${CLOSE}\r\n`, statuses: [200], sent: 1 },
   { title: 'an expectation', bytes: `POST /unsafe/x HTTP/1.1\r\n${HOST}${CALLER_HEADERS}${CLOSE}Expect: 100-continue\r\nContent-Length: 2\r\n\r\nab`, statuses: [100, 200], sent: 1, absent: 'expect' },
@@ -51,4 +61,20 @@
   })
 }
 
+const boundaries: { address: keyof GatewayAddresses, path: string }[] = [
+  { address: 'ready', path: '/v1/ready' },
+  { address: 'directory', path: '/v1/resolve' },
+  { address: 'control', path: '/v1/listing' },
+  { address: 'heartbeats', path: '/safe/x' }
+]
+for (const { address, path } of boundaries) {
+  for (const [title, line] of [['a space before a colon', 'X-Long : a\r\n'], ['an end of the head that is none', '\rX']] as const) {
+    test(`should answer 400 to ${title}, at the address for ${address}`, async () => {
+      const bytes = `GET ${path} HTTP/1.1\r\n${HOST}${line}\r\nGET ${path} HTTP/1.1\r\n${HOST}${CLOSE}\r\n`
+      const text = await sendBytes(fleet.gateways[0]?.addresses[address] ?? '', bytes)
+      assert.equal([...text.matchAll(/HTTP\/1\.1 (\d{3}) /g)].map(match => Number(match[1])), [400], text)
+    })
+  }
+}
+
 test.run()
--- a/utils/bundleGateway.mjs
+++ b/utils/bundleGateway.mjs
@@ -14,6 +14,7 @@
   banner: { js: 'import { createRequire as createRequireOfBundle } from "node:module"; const require = createRequireOfBundle(import.meta.url);' },
   alias: {
     '@wasabihead/coordination': './packages/coordination/src/index.ts',
+    '@wasabihead/http': './packages/http/src/index.ts',
     '@wasabihead/gateway': './packages/gateway/src/index.ts'
   }
 })
--- a/utils/runSpecs.mjs
+++ b/utils/runSpecs.mjs
@@ -9,7 +9,7 @@
 import { join, relative } from 'node:path'
 
 const ROOTS = [
-  'packages/coordination/dist', 'packages/gateway/dist', 'platform/dist', 'packages/daemon/dist', 'packages/cli/dist', 'packages/standins/dist', 'packages/experiments/dist', 'tests/dist'
+  'packages/coordination/dist', 'packages/http/dist', 'packages/gateway/dist', 'platform/dist', 'packages/daemon/dist', 'packages/cli/dist', 'packages/standins/dist', 'packages/experiments/dist', 'tests/dist'
 ]
 const MAXIMUM_FILES_AT_ONCE = Math.max(1, Math.min(4, availableParallelism() - 1))
 const FILE_TIMEOUT_MILLISECONDS = 240_000
