fix(channels): reclaim the copies of reads before they fill the memory

Cause: each read is copied, the copies lie outside of V8's heap, and V8 collects them only once some tens of megabytes have come together. The processes of the tests run with the flags of deploy/system.toml now; without them they were measured with another young generation than is deployed.

--- a/packages/gateway/src/channels/ownedBytes.ts
+++ b/packages/gateway/src/channels/ownedBytes.ts
@@ -1,4 +1,5 @@
 /** Ownership of bytes that were read from connections. */
+import { CopyReclaimer } from './copyReclaimer.js'
 
 declare const owned: unique symbol
 
@@ -16,10 +17,17 @@
  * leave this file.
  */
 const sharedBuffer = Buffer.allocUnsafe(READ_BUFFER_BYTES)
+const reclaimer = new CopyReclaimer()
 
 /** The `onread` option of a socket: it reads into the shared buffer and gives the listener owned copies. */
 export function onreadOption (listener: ReadListener): { buffer: Uint8Array, callback: (length: number) => boolean } {
-  return { buffer: sharedBuffer, callback: length => listener(ownedCopy(sharedBuffer.subarray(0, length))) }
+  return {
+    buffer: sharedBuffer,
+    callback: length => {
+      reclaimer.onCopied(length)
+      return listener(ownedCopy(sharedBuffer.subarray(0, length)))
+    }
+  }
 }
 
 /** A slice of owned bytes, which shares their memory and is owned, too. */
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -12,6 +12,8 @@
 import { PortBlocks } from './portBlocks.js'
 
 const ENTRY = fileURLToPath(import.meta.resolve('@wasabihead/platform/main'))
+/** As in deploy/system.toml. */
+const DEPLOYED_FLAGS = ['--max-old-space-size=96', '--max-semi-space-size=4']
 /** The compiled entry of another build, which every second process runs; empty for one build only. */
 const OTHER_ENTRY = process.env.WASABIHEAD_TEST_OTHER_ENTRY ?? ''
 let startedProcesses = 0
@@ -123,7 +125,7 @@
     const faults = [...hasClockFault ? ['--import', CLOCK_FAULT] : [], ...hasLinkFault ? ['--import', LINK_FAULT] : []]
     startedProcesses += 1
     const entry = OTHER_ENTRY !== '' && startedProcesses % 2 === 0 ? OTHER_ENTRY : ENTRY
-    const child = spawn(process.execPath, [...faults, entry], {
+    const child = spawn(process.execPath, [...DEPLOYED_FLAGS, ...faults, entry], {
       env: {
         WASABIHEAD_NODE_FILE: this._file,
         WASABIHEAD_METRICS_PORT: '0',
--- a/tests/platform/replicaBytes.spec.ts
+++ b/tests/platform/replicaBytes.spec.ts
@@ -285,6 +285,53 @@
   assert.ok(held <= MEMORY_FOR_FORTY, `${held} bytes above ${atRest}`)
 })
 
+const CHUNK = `4000\r\n${'and more '.repeat(1_821).slice(0, 16_384)}\r\n`
+const endlessWithContent: { title: string, path: string, begin: (id: string) => string, text: string }[] = [
+  { title: 'a plain answer', path: '/safe/x', begin: id => headOf(id, 'Connection: close'), text: 'and more ' },
+  { title: 'a plain answer in chunks', path: '/safe/x', begin: id => headOf(id, CHUNKED), text: CHUNK },
+  { title: 'a stream of events', path: '/events/x', begin: id => headOf(id, 'Content-Type: text/event-stream'), text: 'data: and more\n\n' }
+]
+for (const { title, path, begin, text } of endlessWithContent) {
+  for (const pace of ['fast', 'slow', 'not at all'] as const) {
+    // Guards against copies of an answer's pieces that fill the memory before they are reclaimed.
+    test(`should pass on ${title} without an end in bounded memory, to a caller that reads ${pace}`, async () => {
+      respond = ({ socket, id }) => {
+        socket.write(begin(id))
+        writeWithoutEnd(socket, text)
+      }
+      const atRest = gateway().peakMemory
+      const received = await countAnswer(path, pace)
+      const held = gateway().peakMemory - atRest
+      assert.is(received > 0, pace !== 'not at all')
+      assert.ok(held <= MEMORY_FOR_ONE, `${held} bytes above ${atRest}`)
+    })
+  }
+}
+
+/** Reads an answer until its connection closes, or until twice the route's timeout has passed; returns the number of bytes. */
+async function countAnswer (path: string, pace: 'fast' | 'slow' | 'not at all'): Promise<number> {
+  const [host, port] = gateway().addresses.front.split(':')
+  return await new Promise(resolve => {
+    const socket = net.connect({ host, port: Number(port) })
+    let length = 0
+    const timer = setTimeout(() => { socket.destroy() }, 2 * ROUTE_TIMEOUT_MS)
+    if (pace !== 'not at all') {
+      socket.on('data', data => {
+        length += data.length
+        if (pace === 'fast') return
+        socket.pause()
+        setTimeout(() => { socket.resume() }, 10)
+      })
+    }
+    socket.on('error', () => { socket.destroy() })
+    socket.once('close', () => {
+      clearTimeout(timer)
+      resolve(length)
+    })
+    socket.write(`GET ${path} HTTP/1.1\r\nHost: front.example\r\nApi-Key: key-a\r\nX-Wasabihead-Attempt-Id: counted\r\n\r\n`)
+  })
+}
+
 // Guards against limits on bytes that also end slow, large but valid streams.
 test('should pass a slow stream with many large events whole', async () => {
   const events = Array.from({ length: 40 }, (_, index) => `id: ${index + 1}\ndata: ${bodyOf('long', 20_000)}\n\n`)
