fix(requests): pass on no length with an answer that has no content

Seen: the Content-Length of a replica's answer with status 204 was passed on, against RFC 9110, 8.6; a recipient may wait for a body, or take the next answer on the connection for it. Cause: the length was kept for each answer without a body, as HEAD and 304 need it. Evidence: replicaBytes.spec.ts, "status 204 and a length without a body", fails on and passes now; that of 304 passes on both. Why it works: for 204 no length is written.

--- a/packages/gateway/src/requests/answerRelay.ts
+++ b/packages/gateway/src/requests/answerRelay.ts
@@ -4,7 +4,9 @@
 import { EventSplitter } from './eventSplitter.js'
 import { forwardedHeaders } from './forwardedHeaders.js'
 
+const NO_CONTENT = 204
 const FIRST_STATUS_AFTER_SUCCESS = 300
+const NOT_MODIFIED = 304
 
 /** Forwards the answer to one request, which may come from several replicas one after another. */
 export abstract class AnswerRelay {
@@ -59,8 +61,9 @@
   /** Writes a complete answer. */
   static write (response: http.ServerResponse, head: AnswerHead, body: Buffer): void {
     const headers = forwardedHeaders(head.rawHeaders, () => true)
-    const isBodyless = response.req.method === 'HEAD' || head.status === 204 || head.status === 304
-    const declaredLength = head.headers['content-length']
+    const isBodyless = response.req.method === 'HEAD' || head.status === NO_CONTENT || head.status === NOT_MODIFIED
+    // RFC 9110, 8.6: an answer without content has no length; where no body follows, it is that of the body that is left out.
+    const declaredLength = head.status === NO_CONTENT ? undefined : head.headers['content-length']
     if (!isBodyless) headers.push(['Content-Length', String(body.length)])
     else if (declaredLength !== undefined) headers.push(['Content-Length', String(declaredLength)])
     response.writeHead(head.status, head.statusText, headers.flat())
--- a/tests/platform/replicaBytes.spec.ts
+++ b/tests/platform/replicaBytes.spec.ts
@@ -228,6 +228,22 @@
   })
 }
 
+// Guards against an answer without content whose length has a caller wait for a body, or take the next answer for it.
+for (const { status, isLengthKept } of [{ status: 204, isLengthKept: false }, { status: 304, isLengthKept: true }]) {
+  test(`should pass on an answer with status ${status} and a length without a body, and the next answer after it`, async () => {
+    respond = ({ socket, id, path }) => {
+      socket.write(path === '/safe/x' ? headOf(id, 'Content-Length: 5', status) : wholeAnswer(id, 'next'))
+    }
+    const request = (path: string, id: string, rest = ''): string =>
+      `GET ${path} HTTP/1.1\r\nHost: front.example\r\nApi-Key: key-a\r\nX-Wasabihead-Attempt-Id: ${id}\r\n${rest}\r\n`
+    const text = await sendBytes(gateway().addresses.front, request('/safe/x', 'empty') + request('/safe/y', 'next', 'Connection: close\r\n'))
+    const [empty = '', next = ''] = text.split(/(?<=\r\n\r\n)(?=HTTP)/)
+    assert.match(empty, new RegExp(`^HTTP/1.1 ${status} `))
+    assert.is(/content-length: 5/i.test(empty), isLengthKept, empty)
+    assert.match(next, /^HTTP\/1.1 200 [^]*\r\n\r\nnext$/)
+  })
+}
+
 const CHUNKED = 'Transfer-Encoding: chunked'
 const endless: { title: string, path: string, begin: (id: string) => string, text: string }[] = [
   { title: 'a head', path: '/safe/x', begin: () => 'HTTP/1.1 200 OK\r\n', text: 'X-More: and more\r\n' },
