--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -98,6 +98,8 @@
 export class GatewayProcess {
   output = ''
   exited: Promise<number | null> = Promise.resolve(null)
+  /** Port of the metrics from the next start on; 0 for any. */
+  metricsPort = 0
   private _child: ChildProcess | undefined
   /** How the latest process ended, once all of its output was read. */
   private _end: string | undefined
@@ -128,7 +130,7 @@
     const child = spawn(process.execPath, [...DEPLOYED_FLAGS, ...faults, entry], {
       env: {
         WASABIHEAD_NODE_FILE: this._file,
-        WASABIHEAD_METRICS_PORT: '0',
+        WASABIHEAD_METRICS_PORT: String(this.metricsPort),
         WASABIHEAD_TEST_CLOCK_FILE: `${this._file}.clock`,
         WASABIHEAD_TEST_LINK_FILE: `${this._file}.links`
       },
@@ -181,6 +183,12 @@
     this.signal('SIGUSR2')
   }
 
+  /** Replaces the settings file by other text, or removes it; the process reads it at its next start. */
+  replaceSettings (text: string | undefined): void {
+    if (text === undefined) rmSync(this._file)
+    else writeFileSync(this._file, text)
+  }
+
   private get _file (): string {
     return join(this._folder, `${this.name}.json`)
   }
