fix(http): close refused connections that their callers keep open

Evidence: the new test of checkedConnections.spec.ts does not end without the mend (stopped after 20 s) and passes with it. The refusal, its wait for earlier answers and the close now stand once, in CheckedConnections, instead of at each server.

--- a/packages/daemon/src/http/guardedServer.ts
+++ b/packages/daemon/src/http/guardedServer.ts
@@ -1,7 +1,6 @@
 /** An HTTP server with limits on header size and request time, which answers malformed requests with a typed body. */
 import http from 'node:http'
 import type { AddressInfo } from 'node:net'
-import type { Duplex } from 'node:stream'
 import { CheckedConnections } from '@wasabihead/http'
 
 const MAXIMUM_HEADER_BYTES = 16_384
@@ -63,8 +62,7 @@
     })
     const connections = new CheckedConnections(this._server)
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      if (!socket.writable || error.code === 'ECONNRESET') socket.destroy()
-      else connections.refuseAfterAnswers(socket, () => { refuse(socket, toFault(error), toBody) })
+      connections.refuse(error, socket, refusalOf(toFault(error), toBody))
     })
   }
 
@@ -102,12 +100,10 @@
   }
 }
 
-function refuse (socket: Duplex, fault: TransportFault, toBody: (fault: TransportFault) => object): void {
-  // The answer before closed the connection.
-  if (!socket.writable) return
+function refusalOf (fault: TransportFault, toBody: (fault: TransportFault) => object): string {
   const body = JSON.stringify(toBody(fault))
-  socket.end(`HTTP/1.1 ${STATUS_LINES[fault]}\r\ncontent-type: application/json\r\n` +
-    `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`)
+  return `HTTP/1.1 ${STATUS_LINES[fault]}\r\ncontent-type: application/json\r\n` +
+    `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`
 }
 
 /** A response whose headers have been sent keeps its connection open; the answer to the next request on it closes it. */
--- a/packages/gateway/src/directory/endpointServer.ts
+++ b/packages/gateway/src/directory/endpointServer.ts
@@ -29,10 +29,7 @@
       response.end(body)
     })
     const connections = new CheckedConnections(this._server)
-    this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      if (!socket.writable || error.code === 'ECONNRESET') socket.destroy()
-      else connections.refuseAfterAnswers(socket, () => { socket.end(BAD_REQUEST) })
-    })
+    this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => { connections.refuse(error, socket, BAD_REQUEST) })
   }
 
   /** Starts listening. */
--- a/packages/gateway/src/requests/requestServer.ts
+++ b/packages/gateway/src/requests/requestServer.ts
@@ -1,7 +1,6 @@
 /** Accepts requests over HTTP/1.1, reads them completely, and starts them; refuses those that have no route or exceed a limit. */
 import http from 'node:http'
 import { createHash } from 'node:crypto'
-import type { Duplex } from 'node:stream'
 import type { Milliseconds, Route, RouteMatch } from '@wasabihead/coordination'
 import { CheckedConnections } from '@wasabihead/http'
 import type { CallerHead } from '../protocol/index.js'
@@ -17,8 +16,6 @@
 /** Limits on what identifies a request among those that crash replicas. */
 const MAXIMUM_FEATURE_PARTS = 60
 const MAXIMUM_FEATURE_LENGTH = 256
-/** How long a refused connection stays open, so that bytes still on their way do not reset it before the caller has read why. */
-const LINGER: Milliseconds = 1_000
 
 /** What the server adds to a request that it has accepted. */
 export type RequestTerms = Pick<CallerRequest, 'head' | 'deadline' | 'relayed'>
@@ -39,8 +36,7 @@
     }, (request, response) => { this._accept(request, response) })
     const connections = new CheckedConnections(this._server)
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      if (!socket.writable || error.code === 'ECONNRESET') socket.destroy()
-      else connections.refuseAfterAnswers(socket, () => { answerMalformed(error, socket) })
+      connections.refuse(error, socket, refusalOf(error))
     })
   }
 
@@ -178,12 +174,10 @@
   if (!response.headersSent) response.setHeader('connection', 'close')
 }
 
-function answerMalformed (error: NodeJS.ErrnoException, socket: Duplex): void {
-  // The answer before closed the connection.
-  if (!socket.writable) return
-  const isTooLarge = error.code === 'HPE_HEADER_OVERFLOW'
-  const isTooSlow = error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
+/** The answer to bytes that were not read as a request. */
+function refusalOf ({ code }: NodeJS.ErrnoException): string {
+  const isTooLarge = code === 'HPE_HEADER_OVERFLOW'
+  const isTooSlow = code === 'ERR_HTTP_REQUEST_TIMEOUT'
   const status = isTooLarge ? '431 Request Header Fields Too Large' : isTooSlow ? '408 Request Timeout' : '400 Bad Request'
-  socket.end(`HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`)
-  setTimeout(() => { socket.destroy() }, LINGER).unref()
+  return `HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`
 }
--- a/packages/http/src/checkedConnections.spec.ts
+++ b/packages/http/src/checkedConnections.spec.ts
@@ -27,8 +27,8 @@
     })
   })
   const connections = new CheckedConnections(server)
-  server.on('clientError', (_error, socket) => {
-    connections.refuseAfterAnswers(socket, () => { if (socket.writable) socket.end(REFUSAL) })
+  server.on('clientError', (error, socket) => {
+    connections.refuse(error, socket, REFUSAL)
   })
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
 })
@@ -124,4 +124,17 @@
   assert.is(served.length, 1)
 })
 
+// Guards against connections that stay open for good after a refusal, since their callers do not close them.
+test('should close a refused connection that its caller keeps open', async () => {
+  const socket = net.connect({ port: (server.address() as AddressInfo).port, host: '127.0.0.1', allowHalfOpen: true })
+  const closed = new Promise<void>(resolve => {
+    server.once('connection', accepted => { accepted.once('close', () => { resolve() }) })
+  })
+  socket.resume()
+  socket.on('error', () => {})
+  socket.write('GET / HTTP/1.1\r\nX Y: a\r\n')
+  await closed
+  socket.destroy()
+})
+
 test.run()
--- a/packages/http/src/checkedConnections.ts
+++ b/packages/http/src/checkedConnections.ts
@@ -7,6 +7,9 @@
 import type { Duplex } from 'node:stream'
 import { RequestSyntax } from '@wasabihead/coordination'
 
+/** How long a refused connection stays open, so that bytes still on their way do not reset it before the caller has read why. */
+const LINGER_MILLISECONDS = 1_000
+
 /** The bytes of a connection are no HTTP/1.1 request. */
 export class MalformedRequestError extends Error {
   readonly code = 'HPE_INVALID_SYNTAX'
@@ -28,18 +31,20 @@
   }
 
   /**
-   * Calls `refuse` for a connection on which bytes were invalid, once the requests before these bytes are answered: the refusal
-   * would be taken for the answer to the first of them. Closes the connection instead where an answer has begun before its
-   * request was complete. Does nothing if the connection is refused already.
+   * Handles a `clientError`: writes a refusal and closes the connection once the requests before the invalid bytes are answered;
+   * otherwise it would be taken for the answer to the first of them. Closes the connection at once if it was reset, or where an
+   * answer has begun before its request was complete. Does nothing if the connection is refused already.
+   * @param refusal the bytes of an answer that closes its connection
    */
-  refuseAfterAnswers (socket: Duplex, refuse: () => void): void {
+  refuse (error: NodeJS.ErrnoException, socket: Duplex, refusal: string): void {
     if (this._refused.has(socket)) return
     this._refused.add(socket)
     const unanswered = [...this._unanswered.get(socket) ?? []]
+    const hasBegunEarly = unanswered.some(({ req, headersSent }) => !req.complete && headersSent)
     const lastComplete = unanswered.filter(({ req }) => req.complete).at(-1)
-    if (unanswered.some(({ req, headersSent }) => !req.complete && headersSent)) socket.destroy()
-    else if (lastComplete === undefined) refuse()
-    else lastComplete.once('close', refuse)
+    if (!socket.writable || error.code === 'ECONNRESET' || hasBegunEarly) socket.destroy()
+    else if (lastComplete === undefined) endWith(socket, refusal)
+    else lastComplete.once('close', () => { endWith(socket, refusal) })
   }
 
   private _check (socket: Socket): void {
@@ -59,3 +64,10 @@
     })
   }
 }
+
+function endWith (socket: Duplex, refusal: string): void {
+  // The answer before closed the connection.
+  if (!socket.writable) return
+  socket.end(refusal)
+  setTimeout(() => { socket.destroy() }, LINGER_MILLISECONDS).unref()
+}
