fix(http): serve targets with bytes beyond ASCII on x86-64

The parser is given a placeholder for each such byte, and the request keeps the target as it was sent.

--- a/packages/coordination/src/callers/requestSyntax.spec.ts
+++ b/packages/coordination/src/callers/requestSyntax.spec.ts
@@ -63,6 +63,17 @@
   })
 }
 
+// Guards against proper requests that are refused on x86-64, where the parser of Node.js reads no bytes beyond ASCII in a target.
+test('should pass on a placeholder for each byte beyond ASCII in a target, and keep the target, in pieces of any size', () => {
+  const sent = `GET /\xc3\xa9?\xff HTTP/1.1\r\n${HOST}X-A: \xc3\r\n\r\n`
+  for (let size = 1; size <= sent.length; size++) {
+    assert.is(accept(sent, size).passed, `GET /__?_ HTTP/1.1\r\n${HOST}X-A: \xc3\r\n\r\n`, `pieces of ${size}`)
+  }
+  const syntax = new RequestSyntax()
+  syntax.accept(Buffer.from(sent, 'latin1'), 0)
+  assert.is(syntax.target, '/\xc3\xa9?\xff')
+})
+
 test('should pass on nothing of a line with a size that turns out to be invalid', () => {
   const head = `${POST}Transfer-Encoding: chunked\r\n\r\n`
   for (const size of [1, 200]) assert.is(accept(`${head}3;a=\0b\r\nabc\r\n0\r\n\r\n`, size).passed, head)
--- a/packages/coordination/src/callers/requestSyntax.ts
+++ b/packages/coordination/src/callers/requestSyntax.ts
@@ -11,7 +11,8 @@
   /** Where the valid bytes end, at the latest where the current request ends. */
   end: number
   /**
-   * The valid bytes without extensions of chunks, which a recipient ignores (RFC 9112, 7.1.1) and not every parser reads. A line
+   * The valid bytes without extensions of chunks, which a recipient ignores (RFC 9112, 7.1.1) and not every parser reads, and
+   * with a placeholder for each byte beyond ASCII in a target, which the parser of Node.js reads on some processors only. A line
    * with a chunk's size is passed on once it is complete.
    */
   pieces: Buffer[]
@@ -29,8 +30,11 @@
 const MAXIMUM_LINE_LENGTH = 262_144
 /** Empty lines before a request that RFC 9112, 2.2 has servers ignore. */
 const MAXIMUM_EMPTY_LINES = 1
-/** Visible characters beyond ASCII are accepted in a target, since parsers pass them on unchanged. */
-const REQUEST_LINE = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+ [\x21-\x7e\x80-\xff]+ HTTP\/1\.([01])$/
+/** Visible characters beyond ASCII are accepted in a target, since callers send them and replicas get them unchanged. */
+const REQUEST_LINE = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+ ([\x21-\x7e\x80-\xff]+) HTTP\/1\.([01])$/
+const FIRST_BYTE_BEYOND_ASCII = 0x80
+/** Stands for a byte beyond ASCII in the target that a parser is given. */
+const PLACEHOLDER = 0x5f
 const HEADER_LINE = /^([!#$%&'*+\-.^_`|~0-9a-z]+):[\t ]*([\t\x20-\x7e\x80-\xff]*?)[\t ]*$/i
 const LENGTH = /^\d{1,15}$/
 const CHUNK_SIZE = /^([0-9a-f]{1,12})(?:[\t ]*;[\t\x20-\x7e\x80-\xff]*)?$/i
@@ -42,6 +46,7 @@
   /** The part of a line that has arrived. */
   private _line = ''
   private _emptyLines = 0
+  private _target = ''
   private _isOldVersion = false
   private _framing = newFraming()
   /** Bytes that are left of a body or chunk. */
@@ -56,6 +61,11 @@
     return this._isInvalid
   }
 
+  /** The target of the current request, or of the last one, as it was sent; each character stands for a byte. */
+  get target (): string {
+    return this._target
+  }
+
   /** Whether all bytes so far belong to complete requests. */
   get isBetweenRequests (): boolean {
     return this._position === 'request-line' && this._line === ''
@@ -72,6 +82,7 @@
     }
     while (end < bytes.length && !this._hasEnded) {
       const isInChunkSize = this._position === 'chunk-size'
+      const isInRequestLine = this._position === 'request-line'
       const isContinued = this._line !== ''
       const next = this._left > 0 ? this._skip(bytes, end) : this._readLine(bytes, end)
       if (this._isInvalid) break
@@ -80,6 +91,10 @@
         passUntil(end)
         if (isComplete) pieces.push(Buffer.from(`${this._chunkSize}\r\n`))
         passedUntil = next
+      } else if (isInRequestLine && bytes.subarray(end, next).some(byte => byte >= FIRST_BYTE_BEYOND_ASCII)) {
+        passUntil(end)
+        pieces.push(Buffer.from(bytes.subarray(end, next).map(byte => byte < FIRST_BYTE_BEYOND_ASCII ? byte : PLACEHOLDER)))
+        passedUntil = next
       }
       end = next
     }
@@ -138,7 +153,8 @@
       return this._emptyLines <= MAXIMUM_EMPTY_LINES
     }
     const match = REQUEST_LINE.exec(line)
-    this._isOldVersion = match?.[1] === '0'
+    this._target = match?.[1] ?? ''
+    this._isOldVersion = match?.[2] === '0'
     this._framing = newFraming()
     this._position = 'header'
     return match !== null
--- a/packages/http/src/checkedConnections.ts
+++ b/packages/http/src/checkedConnections.ts
@@ -94,8 +94,10 @@
   }
 
   private _onRequest (connection: Connection, request: http.IncomingMessage, response: http.ServerResponse): void {
-    const { unanswered } = connection
+    const { unanswered, syntax } = connection
     connection.hasCarriedRequest = true
+    // The parser was given placeholders for bytes beyond ASCII.
+    request.url = syntax.target
     if (this._isClosingAfterAnswers) {
       // Otherwise an earlier answer would close the connection before this one.
       for (const earlier of unanswered) if (!earlier.headersSent) earlier.removeHeader('connection')
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -7,6 +7,7 @@
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { waitUntil } from '@wasabihead/experiments'
+import { CheckedConnections } from '@wasabihead/http'
 import { MetadataStoreStandIn } from '@wasabihead/standins'
 import type { LinkFaultFile, LinkFaultMode } from './linkFault.js'
 import { PortBlocks } from './portBlocks.js'
@@ -24,6 +25,7 @@
 /** Replicas accept whatever the configuration allows callers. */
 const MAXIMUM_HEADER_BYTES = 1_048_576
 const REPORT_PATH = '/v1/report'
+const BAD_REQUEST = 'HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
 
 /** A request as a replica received it. */
 export interface ReceivedRequest {
@@ -66,6 +68,9 @@
         }, response)
       })
     })
+    // Its own parser reads no bytes beyond ASCII in a target on x86-64.
+    const connections = new CheckedConnections(server)
+    server.on('clientError', (error: NodeJS.ErrnoException, socket) => { connections.refuse(error, socket, BAD_REQUEST) })
     await new Promise<void>(resolve => { server.listen(0, LOOPBACK, resolve) })
     const replica = new ReplicaStandIn(id, server)
     return replica
--- a/tests/platform/requestForms.spec.ts
+++ b/tests/platform/requestForms.spec.ts
@@ -99,6 +99,14 @@
   assert.equal([await statusOf(100_000), await statusOf(199_000), await statusOf(201_000)], ['200', '200', '431'])
 })
 
+// Guards against a target that reaches the replica other than the caller sent it.
+test('should pass on the bytes of a path beyond ASCII unchanged', async () => {
+  const [replica] = fleet.replicas
+  const head = 'GET /safe/bytes/\xc3\xa9?\xff HTTP/1.1\r\nHost: front.example\r\nApi-Key: key-a\r\nX-Wasabihead-Attempt-Id: bytes\r\nConnection: close\r\n\r\n'
+  assert.match(await sendBytes(gateway().addresses.front, head), /^HTTP\/1.1 200 /)
+  assert.ok(replica?.received.some(({ url }) => url === '/safe/bytes/\xc3\xa9?\xff'), String(replica?.received.at(-1)?.url))
+})
+
 test('should route by the host of a target in absolute form, and pass it on with the path alone', async () => {
   const [replica] = fleet.replicas
   const head = 'GET http://front.example/safe/absolute?a=b HTTP/1.1\r\nHost: other.example\r\nApi-Key: key-a\r\nX-Wasabihead-Attempt-Id: absolute\r\nConnection: close\r\n\r\n'
