feat(dispatch): divide the rate of cold replicas between owner instances

A replica that has just started crashes well above cold_per_s requests a second. Instances sent to it as to any other: 19 requests in one second where 17 were allowed, after replicas had crashed and returned under a new id.

ColdReplicas treats a replica as cold by its registration, its answers, what peers heard, a new run, and evidence of a restart under its id, and divides the rate between a few owners without bursts. Sends before the replica was known to be cold count as well.

--- a/packages/coordination/src/catalog/messages.ts
+++ b/packages/coordination/src/catalog/messages.ts
@@ -70,6 +70,10 @@
   healthPath: z.string().optional(),
   /** Connections that a replica accepts from all its callers together. */
   maximumConnections: z.number().optional(),
+  /** How long a replica is cold after a start during traffic, in milliseconds; absent or 0 if it never is. */
+  coldFor: z.number().optional(),
+  /** Requests a second that a cold replica accepts from all instances together; absent or 0 if replicas are never cold. */
+  coldRate: z.number().optional(),
   engine: engineSchema.optional(),
   cacheStore: cacheStoreSchema.optional()
 })
@@ -124,7 +128,9 @@
   /** Loaded weight version of each model. */
   weightVersions: z.record(z.string(), z.number()),
   /** Wall-clock time of the start; distinguishes two runs under one id. */
-  startedAt: z.number()
+  startedAt: z.number(),
+  /** How much longer it was cold when it registered, in milliseconds; absent where it does not say. */
+  coldLeft: z.number().optional()
 })
 /** One run of a replica. */
 export type Replica = z.infer<typeof replicaSchema>
--- a/packages/coordination/src/dispatch/index.ts
+++ b/packages/coordination/src/dispatch/index.ts
@@ -3,6 +3,7 @@
   type OpenAttempt
 } from './attemptDecision.js'
 export { CachedParts, type PromptPart } from './cachedParts.js'
+export { ColdReplicas, type ColdBasis, type ColdChange, type ColdUpdate } from './coldReplicas.js'
 export { RetryDelays } from './retryDelays.js'
 export { EngineSpeed, EngineSpeeds } from './engineSpeed.js'
 export { FleetLoads, type ReplicaLoad } from './fleetLoads.js'
--- a/packages/coordination/src/fronts/messages.ts
+++ b/packages/coordination/src/fronts/messages.ts
@@ -64,6 +64,13 @@
   limits: z.array(z.tuple([
     z.string(), z.number().nonnegative().nullable(), z.number().nonnegative(), z.number().nonnegative()
   ])).default([]),
+  /**
+   * What replicas stated in answers to the sender about being cold: id, start of the run, milliseconds left (0 if it is not
+   * cold), milliseconds since the answer was received, and milliseconds since its request was sent.
+   */
+  cold: z.array(z.tuple([
+    z.string(), z.number(), z.number().nonnegative(), z.number().nonnegative(), z.number().nonnegative()
+  ])).optional(),
   /** The highest epoch of the rollout role that the sender knows of; the store may have lost its record. */
   rolloutEpoch: z.number().int().nonnegative().default(0),
   /** Services of which the sender can connect to no replica. */
--- a/packages/gateway/src/catalog/catalogLoop.ts
+++ b/packages/gateway/src/catalog/catalogLoop.ts
@@ -5,7 +5,7 @@
 } from '@wasabihead/coordination'
 import type { CatalogSource } from '../protocol/index.js'
 import { requestPeerListing } from '../peers/index.js'
-import { connectedInstances, type GatewayState } from '../requests/index.js'
+import { applyColdRegistrations, connectedInstances, type GatewayState } from '../requests/index.js'
 import { CRASH_KEY_PREFIX, parseCrashRecord } from './crashRecords.js'
 import { ORIGIN_KEY_PREFIX, parseOriginRecord } from './originRecords.js'
 import { parseVersionRecord, VERSION_KEY_PREFIX } from './versionRecords.js'
@@ -341,6 +341,7 @@
 
   private _notify (changes: readonly CatalogChange[]): void {
     for (const change of changes) this._callbacks.onChange(change)
+    applyColdRegistrations(this._state)
   }
 
   private _recordReachability (isReachable: boolean, detail: string): void {
--- a/packages/gateway/src/channels/channelPool.ts
+++ b/packages/gateway/src/channels/channelPool.ts
@@ -24,11 +24,15 @@
   /** Number of connections opened since the process started. */
   opened = 0
 
-  /** @param _onLink called when a connection to a target was opened, or could not be */
+  /**
+   * @param _onLink called when a connection to a target was opened, or could not be
+   * @param _onEndedByTarget called when a target has ended an open connection, idle or in use
+   */
   constructor (
     private readonly _settings: ChannelPoolSettings,
     private readonly _now: () => Milliseconds,
-    private readonly _onLink: (target: CallTarget, isConnected: boolean) => void
+    private readonly _onLink: (target: CallTarget, isConnected: boolean) => void,
+    private readonly _onEndedByTarget: (target: CallTarget) => void = () => {}
   ) {}
 
   /** Removes the most recently used idle connection from the pool if it is still usable, or opens a new one. */
@@ -86,7 +90,10 @@
       target.address, this._settings.connectTimeout, this._now,
       isConnected => { this._onLink({ id: target.id, address: target.address }, isConnected) },
       idle => { channels.idle.push(idle) },
-      () => { channels.open -= 1 }
+      ({ wasEndedByTarget }) => {
+        channels.open -= 1
+        if (wasEndedByTarget) this._onEndedByTarget({ id: target.id, address: target.address })
+      }
     )
   }
 
--- a/packages/gateway/src/channels/replicaChannel.ts
+++ b/packages/gateway/src/channels/replicaChannel.ts
@@ -60,6 +60,7 @@
   private _isKeptOnceConnected = false
   private _isClosed = false
   private _closeReason = 'closed'
+  private _wasEndedByTarget = false
   private _keepAliveTimeout = DEFAULT_KEEP_ALIVE_TIMEOUT
   private _lastUsedAt: Milliseconds = 0
   /** Number of exchanges that ended with a complete answer. */
@@ -104,10 +105,15 @@
       }
       this._onLink(true)
     })
-    this._socket.once('end', () => { this._onSocketEnd() })
+    this._socket.once('end', () => {
+      // Some answers end with their connection.
+      this._wasEndedByTarget = !this._endsWithConnection
+      this._onSocketEnd()
+    })
     // A close event follows, which ends the exchange.
     this._socket.on('error', error => {
       this._closeReason = error.message
+      this._wasEndedByTarget = this._isConnected
       this._hasConnectFailed ||= !this._isConnected
     })
     this._socket.once('close', () => {
@@ -126,6 +132,11 @@
     return this._isConnected
   }
 
+  /** Whether an open connection was closed from the other side, or by the network. */
+  get wasEndedByTarget (): boolean {
+    return this._wasEndedByTarget
+  }
+
   /** Time until which an idle connection may be reused; after it the replica may close it. */
   get usableUntil (): Milliseconds {
     return this._lastUsedAt + this._keepAliveTimeout - KEEP_ALIVE_MARGIN
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -6,7 +6,7 @@
   type Heartbeat, type Milliseconds, type ReplicaLoad, type StreamOriginsMessage
 } from '@wasabihead/coordination'
 import { splitAddress } from '../channels/index.js'
-import { connectedInstances, type GatewayState } from '../requests/index.js'
+import { connectedInstances, encodeColdUpdates, receiveColdUpdates, type GatewayState } from '../requests/index.js'
 
 /** Settings of the heartbeats. */
 export interface HeartbeatSettings {
@@ -190,6 +190,7 @@
       cutOff: links.cutOff,
       limits: replicaLimits.updates(suspensionAwareNow()).map(({ run, rate, heardAge, sentAge }) => (
         [run, rate ?? null, Math.ceil(heardAge), Math.ceil(sentAge)])),
+      cold: encodeColdUpdates(this._state.coldReplicas.updates(suspensionAwareNow())),
       ...crashes.update(suspensionAwareNow())
     }
   }
@@ -255,6 +256,7 @@
         this._state.log.decision('replica-limit', { run, change, rate: rate ?? undefined, age: heardAge, toldBy: heartbeat.from.name })
       }
     }
+    receiveColdUpdates(this._state, heartbeat)
     this._state.crashes.receive(heartbeat, suspensionAwareNow)
     this._callbacks.onRolloutEpoch(heartbeat.rolloutEpoch)
     const { catalog, from, namings } = heartbeat
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -3,6 +3,7 @@
   CachedParts, CatalogCurrency, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, GracefulStop,
   LoadingReplicas, PeerLinks, ReadSchedule, RepeatedCrashes, ReplicaHealth, ReplicaLimits, ReplicaNotices, replicaRunOf,
   SeededRandom, SentPrompts, ServiceCatalog, ServiceLinks, SoftwareVersions, StoredParts, StoreMirror, StreamOrigins,
+  ColdReplicas,
   type CatalogChange,
   type FrontRecord, type KeyValueService, type Milliseconds
 } from '@wasabihead/coordination'
@@ -13,7 +14,7 @@
   Heartbeats, LISTING_PATH, REQUEST_ID_PARAMETER, readStoreChange, requestStreamOrigin, STREAM_ORIGIN_PATH, type PeerListing
 } from '../peers/index.js'
 import type { CallerProtocol, CatalogSource, ReplicaProtocol } from '../protocol/index.js'
-import { findOrigin, FrontServer, RelayServer, type GatewayState, type RequestServer } from '../requests/index.js'
+import { findOrigin, FrontServer, RelayServer, reportColdReplicas, suspectRestart, type GatewayState, type RequestServer } from '../requests/index.js'
 import { CrashVerifier, LinkProber } from '../links/index.js'
 import { RolloutLoop } from '../rollout/index.js'
 import { StoreCollector, StoreFollower } from '../stores/index.js'
@@ -101,6 +102,7 @@
       links: new ServiceLinks(),
       peerLinks: new PeerLinks(),
       replicaLimits: new ReplicaLimits(self.name),
+      coldReplicas: new ColdReplicas(self.name),
       retryDelays: new RetryDelays(),
       speeds: new EngineSpeeds(),
       cachedParts: new CachedParts(),
@@ -113,7 +115,10 @@
       onStreamBegan: () => { this._originRecords.write() },
       onStreamsAmbiguous: () => { this._onStreamsAmbiguous() },
       onReplicaLost: (replica, report) => { this._crashVerifier.onConnectionLost(replica, report) },
-      channels: new ChannelPool(settings.channels, now, (target, isConnected) => { this._onLink(target, isConnected) }),
+      channels: new ChannelPool(
+        settings.channels, now,
+        (target, isConnected) => { this._onLink(target, isConnected) }, ({ id }) => { suspectRestart(this.state, id) }
+      ),
       callerProtocol: adapter.callerProtocol,
       replicaProtocol: adapter.replicaProtocol,
       log: new DecisionLog({ host: self.name, ...settings.log }),
@@ -282,6 +287,7 @@
       this.state.channels.closeExpiringConnections()
     }
     this.state.loads.expire(now)
+    reportColdReplicas(this.state)
     this.state.peerLinks.retain(new Set(this.state.fronts.peers.map(({ name }) => name)))
     this._crashRecords.write()
     this._versionRecords.write()
@@ -299,6 +305,7 @@
     const services = this.state.catalog.routes?.configuration.services ?? []
     this.state.storedParts.configure(services.flatMap(({ cacheStore }) => cacheStore ?? []))
     this._storeFollower.follow()
+    this.state.coldReplicas.configure(services)
   }
 
   /** Records that a connection could be opened, or not; those to stores belong to no service with replicas. */
@@ -317,7 +324,9 @@
       log.change('service-reachable', { service, through: id })
     }
     this._crashVerifier.onLink(replica, isConnected)
-    if (!isConnected) this._linkProber.probe()
+    if (isConnected) return
+    suspectRestart(this.state, replica.id)
+    this._linkProber.probe()
   }
 
   /** What this instance wrote may be gone, and its leases may belong to others. */
--- a/packages/gateway/src/protocol/replicaProtocol.ts
+++ b/packages/gateway/src/protocol/replicaProtocol.ts
@@ -41,6 +41,8 @@
   retryAfter: Milliseconds | undefined
   /** Requests per second that the replica accepts from all instances together; undefined if it states no limit. */
   rateLimit: StatedRate | undefined
+  /** How much longer the replica is cold, 0 if it is not; undefined if the answer does not say. */
+  coldLeft?: Milliseconds | undefined
   /** Loaded weight version; undefined if the answer does not state it. */
   weightVersion: number | undefined
 }
--- a/packages/gateway/src/requests/gatewayState.ts
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -3,7 +3,8 @@
   CachedParts, CatalogCurrency, CrashReport, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory,
   GracefulStop, LoadingReplicas, Milliseconds, PeerLinks, ReadSchedule, RepeatedCrashes, Replica, ReplicaHealth,
   ReplicaLimits, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog, ServiceLinks, SoftwareVersions, StoredParts,
-  StoreMirror, StreamOrigin, StreamOrigins
+  StoreMirror, StreamOrigin, StreamOrigins,
+  ColdReplicas
 } from '@wasabihead/coordination'
 import type { ChannelPool } from '../channels/index.js'
 import type { CallerProtocol, ReplicaProtocol } from '../protocol/index.js'
@@ -33,6 +34,7 @@
   links: ServiceLinks
   peerLinks: PeerLinks
   replicaLimits: ReplicaLimits
+  coldReplicas: ColdReplicas
   retryDelays: RetryDelays
   speeds: EngineSpeeds
   cachedParts: CachedParts
--- a/packages/gateway/src/requests/index.ts
+++ b/packages/gateway/src/requests/index.ts
@@ -1,3 +1,6 @@
+export {
+  applyColdRegistrations, encodeColdUpdates, receiveColdUpdates, reportColdReplicas, suspectRestart
+} from './coldReplicaEvents.js'
 export { connectedInstances } from './connectedInstances.js'
 export { FrontServer } from './frontServer.js'
 export { findOrigin, type StoreChange } from './replicaRunCheck.js'
--- a/packages/gateway/src/requests/replicaAttempt.spec.ts
+++ b/packages/gateway/src/requests/replicaAttempt.spec.ts
@@ -3,7 +3,7 @@
 import { setImmediate as nextTurn } from 'node:timers/promises'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { FleetLoads, ReplicaHealth, ServiceLinks, type HealthSignal, type Replica, type Selection } from '@wasabihead/coordination'
+import { ColdReplicas, FleetLoads, ReplicaHealth, ServiceLinks, type HealthSignal, type Replica, type Selection } from '@wasabihead/coordination'
 import type { AnswerHead, ReplicaChannel } from '../channels/index.js'
 import type { CallerRequest } from './callerRequest.js'
 import type { GatewayState } from './gatewayState.js'
@@ -28,7 +28,7 @@
     const health = new ReplicaHealth()
     health.record(replica.id, 'unreachable', 0)
     const now = (): number => AFTER_EXCLUSION
-    const state = { health, loads: new FleetLoads(), links: new ServiceLinks(), now, suspensionAwareNow: now }
+    const state = { health, loads: new FleetLoads(), links: new ServiceLinks(), coldReplicas: new ColdReplicas('self'), now, suspensionAwareNow: now }
     const channel = { cancel: () => {} } as unknown as ReplicaChannel
     const attempt = new ReplicaAttempt(state as unknown as GatewayState, request, selection, channel, false)
     assert.is(health.isExcluded(replica.id, AFTER_EXCLUSION), true, 'only one probe at a time')
--- a/packages/gateway/src/requests/replicaAttempt.ts
+++ b/packages/gateway/src/requests/replicaAttempt.ts
@@ -7,6 +7,7 @@
 import type { AnswerFacts, StatedRate } from '../protocol/index.js'
 import { Attempt } from './attempt.js'
 import type { CallerRequest } from './callerRequest.js'
+import { recordColdAnswer, suspectRestart } from './coldReplicaEvents.js'
 import type { GatewayState } from './gatewayState.js'
 
 /** A reused connection that ends within this time after a request was probably closed before it. */
@@ -128,6 +129,8 @@
     if (this._hasBody && this._isStream) health.onStream(this.replica.id, -1, now())
     this._releasePrefill()
     loads.add(this.replica.id, { requests: -1, prefillTokens: 0, memoryTokens: -this._memoryTokens })
+    // A replica that was silent may have restarted meanwhile.
+    if (signal === 'unreachable') suspectRestart(this._state, this.replica.id)
     if (signal === undefined) health.onInconclusive(this.replica.id)
     else health.record(this.replica.id, signal, now())
   }
@@ -153,11 +156,12 @@
   }
 
   /** Records what the replica says about the requests that it still accepts. Ignores an answer that is not the replica's own. */
-  private _recordNotices ({ isLeaving, retryAfter, rateLimit, isNotRun, isSealed }: AnswerFacts): void {
+  private _recordNotices ({ isLeaving, retryAfter, rateLimit, coldLeft, isNotRun, isSealed }: AnswerFacts): void {
     if (!isNotRun && !isSealed) return
     const { notices, channels, log, now } = this._state
     const { requestId } = this._request.head
     this._recordLimit(rateLimit)
+    recordColdAnswer(this._state, this.replica, coldLeft, this.suspensionAwareSentAt)
     if (isLeaving && notices.onLeaving(this.replica, now())) {
       channels.closeIdleConnections(this.replica.id)
       log.change('replica-leaving', { replica: this.replica.id, requestId })
--- a/packages/gateway/src/requests/requestPlacement.spec.ts
+++ b/packages/gateway/src/requests/requestPlacement.spec.ts
@@ -1,7 +1,7 @@
 /** Tests which replicas a request may still be sent to. */
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { LoadingReplicas, ReplicaLimits, ReplicaNotices, SeededRandom, ServiceLinks, type Replica } from '@wasabihead/coordination'
+import { ColdReplicas, LoadingReplicas, ReplicaLimits, ReplicaNotices, SeededRandom, ServiceLinks, type Replica } from '@wasabihead/coordination'
 import type { CallerRequest } from './callerRequest.js'
 import type { GatewayState } from './gatewayState.js'
 import { RequestPlacement } from './requestPlacement.js'
@@ -12,7 +12,9 @@
 const replicas = ['a', 'b'].map(replica)
 const request = { route: { targets: [{ service: 's', weight: 1 }] }, head: {} } as unknown as CallerRequest
 
-const cases: { title: string, loading: string[], leaving: string[], limited?: string[], tried: string[], expected: boolean }[] = [
+const cases: {
+  title: string, loading: string[], leaving: string[], limited?: string[], cold?: string[], tried: string[], expected: boolean
+}[] = [
   { title: 'another replica accepts requests', loading: [], leaving: [], tried: ['a'], expected: true },
   { title: 'all were tried', loading: [], leaving: [], tried: ['a', 'b'], expected: false },
   // If such a replica counted as available, a failed attempt would end with the gateway's own 502 instead of the replica's
@@ -20,15 +22,18 @@
   { title: 'the only other one is loading, and refuses requests', loading: ['b'], leaving: [], tried: ['a'], expected: false },
   { title: 'all are loading', loading: ['a', 'b'], leaving: [], tried: ['a'], expected: true },
   { title: 'the only other one is leaving', loading: [], leaving: ['b'], tried: ['a'], expected: false },
+  // A cold replica crashes above its rate, of which this instance has sent its share.
+  { title: 'the only other one is cold', loading: [], leaving: [], cold: ['b'], tried: ['a'], expected: false },
   { title: 'the only other one is at its rate limit', loading: [], leaving: [], limited: ['b'], tried: ['a'], expected: false }
 ]
-for (const { title, loading, leaving, limited = [], tried, expected } of cases) {
+for (const { title, loading, leaving, limited = [], cold = [], tried, expected } of cases) {
   test(`should tell whether another replica can be tried where ${title}`, () => {
     const state = {
       catalog: { usableReplicas: () => replicas },
       notices: new ReplicaNotices(),
       links: new ServiceLinks(),
       replicaLimits: new ReplicaLimits('self'),
+      coldReplicas: new ColdReplicas('self'),
       fronts: { knownNames: ['self'] },
       loadingReplicas: new LoadingReplicas(),
       random: new SeededRandom(1),
@@ -39,6 +44,9 @@
     state.loadingReplicas.record('other', loading, [], 0)
     for (const id of leaving) state.notices.onLeaving(replica(id), 0)
     for (const id of limited) state.replicaLimits.onAnswer(replica(id), 1, 0, 0)
+    state.coldReplicas.configure([{ name: 's', coldFor: 3_000, coldRate: 8 }])
+    state.coldReplicas.onListing(replicas, ['self'], 0)
+    for (const id of cold) state.coldReplicas.suspect(id, 'restart-suspected', 0)
     const placement = new RequestPlacement(state as unknown as GatewayState, request)
     assert.is(placement.hasUntriedReplica(new Set(tried)), expected)
   })
--- a/packages/gateway/src/requests/requestPlacement.ts
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -1,7 +1,7 @@
 /** Selects the replica for one request by the observed state of the replicas. */
 import {
   admitPrompt, saltOf, selectReplica, type Milliseconds, type PromptAdmission, type PromptDemand, type Replica, type Selection,
-  type StreamOrigin
+  type RequestRate, type StreamOrigin
 } from '@wasabihead/coordination'
 import type { CallerRequest } from './callerRequest.js'
 import type { GatewayState } from './gatewayState.js'
@@ -18,6 +18,8 @@
   private readonly _workspace: string
   /** The replica for which this request has reserved a send. */
   private _reserved: Replica | undefined
+  /** The time of that send. */
+  private _reservedFor: Milliseconds = -Infinity
   /** Where the stream began that the request goes on with; undefined for a new one. */
   private _origin: StreamOrigin | undefined
 
@@ -106,7 +108,7 @@
    * the rates. Undefined if neither is known.
    */
   get retryDelay (): Milliseconds | undefined {
-    const { notices, replicaLimits, retryDelays, fronts, links } = this._state
+    const { notices, replicaLimits, coldReplicas, retryDelays, fronts, links, suspensionAwareNow } = this._state
     const now = this._state.now()
     const cutOffAt = links.cutOffAt(this.service)
     // Nobody knows when the links return. After twice the time of the cut at most half of it was waited in vain.
@@ -114,7 +116,8 @@
     const opensAt = this._replicas.map(replica => notices.opensAt(replica))
     const delay = Math.min(...opensAt) - now
     if (delay > 0) return Number.isFinite(delay) ? delay : undefined
-    const rates = this._open.map(replica => replicaLimits.rateOf(replica))
+    const rates = this._open.map(replica => (
+      lowerRate(replicaLimits.rateOf(replica), coldReplicas.rateOf(replica, suspensionAwareNow()))))
     if (rates.includes(undefined)) return undefined
     const rate = rates.reduce<number>((sum, stated) => sum + (stated ?? 0), 0)
     return retryDelays.next(this.service, rate, fronts.knownSize ?? 1, now)
@@ -126,17 +129,20 @@
    * @returns the delay until the reserved send; undefined if none is possible in time
    */
   reserveSend (tried: ReadonlySet<string>, until: Milliseconds): Milliseconds | undefined {
-    const { replicaLimits, fronts, suspensionAwareNow } = this._state
+    const { replicaLimits, coldReplicas, fronts, suspensionAwareNow } = this._state
     const now = this._state.now()
     let earliest: { replica: Replica, delay: Milliseconds } | undefined
     for (const replica of this._serving) {
       if (tried.has(replica.id)) continue
-      const delay = replicaLimits.nextSendAt(replica, fronts.knownNames, suspensionAwareNow()) - suspensionAwareNow()
+      const delay = this._nextSendAt(replica) - suspensionAwareNow()
       if (earliest === undefined || delay < earliest.delay) earliest = { replica, delay }
     }
     if (earliest === undefined || now + earliest.delay > until) return undefined
     this._reserved = earliest.replica
-    return replicaLimits.reserveSend(earliest.replica, fronts.knownNames, suspensionAwareNow()) - suspensionAwareNow()
+    const limitedUntil = replicaLimits.reserveSend(earliest.replica, fronts.knownNames, suspensionAwareNow())
+    this._reservedFor = Math.max(limitedUntil, suspensionAwareNow() + earliest.delay)
+    coldReplicas.onSent(earliest.replica, this._reservedFor)
+    return this._reservedFor - suspensionAwareNow()
   }
 
   /** The oldest weight version that may serve the request; undefined where any may. */
@@ -157,6 +163,7 @@
     const { prompt } = this._request.head
     if (this._reserved?.id === replica.id) this._reserved = undefined
     else replicaLimits.reserveSend(replica, fronts.knownNames, suspensionAwareNow())
+    this._state.coldReplicas.onSent(replica, suspensionAwareNow())
     const engine = catalog.routes?.service(this.service)?.engine
     if (prompt === undefined || salt === undefined || engine === undefined) return
     cachedParts.onSent(replica.id, salt, prompt.parts, engine.cacheTokens)
@@ -181,12 +188,23 @@
 
   /** Those of the replicas to which their rate limits allow a send now; only the reserved one, if there is a reservation. */
   private _withinLimit (replicas: readonly Replica[]): readonly Replica[] {
-    const { replicaLimits, fronts, suspensionAwareNow } = this._state
-    if (replicaLimits.isEmpty) return replicas
+    const { replicaLimits, coldReplicas, fronts, suspensionAwareNow } = this._state
+    const now = suspensionAwareNow()
+    if (replicaLimits.isEmpty && coldReplicas.areAllWarm(now)) return replicas
     const reserved = replicas.find(({ id }) => id === this._reserved?.id)
-    if (reserved !== undefined) return [reserved]
+    const isValid = reserved !== undefined &&
+      coldReplicas.isReservationValid(reserved, this._reservedFor, fronts.knownNames, now)
+    if (isValid) return [reserved]
+    return replicas.filter(replica => this._nextSendAt(replica) <= now)
+  }
+
+  /** When this instance may send the replica its next request, by what the replica states and whether it is cold. */
+  private _nextSendAt (replica: Replica): Milliseconds {
+    const { replicaLimits, coldReplicas, fronts, suspensionAwareNow } = this._state
     const now = suspensionAwareNow()
-    return replicas.filter(replica => replicaLimits.nextSendAt(replica, fronts.knownNames, now) <= now)
+    return Math.max(
+      replicaLimits.nextSendAt(replica, fronts.knownNames, now), coldReplicas.nextSendAt(replica, fronts.knownNames, now)
+    )
   }
 
   /** The replicas that would serve a request if their rate limits allowed it. */
@@ -245,6 +263,11 @@
   }
 }
 
+/** The lower of two rates; undefined if there is neither. */
+function lowerRate (first: RequestRate | undefined, second: RequestRate | undefined): RequestRate | undefined {
+  return first === undefined || second === undefined ? first ?? second : Math.min(first, second)
+}
+
 function pickService ({ route }: CallerRequest, sample: number): string {
   const total = route.targets.reduce((sum, { weight }) => sum + weight, 0)
   let left = sample * total
