refactor(requests): move waiting, admission and refusal of a request into RequestAdmission

What decides whether a request is sent, waits or is refused, its retries, and where a resumed stream began move to requestAdmission.ts without a change of behaviour; requestRun.ts has 729 lines. No test changed; the specs of packages/gateway/src/requests pass (79 with those that the filter also matched).

--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -1,7 +1,7 @@
 /** Serves one request: sends it to replicas or peers, decides what follows a failure, and forwards the answer. */
 import {
   decideAfterAttempt, finalVerdict, isRepeatable, type AttemptContext, type AttemptEnd, type AttemptVerdict,
-  type BeginningRun, type FrontRecord, type Milliseconds, type OpenAttempt, type Selection, type StreamOrigin
+  type BeginningRun, type FrontRecord, type Milliseconds, type OpenAttempt, type Selection
 } from '@wasabihead/coordination'
 import { breakOff } from '@wasabihead/http'
 import { BufferedBytes, type AnswerHead, type ExchangeFault, type OwnedBytes } from '../channels/index.js'
@@ -16,10 +16,11 @@
 import { PeerPlacement } from './peerPlacement.js'
 import { formatRelayMessage, RELAY_HEADER, type RelayedAnswer } from './relayMessages.js'
 import { ReplicaAttempt } from './replicaAttempt.js'
-import { checkRun, findOrigin, isBeginningAmbiguous } from './replicaRunCheck.js'
+import { checkRun, isBeginningAmbiguous } from './replicaRunCheck.js'
 import { logAttempt, replicaHeaders } from './replicaSending.js'
+import { RequestAdmission } from './requestAdmission.js'
 import { RequestPlacement } from './requestPlacement.js'
-import { refuse, type RefusalReason } from './refusals.js'
+import type { RefusalReason } from './refusals.js'
 
 /** Share of the objective after which a repeatable plain request is tried elsewhere; a second attempt is then still on time. */
 const PLAIN_ATTEMPT_TIMEOUT_SHARE = 0.6
@@ -29,10 +30,6 @@
 const STREAM_SILENCE_TIMEOUT: Milliseconds = 1_500
 /** A peer tries a second replica, or states that it cannot, before this multiple of the time that a replica has. */
 const PEER_TIMEOUT_FACTOR = 2
-/** Share of the objective for which a request waits for replicas at their rate limit; a refusal is still early by then. */
-const LIMIT_WAIT_SHARE = 0.12
-/** Interval at which a request that waits for memory of a replica is checked. */
-const HOLD_CHECK_INTERVAL: Milliseconds = 30
 /** No further attempt is sent with less time than this left before the deadline. */
 const MINIMUM_ATTEMPT_TIME: Milliseconds = 15
 /** How long a caller may stop reading its answer; used until a configuration with limits is loaded. */
@@ -57,6 +54,7 @@
   private readonly _relay: AnswerRelay
   private readonly _placement: RequestPlacement
   private readonly _peers: PeerPlacement
+  private readonly _admission: RequestAdmission
   private readonly _deadlineTimer: NodeJS.Timeout
   private readonly _open = new OpenAttempts(() => { this._guard(() => { this._switchToHedge() }) })
   private _attempts = 0
@@ -66,15 +64,11 @@
   /** Whether this instance or a peer counts the request in its retry budget. */
   private _isCounted: boolean
   private _isOver = false
-  private _hasTriedReservation = false
   private _hasOrigin = false
   /** Whether a replica was chosen and is asked whether it is still the run that it has registered. */
   private _isCheckingRun = false
-  /** The retry that was spent, until the request is sent again. */
-  private _unusedRetry: { service: string, spentAt: Milliseconds } | undefined
   /** The replica that began the stream; undefined if this request goes on with one, or a peer has passed it on. */
   private _begunAt: BeginningRun | undefined
-  private _holdTimer: NodeJS.Timeout | undefined
   private _stallTimer: NodeJS.Timeout | undefined
   private _firstByteAt: Milliseconds | undefined
   /** The last failure that a replica answered with, forwarded if no attempt succeeds after it. */
@@ -89,6 +83,9 @@
       : new BufferedAnswerRelay(response, () => { this._onDrained() })
     this._placement = new RequestPlacement(_state, _request)
     this._peers = new PeerPlacement(_state, _request)
+    this._admission = new RequestAdmission(_state, _request, this._placement, this._peers, () => {
+      this._guard(() => { if (!this._isOver) this._tryNext() })
+    })
     const { relayed } = _request
     this._possibleRuns = relayed?.possibleRuns ?? 0
     this._isCounted = relayed?.isCounted ?? false
@@ -153,33 +150,16 @@
 
   /** Goes on with a stream at the version of the software that began it. Refuses if there may be several and it is not known. */
   private async _resume (resumedRequestId: string | undefined): Promise<void> {
-    // Also asked for where one version is known: the instance that began the stream may have read of another one earlier.
-    const origin = resumedRequestId === undefined ? 'unknown' : await this._findOrigin(resumedRequestId)
+    const origin = await this._admission.findResumedOrigin(resumedRequestId)
     if (this._isOver) return
-    if (typeof origin === 'object') this._placement.continueFrom(origin)
-    else if (this._mayVersionsBeMixed() || (origin === 'unanswered' && !this._isCatalogRecent)) return this._refuse('origin-unknown')
+    if (origin === 'refuse') return this._refuse('origin-unknown')
+    if (origin !== undefined) this._placement.continueFrom(origin)
     this._guard(() => { this._tryNext() })
   }
 
-  private async _findOrigin (requestId: string): Promise<StreamOrigin | 'unknown' | 'unanswered'> {
-    return await findOrigin(this._state, requestId) ?? await this._state.requestStreamOrigin(requestId)
-  }
-
-  private get _isCatalogRecent (): boolean {
-    const { catalogCurrency, readSchedule, suspensionAwareNow } = this._state
-    return catalogCurrency.isRecent(readSchedule.currentAsOf, suspensionAwareNow())
-  }
-
-  private _mayVersionsBeMixed (): boolean {
-    const { softwareVersions, catalog, catalogCurrency, readSchedule, fronts, suspensionAwareNow } = this._state
-    const now = suspensionAwareNow()
-    if (!catalogCurrency.isCurrent(readSchedule.currentAsOf, fronts.peers.map(({ name }) => name), now)) return true
-    return this._request.route.targets.some(({ service }) => softwareVersions.isMixed(service, catalog.replicas, now))
-  }
-
   /** Returns whether the request must not be sent to any replica, or not once more; ends it then, unless an attempt is open. */
   private _endIfBlocked (): boolean {
-    const blockedFeatures = this._blockedFeatures
+    const { blockedFeatures } = this._admission
     if (blockedFeatures === undefined) return false
     const { requestId } = this._request.head
     this._state.log.decision('request-blocked', { requestId, features: blockedFeatures.join(','), attempts: this._attempts })
@@ -189,7 +169,7 @@
 
   /** Returns whether the request must not be sent any more, since the instance stops; ends it then, unless an attempt is open. */
   private _endIfStopping (): boolean {
-    if (this._maySend(this._state.now())) return false
+    if (this._admission.maySend(this._possibleRuns, this._state.now())) return false
     if (this._open.first === undefined) this._giveUp('leaving')
     return true
   }
@@ -197,25 +177,16 @@
   /** Returns whether the request must not be sent any more, or not now; ends it then, unless an attempt is open. */
   private _endIfNotSent (): boolean {
     if (!this._endIfBlocked() && !this._endIfStopping()) return false
-    this._giveBackRetry()
+    this._admission.giveBackRetry()
     return true
   }
 
-  private _maySend (now: Milliseconds): boolean {
-    const { objective } = this._request.route
-    return this._state.gracefulStop.maySend({ possibleRuns: this._possibleRuns, objective }, now)
-  }
-
   private _giveUp (reason: RefusalReason): void {
     if (this._relay.hasBegun) this._breakOff()
     else if (this._possibleRuns === 0) this._refuse(reason)
     else this._fail(reason)
   }
 
-  private get _blockedFeatures (): readonly string[] | undefined {
-    return this._state.crashes.blockOf(this._request, this._state.suspensionAwareNow())
-  }
-
   private _tryNext (): void {
     if (this._isCheckingRun || this._endIfNotSent()) return
     const { service, prefersPeers } = this._placement
@@ -224,22 +195,19 @@
     this._readmitSilent()
     const selection = this._placement.select(this._tried)
     if (selection === undefined) {
-      if (this._open.first !== undefined) return this._giveBackRetry()
-      if (this._waitForReservedSend()) return
+      if (this._open.first !== undefined) return this._admission.giveBackRetry()
+      if (this._admission.waitForReservedSend(this._tried, this._possibleRuns)) return
       if (this._relay.hasBegun) this._breakOff()
       else if (this._possibleRuns > 0) this._fail('no-replica-left')
-      else if (this._placement.isCutOff) this._refuse('cut-off')
-      else this._refuse(this._placement.isAtLimit ? 'at-limit' : 'no-replica')
+      else this._refuse(this._admission.reasonWithoutReplica)
       return
     }
-    switch (this._attempts > 0 ? 'send' : this._placement.admit(selection)) {
+    switch (this._attempts > 0 ? 'send' : this._admission.admit(selection)) {
       case 'send':
         if (this._relay.kind === 'events' && this._relay.lastEventId !== undefined) this._sendToRegisteredRun(selection)
         else this._sendToReplica(selection)
         return
-      case 'hold':
-        this._tryNextAfter(HOLD_CHECK_INTERVAL)
-        return
+      case 'wait': return
       case 'refuse': this._refuse('crowded')
     }
   }
@@ -251,21 +219,6 @@
     this._leftSilent.clear()
   }
 
-  /** Reserves a send within the replicas' rate limits and waits for it; false if none is possible in time. */
-  private _waitForReservedSend (): boolean {
-    const { receivedAt, route } = this._request
-    if (this._possibleRuns > 0 || this._hasTriedReservation) return false
-    this._hasTriedReservation = true
-    const delay = this._placement.reserveSend(this._tried, receivedAt + route.objective * LIMIT_WAIT_SHARE)
-    if (delay === undefined) return false
-    this._tryNextAfter(delay)
-    return true
-  }
-
-  private _tryNextAfter (delay: Milliseconds): void {
-    this._holdTimer = setTimeout(() => { this._guard(() => { if (!this._isOver) this._tryNext() }) }, delay)
-  }
-
   /** Goes on with a stream at the replica, unless that may have another software version than it has registered. */
   private _sendToRegisteredRun (selection: Selection): void {
     const { replica } = selection
@@ -280,7 +233,7 @@
       this._guard(() => {
         this._isCheckingRun = false
         const hasGoneOn = this._open.first !== undefined && (this._relay.progress > progress || !this._isRepeatable)
-        if (this._isOver || hasGoneOn) return this._giveBackRetry()
+        if (this._isOver || hasGoneOn) return this._admission.giveBackRetry()
         if (run !== 'registered' || isAmbiguous) {
           this._tried.add(replica.id)
           return this._tryNext()
@@ -338,7 +291,7 @@
   private _exchange (attempt: Attempt, headers: [string, string][], silence: Milliseconds | undefined): void {
     const { method, target, body } = this._request
     this._open.add(attempt)
-    this._unusedRetry = undefined
+    this._admission.onSent()
     this._possibleRuns += 1
     this._stampAnswer({})
     this._watchSilence(attempt, silence)
@@ -566,7 +519,7 @@
     const context = this._contextAt(now, openAttempt)
     let verdict = decideAfterAttempt(end, context)
     // No part of the request reached a replica, so that the next attempt is no retry.
-    if (verdict === 'try-another' && !isUnsent && !this._trySpendRetry(now)) verdict = finalVerdict(end, context)
+    if (verdict === 'try-another' && !isUnsent && !this._admission.trySpendRetry(now)) verdict = finalVerdict(end, context)
     this._reportAttemptEnd(attempt, end, detail, verdict)
     switch (verdict) {
       case 'try-another': return this._tryNext()
@@ -602,28 +555,11 @@
       hasBegunAnswer: this._relay.hasBegun,
       hasOtherReplica: this._placement.hasUntriedReplica(this._tried) ||
         this._peers.hasPeerInsteadOfReplica(this._placement.service, this._placement.prefersPeers),
-      isTimeLeft: this._request.deadline - now > MINIMUM_ATTEMPT_TIME && this._maySend(now),
+      isTimeLeft: this._request.deadline - now > MINIMUM_ATTEMPT_TIME && this._admission.maySend(this._possibleRuns, now),
       openAttempt
     }
   }
 
-  private _trySpendRetry (now: Milliseconds): boolean {
-    const { service } = this._placement
-    // The other attempt ended while a replica was chosen for the retry.
-    if (this._unusedRetry?.service === service) return true
-    if (!this._state.retryBudget.trySpend(service, this._state.fronts.knownSize, now)) return false
-    this._unusedRetry = { service, spentAt: now }
-    return true
-  }
-
-  /** No replica was found that may go on with the request. */
-  private _giveBackRetry (): void {
-    if (this._unusedRetry === undefined) return
-    const { service, spentAt } = this._unusedRetry
-    this._unusedRetry = undefined
-    this._state.retryBudget.giveBack(service, spentAt)
-  }
-
   private _reportAttemptEnd (attempt: Attempt, end: AttemptEnd, detail: string, verdict: AttemptVerdict): void {
     this._state.metrics.count('attempt_ends_total', end)
     this._state.log.decision('attempt-ended', {
@@ -644,10 +580,10 @@
    */
   private _onSilence (attempt: Attempt, silence: Milliseconds): void {
     const isAnotherOpen = this._open.hedge !== undefined || this._isCheckingRun
-    if (attempt !== this._open.first || isAnotherOpen || this._blockedFeatures !== undefined) return
+    if (attempt !== this._open.first || isAnotherOpen || this._admission.blockedFeatures !== undefined) return
     const now = this._state.now()
     const verdict = decideAfterAttempt('timed-out', this._contextAt(now, 'silent'))
-    if (verdict !== 'try-another' || !this._trySpendRetry(now)) return
+    if (verdict !== 'try-another' || !this._admission.trySpendRetry(now)) return
     this._recordEnd(attempt, 'timed-out')
     this._state.metrics.count('silent_attempts_total')
     this._state.log.decision('attempt-silent', {
@@ -725,23 +661,10 @@
   }
 
   private _refuse (reason: RefusalReason): void {
-    const retryAfter = this._retryDelayFor(reason)
-    this._stampAnswer({ refusal: reason, retryAfter })
-    refuse(this._request.response, reason, this._state, retryAfter)
+    this._admission.refuse(reason, retryAfter => { this._stampAnswer({ refusal: reason, retryAfter }) })
     this._finish(`refused-${reason}`)
   }
 
-  /** Undefined where the default delay of the reason applies. */
-  private _retryDelayFor (reason: RefusalReason): Milliseconds | undefined {
-    switch (reason) {
-      case 'cut-off':
-      case 'not-run': return this._peers.retryAfter ?? this._placement.retryDelay
-      case 'no-replica':
-      case 'at-limit': return this._placement.retryDelay
-      default: return undefined
-    }
-  }
-
   /** Tells the peer that relayed the request what its answer means, as long as the head of the answer is not written. */
   private _stampAnswer (change: AnswerChange): void {
     const { relayed, response, head: { requestId } } = this._request
@@ -780,10 +703,9 @@
   private _finish (outcome: string): void {
     if (this._isOver) return
     this._isOver = true
-    this._giveBackRetry()
+    this._admission.close()
     this._count()
     clearTimeout(this._deadlineTimer)
-    clearTimeout(this._holdTimer)
     clearTimeout(this._stallTimer)
     const [state, request] = [this._state, this._request]
     const duration = state.now() - request.receivedAt
