feat(requests): let requests that find no room wait in one ordered queue for each service

Each request that found no room checked again every 30 ms on a timer of its own, so that chance decided which one got the next room, and was refused after 0.12 of its objective whatever was to come. Where the settings' contracts contain pressure, or with WASABIHEAD_WAIT_QUEUE=on, WaitQueue orders them by priority, fairly between workspaces, by time left and size. Ends of attempts and prefills and peers' loads wake it; a timer of at most 250 ms is the fallback. It refuses at once what cannot be served in time, with a retry delay for each caller from the rate at which room becomes free; what waits for longer than 0.12 of its objective goes first. Elsewhere requests wait as before (TimedWaiting).

--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -234,6 +234,7 @@
       loads.set(id, { requests, prefillTokens, memoryTokens })
     }
     this._state.loads.receive(heartbeat.from.name, loads, now)
+    this._state.waitQueues?.onPeerLoads()
     this._state.loadingReplicas.record(heartbeat.from.name, heartbeat.loading, heartbeat.loaded, now)
     for (const { replicaId, model, version } of heartbeat.loaded) {
       const replica = this._state.catalog.replica(replicaId)
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -13,7 +13,7 @@
   Heartbeats, LISTING_PATH, REQUEST_ID_PARAMETER, readStoreChange, requestStreamOrigin, STREAM_ORIGIN_PATH, type PeerListing
 } from '../peers/index.js'
 import type { CallerProtocol, CatalogSource, ReplicaProtocol } from '../protocol/index.js'
-import { findOrigin, FrontServer, RelayServer, type GatewayState, type RequestServer } from '../requests/index.js'
+import { findOrigin, FrontServer, RelayServer, WaitQueues, type GatewayState, type RequestServer } from '../requests/index.js'
 import { CrashVerifier, LinkProber } from '../links/index.js'
 import { RolloutLoop } from '../rollout/index.js'
 import { StoreCollector, StoreFollower } from '../stores/index.js'
@@ -85,6 +85,7 @@
     const self: FrontRecord = { ...settings.self, isLeaving: false }
     const { ownPrefix } = adapter.catalogSource
     const roleKey = `${ownPrefix}rollout`
+    const metrics = new GatewayMetrics()
     this.state = {
       catalog: new ServiceCatalog(settings.catalog),
       // Own keys are quiet: instances send each other heartbeats, and only those that read the store follow the rollout role.
@@ -102,6 +103,7 @@
       peerLinks: new PeerLinks(),
       replicaLimits: new ReplicaLimits(self.name),
       retryDelays: new RetryDelays(),
+      waitQueues: settings.hasWaitQueue ? new WaitQueues(metrics, now) : undefined,
       speeds: new EngineSpeeds(),
       cachedParts: new CachedParts(),
       retryBudget: new FleetRetryBudget(settings.retryBudget, now(), settings.isFirstRun),
@@ -117,7 +119,7 @@
       callerProtocol: adapter.callerProtocol,
       replicaProtocol: adapter.replicaProtocol,
       log: new DecisionLog({ host: self.name, ...settings.log }),
-      metrics: new GatewayMetrics(),
+      metrics,
       zone: self.zone,
       oldWeights: settings.oldWeights,
       now,
--- a/packages/gateway/src/process/gatewaySettings.ts
+++ b/packages/gateway/src/process/gatewaySettings.ts
@@ -35,5 +35,7 @@
   storeCollector: StoreCollectorSettings
   rollout: Omit<RolloutLoopSettings, 'roleKey'>
   gracefulStop: GracefulStopSettings
+  /** Whether requests that find no room wait in one queue for each service, and placement learns from answers. */
+  hasWaitQueue: boolean
   log: Omit<DecisionLogSettings, 'host'>
 }
--- a/packages/gateway/src/requests/gatewayState.ts
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -8,6 +8,7 @@
 import type { ChannelPool } from '../channels/index.js'
 import type { CallerProtocol, ReplicaProtocol } from '../protocol/index.js'
 import type { DecisionLog, GatewayMetrics } from '../telemetry/index.js'
+import type { WaitQueues } from './waitQueues.js'
 
 /** How long replicas with replaced weights still serve requests, from the earliest possible announcement of the new version. */
 export interface OldWeightsSettings {
@@ -34,6 +35,8 @@
   peerLinks: PeerLinks
   replicaLimits: ReplicaLimits
   retryDelays: RetryDelays
+  /** Absent where requests wait with a timer each, as they do unless the settings require the queue. */
+  waitQueues?: WaitQueues | undefined
   speeds: EngineSpeeds
   cachedParts: CachedParts
   retryBudget: FleetRetryBudget
--- a/packages/gateway/src/requests/replicaAttempt.ts
+++ b/packages/gateway/src/requests/replicaAttempt.ts
@@ -34,6 +34,7 @@
     state.health.onSend(this.replica.id)
     state.links.onSent(this.replica.service, this.sentAt)
     state.loads.add(this.replica.id, { requests: 1, prefillTokens: this._prefillTokens, memoryTokens: this._memoryTokens })
+    state.waitQueues?.rooms.of(this.replica.service).onTaken(this._room)
     this._addFetchLoads(1)
   }
 
@@ -128,6 +129,7 @@
     if (this._hasBody && this._isStream) health.onStream(this.replica.id, -1, now())
     this._releasePrefill()
     loads.add(this.replica.id, { requests: -1, prefillTokens: 0, memoryTokens: -this._memoryTokens })
+    this._releaseRoom(signal === 'answered')
     if (signal === undefined) health.onInconclusive(this.replica.id)
     else health.record(this.replica.id, signal, now())
   }
@@ -190,11 +192,24 @@
     }
   }
 
+  /** Memory in tokens, or one slot for a request without a prompt. */
+  private get _room (): number {
+    return this.selection.salt === undefined ? 1 : this._memoryTokens
+  }
+
+  private _releaseRoom (isAnswered: boolean): void {
+    const { waitQueues, now } = this._state
+    const { service } = this.replica
+    waitQueues?.rooms.of(service).onFreed(this._room, isAnswered ? now() - this.sentAt : undefined, now())
+    waitQueues?.onRoomFreed(service)
+  }
+
   private _releasePrefill (): void {
     if (!this._isPrefillPending) return
     this._isPrefillPending = false
     this._addFetchLoads(-1)
     this._state.loads.add(this.replica.id, { requests: 0, prefillTokens: -this._prefillTokens, memoryTokens: 0 })
     this._prefillTokens = 0
+    this._state.waitQueues?.onRoomFreed(this.replica.service)
   }
 }
--- a/packages/gateway/src/requests/requestAdmission.ts
+++ b/packages/gateway/src/requests/requestAdmission.ts
@@ -6,30 +6,33 @@
 import { findOrigin } from './replicaRunCheck.js'
 import type { RequestPlacement } from './requestPlacement.js'
 import { refuse, type RefusalReason } from './refusals.js'
+import {
+  QueuedWaiting, TimedWaiting, type AdmissionVerdict, type RequestWaiting, type WaitingActions
+} from './requestWaiting.js'
 
 /** Share of the objective for which a request waits for replicas at their rate limit; a refusal is still early by then. */
 const LIMIT_WAIT_SHARE = 0.12
-/** Interval at which a request that waits for memory of a replica is checked. */
-const HOLD_CHECK_INTERVAL: Milliseconds = 30
-
-/** What happens to a request for which a replica was selected: it is sent now, waits, or is refused. */
-export type AdmissionVerdict = 'send' | 'wait' | 'refuse'
 
 /** The waiting, the retries and the refusal of one request. */
 export class RequestAdmission {
   private _hasTriedReservation = false
+  private readonly _waiting: RequestWaiting
   private _timer: NodeJS.Timeout | undefined
   /** The retry that was spent, until the request is sent again. */
   private _unusedRetry: { service: string, spentAt: Milliseconds } | undefined
 
-  /** @param _onTurn called when a request that has waited should be tried again; not called any more after `close` */
   constructor (
     private readonly _state: GatewayState,
     private readonly _request: CallerRequest,
     private readonly _placement: RequestPlacement,
     private readonly _peers: PeerPlacement,
-    private readonly _onTurn: () => void
-  ) {}
+    private readonly _actions: WaitingActions
+  ) {
+    const { waitQueues } = _state
+    this._waiting = waitQueues === undefined
+      ? new TimedWaiting(_request, _placement, _actions)
+      : new QueuedWaiting(_state, waitQueues, _request, _placement, _actions)
+  }
 
   /** What the request has in common with others that crash replicas; undefined if it may be sent. */
   get blockedFeatures (): readonly string[] | undefined {
@@ -44,10 +47,7 @@
 
   /** Decides whether a request that was sent to no replica yet is sent to the selected one; one that waits gets a turn later. */
   admit (selection: Selection): AdmissionVerdict {
-    const admission = this._placement.admit(selection)
-    if (admission !== 'hold') return admission
-    this._waitFor(HOLD_CHECK_INTERVAL)
-    return 'wait'
+    return this._waiting.admit(selection)
   }
 
   /** Reserves a send within the replicas' rate limits and waits for it; false if none is possible in time. */
@@ -57,7 +57,7 @@
     this._hasTriedReservation = true
     const delay = this._placement.reserveSend(tried, receivedAt + route.objective * LIMIT_WAIT_SHARE)
     if (delay === undefined) return false
-    this._waitFor(delay)
+    this._timer = setTimeout(this._actions.onTurn, delay)
     return true
   }
 
@@ -116,10 +116,7 @@
   close (): void {
     this.giveBackRetry()
     clearTimeout(this._timer)
-  }
-
-  private _waitFor (delay: Milliseconds): void {
-    this._timer = setTimeout(this._onTurn, delay)
+    this._waiting.close()
   }
 
   private _retryDelayFor (reason: RefusalReason): Milliseconds | undefined {
@@ -128,6 +125,7 @@
       case 'not-run': return this._peers.retryAfter ?? this._placement.retryDelay
       case 'no-replica':
       case 'at-limit': return this._placement.retryDelay
+      case 'crowded': return this._waiting.retryAfter
       default: return undefined
     }
   }
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -83,8 +83,9 @@
       : new BufferedAnswerRelay(response, () => { this._onDrained() })
     this._placement = new RequestPlacement(_state, _request)
     this._peers = new PeerPlacement(_state, _request)
-    this._admission = new RequestAdmission(_state, _request, this._placement, this._peers, () => {
-      this._guard(() => { if (!this._isOver) this._tryNext() })
+    this._admission = new RequestAdmission(_state, _request, this._placement, this._peers, {
+      onTurn: () => { this._guard(() => { if (!this._isOver) this._tryNext() }) },
+      onRefused: () => { this._guard(() => { if (!this._isOver) this._refuse('crowded') }) }
     })
     const { relayed } = _request
     this._possibleRuns = relayed?.possibleRuns ?? 0
