--- a/packages/gateway/src/requests/replicaAttempt.ts
+++ b/packages/gateway/src/requests/replicaAttempt.ts
@@ -35,6 +35,7 @@
     state.health.onSend(this.replica.id)
     state.links.onSent(this.replica.service, this.sentAt)
     state.loads.add(this.replica.id, { requests: 1, prefillTokens: this._prefillTokens, memoryTokens: this._memoryTokens })
+    state.waitQueues?.rooms.of(this.replica.service).onTaken(this._room)
     this._addFetchLoads(1)
   }
 
@@ -131,6 +132,7 @@
     loads.add(this.replica.id, { requests: -1, prefillTokens: 0, memoryTokens: -this._memoryTokens })
     // A replica that was silent may have restarted meanwhile.
     if (signal === 'unreachable') suspectRestart(this._state, this.replica.id)
+    this._releaseRoom(signal === 'answered')
     if (signal === undefined) health.onInconclusive(this.replica.id)
     else health.record(this.replica.id, signal, now())
   }
@@ -194,11 +196,24 @@
     }
   }
 
+  /** Memory in tokens, or one slot for a request without a prompt. */
+  private get _room (): number {
+    return this.selection.salt === undefined ? 1 : this._memoryTokens
+  }
+
+  private _releaseRoom (isAnswered: boolean): void {
+    const { waitQueues, now } = this._state
+    const { service } = this.replica
+    waitQueues?.rooms.of(service).onFreed(this._room, isAnswered ? now() - this.sentAt : undefined, now())
+    waitQueues?.onRoomFreed(service)
+  }
+
   private _releasePrefill (): void {
     if (!this._isPrefillPending) return
     this._isPrefillPending = false
     this._addFetchLoads(-1)
     this._state.loads.add(this.replica.id, { requests: 0, prefillTokens: -this._prefillTokens, memoryTokens: 0 })
     this._prefillTokens = 0
+    this._state.waitQueues?.onRoomFreed(this.replica.service)
   }
 }
