feat(catalog): send nothing to replicas of evacuated data centres

Operators name a data centre under op/evacuate/ZONE; nothing knew that key. The catalog has the evacuated data centres, from the store and from peers' catalogs, and candidates and holders of parts are filtered in the placement. Weight orders and reports are not sent there either. When an evacuation ends, the replicas count as cold until they say otherwise.

--- a/packages/coordination/src/catalog/index.ts
+++ b/packages/coordination/src/catalog/index.ts
@@ -8,6 +8,7 @@
 export { CatalogCurrency, type CatalogCurrencySettings } from './catalogCurrency.js'
 export { RouteTable, type RouteMatch, type RouteRefusal } from './routeTable.js'
 export { ChangeLog, peerChangesSchema, type PeerChanges } from './changeLog.js'
+export { Evacuations, type EvacuationChanges } from './evacuations.js'
 export { ServiceCatalog, type CatalogChange, type CatalogSettings } from './serviceCatalog.js'
 export {
   catalogStatusSchema, MESSAGE_DELAY_MARGIN, ReadSchedule, type CatalogStatus, type StatusVerdict,
--- a/packages/coordination/src/catalog/messages.ts
+++ b/packages/coordination/src/catalog/messages.ts
@@ -161,11 +161,14 @@
   replicas: Revised<Replica>[]
   /** Announced weight versions, newest last; several of one model where an instance sends its retained history. */
   weightVersions: AnnouncedWeightVersion[]
+  /** The evacuated data centres; absent from builds that know of none. */
+  evacuations?: Revised<string>[] | undefined
 }
 
 /** A listing as one instance sends it to another. */
 export const catalogListingSchema = z.object({
   configuration: z.object({ era: z.number().optional(), revision: z.number(), value: routingConfigurationSchema }).optional(),
   replicas: z.array(z.object({ era: z.number().optional(), revision: z.number(), value: replicaSchema })),
-  weightVersions: z.array(announcedWeightVersionSchema)
+  weightVersions: z.array(announcedWeightVersionSchema),
+  evacuations: z.array(z.object({ era: z.number().optional(), revision: z.number(), value: z.string() })).optional()
 })
--- a/packages/coordination/src/catalog/serviceCatalog.ts
+++ b/packages/coordination/src/catalog/serviceCatalog.ts
@@ -1,6 +1,7 @@
 /** One instance's copy of the configuration, the replicas and the announced weight versions, and how old it is. */
 import type { Milliseconds } from '../common/index.js'
 import { NO_ERA } from '../platform/index.js'
+import { Evacuations } from './evacuations.js'
 import type { CatalogListing, AnnouncedWeightVersion, Replica, Revised, RoutingConfiguration } from './messages.js'
 import { MESSAGE_DELAY_MARGIN } from './readSchedule.js'
 import { RemovedReplicas } from './removedReplicas.js'
@@ -24,6 +25,7 @@
   | { kind: 'replica-removed', replica: Replica, reason: 'restarted', successor: Replica, registeredUntil: Milliseconds }
   /** A run that was removed as unlisted is followed by another one under its id. */
   | { kind: 'replica-replaced', replica: Replica, successor: Replica, registeredUntil: Milliseconds }
+  | { kind: 'data-centre-evacuated' | 'data-centre-restored', zone: string }
   /** `announcedAfter` is the earliest possible time of the announcement; -Infinity where it is not known. */
   | { kind: 'weight-version' | 'weight-version-dated', model: string, version: number, announcedAfter: Milliseconds }
 
@@ -72,6 +74,7 @@
   private _passedOver: { era: number, revision: number } | undefined
   private readonly _replicas = new Map<string, KnownReplica>()
   private readonly _removed: RemovedReplicas
+  private readonly _evacuations = new Evacuations()
   /** The last run of each replica that is not registered any more, by id. */
   private readonly _unlisted = new Map<string, UnlistedRun>()
   /** The latest announced versions of each model, newest last. */
@@ -122,6 +125,16 @@
     return this._byService.get(service) ?? []
   }
 
+  /** Whether operators have evacuated a data centre, so that nothing more is sent to its replicas. */
+  isEvacuated (zone: string): boolean {
+    return this._evacuations.has(zone)
+  }
+
+  /** The evacuated data centres. */
+  get evacuatedZones (): string[] {
+    return this._evacuations.entries.map(({ value }) => value)
+  }
+
   /** All known replicas, draining ones included. */
   get replicas (): Replica[] {
     return [...this._replicas.values()].map(({ value }) => value)
@@ -200,6 +213,10 @@
       changes.push({ kind: 'replica-removed', replica: known.value, reason: 'unlisted' })
     }
     this._removed.retain(listed, now)
+    if (listing.evacuations !== undefined) {
+      const { evacuated, restored } = this._evacuations.applyListing(listing.evacuations, era)
+      changes.push(...evacuationChanges('data-centre-evacuated', evacuated), ...evacuationChanges('data-centre-restored', restored))
+    }
     for (const [id, { at }] of this._unlisted) if (now - at > UNLISTED_RETENTION) this._unlisted.delete(id)
     this._rebuildServiceIndex()
     return changes
@@ -214,6 +231,8 @@
   applyPeerListing (listing: CatalogListing, askedAt: Milliseconds, now: Milliseconds): CatalogChange[] {
     const changes = this._applyNewer(listing, this._listedAt, now)
     changes.push(...this._applyAnnouncementAges(listing.weightVersions, askedAt, now))
+    const evacuated = this._evacuations.applyPeerListing(listing.evacuations ?? [])
+    changes.push(...evacuationChanges('data-centre-evacuated', evacuated))
     this._rebuildServiceIndex()
     return changes
   }
@@ -253,7 +272,8 @@
       },
       replicas: [...this._replicas.values()].map(({ era, revision, value }) => ({ era, revision, value })),
       weightVersions: [...this._weightVersions].flatMap(([model, versions]) => (
-        versions.map(version => toAnnouncement(model, version, now))))
+        versions.map(version => toAnnouncement(model, version, now)))),
+      ...(this.evacuatedZones.length > 0 ? { evacuations: this._evacuations.entries } : {})
     }
   }
 
@@ -378,6 +398,12 @@
   }
 }
 
+function evacuationChanges (
+  kind: 'data-centre-evacuated' | 'data-centre-restored', zones: readonly string[]
+): CatalogChange[] {
+  return zones.map(zone => ({ kind, zone }))
+}
+
 function isNewerReplica (received: Revised<Replica>, known: Revised<Replica>): boolean {
   const [era, knownEra] = [received.era ?? NO_ERA, known.era ?? NO_ERA]
   if (era === knownEra) return received.revision > known.revision
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -14,7 +14,7 @@
   Heartbeats, LISTING_PATH, REQUEST_ID_PARAMETER, readStoreChange, requestStreamOrigin, STREAM_ORIGIN_PATH, type PeerListing
 } from '../peers/index.js'
 import type { CallerProtocol, CatalogSource, ReplicaProtocol } from '../protocol/index.js'
-import { findOrigin, FrontServer, RelayServer, reportColdReplicas, suspectRestart, type GatewayState, type RequestServer } from '../requests/index.js'
+import { findOrigin, FrontServer, onEvacuationChange, RelayServer, reportColdReplicas, suspectRestart, type GatewayState, type RequestServer } from '../requests/index.js'
 import { CrashVerifier, LinkProber } from '../links/index.js'
 import { RolloutLoop } from '../rollout/index.js'
 import { StoreCollector, StoreFollower } from '../stores/index.js'
@@ -367,6 +367,10 @@
           model: change.model, version: change.version, age: this._ageOf(change.announcedAfter)
         })
         break
+      case 'data-centre-evacuated':
+      case 'data-centre-restored':
+        onEvacuationChange(this.state, change)
+        break
       case 'replica-replaced':
         this._onReplicaReplaced(change)
         break
--- a/packages/gateway/src/requests/coldReplicaEvents.ts
+++ b/packages/gateway/src/requests/coldReplicaEvents.ts
@@ -25,7 +25,12 @@
 
 /** Records that a replica may have restarted under its id: its connection ended or was refused, or it was silent. */
 export function suspectRestart (state: GatewayState, replicaId: string): void {
-  logChange(state, state.coldReplicas.suspect(replicaId, 'restart-suspected', state.suspensionAwareNow()))
+  suspectCold(state, replicaId, 'restart-suspected')
+}
+
+/** Records that a replica may be cold. */
+export function suspectCold (state: GatewayState, replicaId: string, basis: 'restart-suspected' | 'evacuation-ended'): void {
+  logChange(state, state.coldReplicas.suspect(replicaId, basis, state.suspensionAwareNow()))
 }
 
 /** The statements of replicas as a heartbeat carries them; undefined if there are none. */
--- a/packages/gateway/src/requests/index.ts
+++ b/packages/gateway/src/requests/index.ts
@@ -2,6 +2,7 @@
   applyColdRegistrations, encodeColdUpdates, receiveColdUpdates, reportColdReplicas, suspectRestart
 } from './coldReplicaEvents.js'
 export { connectedInstances } from './connectedInstances.js'
+export { onEvacuationChange } from './evacuationEvents.js'
 export { FrontServer } from './frontServer.js'
 export { findOrigin, type StoreChange } from './replicaRunCheck.js'
 export { RelayServer } from './relayServer.js'
--- a/packages/gateway/src/requests/replicaRunCheck.ts
+++ b/packages/gateway/src/requests/replicaRunCheck.ts
@@ -29,9 +29,10 @@
 /**
  * Asks the replica when it started. One that has started again under its id accepts requests before its new registration, which
  * may state another software version, is read. A replica that answers without its start, as those of plain services may, counts
- * as the registered run.
+ * as the registered run. Replicas in evacuated data centres are not asked.
  */
 async function askForRun (state: GatewayState, replica: Replica, timeout: Milliseconds): Promise<RunCheck> {
+  if (state.catalog.isEvacuated(replica.zone)) return 'unknown'
   const outcome = await callAddress(state, replica, state.replicaProtocol.reportCall(replica), timeout)
   const startedAt = outcome.isAnswered ? state.replicaProtocol.readReport(outcome.body)?.startedAt : undefined
   if (outcome.isAnswered && (startedAt === undefined || startedAt === replica.startedAt)) return 'registered'
--- a/packages/gateway/src/requests/requestPlacement.spec.ts
+++ b/packages/gateway/src/requests/requestPlacement.spec.ts
@@ -7,13 +7,14 @@
 import { RequestPlacement } from './requestPlacement.js'
 
 const replica = (id: string): Replica => ({
-  id, service: 's', address: '10.0.0.1:1', zone: 'z', slots: 8, isDraining: false, weightVersions: {}, startedAt: 1
+  id, service: 's', address: '10.0.0.1:1', zone: `zone of ${id}`, slots: 8, isDraining: false, weightVersions: {}, startedAt: 1
 })
 const replicas = ['a', 'b'].map(replica)
 const request = { route: { targets: [{ service: 's', weight: 1 }] }, head: {} } as unknown as CallerRequest
 
 const cases: {
-  title: string, loading: string[], leaving: string[], limited?: string[], cold?: string[], tried: string[], expected: boolean
+  title: string, loading: string[], leaving: string[], limited?: string[], cold?: string[], evacuated?: string[]
+  tried: string[], expected: boolean
 }[] = [
   { title: 'another replica accepts requests', loading: [], leaving: [], tried: ['a'], expected: true },
   { title: 'all were tried', loading: [], leaving: [], tried: ['a', 'b'], expected: false },
@@ -24,12 +25,13 @@
   { title: 'the only other one is leaving', loading: [], leaving: ['b'], tried: ['a'], expected: false },
   // A cold replica crashes above its rate, of which this instance has sent its share.
   { title: 'the only other one is cold', loading: [], leaving: [], cold: ['b'], tried: ['a'], expected: false },
+  { title: 'the data centre of the only other one is evacuated', loading: [], leaving: [], evacuated: ['zone of b'], tried: ['a'], expected: false },
   { title: 'the only other one is at its rate limit', loading: [], leaving: [], limited: ['b'], tried: ['a'], expected: false }
 ]
-for (const { title, loading, leaving, limited = [], cold = [], tried, expected } of cases) {
+for (const { title, loading, leaving, limited = [], cold = [], evacuated = [], tried, expected } of cases) {
   test(`should tell whether another replica can be tried where ${title}`, () => {
     const state = {
-      catalog: { usableReplicas: () => replicas },
+      catalog: { usableReplicas: () => replicas, isEvacuated: (zone: string) => evacuated.includes(zone) },
       notices: new ReplicaNotices(),
       links: new ServiceLinks(),
       replicaLimits: new ReplicaLimits('self'),
--- a/packages/gateway/src/requests/requestPlacement.ts
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -240,7 +240,7 @@
   /** The usable replicas; while none can be connected to, those with an idle connection that has worked since. */
   private get _reachable (): readonly Replica[] {
     const { catalog, channels, links } = this._state
-    const usable = catalog.usableReplicas(this.service)
+    const usable = catalog.usableReplicas(this.service).filter(({ zone }) => !catalog.isEvacuated(zone))
     const cutOffAt = links.cutOffAt(this.service)
     return cutOffAt === undefined ? usable : usable.filter(({ id }) => channels.hasIdleSince(id, cutOffAt))
   }
--- a/packages/gateway/src/rollout/rolloutLoop.ts
+++ b/packages/gateway/src/rollout/rolloutLoop.ts
@@ -94,6 +94,7 @@
       return
     }
     const byLoad = state.catalog.replicas
+      .filter(({ zone }) => !state.catalog.isEvacuated(zone))
       .map(replica => ({ replica, requests: state.loads.of(replica.id).requests }))
       .sort((left, right) => left.requests - right.requests)
       .map(({ replica }) => replica)
