--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -15,7 +15,8 @@
 } from '../peers/index.js'
 import type { CallerProtocol, CatalogSource, ReplicaProtocol } from '../protocol/index.js'
 import {
-  findOrigin, FrontServer, RelayServer, reportColdReplicas, suspectRestart, WaitQueues, type GatewayState, type RequestServer
+  findOrigin, FrontServer, onEvacuationChange, RelayServer, reportColdReplicas, suspectRestart, WaitQueues, type GatewayState,
+  type RequestServer
 } from '../requests/index.js'
 import { CrashVerifier, LinkProber } from '../links/index.js'
 import { RolloutLoop } from '../rollout/index.js'
@@ -371,6 +372,10 @@
           model: change.model, version: change.version, age: this._ageOf(change.announcedAfter)
         })
         break
+      case 'data-centre-evacuated':
+      case 'data-centre-restored':
+        onEvacuationChange(this.state, change)
+        break
       case 'replica-replaced':
         this._onReplicaReplaced(change)
         break
