feat(dispatch): learn memory freed, wait for a slot and current slowness of replicas from answers

Memory freed in a millisecond (15 tokens) and the wait for a slot (400 ms) were constants of one deployment, and only the speed of a whole service was known, so that a spell of 0.6 s at one replica went unnoticed. With the wait queue in force, the mean length of a service's runs gives the first two within bounds, and a short moving average of time to first byte against the prediction gives a cost for each replica. Elsewhere the constants stay.

learnedCosts.spec.ts: a replica 2.5 times as slow is noticed after three answers, and the slowness forgotten after three usual answers or 1.2 s without one.

--- a/packages/coordination/src/dispatch/index.ts
+++ b/packages/coordination/src/dispatch/index.ts
@@ -11,6 +11,8 @@
 export { type PartOrigin } from './promptFetches.js'
 export { RatePacer } from './ratePacer.js'
 export { ReplicaLimits, type LimitChange, type RequestRate, type LimitUpdate } from './replicaLimits.js'
+export { LearnedCosts } from './learnedCosts.js'
+export { ReplicaSlowdowns } from './replicaSlowdowns.js'
 export { ServiceRoom, ServiceRooms } from './serviceRoom.js'
 export { WaitQueue, type Offer, type OfferOutcome, type WaitingRequest, type WaitRefusal } from './waitQueue.js'
 export { ReplicaNotices, replicaRunOf } from './replicaNotices.js'
--- a/packages/coordination/src/dispatch/selectReplica.ts
+++ b/packages/coordination/src/dispatch/selectReplica.ts
@@ -4,6 +4,7 @@
 import type { CachedParts, PromptPart } from './cachedParts.js'
 import type { EngineSpeed } from './engineSpeed.js'
 import type { FleetLoads } from './fleetLoads.js'
+import type { LearnedCosts } from './learnedCosts.js'
 import { averageLoads, fetchUntil, PartHolders, planFetches, type PartOrigin } from './promptFetches.js'
 import type { PartStores } from './partStores.js'
 import type { ReplicaHealth } from './replicaHealth.js'
@@ -25,6 +26,8 @@
   stores: PartStores
   /** Speed estimate for the engines of the service. */
   speed: EngineSpeed
+  /** Replaces constants where it is in force. */
+  learned?: LearnedCosts | undefined
   /** Data centre of this instance. */
   zone: string
   /** Number of instances that select replicas at the same time, including this one. */
@@ -62,6 +65,8 @@
   crowding: number
   /** The part of the cost that is predicted time until the first byte. */
   wait: Milliseconds
+  /** The same at the usual speed of the service; absent for a request without a prompt. */
+  usualWait?: Milliseconds | undefined
   /** Prompt tokens known to be queued at the replica ahead of this prompt. */
   queuedTokens: number
   /** Tokens of the prompt that the replica has to read, since they are neither held nor fetched. */
@@ -179,6 +184,8 @@
   missingTokens: number
   /** Predicted wait for memory and for a slot. */
   capacityWait: Milliseconds
+  /** By how much the replica is slower than usual at the moment. */
+  slowdown: number
   /** Costs other than time until the first byte: suspicion, zone, outdated weights and jitter. */
   otherCost: Milliseconds
   /** Lower bound of the cost, reached if only the request's own part has to be read. */
@@ -191,21 +198,25 @@
   const load = view.loads.of(replica.id)
   const needed = prompt.inputTokens + prompt.maximumOutputTokens
   const missingTokens = Math.max(0, load.memoryTokens + needed - engine.cacheTokens)
-  const slotCost = load.requests >= replica.slots ? SLOT_WAIT : load.requests * RUNNING_REQUEST_COST
+  const slotWait = view.learned?.slotWait(load) ?? SLOT_WAIT
+  const slotCost = load.requests >= replica.slots ? slotWait : load.requests * RUNNING_REQUEST_COST
   const versionCost = wantedVersion !== undefined && version < wantedVersion ? OLD_VERSION_COST : 0
   const queueTime = load.prefillTokens * view.speed.timePerToken
-  const capacityWait = missingTokens / TOKENS_FREED_PER_MILLISECOND + slotCost
+  const slowdown = view.learned?.slowdown(replica.id, view.now) ?? 1
+  const tokensFreed = view.learned?.tokensFreed(load) ?? TOKENS_FREED_PER_MILLISECOND
+  const capacityWait = missingTokens / tokensFreed + slotCost
   const otherCost = versionCost + commonCost(replica, view) + jitter
   const ownTokens = Math.max(0, prompt.inputTokens - tokensOf(prompt.parts.slice(0, -1)))
-  const minimumCost = queueTime + view.speed.timeToFirstToken(ownTokens) + capacityWait + otherCost
-  return { replica, version, queuedTokens: load.prefillTokens, queueTime, missingTokens, capacityWait, otherCost, minimumCost }
+  const minimumCost = (queueTime + view.speed.timeToFirstToken(ownTokens)) * slowdown + capacityWait + otherCost
+  const queuedTokens = load.prefillTokens
+  return { replica, version, queuedTokens, queueTime, missingTokens, capacityWait, slowdown, otherCost, minimumCost }
 }
 
 function evaluatePrompt (
   estimate: ReplicaEstimate, demand: PromptDemand, holders: PartHolders, view: SelectionView, isPreferredForGroup: boolean
 ): Selection {
   const { prompt, engine } = demand
-  const { replica, version, queuedTokens, queueTime, missingTokens, capacityWait, otherCost } = estimate
+  const { replica, version, queuedTokens, queueTime, missingTokens, capacityWait, slowdown, otherCost } = estimate
   const salt = demand.saltFor(version)
   const shared = prompt.parts.slice(0, -1)
   const heldCount = view.cachedParts.heldPrefixLength(replica.id, salt, shared)
@@ -215,12 +226,15 @@
   const sharedFreshTokens = tokensOf(shared) - heldTokens - fetches.tokens
   const affinityGain = isPreferredForGroup ? EXPECTED_CACHED_SHARE * sharedFreshTokens * view.speed.timePerToken : 0
   // The replica reads queued prompts while it fetches parts of this one.
-  const wait = Math.max(queueTime, fetches.time) + view.speed.timeToFirstToken(freshTokens) + capacityWait
+  const firstToken = view.speed.timeToFirstToken(freshTokens)
+  const usualWait = Math.max(queueTime, fetches.time) + firstToken + capacityWait
+  const wait = Math.max(queueTime * slowdown, fetches.time) + firstToken * slowdown + capacityWait
   return {
     replica,
     cost: wait + otherCost - affinityGain,
     crowding: missingTokens / Math.max(1, engine.cacheTokens),
     wait,
+    usualWait,
     queuedTokens,
     freshTokens,
     fetchedTokens: fetches.tokens,
--- a/packages/gateway/src/requests/requestPlacement.ts
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -82,6 +82,7 @@
       cachedParts,
       stores: storedParts,
       speed: speeds.of(this.service),
+      learned: this._state.waitQueues?.learnedCosts(this.service),
       zone,
       instances: fronts.size(now),
       random,
@@ -168,12 +169,16 @@
   }
 
   /** Updates the estimates of the engine's speed and of fetches from stores with the time to the first byte of the answer. */
-  onFirstByte ({ salt, wait, fetchLoads, queuedTokens, freshTokens, crowding }: Selection, sentAt: Milliseconds): void {
+  onFirstByte (selection: Selection, sentAt: Milliseconds): void {
+    const { replica, salt, wait, usualWait, fetchLoads, queuedTokens, freshTokens, crowding } = selection
     if (salt === undefined) return
     const { storedParts, speeds } = this._state
     const now = this._state.now()
     const excess = now - sentAt - wait
     const hasWaited = queuedTokens > 0 || crowding > 0 || fetchLoads.size > 0
+    if (usualWait !== undefined && crowding === 0 && fetchLoads.size === 0) {
+      this._state.waitQueues?.slowdowns.onFirstByte(replica.id, usualWait, now - sentAt, now)
+    }
     if (!hasWaited) speeds.of(this.service).onFirstToken(freshTokens, now - sentAt)
     if (fetchLoads.size === 0) storedParts.onRequestWithoutFetch(excess, now)
     else for (const address of fetchLoads.keys()) storedParts.onFetched(address, excess, now)
--- a/packages/gateway/src/requests/waitQueues.ts
+++ b/packages/gateway/src/requests/waitQueues.ts
@@ -1,6 +1,7 @@
 /** Runs the wait queues of this instance, one for each service: passes on events that free room, and carries out refusals. */
 import {
-  ServiceRooms, WaitQueue, type Milliseconds, type OfferOutcome, type WaitingRequest, type WaitRefusal
+  LearnedCosts, ReplicaSlowdowns, ServiceRooms, WaitQueue, type Milliseconds, type OfferOutcome, type WaitingRequest,
+  type WaitRefusal
 } from '@wasabihead/coordination'
 import type { GatewayMetrics } from '../telemetry/index.js'
 
@@ -27,12 +28,18 @@
 /** The wait queues, and the estimates by which they decide. */
 export class WaitQueues {
   readonly rooms = new ServiceRooms()
+  readonly slowdowns = new ReplicaSlowdowns()
   private readonly _queues = new Map<string, ServiceQueue>()
   private _lastId = 0
   private _peerLoadsAt: Milliseconds = -Infinity
 
   constructor (private readonly _metrics: GatewayMetrics, private readonly _now: () => Milliseconds) {}
 
+  /** What was learned of the replicas of a service from its answers. */
+  learnedCosts (service: string): LearnedCosts {
+    return new LearnedCosts(this.rooms.of(service), this.slowdowns)
+  }
+
   /** Returns whether the request may be sent at once. */
   admitAtOnce (service: string, request: Omit<WaitingRequest, 'id'>, crowding: number): boolean {
     return this._of(service).queue.admitAtOnce({ ...request, id: 0 }, crowding, this._now())
