test(platform): show that callers can use up a gateway's memory

Cause, as the operators described it: clients that sent heads without an end, bodies in large or very small chunks that stop just short of their end, and many requests ahead, until a process ended out of memory. Change: crowds at one process as it is deployed, whose peak memory, descriptors and life are checked, and an ordinary request during the flood and after it. The settings that lower the limits are not read yet.

--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -1,6 +1,6 @@
 /** A small fleet on loopback: stand-ins for the metadata store and the replicas, and gateways in separate processes. */
 import { spawn, type ChildProcess } from 'node:child_process'
-import { mkdtempSync, readFileSync, renameSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, readdirSync, readFileSync, renameSync, rmSync, writeFileSync } from 'node:fs'
 import http from 'node:http'
 import net, { type AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
@@ -121,7 +121,7 @@
   /** @param _folder holds the settings file, and the files that faults are read from */
   constructor (
     readonly name: string, readonly addresses: GatewayAddresses, private _settings: object, private readonly _folder: string,
-    private readonly _options: Pick<GatewayOptions, 'entry' | 'hasClockFault' | 'hasLinkFault'>
+    private readonly _options: Pick<GatewayOptions, 'entry' | 'environment' | 'hasClockFault' | 'hasLinkFault'>
   ) {
     this._writeSettings()
   }
@@ -141,6 +141,7 @@
     const entry = this._options.entry ?? (OTHER_ENTRY !== '' && startedProcesses % 2 === 0 ? OTHER_ENTRY : ENTRY)
     const child = spawn(process.execPath, [...DEPLOYED_FLAGS, ...faults, entry], {
       env: {
+        ...this._options.environment,
         WASABIHEAD_NODE_FILE: this._file,
         WASABIHEAD_METRICS_PORT: String(this.metricsPort),
         WASABIHEAD_TEST_CLOCK_FILE: `${this._file}.clock`,
@@ -176,6 +177,16 @@
     return Number(/VmHWM:\s+(\d+) kB/.exec(status)?.[1]) * 1_024
   }
 
+  /** Number of open descriptors of the latest process; read from `/proc`, so on Linux only. */
+  get descriptors (): number {
+    return readdirSync(`/proc/${this._child?.pid}/fd`).length
+  }
+
+  /** Whether the latest process runs. */
+  get isRunning (): boolean {
+    return this._child?.exitCode === null && this._child.signalCode === null
+  }
+
   /** Replaces top-level settings in the file; the process reads them on SIGHUP or at its next start. */
   changeSettings (change: object): void {
     this._settings = { ...this._settings, ...change }
@@ -230,6 +241,8 @@
 export interface GatewayOptions {
   /** The file that is run; the compiled entry by default. */
   entry?: string | undefined
+  /** Environment variables beside those that each gateway gets. */
+  environment?: Readonly<Record<string, string>> | undefined
   /** IP address and port of the metadata store, or of a proxy before it. */
   storeAddress?: string
   /** Control addresses that it may ask for their catalog; those of the gateways before it by default. */
@@ -261,7 +274,7 @@
   async startGateway (
     name: string,
     {
-      entry, storeAddress = this.storeAddress, hasClockFault, hasLinkFault, graceSeconds = 8, retryBudgetSlack = 50,
+      entry, environment, storeAddress = this.storeAddress, hasClockFault, hasLinkFault, graceSeconds = 8, retryBudgetSlack = 50,
       seeds = this.gateways.map(({ addresses: { control } }) => control)
     }: GatewayOptions = {}
   ): Promise<GatewayProcess> {
@@ -288,7 +301,7 @@
       },
       provider: { address: storeAddress, ttl_min_ms: 1_000 },
       an_unknown_field: true
-    }, this._folder, { entry, hasClockFault, hasLinkFault })
+    }, this._folder, { entry, environment, hasClockFault, hasLinkFault })
     gateway.startProcess()
     this.gateways.push(gateway)
     try {
