fix(requests): bound what connections of callers hold

Cause: nothing bounded incomplete heads and bodies of all connections together. Each piece of a body was held as a buffer of its own, so that chunks of a byte took hundreds of times their size. Up to 64 KB of requests ahead were all started at once. Bodies of refused requests were held until their connections closed. Change: CallerMemory (coordination) keeps an account of each connection and decides which one is closed, per connection, per address and in total: the one that made least progress for what it holds. CheckedConnections measures; all servers of a gateway share one total. Bodies count until their answers are written out, unread answers count, small pieces are joined, and at most 32 requests of a connection are read ahead. A closed connection is logged (caller-dropped) and counted (dropped_callers_total).

--- a/packages/coordination/src/callers/requestSyntax.ts
+++ b/packages/coordination/src/callers/requestSyntax.ts
@@ -50,6 +50,8 @@
   private _chunkSize = ''
   private _hasEnded = false
   private _isInvalid = false
+  private _headBytes = 0
+  private _openBytes = 0
 
   /** Whether a byte was invalid; the rest of the connection is then invalid, too. */
   get isInvalid (): boolean {
@@ -61,6 +63,16 @@
     return this._position === 'request-line' && this._line === ''
   }
 
+  /** Size of the head of the current request, or of the last one. */
+  get headBytes (): number {
+    return this._headBytes
+  }
+
+  /** Size of what has arrived of a head, of a line with a chunk's size, or of trailers that are incomplete. */
+  get openBytes (): number {
+    return this._openBytes
+  }
+
   /** Checks bytes from an offset on. */
   accept (bytes: Buffer, offset: number): AcceptedBytes {
     this._hasEnded = false
@@ -100,6 +112,7 @@
   private _readLine (bytes: Buffer, offset: number): number {
     const end = bytes.indexOf(LINE_FEED, offset)
     const next = end < 0 ? bytes.length : end + 1
+    this._openBytes += next - offset
     this._line += bytes.toString('latin1', offset, next)
     const line = this._line
     const carriageReturn = line.indexOf('\r')
@@ -169,6 +182,8 @@
     const [encoding] = encodings
     if (length !== undefined && !LENGTH.test(length)) return false
     if (encoding !== undefined && (encoding.toLowerCase() !== 'chunked' || this._isOldVersion)) return false
+    this._headBytes = this._openBytes
+    this._openBytes = 0
     this._left = Number(length ?? 0)
     if (encoding !== undefined) this._position = 'chunk-size'
     else if (this._left > 0) this._position = 'body'
@@ -180,6 +195,7 @@
     const size = CHUNK_SIZE.exec(line)?.[1]
     if (size === undefined) return false
     this._chunkSize = size
+    this._openBytes = 0
     this._left = parseInt(size, HEXADECIMAL)
     this._position = this._left > 0 ? 'chunk-data' : 'trailer'
     return true
@@ -187,6 +203,7 @@
 
   private _endRequest (): void {
     this._hasEnded = true
+    this._openBytes = 0
     this._position = 'request-line'
     this._emptyLines = 0
   }
--- a/packages/gateway/src/directory/endpointServer.ts
+++ b/packages/gateway/src/directory/endpointServer.ts
@@ -1,6 +1,6 @@
 /** HTTP server for requests without a body, with one handler for each method and path. */
 import http from 'node:http'
-import { CheckedConnections } from '@wasabihead/http'
+import { CheckedConnections, type CallerGuard } from '@wasabihead/http'
 
 export interface EndpointResponse {
   status: number
@@ -15,19 +15,28 @@
 const NOT_FOUND: EndpointResponse = { status: 404 }
 const BAD_REQUEST = 'HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
 const IDLE_TIMEOUT_MILLISECONDS = 10_000
+/** Requests have no body, so that all of one arrives soon. */
+const REQUEST_TIMEOUT_MILLISECONDS = 10_000
+const TIMEOUT_CHECK_MILLISECONDS = 1_000
 
 /** Serves the handlers, given by "METHOD /path", on one address. Answers 404 to anything else. */
 export class EndpointServer {
   private readonly _server: http.Server
 
-  constructor (private readonly _handlers: ReadonlyMap<string, EndpointHandler>) {
-    this._server = http.createServer({ keepAliveTimeout: IDLE_TIMEOUT_MILLISECONDS }, (request, response) => {
+  constructor (private readonly _handlers: ReadonlyMap<string, EndpointHandler>, guard?: CallerGuard) {
+    this._server = http.createServer({
+      keepAliveTimeout: IDLE_TIMEOUT_MILLISECONDS,
+      headersTimeout: REQUEST_TIMEOUT_MILLISECONDS,
+      requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
+      connectionsCheckingInterval: TIMEOUT_CHECK_MILLISECONDS
+    }, (request, response) => {
       request.resume()
+      if (request.socket.destroyed) return
       const answer = this._answer(request)
       if (!(answer instanceof Promise)) respond(response, answer)
       else answer.then(value => { respond(response, value) }, () => { respond(response, FAILED) })
     })
-    const connections = new CheckedConnections(this._server)
+    const connections = new CheckedConnections(this._server, guard)
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => { connections.refuse(error, socket, BAD_REQUEST) })
   }
 
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -1,11 +1,13 @@
 /** One gateway instance: creates its components, starts them and shuts them down. */
+import type { Socket } from 'node:net'
 import {
   CachedParts, CatalogCurrency, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, GracefulStop,
   LoadingReplicas, PeerLinks, ReadSchedule, RepeatedCrashes, ReplicaHealth, ReplicaLimits, ReplicaNotices, replicaRunOf,
   SeededRandom, SentPrompts, ServiceCatalog, ServiceLinks, SoftwareVersions, StoredParts, StoreMirror, StreamOrigins,
-  type CatalogChange,
+  type CatalogChange, type DroppedCaller,
   type FrontRecord, type KeyValueService, type Milliseconds
 } from '@wasabihead/coordination'
+import { CallerGuard } from '@wasabihead/http'
 import { CatalogLoop, CrashRecords, FRONT_KEY_PREFIX, HOST_KEY_PREFIX, OriginRecords, Registration, VersionRecords } from '../catalog/index.js'
 import { ChannelPool, splitAddress, type CallTarget } from '../channels/index.js'
 import { EndpointServer, type EndpointHandler, type EndpointResponse } from '../directory/index.js'
@@ -113,6 +115,7 @@
       onStreamBegan: () => { this._originRecords.write() },
       onStreamsAmbiguous: () => { this._onStreamsAmbiguous() },
       onReplicaLost: (replica, report) => { this._crashVerifier.onConnectionLost(replica, report) },
+      callerGuard: new CallerGuard(settings.callers, now, dropped => { this._onCallerDropped(dropped) }),
       channels: new ChannelPool(settings.channels, now, (target, isConnected) => { this._onLink(target, isConnected) }),
       callerProtocol: adapter.callerProtocol,
       replicaProtocol: adapter.replicaProtocol,
@@ -150,15 +153,15 @@
     this._rollout = new RolloutLoop(this.state, adapter.store, rollout, () => this._catalogLoop.ownValues, suspensionAwareNow)
     this._storeCollector = new StoreCollector(this.state, settings.storeCollector, () => this._rollout.isHolder)
     this._storeFollower = new StoreFollower(this.state, settings.storeFollower)
-    this._directory = new EndpointServer(adapter.directoryEndpoints(this))
-    this._readiness = new EndpointServer(adapter.readinessEndpoints(this))
+    this._directory = new EndpointServer(adapter.directoryEndpoints(this), this.state.callerGuard)
+    this._readiness = new EndpointServer(adapter.readinessEndpoints(this), this.state.callerGuard)
     this._control = new EndpointServer(new Map<string, EndpointHandler>([
       [`GET ${LISTING_PATH}`, () => ({ status: 200, contentType: 'application/json', body: JSON.stringify(this._peerListing()) })],
       [`GET ${STREAM_ORIGIN_PATH}`, async (query: URLSearchParams) => await this._streamOrigin(query)]
-    ]))
+    ]), this.state.callerGuard)
     this._metricsServer = new EndpointServer(new Map([
       ['GET /metrics', () => ({ status: 200, contentType: 'text/plain', body: this.state.metrics.format() })]
-    ]))
+    ]), this.state.callerGuard)
   }
 
   /** Whether callers may be sent here: the instance listens, has a configuration and is not leaving. */
@@ -286,6 +289,7 @@
     this._crashRecords.write()
     this._versionRecords.write()
     this._originRecords.write()
+    this.state.metrics.gauge('caller_memory_bytes', this.state.callerGuard.memory.held)
     this._catalogLoop.report()
     this.state.log.tick()
   }
@@ -301,6 +305,13 @@
     this._storeFollower.follow()
   }
 
+  /** The connection is closed; a request on it that was sent to a replica may have run. */
+  private _onCallerDropped ({ address, limit, held }: DroppedCaller<Socket>): void {
+    const { memory } = this.state.callerGuard
+    this.state.metrics.count('dropped_callers_total', limit)
+    this.state.log.decision('caller-dropped', { address, limit, held, allHeld: memory.held, connections: memory.connections })
+  }
+
   /** Records that a connection could be opened, or not; those to stores belong to no service with replicas. */
   private _onLink ({ id }: CallTarget, isConnected: boolean): void {
     const { catalog, links, health, log, now } = this.state
--- a/packages/gateway/src/process/gatewaySettings.ts
+++ b/packages/gateway/src/process/gatewaySettings.ts
@@ -3,6 +3,7 @@
   CatalogCurrencySettings, CatalogSettings, FleetRetryBudgetSettings, FrontDirectorySettings, FrontRecord, GracefulStopSettings,
   ReadScheduleSettings
 } from '@wasabihead/coordination'
+import type { CallerGuardSettings } from '@wasabihead/http'
 import type { CatalogLoopSettings, RegistrationSettings } from '../catalog/index.js'
 import type { ChannelPoolSettings } from '../channels/index.js'
 import type { HeartbeatSettings } from '../peers/index.js'
@@ -26,6 +27,7 @@
   /** Its lease outlives the process, since hosts that are disconnected still count. */
   hostRegistration: Omit<RegistrationSettings, 'key'>
   heartbeats: HeartbeatSettings
+  callers: CallerGuardSettings
   channels: ChannelPoolSettings
   retryBudget: FleetRetryBudgetSettings
   /** Whether the whole fleet starts for the first time. */
--- a/packages/gateway/src/requests/frontServer.ts
+++ b/packages/gateway/src/requests/frontServer.ts
@@ -10,6 +10,9 @@
 /** Applies to requests without a time budget of their caller; the timeout of the route applies if it is shorter. */
 const DEFAULT_TIME_BUDGET: Milliseconds = 600_000
 
+/** An incomplete head takes several times its size; one that is complete, less. */
+const HEAD_ALLOWANCE = 8
+
 /** Serves callers. */
 export class FrontServer extends RequestServer {
   /** Applies the timeouts of the current configuration; does nothing while there is none. */
@@ -18,6 +21,7 @@
     if (limits === undefined) return
     this._server.keepAliveTimeout = limits.idleTimeout + IDLE_MARGIN
     this._server.headersTimeout = limits.headerTimeout
+    this._state.callerGuard.memory.allowRequest(limits.maximumBodyBytes + HEAD_ALLOWANCE * limits.maximumHeaderBytes)
   }
 
   protected override _refusalOf (request: http.IncomingMessage): RefusalReason | undefined {
--- a/packages/gateway/src/requests/gatewayState.ts
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -5,6 +5,7 @@
   ReplicaLimits, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog, ServiceLinks, SoftwareVersions, StoredParts,
   StoreMirror, StreamOrigin, StreamOrigins
 } from '@wasabihead/coordination'
+import type { CallerGuard } from '@wasabihead/http'
 import type { ChannelPool } from '../channels/index.js'
 import type { CallerProtocol, ReplicaProtocol } from '../protocol/index.js'
 import type { DecisionLog, GatewayMetrics } from '../telemetry/index.js'
@@ -49,6 +50,8 @@
   onStreamsAmbiguous: () => void
   /** A connection to a replica ended during a request, so that the replica may have crashed. */
   onReplicaLost: (replica: Replica, report: CrashReport) => void
+  /** Bounds what connections of callers hold, at all addresses of this process. */
+  callerGuard: CallerGuard
   channels: ChannelPool
   callerProtocol: CallerProtocol
   replicaProtocol: ReplicaProtocol
--- a/packages/gateway/src/requests/requestServer.ts
+++ b/packages/gateway/src/requests/requestServer.ts
@@ -5,6 +5,7 @@
   pathOf, readRequestTarget, type Milliseconds, type RequestTarget, type Route, type RouteMatch
 } from '@wasabihead/coordination'
 import { CheckedConnections } from '@wasabihead/http'
+import { BufferedBytes, type OwnedBytes } from '../channels/index.js'
 import type { CallerHead } from '../protocol/index.js'
 import type { CallerRequest } from './callerRequest.js'
 import { withHost } from './forwardedHeaders.js'
@@ -38,7 +39,7 @@
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT,
       connectionsCheckingInterval: 1_000
     }, (request, response) => { this._accept(request, response) })
-    const connections = this._connections = new CheckedConnections(this._server)
+    const connections = this._connections = new CheckedConnections(this._server, _state.callerGuard)
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       if (error.code !== 'ECONNRESET') {
         _state.metrics.count('unreadable_requests_total', error.code)
@@ -102,6 +103,8 @@
   protected abstract _refuse (response: http.ServerResponse, reason: RefusalReason, head: CallerHead): void
 
   private _accept (request: http.IncomingMessage, response: http.ServerResponse): void {
+    // Closed to bound the memory of all callers.
+    if (request.socket.destroyed) return
     const state = this._state
     const receivedAt = state.now()
     const head = state.callerProtocol.readHead(request.headers)
@@ -115,7 +118,8 @@
     }
     const terms = this._termsOf(request, head, match.route, receivedAt)
     const maximumBodyBytes = state.catalog.routes?.configuration.limits.maximumBodyBytes ?? 0
-    const refuseBody = readBody(request, maximumBodyBytes, terms.deadline - receivedAt, body => {
+    const reading = { limit: maximumBodyBytes, timeout: terms.deadline - receivedAt }
+    const refuseBody = readBody(request, reading, bytes => { this._connections.hold(request, bytes) }, body => {
       this._reading.delete(refuseBody)
       if (typeof body === 'string') this._refuse(response, body, head)
       else if (!response.destroyed) this._start(request, response, match, body, receivedAt, terms)
@@ -161,27 +165,39 @@
   return readRequestTarget(url, host)
 }
 
-/** Returns a function that ends the reading with a refusal. */
+/**
+ * Returns a function that ends the reading with a refusal.
+ * @param hold called with the number of bytes that are held from now on
+ */
 function readBody (
-  request: http.IncomingMessage, limit: number, timeout: Milliseconds, done: (body: Buffer | RefusalReason) => void
+  request: http.IncomingMessage, { limit, timeout }: { limit: number, timeout: Milliseconds }, hold: (bytes: number) => void,
+  done: (body: Buffer | RefusalReason) => void
 ): (reason: RefusalReason) => void {
-  const chunks: Buffer[] = []
-  let length = 0
+  const bytes = new BufferedBytes()
   let isDone = false
-  const finish = (body: Buffer | RefusalReason): void => {
+  const finish = (reason?: RefusalReason): void => {
     if (isDone) return
     isDone = true
     clearTimeout(timer)
-    if (typeof body === 'string') request.resume()
-    done(body)
+    const body = bytes.takeAll()
+    if (reason !== undefined) {
+      hold(0)
+      request.resume()
+    }
+    done(reason ?? body)
   }
   const timer = setTimeout(() => { finish('body-not-read') }, timeout)
   request.on('data', (chunk: Buffer) => {
-    length += chunk.length
-    if (length > limit) finish('body-too-large')
-    else chunks.push(chunk)
+    if (isDone) return
+    if (bytes.length + chunk.length > limit) {
+      finish('body-too-large')
+      return
+    }
+    // The parser of Node.js copies what it passes on.
+    bytes.add(chunk as OwnedBytes)
+    hold(bytes.length)
   })
-  request.once('end', () => { finish(chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks)) })
+  request.once('end', () => { finish() })
   // The caller disconnected before its request was complete, so that there is nothing to answer.
   request.once('error', () => { clearTimeout(timer) })
   request.once('close', () => { clearTimeout(timer) })
--- a/packages/http/src/checkedConnections.ts
+++ b/packages/http/src/checkedConnections.ts
@@ -7,6 +7,8 @@
 import type { Duplex } from 'node:stream'
 import { RequestSyntax } from '@wasabihead/coordination'
 import { breakOff } from './brokenAnswers.js'
+import { CallerAccounts } from './callerAccounts.js'
+import type { CallerGuard } from './callerGuard.js'
 
 /** How long a refused connection stays open, so that bytes still on their way do not reset it before the caller has read why. */
 const LINGER_MILLISECONDS = 1_000
@@ -31,8 +33,11 @@
   private readonly _refused = new WeakSet<Duplex>()
   private _isClosingAfterAnswers = false
   private _stallTimeout: number | undefined
+  private readonly _accounts: CallerAccounts | undefined
 
-  constructor (private readonly _server: http.Server) {
+  /** @param guard bounds what the connections hold; none if absent */
+  constructor (private readonly _server: http.Server, guard?: CallerGuard) {
+    this._accounts = guard === undefined ? undefined : new CallerAccounts(guard)
     _server.on('connection', (socket: Socket) => { this._check(socket) })
     _server.prependListener('request', (request: http.IncomingMessage, response: http.ServerResponse) => {
       const connection = this._open.get(request.socket)
@@ -45,6 +50,11 @@
     return [...this._open.values()].reduce((sum, { unanswered }) => sum + unanswered.size, 0)
   }
 
+  /** Records how much of a request's body is held until its answer is written out. */
+  hold (request: http.IncomingMessage, bytes: number): void {
+    this._accounts?.hold(request, bytes)
+  }
+
   /** From now on, the answer to the last request of each connection closes it. */
   closeAfterAnswers (): void {
     this._isClosingAfterAnswers = true
@@ -113,12 +123,14 @@
       connection.isClosing ||= isLast(response)
       unanswered.delete(response)
     })
+    this._accounts?.onRequest(request, response, connection.syntax.headBytes)
   }
 
   private _check (socket: Socket): void {
     const syntax = new RequestSyntax()
     const connection: Connection = { syntax, hasCarriedRequest: false, isClosing: false, unanswered: new Set() }
     this._open.set(socket, connection)
+    this._accounts?.open(socket, syntax, connection.unanswered)
     socket.once('close', () => {
       this._open.delete(socket)
       // After the listeners of Node.js, which reports the close only for the request that is next to be answered.
@@ -133,6 +145,7 @@
         if (this._refused.has(socket)) return
         connection.isClosing ||= [...connection.unanswered].some(isLast)
         if (syntax.isBetweenRequests && connection.isClosing) return
+        if (syntax.isBetweenRequests) this._accounts?.holdBack(socket)
         // The server reads no further request while the caller takes none of its answers.
         if (socket.isPaused()) {
           socket.unshift(bytes.subarray(offset))
@@ -144,6 +157,7 @@
         if (pieces.length > 0) for (const parse of parsers) parse.call(socket, joined(pieces))
         offset = end
       }
+      this._accounts?.onBytes(socket)
       if (syntax.isInvalid && !this._refused.has(socket)) this._server.emit('clientError', new MalformedRequestError(), socket)
     })
   }
