feat(dispatch): limit the requests to a replica that has started or recovered

A replica that has just started, loaded weights, been unreachable or become reachable again gets the load of all instances at once, since it looks idle to each of them.

ServerPace limits the requests that all instances together have at such a run: a window that doubles with answers as fast as those of its peers, shrinks on slow and refused ones, and ends beyond the replica's slots. Each instance holds a part by rendezvous over the known names. What it learns is an epoch and a window, of which the highest counts; heartbeats have an optional field for it.

Its property test, 40 random fleets of up to 340, exceeds the window without the division.

--- a/packages/coordination/src/catalog/messages.ts
+++ b/packages/coordination/src/catalog/messages.ts
@@ -70,6 +70,8 @@
   healthPath: z.string().optional(),
   /** Connections that a replica accepts from all its callers together. */
   maximumConnections: z.number().optional(),
+  /** How long a replica that has started during traffic stays cold, in milliseconds; absent where it never is. */
+  coldFor: z.number().optional(),
   engine: engineSchema.optional(),
   cacheStore: cacheStoreSchema.optional()
 })
--- a/packages/coordination/src/dispatch/index.ts
+++ b/packages/coordination/src/dispatch/index.ts
@@ -12,6 +12,11 @@
 export { RatePacer } from './ratePacer.js'
 export { ReplicaLimits, type LimitChange, type RequestRate, type LimitUpdate } from './replicaLimits.js'
 export { ReplicaNotices, replicaRunOf } from './replicaNotices.js'
+export { AnswerSpeeds, type AnswerSpeed, type AnswerTime } from './answerSpeeds.js'
+export {
+  ServerPace, SharedServerPace, type PaceCause, type PaceChange, type PacedEnd, type PacedSend, type PaceUpdate,
+  type SharedServerPaceSettings
+} from './serverPace.js'
 export { ReplicaHealth, type HealthSignal } from './replicaHealth.js'
 export { type PartSource, type PartStores } from './partStores.js'
 export { SentPrompts, type SentPrompt } from './sentPrompts.js'
--- /dev/null
+++ b/packages/coordination/src/dispatch/serverPace.spec.ts
@@ -0,0 +1,189 @@
+/** Replays of the pace without a network: what one instance decides, and what all of them send together. */
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { SeededRandom, type Milliseconds } from '../common/index.js'
+import type { Replica } from '../catalog/index.js'
+import { SharedServerPace, type AnswerTime, type PaceCause, type PacedEnd, type PaceUpdate } from './index.js'
+
+const REPLICA: Replica = {
+  id: 'r', service: 's', address: '10.0.0.1:1', zone: 'z', slots: 48, isDraining: false, weightVersions: {}, startedAt: 1
+}
+const PEER: Replica = { ...REPLICA, id: 'peer' }
+const SELF = ['self']
+const FAST: AnswerTime = { elapsed: 100, expected: undefined, objective: 1_000 }
+const SLOW: AnswerTime = { ...FAST, elapsed: 400 }
+const makePace = (name = 'self'): SharedServerPace => new SharedServerPace(name, { heartbeatInterval: 250 })
+
+function begun (cause: PaceCause = 'started'): SharedServerPace {
+  const pace = makePace()
+  pace.begin(REPLICA, cause, 0)
+  pace.maySend(REPLICA, SELF, 0)
+  for (let index = 0; index < 20; index++) pace.onFirstByte(PEER, undefined, FAST, 0)
+  return pace
+}
+
+/** Sends one request that is answered after its time, and ends. */
+function exchange (pace: SharedServerPace, time: AnswerTime, end: PacedEnd, now: Milliseconds): void {
+  const send = pace.onSent(REPLICA, now)
+  if (end === 'answered') pace.onFirstByte(REPLICA, send, time, now + time.elapsed)
+  pace.onEnd(REPLICA, send, end, now, now + time.elapsed)
+}
+
+const first: { cause: PaceCause, window: number }[] = [
+  { cause: 'started', window: 4 }, { cause: 'weights-loaded', window: 4 }, { cause: 'unreachable', window: 2 },
+  { cause: 'links-returned', window: 24 }
+]
+for (const { cause, window } of first) {
+  test(`should begin with ${window} requests where the cause is ${cause}`, () => {
+    const pace = begun(cause)
+    assert.is(pace.windowOf(REPLICA), window)
+    for (let sent = 0; sent < window; sent++) {
+      assert.ok(pace.maySend(REPLICA, SELF, 0), `request ${sent}`)
+      pace.onSent(REPLICA, 0)
+    }
+    assert.not(pace.maySend(REPLICA, SELF, 0))
+  })
+}
+
+// Guards against a flood of fast refusals: a window of requests in flight alone limits no rate.
+test('should count a request for half a second that was refused at once', () => {
+  const pace = begun()
+  for (let sent = 0; sent < 4; sent++) pace.onEnd(REPLICA, pace.onSent(REPLICA, 0), 'inconclusive', 0, 5)
+  assert.equal([499, 500].map(now => pace.maySend(REPLICA, SELF, now)), [false, true])
+})
+
+const answers: { title: string, times: AnswerTime[], end?: PacedEnd, window: number | undefined }[] = [
+  { title: 'double after an answer as fast as those of its peers', times: [FAST], window: 8 },
+  { title: 'end where it limits nothing any more', times: Array<AnswerTime>(8).fill(FAST), window: undefined },
+  { title: 'stay after one slow answer', times: [SLOW], window: 4 },
+  { title: 'shrink after two slow answers', times: [SLOW, SLOW], window: 2 },
+  { title: 'stay where answers are somewhat slower than those of its peers', times: Array<AnswerTime>(5).fill({ ...FAST, elapsed: 200 }), window: 4 },
+  { title: 'grow by few where it was slow before', times: [FAST, FAST, SLOW, SLOW, FAST, FAST], window: 12 },
+  { title: 'shrink after a refusal', times: [FAST], end: 'refused', window: 2 },
+  { title: 'keep one request after many refusals', times: Array<AnswerTime>(9).fill(FAST), end: 'refused', window: 1 },
+  { title: 'keep two requests where trials fail', times: Array<AnswerTime>(9).fill(FAST), end: 'unreachable', window: 2 },
+  { title: 'stay after an end that says nothing of the replica', times: [FAST], end: 'inconclusive', window: 4 }
+]
+for (const { title, times, end = 'answered', window } of answers) {
+  test(`should ${title}`, () => {
+    const pace = begun()
+    for (const [index, time] of times.entries()) exchange(pace, time, end, 1_000 * (index + 1))
+    assert.equal([pace.windowOf(REPLICA), pace.isEmpty], [window, window === undefined])
+  })
+}
+
+const silences: { title: string, ends: [PacedEnd, sentAt: number, at: number][], window: number | undefined }[] = [
+  { title: 'was silent for a second', ends: [['unreachable', 0, 600], ['unreachable', 500, 1_100]], window: undefined },
+  { title: 'was unreachable for longer', ends: [['unreachable', 0, 600], ['unreachable', 900, 1_500]], window: 2 },
+  { title: 'answered in between', ends: [['unreachable', 0, 600], ['answered', 500, 700], ['unreachable', 900, 1_500]], window: undefined }
+]
+for (const { title, ends, window } of silences) {
+  test(`should ${window === undefined ? 'not limit' : 'limit'} a replica that ${title}`, () => {
+    const pace = makePace()
+    for (const [end, sentAt, at] of ends) pace.onEnd(REPLICA, pace.onSent(REPLICA, sentAt), end, sentAt, at)
+    assert.is(pace.windowOf(REPLICA), window)
+  })
+}
+
+const update = (change: Partial<PaceUpdate>): PaceUpdate => (
+  { replicaId: 'r', startedAt: 1, epoch: 0, window: 8, age: 0, isForAll: true, ...change })
+const received: { title: string, cause?: PaceCause, change: Partial<PaceUpdate>, window: number | undefined }[] = [
+  { title: 'adopt a larger window of a peer', cause: 'started', change: {}, window: 8 },
+  { title: 'keep its window where a peer has a smaller one', cause: 'started', change: { window: 2 }, window: 4 },
+  { title: 'adopt a window that a peer has lowered', cause: 'started', change: { epoch: 1, window: 2 }, window: 2 },
+  { title: 'end where it has ended at a peer', cause: 'started', change: { window: undefined }, window: undefined },
+  { title: 'begin where a peer knows of a start', change: {}, window: 8 },
+  // What one instance sees may be due to its own links.
+  { title: 'not begin where only a peer takes the replica for unreachable', change: { isForAll: false }, window: undefined },
+  { title: 'adopt what a peer learned of a replica that both took for unreachable', cause: 'unreachable', change: { isForAll: false }, window: 8 }
+]
+for (const { title, cause, change, window } of received) {
+  test(`should ${title}`, () => {
+    const pace = makePace()
+    if (cause !== undefined) pace.begin(REPLICA, cause, 0)
+    pace.receive(REPLICA, update(change), 100)
+    assert.equal([pace.windowOf(REPLICA), pace.size], [window, window === undefined ? 0 : 1])
+  })
+}
+
+test('should not begin again by an older update after it has ended', () => {
+  const pace = begun()
+  pace.receive(REPLICA, update({ window: undefined }), 100)
+  pace.receive(REPLICA, update({}), 200)
+  pace.begin(REPLICA, 'started', 300)
+  assert.ok(pace.isEmpty)
+})
+
+// Guards against replicas that stay limited since the owners of their parts have no requests for the service.
+test('should grow while nobody learns anything, and end', () => {
+  const pace = begun()
+  for (let now = 0; now <= 40_000; now += 500) pace.tick(now)
+  assert.ok(pace.isEmpty)
+})
+
+interface Member {
+  name: string
+  names: string[]
+  pace: SharedServerPace
+  open: { endsAt: Milliseconds, send: NonNullable<ReturnType<SharedServerPace['onSent']>> }[]
+}
+
+/**
+ * Each instance sends as much as its pace allows, while windows differ: updates are lost, and answers are fast, slow or refused.
+ * @returns the largest excess of the requests at the replica over the largest window that any instance has assumed so far. Each
+ * instance that another one does not know of allows for one more part.
+ */
+function largestExcess (seed: number, isDivided: boolean): number {
+  const random = new SeededRandom(seed)
+  const size = 1 + random.integer(340)
+  const all = Array.from({ length: size }, (_, index) => `i${index}`)
+  const unknown = random.next() < 0.5 ? 0 : random.integer(Math.min(8, size))
+  const fleet = all.map((name, index): Member => {
+    const names = index < size / 2 ? all : all.filter((other, rank) => rank >= unknown || other === name)
+    return { name, names: isDivided ? names : [name], pace: makePace(name), open: [] }
+  })
+  for (const { pace } of fleet) pace.begin(REPLICA, 'started', 0)
+  let worst = -Infinity
+  let largest = 0
+  for (let now = 0; now < 6_000; now += 250) {
+    for (const { pace, open } of fleet) {
+      for (const { send } of open.filter(({ endsAt }) => endsAt <= now)) {
+        const chance = random.next()
+        if (chance < 0.6) pace.onFirstByte(REPLICA, send, { ...FAST, elapsed: now - send.sentAt }, now)
+        pace.onEnd(REPLICA, send, chance < 0.95 ? 'answered' : 'refused', send.sentAt, now)
+      }
+    }
+    for (const member of fleet) member.open = member.open.filter(({ endsAt }) => endsAt > now)
+    for (const { pace } of fleet.filter(() => random.next() < 0.1)) {
+      const updates = pace.updates(now)
+      for (const other of fleet) {
+        if (random.next() < 0.7) for (const change of updates) other.pace.receive(REPLICA, change, now)
+      }
+    }
+    // Where an instance has ended the pace, the sum is not limited any more.
+    if (fleet.some(({ pace }) => pace.isEmpty)) return worst
+    for (const { pace, names, open } of fleet) {
+      while (pace.maySend(REPLICA, names, now)) {
+        const send = pace.onSent(REPLICA, now)
+        if (send === undefined) break
+        open.push({ send, endsAt: now + 250 + 250 * random.integer(8) })
+      }
+    }
+    largest = Math.max(largest, ...fleet.map(({ pace }) => pace.windowOf(REPLICA) ?? 0))
+    const atReplica = fleet.reduce((sum, { open }) => sum + open.length, 0)
+    worst = Math.max(worst, atReplica - largest - unknown * (1 + Math.floor(largest / (size - unknown))))
+  }
+  return worst
+}
+
+const SEEDS = Array.from({ length: 40 }, (_, index) => index + 1)
+test('should keep the requests of all instances together within the largest window that one of them assumes', () => {
+  for (const seed of SEEDS) assert.ok(largestExcess(seed, true) <= 0, `seed ${seed}`)
+})
+
+// Verifies the check itself.
+test('should exceed the window without the division between instances', () => {
+  assert.ok(SEEDS.some(seed => largestExcess(seed, false) > 0))
+})
+
+test.run()
--- a/packages/coordination/src/fronts/messages.ts
+++ b/packages/coordination/src/fronts/messages.ts
@@ -64,6 +64,14 @@
   limits: z.array(z.tuple([
     z.string(), z.number().nonnegative().nullable(), z.number().nonnegative(), z.number().nonnegative()
   ])).default([]),
+  /**
+   * What the sender learned of the pace of replicas: id, start of the run, epoch, requests over all instances (null once the pace
+   * has ended), milliseconds since it was learned, and whether it holds for all instances.
+   */
+  paces: z.array(z.tuple([
+    z.string(), z.number(), z.number().int().nonnegative(), z.number().int().positive().nullable(), z.number().nonnegative(),
+    z.boolean()
+  ])).optional().catch(undefined),
   /** The highest epoch of the rollout role that the sender knows of; the store may have lost its record. */
   rolloutEpoch: z.number().int().nonnegative().default(0),
   /** Services of which the sender can connect to no replica. */
