feat(requests): place requests within the pace of started replicas

A replica at its pace is no candidate while another one can take the request; the pace alone never has a request refused. In force for services with cold_s > 0, and for all with WASABIHEAD_SERVER_PACE=all. A stated rate goes before the pace.

--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -6,7 +6,7 @@
   type Heartbeat, type Milliseconds, type ReplicaLoad, type StreamOriginsMessage
 } from '@wasabihead/coordination'
 import { splitAddress } from '../channels/index.js'
-import { connectedInstances, type GatewayState } from '../requests/index.js'
+import { beginPace, connectedInstances, paceUpdates, receivePaces, type GatewayState } from '../requests/index.js'
 
 /** Settings of the heartbeats. */
 export interface HeartbeatSettings {
@@ -190,6 +190,7 @@
       cutOff: links.cutOff,
       limits: replicaLimits.updates(suspensionAwareNow()).map(({ run, rate, heardAge, sentAge }) => (
         [run, rate ?? null, Math.ceil(heardAge), Math.ceil(sentAge)])),
+      paces: paceUpdates(this._state),
       ...crashes.update(suspensionAwareNow())
     }
   }
@@ -237,7 +238,9 @@
     this._state.loadingReplicas.record(heartbeat.from.name, heartbeat.loading, heartbeat.loaded, now)
     for (const { replicaId, model, version } of heartbeat.loaded) {
       const replica = this._state.catalog.replica(replicaId)
-      if (replica !== undefined) this._state.catalog.observeWeightVersion(replica, model, version)
+      if (replica !== undefined && this._state.catalog.observeWeightVersion(replica, model, version)) {
+        beginPace(this._state, replica, 'weights-loaded')
+      }
     }
     for (const [replicaId, salt, parts] of heartbeat.sent) this._receiveSentPrompts(replicaId, salt, parts)
     for (const { events, ...store } of heartbeat.stores) {
@@ -255,6 +258,7 @@
         this._state.log.decision('replica-limit', { run, change, rate: rate ?? undefined, age: heardAge, toldBy: heartbeat.from.name })
       }
     }
+    receivePaces(this._state, heartbeat)
     this._state.crashes.receive(heartbeat, suspensionAwareNow)
     this._callbacks.onRolloutEpoch(heartbeat.rolloutEpoch)
     const { catalog, from, namings } = heartbeat
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -2,9 +2,9 @@
 import {
   CachedParts, CatalogCurrency, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory, GracefulStop,
   LoadingReplicas, PeerLinks, ReadSchedule, RepeatedCrashes, ReplicaHealth, ReplicaLimits, ReplicaNotices, replicaRunOf,
-  SeededRandom, SentPrompts, ServiceCatalog, ServiceLinks, SoftwareVersions, StoredParts, StoreMirror, StreamOrigins,
-  type CatalogChange,
-  type FrontRecord, type KeyValueService, type Milliseconds
+  SeededRandom, SentPrompts, ServiceCatalog, ServiceLinks, SharedServerPace, SoftwareVersions, StoredParts, StoreMirror,
+  StreamOrigins, type CatalogChange,
+  type FrontRecord, type KeyValueService, type Milliseconds, type Replica
 } from '@wasabihead/coordination'
 import { CatalogLoop, CrashRecords, FRONT_KEY_PREFIX, HOST_KEY_PREFIX, OriginRecords, Registration, VersionRecords } from '../catalog/index.js'
 import { ChannelPool, splitAddress, type CallTarget } from '../channels/index.js'
@@ -13,7 +13,9 @@
   Heartbeats, LISTING_PATH, REQUEST_ID_PARAMETER, readStoreChange, requestStreamOrigin, STREAM_ORIGIN_PATH, type PeerListing
 } from '../peers/index.js'
 import type { CallerProtocol, CatalogSource, ReplicaProtocol } from '../protocol/index.js'
-import { findOrigin, FrontServer, RelayServer, type GatewayState, type RequestServer } from '../requests/index.js'
+import {
+  beginPace, findOrigin, FrontServer, RelayServer, tickPaces, type GatewayState, type RequestServer
+} from '../requests/index.js'
 import { CrashVerifier, LinkProber } from '../links/index.js'
 import { RolloutLoop } from '../rollout/index.js'
 import { StoreCollector, StoreFollower } from '../stores/index.js'
@@ -50,6 +52,9 @@
 /** While stopping, how often the requests are checked. */
 const STOP_CHECK_INTERVAL: Milliseconds = 50
 
+/** Replicas that are added within this time after the first one are those of the first listings, by peers and by the store. */
+const FIRST_LISTING_TIME: Milliseconds = 3_000
+
 type ReplicaReplacement = Extract<CatalogChange, { registeredUntil: Milliseconds }>
 
 /** One gateway instance with its servers and loops. */
@@ -76,6 +81,7 @@
   private _isListening = false
   private _stopping: Promise<void> | undefined
   private _tickedAt: Milliseconds = 0
+  private _firstReplicaAt: Milliseconds | undefined
 
   constructor (
     private readonly _settings: GatewaySettings, adapter: GatewayAdapter, clocks: GatewayClocks, seed: number
@@ -102,6 +108,7 @@
       peerLinks: new PeerLinks(),
       replicaLimits: new ReplicaLimits(self.name),
       retryDelays: new RetryDelays(),
+      serverPace: new SharedServerPace(self.name, { heartbeatInterval: settings.heartbeats.interval }),
       speeds: new EngineSpeeds(),
       cachedParts: new CachedParts(),
       retryBudget: new FleetRetryBudget(settings.retryBudget, now(), settings.isFirstRun),
@@ -120,6 +127,7 @@
       metrics: new GatewayMetrics(),
       zone: self.zone,
       oldWeights: settings.oldWeights,
+      isPaceForAllServices: settings.isPaceForAllServices,
       now,
       suspensionAwareNow,
       random: new SeededRandom(seed)
@@ -282,6 +290,7 @@
       this.state.channels.closeExpiringConnections()
     }
     this.state.loads.expire(now)
+    tickPaces(this.state)
     this.state.peerLinks.retain(new Set(this.state.fronts.peers.map(({ name }) => name)))
     this._crashRecords.write()
     this._versionRecords.write()
@@ -314,6 +323,7 @@
       log.change('service-cut-off', { service, replicas: replicas.length })
     } else if (change === 'reachable') {
       for (const usable of replicas) health.clearFailures(usable)
+      for (const usable of catalog.usableReplicas(service)) beginPace(this.state, usable, 'links-returned')
       log.change('service-reachable', { service, through: id })
     }
     this._crashVerifier.onLink(replica, isConnected)
@@ -338,6 +348,13 @@
     })
   }
 
+  /** A replica of the first listing may have served for long. */
+  private _onReplicaAdded (replica: Replica): void {
+    const now = this.state.suspensionAwareNow()
+    this._firstReplicaAt ??= now
+    if (now - this._firstReplicaAt > FIRST_LISTING_TIME) beginPace(this.state, replica, 'started')
+  }
+
   /** The holders have to know before callers whose streams break off take them up elsewhere. */
   private _onStreamsAmbiguous (): void {
     this._heartbeats.sendStreamOrigins()
@@ -363,6 +380,7 @@
         break
       case 'replica-added':
         this._versionRecords.write()
+        this._onReplicaAdded(change.replica)
         log.change(change.kind, replicaFields(change))
         break
       case 'replica-draining':
@@ -373,6 +391,7 @@
         channels.closeIdleConnections(change.replica.id)
         health.forget(change.replica.id)
         cachedParts.forget(change.replica.id)
+        this.state.serverPace.forget(change.replica)
         softwareVersions.onRemoved(change.replica, suspensionAwareNow())
         if (change.reason === 'restarted') this._onReplicaReplaced(change)
         this._crashVerifier.onRunEnded(change.replica)
--- a/packages/gateway/src/process/gatewaySettings.ts
+++ b/packages/gateway/src/process/gatewaySettings.ts
@@ -28,6 +28,8 @@
   heartbeats: HeartbeatSettings
   channels: ChannelPoolSettings
   retryBudget: FleetRetryBudgetSettings
+  /** Whether replicas of all services have a pace after their start; otherwise only those of services that are cold at first. */
+  isPaceForAllServices: boolean
   /** Whether the whole fleet starts for the first time. */
   isFirstRun: boolean
   oldWeights: OldWeightsSettings
--- a/packages/gateway/src/requests/gatewayState.ts
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -2,8 +2,8 @@
 import type {
   CachedParts, CatalogCurrency, CrashReport, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory,
   GracefulStop, LoadingReplicas, Milliseconds, PeerLinks, ReadSchedule, RepeatedCrashes, Replica, ReplicaHealth,
-  ReplicaLimits, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog, ServiceLinks, SoftwareVersions, StoredParts,
-  StoreMirror, StreamOrigin, StreamOrigins
+  ReplicaLimits, ReplicaNotices, SeededRandom, SentPrompts, ServerPace, ServiceCatalog, ServiceLinks, SoftwareVersions,
+  StoredParts, StoreMirror, StreamOrigin, StreamOrigins
 } from '@wasabihead/coordination'
 import type { ChannelPool } from '../channels/index.js'
 import type { CallerProtocol, ReplicaProtocol } from '../protocol/index.js'
@@ -34,6 +34,7 @@
   peerLinks: PeerLinks
   replicaLimits: ReplicaLimits
   retryDelays: RetryDelays
+  serverPace: ServerPace
   speeds: EngineSpeeds
   cachedParts: CachedParts
   retryBudget: FleetRetryBudget
@@ -56,6 +57,8 @@
   metrics: GatewayMetrics
   zone: string
   oldWeights: OldWeightsSettings
+  /** Whether replicas of all services have a pace after their start. */
+  isPaceForAllServices: boolean
   /** Monotonic clock; may stand still while the machine is suspended. */
   now: () => Milliseconds
   /** Monotonic clock that counts suspensions of the machine: for the age of reports by others, whose time went on meanwhile. */
--- a/packages/gateway/src/requests/replicaAttempt.spec.ts
+++ b/packages/gateway/src/requests/replicaAttempt.spec.ts
@@ -3,7 +3,9 @@
 import { setImmediate as nextTurn } from 'node:timers/promises'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { FleetLoads, ReplicaHealth, ServiceLinks, type HealthSignal, type Replica, type Selection } from '@wasabihead/coordination'
+import {
+  FleetLoads, ReplicaHealth, ServiceLinks, SharedServerPace, type HealthSignal, type Replica, type Selection
+} from '@wasabihead/coordination'
 import type { AnswerHead, ReplicaChannel } from '../channels/index.js'
 import type { CallerRequest } from './callerRequest.js'
 import type { GatewayState } from './gatewayState.js'
@@ -15,6 +17,9 @@
 const request = { head: {} } as unknown as CallerRequest
 const selection = { replica, freshTokens: 0, fetchLoads: new Map() } as unknown as Selection
 const AFTER_EXCLUSION = 600
+const makePace = (): SharedServerPace => new SharedServerPace('self', { heartbeatInterval: 250 })
+/** What the pace of replicas reads besides; it is in force for no service. */
+const unpaced = { isPaceForAllServices: false, catalog: { routes: undefined } }
 
 // After an exclusion a single request probes the replica. Where that request gives no health signal, because its caller
 // disconnects or the replica asks for no requests for a while, the replica must not stay excluded forever.
@@ -28,7 +33,9 @@
     const health = new ReplicaHealth()
     health.record(replica.id, 'unreachable', 0)
     const now = (): number => AFTER_EXCLUSION
-    const state = { health, loads: new FleetLoads(), links: new ServiceLinks(), now, suspensionAwareNow: now }
+    const state = {
+      ...unpaced, health, loads: new FleetLoads(), links: new ServiceLinks(), serverPace: makePace(), now, suspensionAwareNow: now
+    }
     const channel = { cancel: () => {} } as unknown as ReplicaChannel
     const attempt = new ReplicaAttempt(state as unknown as GatewayState, request, selection, channel, false)
     assert.is(health.isExcluded(replica.id, AFTER_EXCLUSION), true, 'only one probe at a time')
@@ -52,6 +59,7 @@
       health: new ReplicaHealth(),
       loads: new FleetLoads(),
       links: new ServiceLinks(),
+      serverPace: makePace(),
       metrics: { count: () => {} },
       log: { decision: () => {} },
       replicaProtocol: { readAnswer: () => ({ requestId, isNotRun }) },
@@ -65,6 +73,38 @@
   })
 }
 
+const pacedEnds: { title: string, signal: HealthSignal | undefined, isNotRun: boolean, window: number }[] = [
+  { title: 'lower the pace of a replica that refuses a request', signal: undefined, isNotRun: true, window: 2 },
+  { title: 'lower the pace of a replica that fails a request', signal: 'failed', isNotRun: false, window: 2 },
+  { title: 'keep the pace after a request that its caller ended', signal: undefined, isNotRun: false, window: 4 }
+]
+for (const { title, signal, isNotRun, window } of pacedEnds) {
+  test(`should ${title}`, () => {
+    const now = (): number => 0
+    const serverPace = makePace()
+    serverPace.begin(replica, 'started', 0)
+    const state = {
+      health: new ReplicaHealth(),
+      loads: new FleetLoads(),
+      links: new ServiceLinks(),
+      notices: {},
+      replicaLimits: { onAnswer: () => undefined },
+      serverPace,
+      isPaceForAllServices: true,
+      metrics: { count: () => {}, gauge: () => {} },
+      log: { decision: () => {} },
+      replicaProtocol: { readAnswer: () => ({ isNotRun, isSealed: true }) },
+      now,
+      suspensionAwareNow: now
+    }
+    const channel = { cancel: () => {} } as unknown as ReplicaChannel
+    const attempt = new ReplicaAttempt(state as unknown as GatewayState, request, selection, channel, false)
+    attempt.readHead({ status: 503, headers: {} } as unknown as AnswerHead)
+    attempt.close(signal)
+    assert.is(serverPace.windowOf(replica), window)
+  })
+}
+
 /** Longer than the streams of a replica that is at work are silent. */
 const PAUSE = 600
 const LONG_SILENCE = 5_000
@@ -81,6 +121,7 @@
       health,
       loads: new FleetLoads(),
       links: new ServiceLinks(),
+      serverPace: makePace(),
       loadingReplicas: { has: () => false },
       now,
       suspensionAwareNow: now
--- a/packages/gateway/src/requests/replicaAttempt.ts
+++ b/packages/gateway/src/requests/replicaAttempt.ts
@@ -1,13 +1,14 @@
 /** An attempt to serve a request on one replica: the load that it adds, and what the replica says and shows of itself. */
 import {
-  replicaRunOf, type AttemptEnd, type BeginningRun, type HealthSignal, type Milliseconds, type Replica, type Selection,
-  type StreamOrigin
+  replicaRunOf, type AttemptEnd, type BeginningRun, type HealthSignal, type Milliseconds, type PaceChange, type PacedEnd,
+  type PacedSend, type Replica, type Selection, type StreamOrigin
 } from '@wasabihead/coordination'
 import type { AnswerHead, ReplicaChannel } from '../channels/index.js'
 import type { AnswerFacts, StatedRate } from '../protocol/index.js'
 import { Attempt } from './attempt.js'
 import type { CallerRequest } from './callerRequest.js'
 import type { GatewayState } from './gatewayState.js'
+import { isPaceInForce, reportPaceChange } from './replicaPace.js'
 
 /** A reused connection that ends within this time after a request was probably closed before it. */
 const STALE_CHANNEL_WINDOW: Milliseconds = 10
@@ -18,6 +19,9 @@
   private _isPrefillPending = true
   private _prefillTokens: number
   private readonly _memoryTokens: number
+  /** Undefined where the replica was not limited by its pace when the request was sent. */
+  private readonly _pacedSend: PacedSend | undefined
+  private _isRefused = false
 
   /** @param _isStream whether the answer is an event stream, whose chunks show that the replica is alive */
   constructor (
@@ -35,6 +39,7 @@
     state.links.onSent(this.replica.service, this.sentAt)
     state.loads.add(this.replica.id, { requests: 1, prefillTokens: this._prefillTokens, memoryTokens: this._memoryTokens })
     this._addFetchLoads(1)
+    this._pacedSend = state.serverPace.onSent(this.replica, this.suspensionAwareSentAt)
   }
 
   /** The selected replica. */
@@ -72,6 +77,7 @@
     const facts = this._factsOf(head)
     this._state.links.onBytes(this.replica.service, this._state.now())
     this._recordNotices(facts)
+    this._isRefused = facts.isNotRun
     const { prompt } = this._request.head
     if (prompt !== undefined && facts.weightVersion !== undefined && facts.isSealed && !facts.isNotRun) {
       this._state.catalog.observeWeightVersion(this.replica, prompt.model, facts.weightVersion)
@@ -117,6 +123,7 @@
 
   protected override _onBody (isFirst: boolean): void {
     const { health, links, now } = this._state
+    if (isFirst) this._recordFirstByte()
     if (isFirst && this._isStream) health.onStream(this.replica.id, 1, now())
     health.onBytes(this.replica.id, now())
     links.onBytes(this.replica.service, now())
@@ -130,6 +137,7 @@
     loads.add(this.replica.id, { requests: -1, prefillTokens: 0, memoryTokens: -this._memoryTokens })
     if (signal === undefined) health.onInconclusive(this.replica.id)
     else health.record(this.replica.id, signal, now())
+    this._recordPacedEnd(signal)
   }
 
   /** A sound replica may be silent for longer than other replicas take to begin an answer. */
@@ -184,6 +192,33 @@
     })
   }
 
+  private _recordFirstByte (): void {
+    const { serverPace, suspensionAwareNow } = this._state
+    if (serverPace.isEmpty) return
+    const now = suspensionAwareNow()
+    const { salt, wait } = this.selection
+    const time = {
+      elapsed: now - this.suspensionAwareSentAt,
+      expected: salt === undefined ? undefined : wait,
+      objective: this._request.route.objective
+    }
+    this._reportPace(serverPace.onFirstByte(this.replica, this._pacedSend, time, now))
+  }
+
+  private _recordPacedEnd (signal: HealthSignal | undefined): void {
+    const { serverPace, suspensionAwareNow } = this._state
+    // Only an unreachable replica without a pace may get one by this.
+    if (signal === 'unreachable' && this._pacedSend === undefined && !isPaceInForce(this._state, this.replica)) return
+    const end = this._isRefused ? 'refused' : pacedEndOf(signal)
+    this._reportPace(serverPace.onEnd(this.replica, this._pacedSend, end, this.suspensionAwareSentAt, suspensionAwareNow()))
+  }
+
+  private _reportPace (change: PaceChange | undefined): void {
+    const { requestId } = this._request.head
+    const isBegun = change === 'begun'
+    reportPaceChange(this._state, this.replica, change, isBegun ? { requestId, cause: 'unreachable' } : { requestId })
+  }
+
   private _addFetchLoads (sign: 1 | -1): void {
     for (const [address, tokens] of this.selection.fetchLoads) {
       this._state.loads.add(address, { requests: sign, prefillTokens: sign * tokens, memoryTokens: 0 })
@@ -198,3 +233,11 @@
     this._prefillTokens = 0
   }
 }
+
+function pacedEndOf (signal: HealthSignal | undefined): PacedEnd {
+  switch (signal) {
+    case undefined: return 'inconclusive'
+    case 'failed': return 'refused'
+    default: return signal
+  }
+}
--- a/packages/gateway/src/requests/requestPlacement.spec.ts
+++ b/packages/gateway/src/requests/requestPlacement.spec.ts
@@ -1,7 +1,10 @@
 /** Tests which replicas a request may still be sent to. */
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { LoadingReplicas, ReplicaLimits, ReplicaNotices, SeededRandom, ServiceLinks, type Replica } from '@wasabihead/coordination'
+import {
+  EngineSpeeds, FleetLoads, LoadingReplicas, ReplicaHealth, ReplicaLimits, ReplicaNotices, SeededRandom, ServiceLinks,
+  SharedServerPace, type Replica
+} from '@wasabihead/coordination'
 import type { CallerRequest } from './callerRequest.js'
 import type { GatewayState } from './gatewayState.js'
 import { RequestPlacement } from './requestPlacement.js'
@@ -44,4 +47,49 @@
   })
 }
 
+const paces: {
+  title: string, paced: string[], limited?: string[], excluded?: string[], tried?: string[], expected: string | undefined
+}[] = [
+  { title: 'the one without a pace', paced: ['a'], expected: 'b' },
+  { title: 'the one with less load where both are at their pace', paced: ['a', 'b'], expected: 'a' },
+  { title: 'the one at its pace where the other one was tried', paced: ['a'], tried: ['b'], expected: 'a' },
+  { title: 'the one at its pace where the other one is at its stated rate', paced: ['a'], limited: ['b'], expected: 'a' },
+  { title: 'the one at its pace where the other one is unreachable', paced: ['a'], excluded: ['b'], expected: 'a' },
+  // What the replica states goes before what is found.
+  { title: 'none whose stated rate is used up', paced: ['a', 'b'], limited: ['a', 'b'], expected: undefined }
+]
+for (const { title, paced, limited = [], excluded = [], tried = [], expected } of paces) {
+  test(`should select ${title}`, () => {
+    const counted: string[] = []
+    const state = {
+      catalog: { usableReplicas: () => replicas, routes: undefined },
+      notices: new ReplicaNotices(),
+      links: new ServiceLinks(),
+      replicaLimits: new ReplicaLimits('self'),
+      serverPace: new SharedServerPace('self', { heartbeatInterval: 250 }),
+      fronts: { knownNames: ['self'], size: () => 1 },
+      loadingReplicas: new LoadingReplicas(),
+      loads: new FleetLoads(),
+      health: new ReplicaHealth(),
+      speeds: new EngineSpeeds(),
+      metrics: { count: (name: string) => { counted.push(name) } },
+      random: new SeededRandom(1),
+      now: () => 0,
+      suspensionAwareNow: () => 0,
+      oldWeights: { avoidAfter: 500, excludeAfter: 6_000 }
+    }
+    state.loads.add('b', { requests: 1, prefillTokens: 0, memoryTokens: 0 })
+    for (const id of paced) {
+      state.serverPace.begin(replica(id), 'started', 0)
+      while (state.serverPace.maySend(replica(id), ['self'], 0)) state.serverPace.onSent(replica(id), 0)
+    }
+    for (const id of limited) state.replicaLimits.onAnswer(replica(id), 1, 0, 0)
+    for (const id of excluded) state.health.record(id, 'unreachable', 0)
+    const full = { ...request, route: { ...request.route, objective: 1_000, priority: 1 }, receivedAt: 0 }
+    const placement = new RequestPlacement(state as unknown as GatewayState, full)
+    assert.is(placement.select(new Set(tried))?.replica.id, expected)
+    assert.is(counted.includes('replica_pace_overridden_total'), expected === 'a')
+  })
+}
+
 test.run()
--- a/packages/gateway/src/requests/requestPlacement.ts
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -70,12 +70,11 @@
     const { fronts, loads, health, cachedParts, storedParts, speeds, zone, random } = this._state
     const now = this._state.now()
     const serving = this._serving
-    return selectReplica({
-      candidates: this._withinLimit(serving).filter(isCandidate),
-      tried,
-      // A replica at its rate limit can still serve fetches of the parts that it holds.
-      holders: serving,
-      demand: this._demand()
+    const candidates = this._withinLimit(serving).filter(isCandidate)
+    const demand = this._demand()
+    // A replica at its rate limit can still serve fetches of the parts that it holds.
+    const selectFrom = (usable: readonly Replica[]): Selection | undefined => selectReplica({
+      candidates: usable, tried, holders: serving, demand
     }, {
       loads,
       health,
@@ -87,6 +86,13 @@
       random,
       now
     })
+    const paced = this._withinPace(candidates, tried)
+    if (paced === candidates) return selectFrom(candidates)
+    const selection = paced.length === 0 ? undefined : selectFrom(paced)
+    // The pace alone must not have a request refused.
+    if (selection !== undefined && this.admit(selection) !== 'refuse') return selection
+    this._state.metrics.count('replica_pace_overridden_total')
+    return selectFrom(candidates)
   }
 
   /** Whether a replica can be selected now that the request was not sent to yet. */
@@ -189,6 +195,21 @@
     return replicas.filter(replica => replicaLimits.nextSendAt(replica, fronts.knownNames, now) <= now)
   }
 
+  /**
+   * Those of the replicas to which their pace allows a send now and that can be selected; all of them, as the same array, if no
+   * pace excludes any. What a replica states itself goes before its pace.
+   */
+  private _withinPace (replicas: readonly Replica[], tried: ReadonlySet<string>): readonly Replica[] {
+    const { serverPace, replicaLimits, health, fronts, suspensionAwareNow } = this._state
+    if (serverPace.isEmpty) return replicas
+    const now = suspensionAwareNow()
+    const names = fronts.knownNames
+    const paced = replicas.filter(replica => (
+      replicaLimits.rateOf(replica) !== undefined || serverPace.maySend(replica, names, now)))
+    if (paced.length === replicas.length) return replicas
+    return paced.filter(({ id }) => !tried.has(id) && !health.isExcluded(id, this._state.now()))
+  }
+
   /** The replicas that would serve a request if their rate limits allowed it. */
   private get _serving (): readonly Replica[] {
     const { loadingReplicas } = this._state
--- a/packages/gateway/src/rollout/rolloutLoop.ts
+++ b/packages/gateway/src/rollout/rolloutLoop.ts
@@ -6,7 +6,7 @@
 } from '@wasabihead/coordination'
 import { callAddress } from '../channels/index.js'
 import type { ReplicaCall } from '../protocol/index.js'
-import { connectedInstances, type GatewayState } from '../requests/index.js'
+import { beginPace, connectedInstances, type GatewayState } from '../requests/index.js'
 
 export interface RolloutLoopSettings extends RolloutSettings {
   roleKey: string
@@ -129,7 +129,7 @@
       log.change('replica-loaded', { ...fields, loaded })
       this._planner.onLoaded({ replicaId: replica.id, model, version: loaded }, now())
     }
-    if (!report.isBusy) catalog.observeWeightVersion(replica, model, loaded)
+    if (!report.isBusy && catalog.observeWeightVersion(replica, model, loaded)) beginPace(this._state, replica, 'weights-loaded')
     // The role may have been lost while waiting for the report.
     if (!this._planner.isNeeded(step, report) || this._leaseRenewer.epoch(this._suspensionAwareNow()) !== epoch) return
     this._planner.onSent(order, now())
