--- a/packages/coordination/src/dispatch/serverPace.ts
+++ b/packages/coordination/src/dispatch/serverPace.ts
@@ -130,7 +130,7 @@
 const SHORTEST_HOLD: Milliseconds = 500
 const FAST_GROWTH = 2
 /** Growth beyond the window at which the replica was last slow or refused requests. */
-const SLOW_GROWTH = 1.25
+const SLOW_GROWTH = 1.5
 const SHRINKAGE = 0.5
 /** One slow answer may have been a long prompt; two in a row lower the window. */
 const SLOW_ANSWERS_TO_LOWER = 2
@@ -225,7 +225,8 @@
     if (send === undefined || send.sentAt < run.roundFrom) return undefined
     const speed = this._speeds.judge(replica.service, time)
     run.slowInARow = speed === 'slow' ? run.slowInARow + 1 : 0
-    if (speed === 'fast') return this._raise(run, now)
+    // A refusal of a request of the same window must be known first: 34 instances raised beyond it and crashed a cold replica.
+    if (speed === 'fast') return now < run.roundFrom + SHORTEST_HOLD ? undefined : this._raise(run, now)
     return run.slowInARow >= SLOW_ANSWERS_TO_LOWER ? this._lower(run, SMALLEST_WINDOW, now) : undefined
   }
 
