--- a/packages/coordination/src/dispatch/index.ts
+++ b/packages/coordination/src/dispatch/index.ts
@@ -17,6 +17,11 @@
 export { ServiceRoom, ServiceRooms } from './serviceRoom.js'
 export { WaitQueue, type Offer, type OfferOutcome, type WaitingRequest, type WaitRefusal } from './waitQueue.js'
 export { ReplicaNotices, replicaRunOf } from './replicaNotices.js'
+export { AnswerSpeeds, type AnswerSpeed, type AnswerTime } from './answerSpeeds.js'
+export {
+  ServerPace, SharedServerPace, type PaceCause, type PaceChange, type PacedEnd, type PacedSend, type PaceUpdate,
+  type SharedServerPaceSettings
+} from './serverPace.js'
 export { ReplicaHealth, type HealthSignal } from './replicaHealth.js'
 export { type PartSource, type PartStores } from './partStores.js'
 export { SentPrompts, type SentPrompt } from './sentPrompts.js'
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -6,7 +6,9 @@
   type Heartbeat, type Milliseconds, type ReplicaLoad, type StreamOriginsMessage
 } from '@wasabihead/coordination'
 import { splitAddress } from '../channels/index.js'
-import { connectedInstances, encodeColdUpdates, receiveColdUpdates, type GatewayState } from '../requests/index.js'
+import {
+  beginPace, connectedInstances, encodeColdUpdates, paceUpdates, receiveColdUpdates, receivePaces, type GatewayState
+} from '../requests/index.js'
 
 /** Settings of the heartbeats. */
 export interface HeartbeatSettings {
@@ -191,6 +193,7 @@
       limits: replicaLimits.updates(suspensionAwareNow()).map(({ run, rate, heardAge, sentAge }) => (
         [run, rate ?? null, Math.ceil(heardAge), Math.ceil(sentAge)])),
       cold: encodeColdUpdates(this._state.coldReplicas.updates(suspensionAwareNow())),
+      paces: paceUpdates(this._state),
       ...crashes.update(suspensionAwareNow())
     }
   }
@@ -239,7 +242,9 @@
     this._state.loadingReplicas.record(heartbeat.from.name, heartbeat.loading, heartbeat.loaded, now)
     for (const { replicaId, model, version } of heartbeat.loaded) {
       const replica = this._state.catalog.replica(replicaId)
-      if (replica !== undefined) this._state.catalog.observeWeightVersion(replica, model, version)
+      if (replica !== undefined && this._state.catalog.observeWeightVersion(replica, model, version)) {
+        beginPace(this._state, replica, 'weights-loaded')
+      }
     }
     for (const [replicaId, salt, parts] of heartbeat.sent) this._receiveSentPrompts(replicaId, salt, parts)
     for (const { events, ...store } of heartbeat.stores) {
@@ -258,6 +263,7 @@
       }
     }
     receiveColdUpdates(this._state, heartbeat)
+    receivePaces(this._state, heartbeat)
     this._state.crashes.receive(heartbeat, suspensionAwareNow)
     this._callbacks.onRolloutEpoch(heartbeat.rolloutEpoch)
     const { catalog, from, namings } = heartbeat
--- a/packages/gateway/src/requests/gatewayState.ts
+++ b/packages/gateway/src/requests/gatewayState.ts
@@ -2,9 +2,8 @@
 import type {
   CachedParts, CatalogCurrency, CrashReport, RetryDelays, EngineSpeeds, FleetLoads, FleetRetryBudget, FrontDirectory,
   GracefulStop, LoadingReplicas, Milliseconds, PeerLinks, ReadSchedule, RepeatedCrashes, Replica, ReplicaHealth,
-  ReplicaLimits, ReplicaNotices, SeededRandom, SentPrompts, ServiceCatalog, ServiceLinks, SoftwareVersions, StoredParts,
-  StoreMirror, StreamOrigin, StreamOrigins,
-  ColdReplicas
+  ReplicaLimits, ReplicaNotices, SeededRandom, SentPrompts, ServerPace, ServiceCatalog, ServiceLinks, SoftwareVersions,
+  StoredParts, StoreMirror, StreamOrigin, StreamOrigins, ColdReplicas
 } from '@wasabihead/coordination'
 import type { CallerGuard } from '@wasabihead/http'
 import type { ChannelPool } from '../channels/index.js'
@@ -40,6 +39,7 @@
   retryDelays: RetryDelays
   /** Absent where requests wait with a timer each, as they do unless the settings require the queue. */
   waitQueues?: WaitQueues | undefined
+  serverPace: ServerPace
   speeds: EngineSpeeds
   cachedParts: CachedParts
   retryBudget: FleetRetryBudget
@@ -64,6 +64,8 @@
   metrics: GatewayMetrics
   zone: string
   oldWeights: OldWeightsSettings
+  /** Whether replicas of all services have a pace after their start. */
+  isPaceForAllServices: boolean
   /** Monotonic clock; may stand still while the machine is suspended. */
   now: () => Milliseconds
   /** Monotonic clock that counts suspensions of the machine: for the age of reports by others, whose time went on meanwhile. */
--- a/packages/gateway/src/requests/replicaAttempt.ts
+++ b/packages/gateway/src/requests/replicaAttempt.ts
@@ -1,7 +1,7 @@
 /** An attempt to serve a request on one replica: the load that it adds, and what the replica says and shows of itself. */
 import {
-  replicaRunOf, type AttemptEnd, type BeginningRun, type HealthSignal, type Milliseconds, type Replica, type Selection,
-  type StreamOrigin
+  replicaRunOf, type AttemptEnd, type BeginningRun, type HealthSignal, type Milliseconds, type PaceChange, type PacedEnd,
+  type PacedSend, type Replica, type Selection, type StreamOrigin
 } from '@wasabihead/coordination'
 import type { AnswerHead, ReplicaChannel } from '../channels/index.js'
 import type { AnswerFacts, StatedRate } from '../protocol/index.js'
@@ -9,6 +9,7 @@
 import type { CallerRequest } from './callerRequest.js'
 import { recordColdAnswer, suspectRestart } from './coldReplicaEvents.js'
 import type { GatewayState } from './gatewayState.js'
+import { isPaceInForce, reportPaceChange } from './replicaPace.js'
 
 /** A reused connection that ends within this time after a request was probably closed before it. */
 const STALE_CHANNEL_WINDOW: Milliseconds = 10
@@ -19,6 +20,9 @@
   private _isPrefillPending = true
   private _prefillTokens: number
   private readonly _memoryTokens: number
+  /** Undefined where the replica was not limited by its pace when the request was sent. */
+  private readonly _pacedSend: PacedSend | undefined
+  private _isRefused = false
 
   /** @param _isStream whether the answer is an event stream, whose chunks show that the replica is alive */
   constructor (
@@ -37,6 +41,7 @@
     state.loads.add(this.replica.id, { requests: 1, prefillTokens: this._prefillTokens, memoryTokens: this._memoryTokens })
     state.waitQueues?.rooms.of(this.replica.service).onTaken(this._room)
     this._addFetchLoads(1)
+    this._pacedSend = state.serverPace.onSent(this.replica, this.suspensionAwareSentAt)
   }
 
   /** The selected replica. */
@@ -74,6 +79,7 @@
     const facts = this._factsOf(head)
     this._state.links.onBytes(this.replica.service, this._state.now())
     this._recordNotices(facts)
+    this._isRefused = facts.isNotRun
     const { prompt } = this._request.head
     if (prompt !== undefined && facts.weightVersion !== undefined && facts.isSealed && !facts.isNotRun) {
       this._state.catalog.observeWeightVersion(this.replica, prompt.model, facts.weightVersion)
@@ -119,6 +125,7 @@
 
   protected override _onBody (isFirst: boolean): void {
     const { health, links, now } = this._state
+    if (isFirst) this._recordFirstByte()
     if (isFirst && this._isStream) health.onStream(this.replica.id, 1, now())
     health.onBytes(this.replica.id, now())
     links.onBytes(this.replica.service, now())
@@ -135,6 +142,7 @@
     this._releaseRoom(signal === 'answered')
     if (signal === undefined) health.onInconclusive(this.replica.id)
     else health.record(this.replica.id, signal, now())
+    this._recordPacedEnd(signal)
   }
 
   /** A sound replica may be silent for longer than other replicas take to begin an answer. */
@@ -190,6 +198,33 @@
     })
   }
 
+  private _recordFirstByte (): void {
+    const { serverPace, suspensionAwareNow } = this._state
+    if (serverPace.isEmpty) return
+    const now = suspensionAwareNow()
+    const { salt, wait } = this.selection
+    const time = {
+      elapsed: now - this.suspensionAwareSentAt,
+      expected: salt === undefined ? undefined : wait,
+      objective: this._request.route.objective
+    }
+    this._reportPace(serverPace.onFirstByte(this.replica, this._pacedSend, time, now))
+  }
+
+  private _recordPacedEnd (signal: HealthSignal | undefined): void {
+    const { serverPace, suspensionAwareNow } = this._state
+    // Only an unreachable replica without a pace may get one by this.
+    if (signal === 'unreachable' && this._pacedSend === undefined && !isPaceInForce(this._state, this.replica)) return
+    const end = this._isRefused ? 'refused' : pacedEndOf(signal)
+    this._reportPace(serverPace.onEnd(this.replica, this._pacedSend, end, this.suspensionAwareSentAt, suspensionAwareNow()))
+  }
+
+  private _reportPace (change: PaceChange | undefined): void {
+    const { requestId } = this._request.head
+    const isBegun = change === 'begun'
+    reportPaceChange(this._state, this.replica, change, isBegun ? { requestId, cause: 'unreachable' } : { requestId })
+  }
+
   private _addFetchLoads (sign: 1 | -1): void {
     for (const [address, tokens] of this.selection.fetchLoads) {
       this._state.loads.add(address, { requests: sign, prefillTokens: sign * tokens, memoryTokens: 0 })
@@ -217,3 +252,11 @@
     this._state.waitQueues?.onRoomFreed(this.replica.service)
   }
 }
+
+function pacedEndOf (signal: HealthSignal | undefined): PacedEnd {
+  switch (signal) {
+    case undefined: return 'inconclusive'
+    case 'failed': return 'refused'
+    default: return signal
+  }
+}
