feat(fronts): let a few active instances place the work of a large fleet

In a fleet of 128 instances each sent heartbeats to all 127 others, most of them in other data centres, and a directory answer named the first 64 instances of its table.

In fleets of more than 64 instances, those of each data centre with the largest machines are active, at least 4. Heartbeats between data centres go only between instances that place work, unless the sender has something that all need. Active instances pass on the ages of the live instances that they hear, for at most 4 s. Loads and sent prompts go in each interval to the instances that place work. The jitter of the selection counts the instances that place work. A reader sends a new change at once, before its peers read the store for it.

A peer whose record has no capacity is of an older build and gets heartbeats as before. Fleets up to 64 send the same bytes as before.

--- a/packages/coordination/src/fronts/messages.ts
+++ b/packages/coordination/src/fronts/messages.ts
@@ -3,6 +3,9 @@
 import { crashUpdateSchema } from '../crashes/index.js'
 import { catalogStatusSchema, announcedWeightVersionSchema } from '../catalog/index.js'
 
+/** Several times the size of the largest fleet. */
+const MAXIMUM_HEARD = 4_000
+
 /** An instance as it registers itself in the store. */
 export const frontRecordSchema = z.object({
   name: z.string(),
@@ -16,7 +19,9 @@
   controlAddress: z.string(),
   /** Where heartbeats are sent, over UDP, and requests are relayed, over TCP. */
   heartbeatAddress: z.string(),
-  isLeaving: z.boolean()
+  isLeaving: z.boolean(),
+  /** Traffic that its machine can serve, in Mbit/s. Only in large fleets; absent from older builds. */
+  capacity: z.number().nonnegative().optional()
 })
 /** An instance as it registers itself in the store. */
 export type FrontRecord = z.infer<typeof frontRecordSchema>
@@ -24,7 +29,7 @@
 /** A heartbeat between instances. Field names are short since heartbeats are frequent. */
 export const heartbeatSchema = z.object({
   /** The sender. Its whole record comes from the store, or from `named` of some heartbeats. */
-  from: frontRecordSchema.pick({ name: true, incarnation: true, isLeaving: true }),
+  from: frontRecordSchema.pick({ name: true, incarnation: true, isLeaving: true, capacity: true }),
   isReady: z.boolean(),
   /** State of the sender's copy of the store. */
   catalog: catalogStatusSchema.optional(),
@@ -68,6 +73,14 @@
   rolloutEpoch: z.number().int().nonnegative().default(0),
   /** Services of which the sender can connect to no replica. */
   cutOff: z.array(z.string()).default([]),
+  /** Large fleets: number of active instances in the sender's data centre, and the share of its machine that the sender uses. */
+  active: z.object({ size: z.number().int().nonnegative(), utilization: z.number().nonnegative() }).optional(),
+  /**
+   * Live and ready instances that the sender hears: name, incarnation, milliseconds since their heartbeat, and capacity (null
+   * from older builds).
+   */
+  heard: z.array(z.tuple([z.string(), z.number(), z.number().nonnegative(), z.number().nonnegative().nullable()]))
+    .max(MAXIMUM_HEARD).optional(),
   ...crashUpdateSchema.shape
 })
 /** A heartbeat between instances. */
--- a/packages/experiments/src/coordination/index.ts
+++ b/packages/experiments/src/coordination/index.ts
@@ -1,3 +1,4 @@
+import { ActiveInstancesMeasurement } from './activeInstancesMeasurement.js'
 import { TelemetryMeasurement } from '../telemetry/index.js'
 import { ConfigurationMeasurement } from './configurationMeasurement.js'
 import { ClaimTakeoverMeasurement, ClaimWritesMeasurement } from './claimMeasurements.js'
@@ -10,6 +11,7 @@
 export const coordinationMeasurements: readonly CoordinationMeasurement[] = [
   new ConfigurationMeasurement(),
   new MembershipMeasurement(),
+  new ActiveInstancesMeasurement(),
   new TelemetryMeasurement(),
   new ClaimWritesMeasurement(),
   new ClaimTakeoverMeasurement(),
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -2,11 +2,12 @@
 import dgram from 'node:dgram'
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import {
-  heartbeatSchema, isRoundDue, PauseGuard, streamOriginsMessageSchema, type CatalogChange, type CatalogStatus, type FrontRecord,
-  type Heartbeat, type Milliseconds, type ReplicaLoad, type StreamOriginsMessage
+  ActiveRounds, heartbeatSchema, isRoundDue, PauseGuard, streamOriginsMessageSchema, type CatalogChange, type CatalogStatus,
+  type FrontRecord, type Heartbeat, type MachineSize, type Milliseconds, type ReplicaLoad, type StreamOriginsMessage
 } from '@wasabihead/coordination'
 import { splitAddress } from '../channels/index.js'
 import { connectedInstances, type GatewayState } from '../requests/index.js'
+import { MachineUsage } from './machineUsage.js'
 
 /** Settings of the heartbeats. */
 export interface HeartbeatSettings {
@@ -52,6 +53,11 @@
   // Peers have IP addresses, so no DNS lookup is needed; it would cost more than sending the datagram.
   private readonly _socket = dgram.createSocket({ type: 'udp4', lookup: (address, _options, done) => { done(null, address, IPV4_FAMILY) } })
   private readonly _pauseGuard: PauseGuard
+  private readonly _activeRounds: ActiveRounds
+  private readonly _usage: MachineUsage
+  /** The latest change of the store that was sent to all peers. */
+  private _sentChange = 0
+  private _isActive: boolean | undefined
   private _timer: NodeJS.Timeout | undefined
   private _tickedAt: Milliseconds = 0
   private _ticks = 0
@@ -60,9 +66,12 @@
   constructor (
     private readonly _state: GatewayState,
     private readonly _settings: HeartbeatSettings,
-    private readonly _callbacks: HeartbeatCallbacks
+    private readonly _callbacks: HeartbeatCallbacks,
+    machine: MachineSize = {}
   ) {
     const { interval } = _settings
+    this._activeRounds = new ActiveRounds(_state.fronts)
+    this._usage = new MachineUsage(machine)
     this._pauseGuard = new PauseGuard({ longestGap: PAUSE_INTERVALS * interval, settling: PAUSE_INTERVALS * interval })
     this._socket.on('message', message => { this._receive(message) })
     this._socket.on('error', error => { _state.log.warn('heartbeat-socket-failed', { detail: error.message }) })
@@ -108,12 +117,40 @@
     }
     this.sendStreamOrigins()
     this._ticks += 1
+    if (fronts.hasActiveSet) return this._sendActiveRound(now)
     if (!isRoundDue(this._ticks, peers.length, this._isUrgent)) return
     this._round += 1
     if (peers.length === 0) return
     this._sendTo(peers, this._heartbeat())
   }
 
+  /** Sends what is due in a fleet that is so large that only some of its instances are active. */
+  private _sendActiveRound (now: Milliseconds): void {
+    const { fronts, loads, log, metrics, mirror } = this._state
+    const isReady = this._callbacks.isReady()
+    const utilization = this._usage.sample(now)
+    const size = fronts.adaptActive(isReady, utilization, now)
+    if (size !== undefined) log.change('active-instances-resized', { size, utilization: utilization.toFixed(2) })
+    const isActive = fronts.isActive(fronts.self.name, now)
+    if (isActive !== this._isActive) log.change(isActive ? 'active' : 'standing-by', { utilization: utilization.toFixed(2) })
+    this._isActive = isActive
+    metrics.gauge('instance_active', isActive ? 1 : 0)
+    metrics.gauge('instances_placing', fronts.placingSize(now))
+    // Peers that learn elsewhere of a change that they lack wait only briefly before they read the store.
+    const hasNewChange = mirror.changedAt !== this._sentChange && this._isReader
+    const isUrgent = this._isUrgent || hasNewChange
+    const sender = { hasLoads: loads.local.size > 0, isUrgent, hasJustStarted: this._round <= ROUNDS_WITH_OWN_RECORD }
+    const kind = this._activeRounds.due(this._ticks, sender, now)
+    if (kind === undefined) return
+    if (kind === 'full') {
+      this._round += 1
+      this._sentChange = mirror.changedAt
+    }
+    for (
+      const { peers, heartbeat } of this._activeRounds.messages(kind, this._heartbeat(kind === 'full'), sender, now)
+    ) this._sendTo(peers, heartbeat)
+  }
+
   /** Sends the origins of streams to their holders, only while a service runs several versions of its software. */
   sendStreamOrigins (): void {
     const { fronts, streamOrigins, softwareVersions, catalog, now, suspensionAwareNow } = this._state
@@ -159,7 +196,8 @@
     return fronts.self.isLeaving || isLoading || now() - links.changedAt < URGENT_AFTER_LINK_CHANGE
   }
 
-  private _heartbeat (): Heartbeat {
+  /** @param isToAll false if some peers do not get it: what is reported only once then waits for the next one */
+  private _heartbeat (isToAll = true): Heartbeat {
     const loads: Heartbeat['loads'] = {}
     for (const [id, load] of this._state.loads.local) {
       loads[id] = [load.requests, Math.round(load.prefillTokens), Math.round(load.memoryTokens)]
@@ -169,7 +207,7 @@
     } = this._state
     const orders = loadingReplicas.reportedBy(fronts.self.name, now())
     return {
-      from: { name: fronts.self.name, incarnation: fronts.self.incarnation, isLeaving: fronts.self.isLeaving },
+      from: senderOf(fronts.self),
       isReady: this._callbacks.isReady(),
       catalog: this._catalogStatus(),
       namings: this._state.catalog.recentAnnouncements(suspensionAwareNow()),
@@ -177,17 +215,18 @@
       loads,
       sent: sentPrompts.take().map(({ replicaId, salt, parts }) => (
         [replicaId, salt, parts.map(({ id, tokens }) => [id, tokens])])),
-      stores: storedParts.takeUpdates(now()).map(({ events, age, ...store }) => ({
+      stores: (isToAll ? storedParts.takeUpdates(now()) : []).map(({ events, age, ...store }) => ({
         ...store,
         age: Math.ceil(age),
         events: events.map(({ salt, partId, tokens, isAdded }) => [salt, partId, tokens, isAdded])
       })),
-      fetched: storedParts.takeFetchSamples(),
+      fetched: isToAll ? storedParts.takeFetchSamples() : [],
       loading: orders.loading,
       loaded: [...orders.loaded],
       leaving: notices.updates(now()),
       rolloutEpoch: this._callbacks.rolloutEpoch(),
       cutOff: links.cutOff,
+      active: fronts.activeReport,
       limits: replicaLimits.updates(suspensionAwareNow()).map(({ run, rate, heardAge, sentAge }) => (
         [run, rate ?? null, Math.ceil(heardAge), Math.ceil(sentAge)])),
       ...crashes.update(suspensionAwareNow())
@@ -195,14 +234,19 @@
   }
 
   private _catalogStatus (): CatalogStatus | undefined {
-    const { fronts, mirror, readSchedule, suspensionAwareNow } = this._state
+    const { mirror, readSchedule, suspensionAwareNow } = this._state
     const status = readSchedule.status(mirror.changedAt, suspensionAwareNow(), mirror.era)
     if (status === undefined) return undefined
-    return readSchedule.isReader(fronts.self.name, connectedInstances(this._state))
+    return this._isReader
       ? { ...status, told: mirror.recentChanges(suspensionAwareNow()) }
       : status
   }
 
+  private get _isReader (): boolean {
+    const { fronts, readSchedule } = this._state
+    return readSchedule.isReader(fronts.self.name, connectedInstances(this._state))
+  }
+
   private _recordsToSend (): FrontRecord[] {
     const { fronts, random } = this._state
     if (this._round <= ROUNDS_WITH_OWN_RECORD) return [fronts.self]
@@ -226,6 +270,7 @@
       this._state.log.decision('heartbeat-waited', { from: heartbeat.from.name })
       return
     }
+    if (heartbeat.heard !== undefined) this._state.fronts.receiveHeard(heartbeat.heard, now)
     for (
       const service of this._state.peerLinks.receive(heartbeat.from.name, heartbeat.cutOff, now)
     ) this._state.links.onReachedByPeer(service)
@@ -273,6 +318,10 @@
   }
 }
 
+function senderOf ({ name, incarnation, isLeaving, capacity }: FrontRecord): Heartbeat['from'] {
+  return capacity === undefined ? { name, incarnation, isLeaving } : { name, incarnation, isLeaving, capacity }
+}
+
 function parseMessage (message: Buffer): Heartbeat | StreamOriginsMessage | undefined {
   try {
     const text = inflateRawSync(message, { maxOutputLength: MAXIMUM_INFLATED_BYTES }).toString('utf8')
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -145,7 +145,7 @@
       rolloutEpoch: () => this._rollout.highestEpoch,
       onRolloutEpoch: epoch => { this._rollout.onEpochSeen(epoch) },
       onCatalogChange: change => { this._onChange(change) }
-    })
+    }, settings.machine)
     const rollout = { roleKey, ...settings.rollout }
     this._rollout = new RolloutLoop(this.state, adapter.store, rollout, () => this._catalogLoop.ownValues, suspensionAwareNow)
     this._storeCollector = new StoreCollector(this.state, settings.storeCollector, () => this._rollout.isHolder)
--- a/packages/gateway/src/process/gatewaySettings.ts
+++ b/packages/gateway/src/process/gatewaySettings.ts
@@ -1,7 +1,7 @@
 /** Settings of one gateway instance. Durations are milliseconds. */
 import type {
   CatalogCurrencySettings, CatalogSettings, FleetRetryBudgetSettings, FrontDirectorySettings, FrontRecord, GracefulStopSettings,
-  ReadScheduleSettings
+  MachineSize, ReadScheduleSettings
 } from '@wasabihead/coordination'
 import type { CatalogLoopSettings, RegistrationSettings } from '../catalog/index.js'
 import type { ChannelPoolSettings } from '../channels/index.js'
@@ -14,6 +14,8 @@
 /** Settings of one gateway instance. */
 export interface GatewaySettings {
   self: Omit<FrontRecord, 'isLeaving'>
+  /** Size of the machine, by which instances of a large fleet are ranked. */
+  machine?: MachineSize | undefined
   listen: { front: string, readiness: string, control: string, directory: string, metrics: string }
   /** Control addresses of other instances, which may be stale. */
   seeds: readonly string[]
--- a/packages/gateway/src/requests/requestPlacement.ts
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -83,7 +83,7 @@
       stores: storedParts,
       speed: speeds.of(this.service),
       zone,
-      instances: fronts.size(now),
+      instances: fronts.placingSize(now),
       random,
       now
     })
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -242,6 +242,8 @@
   graceSeconds?: number
   /** Retries that a service gets in each window apart from its share of the requests. */
   retryBudgetSlack?: number | undefined
+  /** Top-level settings that differ from those of the other gateways. */
+  settings?: object
 }
 
 /** The store, the replicas and the gateways of one test; `stop` ends all of them and deletes the settings. */
@@ -262,7 +264,7 @@
     name: string,
     {
       entry, storeAddress = this.storeAddress, hasClockFault, hasLinkFault, graceSeconds = 8, retryBudgetSlack = 50,
-      seeds = this.gateways.map(({ addresses: { control } }) => control)
+      settings = {}, seeds = this.gateways.map(({ addresses: { control } }) => control)
     }: GatewayOptions = {}
   ): Promise<GatewayProcess> {
     const inner = await this._ports.take()
@@ -287,7 +289,8 @@
         drain_ms: 2_000, config_apply_ms: 2_000, grace_s: graceSeconds, lease_ms: 3_000, retry_budget_slack: retryBudgetSlack
       },
       provider: { address: storeAddress, ttl_min_ms: 1_000 },
-      an_unknown_field: true
+      an_unknown_field: true,
+      ...settings
     }, this._folder, { entry, hasClockFault, hasLinkFault })
     gateway.startProcess()
     this.gateways.push(gateway)
