--- a/packages/gateway/src/requests/requestPlacement.spec.ts
+++ b/packages/gateway/src/requests/requestPlacement.spec.ts
@@ -16,8 +16,14 @@
 const request = { route: { targets: [{ service: 's', weight: 1 }] }, head: {} } as unknown as CallerRequest
 
 const cases: {
-  title: string, loading: string[], leaving: string[], limited?: string[], cold?: string[], evacuated?: string[]
-  tried: string[], expected: boolean
+  title: string,
+  loading: string[],
+  leaving: string[],
+  limited?: string[],
+  cold?: string[],
+  evacuated?: string[]
+  tried: string[],
+  expected: boolean
 }[] = [
   { title: 'another replica accepts requests', loading: [], leaving: [], tried: ['a'], expected: true },
   { title: 'all were tried', loading: [], leaving: [], tried: ['a', 'b'], expected: false },
--- a/packages/gateway/src/requests/requestPlacement.ts
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -85,7 +85,7 @@
       speed: speeds.of(this.service),
       learned: this._state.waitQueues?.learnedCosts(this.service),
       zone,
-      instances: fronts.size(now),
+      instances: fronts.placingSize(now),
       random,
       now
     })
