--- a/packages/coordination/src/catalog/evacuations.spec.ts
+++ b/packages/coordination/src/catalog/evacuations.spec.ts
@@ -52,7 +52,8 @@
   {
     title: 'an entry that was written again and removed after such a return',
     reads: [
-      { evacuations: [entry(5, 1)], era: 1 }, { evacuations: [], era: 2 }, { evacuations: [entry(2, 2)], era: 2 }, { evacuations: [], era: 2 }
+      { evacuations: [entry(5, 1)], era: 1 }, { evacuations: [], era: 2 }, { evacuations: [entry(2, 2)], era: 2 },
+      { evacuations: [], era: 2 }
     ],
     changes: ['data-centre-evacuated', 'data-centre-restored'],
     isEvacuated: false
