--- a/packages/coordination/src/catalog/evacuations.spec.ts
+++ b/packages/coordination/src/catalog/evacuations.spec.ts
@@ -23,7 +23,12 @@
     isEvacuated: false
   },
   // An instance that starts while the store is unavailable knows only what its peers send.
-  { title: 'an entry that a peer sent', reads: [{ evacuations: [entry(1)], isPeers: true }], changes: ['data-centre-evacuated'], isEvacuated: true },
+  {
+    title: 'an entry that a peer sent',
+    reads: [{ evacuations: [entry(1)], isPeers: true }],
+    changes: ['data-centre-evacuated'],
+    isEvacuated: true
+  },
   {
     title: 'a peer of a build that knows no evacuations',
     reads: [{ evacuations: [entry(1)] }, { evacuations: undefined, isPeers: true }],
@@ -52,7 +57,10 @@
   {
     title: 'an entry that was written again and removed after such a return',
     reads: [
-      { evacuations: [entry(5, 1)], era: 1 }, { evacuations: [], era: 2 }, { evacuations: [entry(2, 2)], era: 2 }, { evacuations: [], era: 2 }
+      { evacuations: [entry(5, 1)], era: 1 },
+      { evacuations: [], era: 2 },
+      { evacuations: [entry(2, 2)], era: 2 },
+      { evacuations: [], era: 2 }
     ],
     changes: ['data-centre-evacuated', 'data-centre-restored'],
     isEvacuated: false
--- a/packages/gateway/src/requests/requestPlacement.spec.ts
+++ b/packages/gateway/src/requests/requestPlacement.spec.ts
@@ -12,10 +12,18 @@
 const replicas = ['a', 'b'].map(replica)
 const request = { route: { targets: [{ service: 's', weight: 1 }] }, head: {} } as unknown as CallerRequest
 
-const cases: {
-  title: string, loading: string[], leaving: string[], limited?: string[], cold?: string[], evacuated?: string[]
-  tried: string[], expected: boolean
-}[] = [
+interface Case {
+  title: string
+  loading: string[]
+  leaving: string[]
+  limited?: string[]
+  cold?: string[]
+  evacuated?: string[]
+  tried: string[]
+  expected: boolean
+}
+
+const cases: Case[] = [
   { title: 'another replica accepts requests', loading: [], leaving: [], tried: ['a'], expected: true },
   { title: 'all were tried', loading: [], leaving: [], tried: ['a', 'b'], expected: false },
   // If such a replica counted as available, a failed attempt would end with the gateway's own 502 instead of the replica's
@@ -25,7 +33,7 @@
   { title: 'the only other one is leaving', loading: [], leaving: ['b'], tried: ['a'], expected: false },
   // A cold replica crashes above its rate, of which this instance has sent its share.
   { title: 'the only other one is cold', loading: [], leaving: [], cold: ['b'], tried: ['a'], expected: false },
-  { title: 'the data centre of the only other one is evacuated', loading: [], leaving: [], evacuated: ['zone of b'], tried: ['a'], expected: false },
+  { title: 'the data centre of the other is evacuated', loading: [], leaving: [], evacuated: ['zone of b'], tried: ['a'], expected: false },
   { title: 'the only other one is at its rate limit', loading: [], leaving: [], limited: ['b'], tried: ['a'], expected: false }
 ]
 for (const { title, loading, leaving, limited = [], cold = [], evacuated = [], tried, expected } of cases) {
