feat(dispatch): let requests without a prompt wait in order for a slot of a replica

They were sent whatever the load, and piled up in the replicas' own queues. The platform's specs can be run with the queue on by WASABIHEAD_WAIT_QUEUE=on.

--- a/packages/coordination/src/dispatch/learnedCosts.spec.ts
+++ b/packages/coordination/src/dispatch/learnedCosts.spec.ts
@@ -4,7 +4,7 @@
 import { SeededRandom } from '../common/index.js'
 import type { Engine, Replica } from '../catalog/index.js'
 import {
-  CachedParts, EngineSpeed, FleetLoads, LearnedCosts, ReplicaHealth, ReplicaSlowdowns, selectReplica, ServiceRoom
+  CachedParts, EngineSpeed, FleetLoads, LearnedCosts, ReplicaHealth, ReplicaSlowdowns, selectReplica, ServiceRoom, SlotLimits
 } from './index.js'
 
 const INTERVAL = 40
@@ -33,7 +33,7 @@
 function learned (run: number, answers: number, slowdowns = new ReplicaSlowdowns()): LearnedCosts {
   const room = new ServiceRoom()
   for (let answer = 0; answer < answers; answer++) room.onFreed(0, run, 0)
-  return new LearnedCosts(room, slowdowns)
+  return new LearnedCosts('s', room, slowdowns, new SlotLimits())
 }
 
 const load = { requests: 8, prefillTokens: 0, memoryTokens: 60_000 }
@@ -80,4 +80,43 @@
   })
 }
 
+// Guards against requests without a prompt that pile up at replicas whose slots are taken.
+for (const { requests, isInForce, expected } of [
+  { requests: 5, isInForce: true, expected: 0 },
+  { requests: 6, isInForce: true, expected: 1 },
+  { requests: 6, isInForce: false, expected: 0 }
+]) {
+  test(`should find ${expected} slots missing for a request beside ${requests} of 6${isInForce ? '' : ' where the queue is not in force'}`, () => {
+    const loads = new FleetLoads()
+    loads.add('slow', { requests, prefillTokens: 0, memoryTokens: 0 })
+    const candidates = replicas.slice(0, 1).map(replica => ({ ...replica, slots: 6 }))
+    const selection = selectReplica({ candidates, tried: new Set() }, {
+      loads,
+      health: new ReplicaHealth(),
+      cachedParts: new CachedParts(),
+      stores: { sourceOf: () => undefined, saveTargetOf: () => undefined },
+      speed: new EngineSpeed(),
+      learned: isInForce ? learned(100, 20) : undefined,
+      zone: 'z',
+      instances: 1,
+      random: new SeededRandom(1),
+      now: 0
+    })
+    assert.is(selection?.crowding, expected)
+  })
+}
+
+test('should send fewer requests at a time while full replicas answer slowly, and as many as there are slots after that', () => {
+  const limits = new SlotLimits()
+  const answer = (latency: number, count: number): void => {
+    for (let answers = 0; answers < count; answers++) limits.onAnswered('s', 6, 'r', latency, limits.limitOf('s', 6))
+  }
+  const seen: number[] = []
+  for (const latency of [80, 300, 80]) {
+    answer(latency, 200)
+    seen.push(limits.limitOf('s', 6))
+  }
+  assert.equal([seen, limits.limitOf('s', 0)], [[6, 3, 6], Infinity])
+})
+
 test.run()
--- a/packages/coordination/src/dispatch/learnedCosts.ts
+++ b/packages/coordination/src/dispatch/learnedCosts.ts
@@ -7,6 +7,7 @@
 import type { ReplicaLoad } from './fleetLoads.js'
 import type { ReplicaSlowdowns } from './replicaSlowdowns.js'
 import type { ServiceRoom } from './serviceRoom.js'
+import type { SlotLimits } from './slotLimits.js'
 
 /** Bounds in tokens a millisecond: 10,000 tokens in runs of 10 s, and 1 million in runs of 5 s. */
 const MINIMUM_TOKENS_FREED = 1
@@ -16,7 +17,22 @@
 
 /** Learned costs of the replicas of one service; undefined where too few answers are known. */
 export class LearnedCosts {
-  constructor (private readonly _room: ServiceRoom, private readonly _slowdowns: ReplicaSlowdowns) {}
+  constructor (
+    private readonly _service: string,
+    private readonly _room: ServiceRoom,
+    private readonly _slowdowns: ReplicaSlowdowns,
+    private readonly _slotLimits: SlotLimits
+  ) {}
+
+  /** Mean time that a request takes. */
+  get meanRun (): Milliseconds | undefined {
+    return this._room.meanRun
+  }
+
+  /** Requests without a prompt that a replica with this load has too many with one more. */
+  missingSlots ({ requests }: Readonly<ReplicaLoad>, slots: number): number {
+    return Math.max(0, requests + 1 - this._slotLimits.limitOf(this._service, slots))
+  }
 
   /** Memory that a replica with this load frees in a millisecond, in tokens. */
   tokensFreed ({ memoryTokens }: Readonly<ReplicaLoad>): number | undefined {
--- a/packages/coordination/src/dispatch/selectReplica.ts
+++ b/packages/coordination/src/dispatch/selectReplica.ts
@@ -61,7 +61,10 @@
   replica: Replica
   /** Predicted milliseconds until the first byte of the answer, plus the other costs of the replica as milliseconds. */
   cost: number
-  /** Memory that the request needs beyond what the replica has left, as a share of the replica's total memory. */
+  /**
+   * Memory that the request needs beyond what the replica has left, as a share of the replica's total memory. For a request
+   * without a prompt, the slots that it lacks.
+   */
   crowding: number
   /** The part of the cost that is predicted time until the first byte. */
   wait: Milliseconds
@@ -155,11 +158,11 @@
 
 function evaluatePlainRequest (replica: Replica, view: SelectionView): Selection {
   const load = view.loads.of(replica.id)
-  const busyCost = (load.requests / Math.max(1, replica.slots)) * PLAIN_REQUEST_COST
+  const busyCost = (load.requests / Math.max(1, replica.slots)) * (view.learned?.meanRun ?? PLAIN_REQUEST_COST)
   return {
     replica,
     cost: busyCost + commonCost(replica, view),
-    crowding: 0,
+    crowding: view.learned?.missingSlots(load, replica.slots) ?? 0,
     wait: busyCost,
     queuedTokens: 0,
     freshTokens: 0,
--- a/packages/gateway/src/requests/replicaAttempt.ts
+++ b/packages/gateway/src/requests/replicaAttempt.ts
@@ -198,10 +198,15 @@
   }
 
   private _releaseRoom (isAnswered: boolean): void {
-    const { waitQueues, now } = this._state
-    const { service } = this.replica
-    waitQueues?.rooms.of(service).onFreed(this._room, isAnswered ? now() - this.sentAt : undefined, now())
-    waitQueues?.onRoomFreed(service)
+    const { waitQueues, loads, now } = this._state
+    if (waitQueues === undefined) return
+    const { id, service, slots } = this.replica
+    const run = isAnswered ? now() - this.sentAt : undefined
+    waitQueues.rooms.of(service).onFreed(this._room, run, now())
+    if (run !== undefined && this.selection.salt === undefined) {
+      waitQueues.slotLimits.onAnswered(service, slots, this._request.route.name, run, loads.of(id).requests + 1)
+    }
+    waitQueues.onRoomFreed(service)
   }
 
   private _releasePrefill (): void {
--- a/packages/gateway/src/requests/waitQueues.ts
+++ b/packages/gateway/src/requests/waitQueues.ts
@@ -1,7 +1,7 @@
 /** Runs the wait queues of this instance, one for each service: passes on events that free room, and carries out refusals. */
 import {
-  LearnedCosts, ReplicaSlowdowns, ServiceRooms, WaitQueue, type Milliseconds, type OfferOutcome, type WaitingRequest,
-  type WaitRefusal
+  LearnedCosts, ReplicaSlowdowns, ServiceRooms, SlotLimits, WaitQueue, type Milliseconds, type OfferOutcome,
+  type WaitingRequest, type WaitRefusal
 } from '@wasabihead/coordination'
 import type { GatewayMetrics } from '../telemetry/index.js'
 
@@ -29,6 +29,7 @@
 export class WaitQueues {
   readonly rooms = new ServiceRooms()
   readonly slowdowns = new ReplicaSlowdowns()
+  readonly slotLimits = new SlotLimits()
   private readonly _queues = new Map<string, ServiceQueue>()
   private _lastId = 0
   private _peerLoadsAt: Milliseconds = -Infinity
@@ -37,7 +38,7 @@
 
   /** What was learned of the replicas of a service from its answers. */
   learnedCosts (service: string): LearnedCosts {
-    return new LearnedCosts(this.rooms.of(service), this.slowdowns)
+    return new LearnedCosts(service, this.rooms.of(service), this.slowdowns, this.slotLimits)
   }
 
   /** Returns whether the request may be sent at once. */
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -16,6 +16,8 @@
 const DEPLOYED_FLAGS = ['--max-old-space-size=96', '--max-semi-space-size=4']
 /** The compiled entry of another build, which every second process runs; empty for one build only. */
 const OTHER_ENTRY = process.env.WASABIHEAD_TEST_OTHER_ENTRY ?? ''
+/** `on` runs any of these specs with the wait queue, which is off in deployments that do not ask for it. */
+const WAIT_QUEUE = process.env.WASABIHEAD_WAIT_QUEUE ?? ''
 let startedProcesses = 0
 /** Paths of the compiled modules. */
 const CLOCK_FAULT = fileURLToPath(new URL('../soak/clockFault.js', import.meta.url))
@@ -143,6 +145,7 @@
       env: {
         WASABIHEAD_NODE_FILE: this._file,
         WASABIHEAD_METRICS_PORT: String(this.metricsPort),
+        WASABIHEAD_WAIT_QUEUE: WAIT_QUEUE,
         WASABIHEAD_TEST_CLOCK_FILE: `${this._file}.clock`,
         WASABIHEAD_TEST_LINK_FILE: `${this._file}.links`
       },
