--- a/packages/coordination/src/dispatch/waitQueue.ts
+++ b/packages/coordination/src/dispatch/waitQueue.ts
@@ -36,8 +36,9 @@
 const SHORTEST_RETRY_DELAY: Milliseconds = 50
 /** Later retry times would outlast the overload; the times begin anew then. */
 const LONGEST_RETRY_DELAY: Milliseconds = 10_000
-/** Retry delay as a share of the objective, until it is known how fast room becomes free. */
+/** Retry delay as a share of the objective, and time between two callers, until it is known how fast room becomes free. */
 const DEFAULT_RETRY_SHARE = 0.25
+const DEFAULT_RETRY_INTERVAL: Milliseconds = 5
 
 /** A request that may have to wait. */
 export interface WaitingRequest {
@@ -235,9 +236,9 @@
 
   /** Each refused caller returns after the room for those that wait and for those refused before it should have become free. */
   private _retryDelay (entry: Entry, ahead: number, rate: number | undefined, now: Milliseconds): Milliseconds {
-    if (rate === undefined) return entry.objective * DEFAULT_RETRY_SHARE
-    const first = now + Math.max(SHORTEST_RETRY_DELAY, Math.min(ahead / rate, LONGEST_RETRY_DELAY / 2))
-    const next = Math.max(first, this._lastRetryAt) + entry.room / rate
+    const untilFirst = rate === undefined ? entry.objective * DEFAULT_RETRY_SHARE : ahead / rate
+    const first = now + Math.max(SHORTEST_RETRY_DELAY, Math.min(untilFirst, LONGEST_RETRY_DELAY / 2))
+    const next = Math.max(first, this._lastRetryAt) + (rate === undefined ? DEFAULT_RETRY_INTERVAL : entry.room / rate)
     this._lastRetryAt = next > now + LONGEST_RETRY_DELAY ? first : next
     return this._lastRetryAt - now
   }
--- a/packages/gateway/src/requests/refusals.ts
+++ b/packages/gateway/src/requests/refusals.ts
@@ -41,16 +41,18 @@
 /**
  * Refuses a request. Only for one that was sent to no replica, or that each replica it was sent to stated not to have run.
  * Does nothing if the head of an answer was sent already or the caller has disconnected.
- * @param retryAfter delay before the caller should retry; defaults to the delay of the reason. Jitter is added
+ * @param retryAfter delay before the caller should retry; defaults to the delay of the reason
+ * @param jitter share of the delay that is added, random unless given; 0 where each caller was given a delay of its own
  */
 export function refuse (
-  response: http.ServerResponse, reason: RefusalReason, state: GatewayState, retryAfter = REFUSALS[reason].retryAfter
+  response: http.ServerResponse, reason: RefusalReason, state: GatewayState, retryAfter = REFUSALS[reason].retryAfter,
+  jitter?: number
 ): void {
   if (response.headersSent || response.destroyed) return
   const { status } = REFUSALS[reason]
   const headers: string[] = ['Content-Length', '0']
   if (retryAfter !== undefined) {
-    headers.push(...state.callerProtocol.retryAfter(jitteredRetryAfter(retryAfter, state.random.next())))
+    headers.push(...state.callerProtocol.retryAfter(jitteredRetryAfter(retryAfter, jitter ?? state.random.next())))
   }
   response.writeHead(status, headers)
   endAfterRequest(response)
--- a/packages/gateway/src/requests/requestAdmission.ts
+++ b/packages/gateway/src/requests/requestAdmission.ts
@@ -109,7 +109,8 @@
   refuse (reason: RefusalReason, onDelay: (retryAfter: Milliseconds | undefined) => void): void {
     const retryAfter = this._retryDelayFor(reason)
     onDelay(retryAfter)
-    refuse(this._request.response, reason, this._state, retryAfter)
+    const isOwn = reason === 'crowded' && retryAfter !== undefined
+    refuse(this._request.response, reason, this._state, retryAfter, isOwn ? 0 : undefined)
   }
 
   /** Ends the waiting. */
