--- a/packages/coordination/src/dispatch/servedShares.ts
+++ b/packages/coordination/src/dispatch/servedShares.ts
@@ -34,8 +34,8 @@
   /** By how much one of the groups is served less than the minimum, in steps; 0 if none is. */
   shortfall (groups: readonly string[]): number {
     const overallShare = this._overall.served / Math.max(1, this._overall.decided)
-    let lowest = MINIMUM_RELATIVE_SHARE * overallShare
-    const minimum = lowest
+    const minimum = MINIMUM_RELATIVE_SHARE * overallShare
+    let lowest = minimum
     for (const group of groups) {
       const counts = this._groups.get(group)
       if (counts !== undefined && counts.decided >= MINIMUM_REQUESTS) lowest = Math.min(lowest, counts.served / counts.decided)
--- a/packages/coordination/src/dispatch/waitQueue.ts
+++ b/packages/coordination/src/dispatch/waitQueue.ts
@@ -129,8 +129,9 @@
 
   /** Offers free room in order, then refuses those that cannot be served in time. To be called when room may have become free. */
   advance (offer: Offer, now: Milliseconds): WaitRefusal[] {
-    this._offerInOrder(offer, now)
-    return this._refuseLate(now)
+    const ordered = this._ordered()
+    this._offerInOrder(ordered, offer, now)
+    return this._refuseLate(ordered.filter(({ id }) => this._entries.has(id)), now)
   }
 
   /** When the queue must be advanced even if nothing happens; undefined while nobody waits. */
@@ -149,12 +150,13 @@
     return this._ordered().map(({ id }) => id)
   }
 
-  private _offerInOrder (offer: Offer, now: Milliseconds): void {
+  private _offerInOrder (ordered: readonly Entry[], offer: Offer, now: Milliseconds): void {
     const blocked: Entry[] = []
-    for (const entry of this._ordered()) {
+    for (const entry of ordered) {
       if (!this._entries.has(entry.id)) continue
+      if (blocked.length >= MAXIMUM_DECLINED) return
       const wouldPass = blocked.some(({ passedRoom, room }) => passedRoom + entry.room > room * PASSED_ROOM_SHARE)
-      if (wouldPass || blocked.length >= MAXIMUM_DECLINED) continue
+      if (wouldPass) continue
       const outcome = offer(entry.id, ALLOWANCE)
       if (outcome === 'declined') {
         blocked.push(entry)
@@ -172,14 +174,14 @@
    * those before it that are no more urgent is refused (Moore and Hodgson), which leaves the most requests on time. Groups
    * that are served much less than others are spared.
    */
-  private _refuseLate (now: Milliseconds): WaitRefusal[] {
+  private _refuseLate (ordered: readonly Entry[], now: Milliseconds): WaitRefusal[] {
     const refusals: WaitRefusal[] = []
     const rate = this._room.rate(now)
     const excess = this._entries.size - MAXIMUM_WAITING
     const planned: Entry[] = []
     let ahead = 0
     let committed = 0
-    for (const entry of this._ordered()) {
+    for (const entry of ordered) {
       planned.push(entry)
       ahead += entry.room
       while (this._isLate(entry, ahead, rate, now) || this._isWaitTooLong(entry, committed, rate, now)) {
