--- a/packages/gateway/src/requests/requestPlacement.spec.ts
+++ b/packages/gateway/src/requests/requestPlacement.spec.ts
@@ -80,10 +80,11 @@
   test(`should select ${title}`, () => {
     const counted: string[] = []
     const state = {
-      catalog: { usableReplicas: () => replicas, routes: undefined },
+      catalog: { usableReplicas: () => replicas, isEvacuated: () => false, routes: undefined },
       notices: new ReplicaNotices(),
       links: new ServiceLinks(),
       replicaLimits: new ReplicaLimits('self'),
+      coldReplicas: new ColdReplicas('self'),
       serverPace: new SharedServerPace('self', { heartbeatInterval: 250 }),
       fronts: { knownNames: ['self'], size: () => 1 },
       loadingReplicas: new LoadingReplicas(),
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -17,6 +17,8 @@
 const DEPLOYED_FLAGS = ['--max-old-space-size=96', '--max-semi-space-size=4']
 /** The compiled entry of another build, which every second process runs; empty for one build only. */
 const OTHER_ENTRY = process.env.WASABIHEAD_TEST_OTHER_ENTRY ?? ''
+/** `on` runs any of these specs with the wait queue, which is off in deployments that do not ask for it. */
+const WAIT_QUEUE = process.env.WASABIHEAD_WAIT_QUEUE ?? ''
 let startedProcesses = 0
 /** Paths of the compiled modules. */
 const CLOCK_FAULT = fileURLToPath(new URL('../soak/clockFault.js', import.meta.url))
@@ -149,6 +151,7 @@
         ...this._options.environment,
         WASABIHEAD_NODE_FILE: this._file,
         WASABIHEAD_METRICS_PORT: String(this.metricsPort),
+        WASABIHEAD_WAIT_QUEUE: WAIT_QUEUE,
         WASABIHEAD_TEST_CLOCK_FILE: `${this._file}.clock`,
         WASABIHEAD_TEST_LINK_FILE: `${this._file}.links`
       },
@@ -262,6 +265,8 @@
   retryBudgetSlack?: number | undefined
   /** Top-level settings that differ from those of the other gateways. */
   settings?: object
+  /** What the deployment requires beyond the rest, by name; nothing by default. */
+  contracts?: readonly string[]
 }
 
 /** The store, the replicas and the gateways of one test; `stop` ends all of them and deletes the settings. */
@@ -282,7 +287,7 @@
     name: string,
     {
       entry, environment, storeAddress = this.storeAddress, hasClockFault, hasLinkFault, graceSeconds = 8, retryBudgetSlack = 50,
-      settings = {}, seeds = this.gateways.map(({ addresses: { control } }) => control)
+      settings = {}, contracts, seeds = this.gateways.map(({ addresses: { control } }) => control)
     }: GatewayOptions = {}
   ): Promise<GatewayProcess> {
     const inner = await this._ports.take()
@@ -303,6 +308,7 @@
       seeds,
       heartbeat_ms: 1_200,
       bootstrap: true,
+      contracts,
       bounds: {
         drain_ms: 2_000, config_apply_ms: 2_000, grace_s: graceSeconds, lease_ms: 3_000, retry_budget_slack: retryBudgetSlack
       },
