--- a/packages/gateway/src/channels/addressCalls.ts
+++ b/packages/gateway/src/channels/addressCalls.ts
@@ -6,7 +6,7 @@
 
 /** The answer to a call, or for the log the reason why there is none. */
 export type CallOutcome =
-  | { isAnswered: true, status: number, body: string }
+  | { isAnswered: true, status: number, body: string, coldLeft?: Milliseconds }
   | { isAnswered: false, reason: string }
 
 /** The destination of a call. */
@@ -39,5 +39,8 @@
     // The answer to a caller's request has an id, and may come late on a connection that carried the request.
     isExpected: ({ status, headers }) => replicaProtocol.readAnswer(status, headers).requestId === undefined
   })
-  return outcome.isAnswered ? { isAnswered: true, status: outcome.head.status, body: outcome.body } : outcome
+  if (!outcome.isAnswered) return outcome
+  const { head: { status, headers: fields }, body } = outcome
+  const { coldLeft } = replicaProtocol.readAnswer(status, fields)
+  return { isAnswered: true, status, body, ...(coldLeft === undefined ? {} : { coldLeft }) }
 }
--- a/packages/gateway/src/requests/index.ts
+++ b/packages/gateway/src/requests/index.ts
@@ -1,5 +1,5 @@
 export {
-  applyColdRegistrations, encodeColdUpdates, receiveColdUpdates, reportColdReplicas, suspectRestart
+  applyColdRegistrations, encodeColdUpdates, receiveColdUpdates, recordColdAnswer, reportColdReplicas, suspectRestart
 } from './coldReplicaEvents.js'
 export { connectedInstances } from './connectedInstances.js'
 export { onEvacuationChange } from './evacuationEvents.js'
--- a/packages/gateway/src/requests/replicaRunCheck.ts
+++ b/packages/gateway/src/requests/replicaRunCheck.ts
@@ -1,6 +1,7 @@
 /** Whether a replica is still the run that its registration describes. */
 import { REGISTRATION_DELAY, replicaRunOf, type BeginningRun, type Milliseconds, type Replica, type StreamOrigin } from '@wasabihead/coordination'
 import { callAddress } from '../channels/index.js'
+import { recordColdAnswer, suspectRestart } from './coldReplicaEvents.js'
 import type { GatewayState } from './gatewayState.js'
 
 const TIMEOUT: Milliseconds = 500
@@ -33,9 +34,12 @@
  */
 async function askForRun (state: GatewayState, replica: Replica, timeout: Milliseconds): Promise<RunCheck> {
   if (state.catalog.isEvacuated(replica.zone)) return 'unknown'
+  const askedAt = state.suspensionAwareNow()
   const outcome = await callAddress(state, replica, state.replicaProtocol.reportCall(replica), timeout)
   const startedAt = outcome.isAnswered ? state.replicaProtocol.readReport(outcome.body)?.startedAt : undefined
+  if (outcome.isAnswered) recordColdAnswer(state, replica, outcome.coldLeft, askedAt)
   if (outcome.isAnswered && (startedAt === undefined || startedAt === replica.startedAt)) return 'registered'
+  if (outcome.isAnswered) suspectRestart(state, replica.id)
   state.metrics.count('unverified_replica_runs_total', outcome.isAnswered ? 'restarted' : 'no-report')
   state.log.decision('replica-run-unverified', {
     replicaRun: replicaRunOf(replica),
--- a/packages/gateway/src/rollout/rolloutLoop.ts
+++ b/packages/gateway/src/rollout/rolloutLoop.ts
@@ -6,7 +6,7 @@
 } from '@wasabihead/coordination'
 import { callAddress } from '../channels/index.js'
 import type { ReplicaCall } from '../protocol/index.js'
-import { connectedInstances, type GatewayState } from '../requests/index.js'
+import { connectedInstances, recordColdAnswer, type GatewayState } from '../requests/index.js'
 
 export interface RolloutLoopSettings extends RolloutSettings {
   roleKey: string
@@ -140,7 +140,9 @@
   }
 
   private async _call ({ replica }: WeightOrder, call: ReplicaCall): Promise<{ status: number, body: string } | undefined> {
+    const askedAt = this._suspensionAwareNow()
     const outcome = await callAddress(this._state, replica, call, this._settings.callTimeout)
+    if (outcome.isAnswered) recordColdAnswer(this._state, replica, outcome.coldLeft, askedAt)
     if (outcome.isAnswered) return outcome
     this._state.log.decision('replica-call-failed', { replica: replica.id, path: call.path, reason: outcome.reason })
     return undefined
