feat(fronts): send statements of cold replicas to all, and let them go before the pace

A cold replica's rate goes before the learned pace. Above 64 instances, a statement that a replica is cold goes to all data centres, as other statements of replicas do: an instance that places no work may serve a caller that kept an old answer of the directory.

--- a/packages/coordination/src/fronts/activeInstances.spec.ts
+++ b/packages/coordination/src/fronts/activeInstances.spec.ts
@@ -89,6 +89,8 @@
   { title: 'changes of the store', change: { catalog: { changedAt: 1, age: 2, told: { after: 0, changes: [['k', 1, 'v']] } } }, expected: true },
   { title: 'leaving', change: { from: { name: 'a', incarnation: 1, isLeaving: true } }, expected: true },
   { title: 'a rate limit', change: { limits: [['r/1', 2, 3, 4]] }, expected: true },
+  { title: 'a cold replica', change: { cold: [['r', 1, 2, 3, 4]] }, expected: true },
+  { title: 'the pace of a replica', change: { paces: [['r', 1, 2, 3, 4, true]] }, expected: false },
   { title: 'a replica that leaves', change: { leaving: ['r/1'] }, expected: true },
   { title: 'cut links', change: { cutOff: ['s'] }, expected: true },
   { title: 'orders to load weights', change: { loading: ['r'] }, expected: true },
--- a/packages/coordination/src/fronts/activeRounds.ts
+++ b/packages/coordination/src/fronts/activeRounds.ts
@@ -37,9 +37,9 @@
 
 /** Whether a heartbeat has something that all instances need at once, and that no other instance passes on. */
 export function concernsAll ({
-  from, isReady, catalog, stores, loading, loaded, leaving, limits, cutOff, crashes, answeredFeatures
+  from, isReady, catalog, stores, loading, loaded, leaving, limits, cold = [], cutOff, crashes, answeredFeatures
 }: Heartbeat): boolean {
-  const lists = [catalog?.told?.changes ?? [], stores, loading, loaded, leaving, limits, cutOff, crashes, answeredFeatures]
+  const lists = [catalog?.told?.changes ?? [], stores, loading, loaded, leaving, limits, cold, cutOff, crashes, answeredFeatures]
   return from.isLeaving || !isReady || lists.some(({ length }) => length > 0)
 }
 
--- a/packages/gateway/src/requests/requestPlacement.spec.ts
+++ b/packages/gateway/src/requests/requestPlacement.spec.ts
@@ -86,7 +86,7 @@
       replicaLimits: new ReplicaLimits('self'),
       coldReplicas: new ColdReplicas('self'),
       serverPace: new SharedServerPace('self', { heartbeatInterval: 250 }),
-      fronts: { knownNames: ['self'], size: () => 1 },
+      fronts: { knownNames: ['self'], size: () => 1, placingSize: () => 1 },
       loadingReplicas: new LoadingReplicas(),
       loads: new FleetLoads(),
       health: new ReplicaHealth(),
--- a/packages/gateway/src/requests/requestPlacement.ts
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -223,12 +223,13 @@
    * pace excludes any. What a replica states itself goes before its pace.
    */
   private _withinPace (replicas: readonly Replica[], tried: ReadonlySet<string>): readonly Replica[] {
-    const { serverPace, replicaLimits, health, fronts, suspensionAwareNow } = this._state
+    const { serverPace, replicaLimits, coldReplicas, health, fronts, suspensionAwareNow } = this._state
     if (serverPace.isEmpty) return replicas
     const now = suspensionAwareNow()
     const names = fronts.knownNames
-    const paced = replicas.filter(replica => (
-      replicaLimits.rateOf(replica) !== undefined || serverPace.maySend(replica, names, now)))
+    const hasStatedRate = (replica: Replica): boolean => (
+      replicaLimits.rateOf(replica) !== undefined || coldReplicas.rateOf(replica, now) !== undefined)
+    const paced = replicas.filter(replica => hasStatedRate(replica) || serverPace.maySend(replica, names, now))
     if (paced.length === replicas.length) return replicas
     return paced.filter(({ id }) => !tried.has(id) && !health.isExcluded(id, this._state.now()))
   }
