fix(requests): refuse long heads early and measure each write of an answer

Cause, seen in trials of callerFloods.spec.ts with the default limits: heads were held up to the parser's 256 KB whatever the configuration allows (227 MB), and what waits in the responses of requests ahead was measured each 100 ms only (486 MB in the stop).

--- a/packages/gateway/src/directory/endpointServer.ts
+++ b/packages/gateway/src/directory/endpointServer.ts
@@ -1,6 +1,6 @@
 /** HTTP server for requests without a body, with one handler for each method and path. */
 import http from 'node:http'
-import { CheckedConnections, type CallerGuard } from '@wasabihead/http'
+import { CheckedConnections, MeasuredResponse, type CallerGuard } from '@wasabihead/http'
 
 export interface EndpointResponse {
   status: number
@@ -25,6 +25,7 @@
 
   constructor (private readonly _handlers: ReadonlyMap<string, EndpointHandler>, guard?: CallerGuard) {
     this._server = http.createServer({
+      ServerResponse: MeasuredResponse,
       keepAliveTimeout: IDLE_TIMEOUT_MILLISECONDS,
       headersTimeout: REQUEST_TIMEOUT_MILLISECONDS,
       requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
--- a/packages/gateway/src/requests/answerRelay.ts
+++ b/packages/gateway/src/requests/answerRelay.ts
@@ -85,6 +85,11 @@
   private _buffer = new BufferedBytes()
   private _isStreaming = false
 
+  /** @param _isCrowded whether callers leave so much unread that answers are to wait at their replicas */
+  constructor (response: http.ServerResponse, onDrained: () => void, private readonly _isCrowded = (): boolean => false) {
+    super(response, onDrained)
+  }
+
   /** Writes a complete answer. */
   static write (response: http.ServerResponse, head: AnswerHead, body: Buffer): void {
     const headers = forwardedHeaders(head.rawHeaders, () => true)
@@ -122,7 +127,7 @@
     if (this._isStreaming) return this._response.write(chunk)
     this._buffer.add(chunk)
     const { _maximumBufferedBytes, _maximumWhileCrowded } = BufferedAnswerRelay
-    const maximum = heldAnswers.isCrowded ? _maximumWhileCrowded : _maximumBufferedBytes
+    const maximum = heldAnswers.isCrowded || this._isCrowded() ? _maximumWhileCrowded : _maximumBufferedBytes
     if (this._buffer.length <= maximum || this._head === undefined) return true
     const headers = forwardedHeaders(this._head.rawHeaders, () => true)
     const length = this._head.headers['content-length']
@@ -162,7 +167,10 @@
   private _continuationFault: string | undefined
   private _progress = 0
 
-  constructor (response: http.ServerResponse, onDrained: () => void, resumedAfter: string | undefined) {
+  constructor (
+    response: http.ServerResponse, onDrained: () => void, resumedAfter: string | undefined,
+    private readonly _isCrowded?: () => boolean
+  ) {
     super(response, onDrained)
     this._position = new StreamPosition(resumedAfter)
   }
@@ -237,7 +245,7 @@
     if (this._hasBegun) return
     this._head = head
     if (!isPlainBody(kindOf(head))) return
-    this._plainRelay = new BufferedAnswerRelay(this._response, () => {})
+    this._plainRelay = new BufferedAnswerRelay(this._response, () => {}, this._isCrowded)
     this._plainRelay.onHead(head)
   }
 
--- a/packages/gateway/src/requests/frontServer.ts
+++ b/packages/gateway/src/requests/frontServer.ts
@@ -12,6 +12,8 @@
 
 /** An incomplete head takes several times its size; one that is complete, less. */
 const HEAD_ALLOWANCE = 8
+/** The limit of the configuration is on the headers alone, and is checked once a head is complete. */
+const REQUEST_LINE_ALLOWANCE = 16_384
 
 /** Serves callers. */
 export class FrontServer extends RequestServer {
@@ -21,6 +23,7 @@
     if (limits === undefined) return
     this._server.keepAliveTimeout = limits.idleTimeout + IDLE_MARGIN
     this._server.headersTimeout = limits.headerTimeout
+    this._state.callerGuard.maximumOpenBytes = 2 * limits.maximumHeaderBytes + REQUEST_LINE_ALLOWANCE
     this._state.callerGuard.memory.allowRequest(limits.maximumBodyBytes + HEAD_ALLOWANCE * limits.maximumHeaderBytes)
   }
 
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -84,9 +84,10 @@
     private readonly _state: GatewayState, private readonly _request: CallerRequest, private readonly _onFinished: () => void
   ) {
     const { route, response, head } = _request
+    const isCrowded = (): boolean => _state.callerGuard.memory.isCrowded
     this._relay = route.kind === 'streaming'
-      ? new EventStreamRelay(response, () => { this._onDrained() }, head.lastEventId)
-      : new BufferedAnswerRelay(response, () => { this._onDrained() })
+      ? new EventStreamRelay(response, () => { this._onDrained() }, head.lastEventId, isCrowded)
+      : new BufferedAnswerRelay(response, () => { this._onDrained() }, isCrowded)
     this._placement = new RequestPlacement(_state, _request)
     this._peers = new PeerPlacement(_state, _request)
     const { relayed } = _request
--- a/packages/gateway/src/requests/requestServer.ts
+++ b/packages/gateway/src/requests/requestServer.ts
@@ -4,7 +4,7 @@
 import {
   pathOf, readRequestTarget, type Milliseconds, type RequestTarget, type Route, type RouteMatch
 } from '@wasabihead/coordination'
-import { CheckedConnections } from '@wasabihead/http'
+import { CheckedConnections, MeasuredResponse } from '@wasabihead/http'
 import { BufferedBytes, type OwnedBytes } from '../channels/index.js'
 import type { CallerHead } from '../protocol/index.js'
 import type { CallerRequest } from './callerRequest.js'
@@ -35,6 +35,7 @@
 
   constructor (protected readonly _state: GatewayState) {
     this._server = http.createServer({
+      ServerResponse: MeasuredResponse,
       maxHeaderSize: PARSER_MAXIMUM_HEADER_BYTES,
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT,
       connectionsCheckingInterval: 1_000
--- a/packages/http/src/callerAccounts.ts
+++ b/packages/http/src/callerAccounts.ts
@@ -12,7 +12,7 @@
 const OPEN_BYTE_COST = 4
 /** The head of a request that was read is held as it was sent and by name. */
 const HEAD_BYTE_COST = 2
-/** Answers reach connections between the bytes that callers send; these are found by measuring again. */
+/** Callers take what waits for them without an event for each part. */
 const MEASURING_INTERVAL_MILLISECONDS = 100
 
 interface Held {
@@ -55,7 +55,7 @@
   onRequest (request: http.IncomingMessage, response: http.ServerResponse, headBytes: number): void {
     const { socket } = request
     this._open.get(socket)?.requests.set(request, { head: headBytes, body: 0 })
-    response.once('prefinish', () => { this._measure(socket) })
+    response.on('buffered', () => { this._measure(socket) })
     response.once('close', () => {
       this._open.get(socket)?.requests.delete(request)
       this._readOn(socket)
--- a/packages/http/src/callerGuard.ts
+++ b/packages/http/src/callerGuard.ts
@@ -12,6 +12,8 @@
 export class CallerGuard {
   readonly memory: CallerMemory<Socket>
   readonly requestsAhead: number
+  /** Size up to which an incomplete head, a line with a chunk's size, or trailers are read; longer ones are refused. */
+  maximumOpenBytes = Infinity
 
   /**
    * @param now monotonic clock, in milliseconds
--- a/packages/http/src/checkedConnections.ts
+++ b/packages/http/src/checkedConnections.ts
@@ -18,6 +18,11 @@
   readonly code = 'HPE_INVALID_SYNTAX'
 }
 
+/** A head is longer than the limit, or another part of a request that is read as a whole. */
+class OversizedHeadError extends Error {
+  readonly code = 'HPE_HEADER_OVERFLOW'
+}
+
 interface Connection {
   syntax: RequestSyntax
   hasCarriedRequest: boolean
@@ -36,8 +41,8 @@
   private readonly _accounts: CallerAccounts | undefined
 
   /** @param guard bounds what the connections hold; none if absent */
-  constructor (private readonly _server: http.Server, guard?: CallerGuard) {
-    this._accounts = guard === undefined ? undefined : new CallerAccounts(guard)
+  constructor (private readonly _server: http.Server, private readonly _guard?: CallerGuard) {
+    this._accounts = _guard === undefined ? undefined : new CallerAccounts(_guard)
     _server.on('connection', (socket: Socket) => { this._check(socket) })
     _server.prependListener('request', (request: http.IncomingMessage, response: http.ServerResponse) => {
       const connection = this._open.get(request.socket)
@@ -142,7 +147,7 @@
       let offset = 0
       while (offset < bytes.length && !syntax.isInvalid) {
         // RFC 9112, 9.6: a request behind the last answer of its connection is not answered, so it must not be served either.
-        if (this._refused.has(socket)) return
+        if (this._refused.has(socket) || socket.destroyed) return
         connection.isClosing ||= [...connection.unanswered].some(isLast)
         if (syntax.isBetweenRequests && connection.isClosing) return
         if (syntax.isBetweenRequests) this._accounts?.holdBack(socket)
@@ -153,6 +158,11 @@
         }
         // Not a byte of the next request: the parser drops what it is given together with a request for an upgrade.
         const { end, pieces } = syntax.accept(bytes, offset)
+        // Before the parser holds them, too.
+        if (syntax.openBytes > (this._guard?.maximumOpenBytes ?? Infinity)) {
+          this._server.emit('clientError', new OversizedHeadError(), socket)
+          return
+        }
         // At once: while a request is parsed, the server may begin to pause.
         if (pieces.length > 0) for (const parse of parsers) parse.call(socket, joined(pieces))
         offset = end
