fix(daemon): bound what connections of callers and operators hold

Cause: as in the gateway, nothing bounded incomplete requests and unread answers of all connections together. Change: both servers share a CallerGuard with limits from new settings (caller-memory-bytes, caller-address-bytes, caller-connection-bytes, caller-requests-ahead). Bodies count twice their size as they arrive. Lines that are incomplete are refused beyond 32 KB. A closed connection is logged and counted (dropped-callers).

--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -4,6 +4,7 @@
 import { rankHosts, type MemberTable, type RefusalError } from '@wasabihead/coordination'
 import { GuardedServer, jsonBody, type ServerTimeouts } from '../http/index.js'
 import type { Clock } from '../instance/clock.js'
+import type { CallerGuard } from '@wasabihead/http'
 import {
   completionShapeOf,
   type AcceptedRequest, type ClaimedRunner, type ModelAnswer, type ModelRunner, type RequestAdmission, type ServiceRunner
@@ -32,6 +33,8 @@
   clock: Clock
   metrics: Metrics
   logger: Logger
+  /** Bounds what connections hold; none if absent. */
+  guard?: CallerGuard
 }
 
 interface CallerState {
@@ -49,7 +52,7 @@
     application.use(async (context, next) => { await this._answerRefusals(context, next) })
     application.use(this._routes())
     application.use(() => { throw notFoundRefusal() })
-    this._server = new GuardedServer(application.callback(), transportRefusalBody, timeouts)
+    this._server = new GuardedServer(application.callback(), transportRefusalBody, timeouts, _dependencies.guard)
   }
 
   /** Starts listening; returns the port. Rejects if the address cannot be bound. */
--- a/packages/daemon/src/http/guardedServer.ts
+++ b/packages/daemon/src/http/guardedServer.ts
@@ -1,7 +1,7 @@
 /** An HTTP server with limits on header size and request time, which answers malformed requests with a typed body. */
 import http from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { CheckedConnections } from '@wasabihead/http'
+import { CheckedConnections, MeasuredResponse, type CallerGuard } from '@wasabihead/http'
 
 const MAXIMUM_HEADER_BYTES = 16_384
 const HEADERS_TIMEOUT_MILLISECONDS = 10_000
@@ -48,19 +48,24 @@
   /**
    * @param handler handles each request
    * @param toBody body of the answer to a request that was not received completely
+   * @param guard bounds what the connections hold; none if absent
    */
-  constructor (handler: http.RequestListener, toBody: (fault: TransportFault) => object, timeouts: Partial<ServerTimeouts> = {}) {
+  constructor (
+    handler: http.RequestListener, toBody: (fault: TransportFault) => object, timeouts: Partial<ServerTimeouts> = {},
+    guard?: CallerGuard
+  ) {
     const { headers, request, check, leavingGrace, stall } = { ...DEFAULT_TIMEOUTS, ...timeouts }
     this._leavingGrace = leavingGrace
     this._stallTimeout = stall
     this._server = http.createServer({
+      ServerResponse: MeasuredResponse,
       maxHeaderSize: MAXIMUM_HEADER_BYTES,
       headersTimeout: headers,
       requestTimeout: request,
       connectionsCheckingInterval: check
     })
     this._server.on('request', handler)
-    const connections = this._connections = new CheckedConnections(this._server)
+    const connections = this._connections = new CheckedConnections(this._server, guard, true)
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       connections.refuse(error, socket, refusalOf(toFault(error), toBody))
     })
--- a/packages/daemon/src/instance/assembly.ts
+++ b/packages/daemon/src/instance/assembly.ts
@@ -3,6 +3,7 @@
   CallBudget, FLEET_RATES, HomeDirectory, MemberTable, placementHash, RetryBudgets, SeededRandom,
   type KeyValueService, type Member
 } from '@wasabihead/coordination'
+import { CallerGuard } from '@wasabihead/http'
 import { BudgetedKeyValueService, CallAccount, EtcdKeyValueService, HttpHostList } from '../adapters/index.js'
 import { BlockTransfers, type BackendFleet } from '../backends/index.js'
 import { CallerServer, RequestLookup, RequestReader } from '../callers/index.js'
@@ -55,9 +56,13 @@
   peerServer: PeerServer
 }
 
+/** Of an incomplete head, trailers, or a line with a chunk's size; the parser's limit on heads is half of it. */
+const MAXIMUM_OPEN_BYTES = 32_768
+
 /** Dependencies that the features share. */
 interface SharedDependencies extends AssemblyContext {
   random: SeededRandom
+  guard: CallerGuard
   members: MemberTable
   calls: CallAccount
   /** The key-value service, one adapter for each priority of the shared call budget. */
@@ -95,6 +100,7 @@
   const calls = new CallAccount(new CallBudget(FLEET_RATES, clock.monotonic()), clock)
   return {
     ...context,
+    guard: createGuard(context),
     // The host is part of the seed, so that hosts with the same seed setting don't have the same jitter.
     random: new SeededRandom(placementHash(`${settings.seed}|${settings.host}`)),
     members: new MemberTable(ownEntry(settings, clock)),
@@ -105,6 +111,21 @@
   }
 }
 
+function createGuard ({ settings, clock, logger, metrics }: AssemblyContext): CallerGuard {
+  const limits = {
+    connection: settings.callerConnectionBytes,
+    address: settings.callerAddressBytes,
+    total: settings.callerMemoryBytes,
+    requestsAhead: settings.callerRequestsAhead
+  }
+  const guard = new CallerGuard(limits, () => clock.monotonic(), ({ address, limit, held }) => {
+    metrics.count('dropped-callers', 'all', limit)
+    logger.warn('connection of a caller closed', { address, limit, held, allHeld: guard.memory.held })
+  })
+  guard.maximumOpenBytes = MAXIMUM_OPEN_BYTES
+  return guard
+}
+
 function createOrders ({ settings, configurationStore, members, clock, fleet, logger }: SharedDependencies): OrdersLoop {
   const role = new RoleLoop(settings.environment, 'orders', configurationStore, members, clock)
   return new OrdersLoop(role, fleet, clock, logger)
@@ -176,7 +197,7 @@
 }
 
 function createCallerServer (
-  { admission, clock, metrics, logger, members }: SharedDependencies,
+  { admission, clock, metrics, logger, members, guard }: SharedDependencies,
   { configuration, claims, claimed, models, services }: ServingComponents & Pick<InstanceComponents, 'configuration'>
 ): CallerServer {
   return new CallerServer({
@@ -189,12 +210,13 @@
     admission,
     clock,
     metrics,
-    logger
+    logger,
+    guard
   })
 }
 
 function createOperatorServer (
-  { settings, members, metrics, admission, claimStore, drain, fleet }: SharedDependencies,
+  { settings, members, metrics, admission, claimStore, drain, fleet, guard }: SharedDependencies,
   { configuration, claims, claimed, orders, leaving, quarantine }: Omit<InstanceComponents, `${string}Server`>
 ): OperatorServer {
   return new OperatorServer(settings.operatorTokenDigest, [
@@ -214,7 +236,7 @@
       backendServers: () => fleet.replicas.replicas
     }),
     new DrainRoutes(settings.host, drain)
-  ])
+  ], undefined, guard)
 }
 
 function createPeerServer (
--- a/packages/daemon/src/operators/operatorServer.ts
+++ b/packages/daemon/src/operators/operatorServer.ts
@@ -3,6 +3,7 @@
 import Router from '@koa/router'
 import Koa, { type Context } from 'koa'
 import { ActionableError } from '@wasabihead/coordination'
+import type { CallerGuard } from '@wasabihead/http'
 import { GuardedServer, jsonBody, type ServerTimeouts, type TransportFault } from '../http/index.js'
 import { answerError, type OperatorError, type OperatorRoutes } from './operatorRoutes.js'
 
@@ -25,8 +26,12 @@
   /**
    * @param _tokenDigest SHA-256 of the operators' token, in hexadecimal
    * @param routes the routes of the features
+   * @param guard bounds what connections hold; none if absent
    */
-  constructor (private readonly _tokenDigest: string, routes: readonly OperatorRoutes[], timeouts?: Partial<ServerTimeouts>) {
+  constructor (
+    private readonly _tokenDigest: string, routes: readonly OperatorRoutes[], timeouts?: Partial<ServerTimeouts>,
+    guard?: CallerGuard
+  ) {
     const application = new Koa()
     application.silent = true
     application.use(answerFailures)
@@ -36,7 +41,7 @@
     for (const slice of routes) slice.register(router)
     application.use(router.routes() as unknown as Koa.Middleware)
     application.use(context => { answerError(context, 404, NOT_FOUND) })
-    this._server = new GuardedServer(application.callback(), fault => ({ error: TRANSPORT_ERRORS[fault] }), timeouts)
+    this._server = new GuardedServer(application.callback(), fault => ({ error: TRANSPORT_ERRORS[fault] }), timeouts, guard)
   }
 
   /** Starts listening; returns the port. Rejects if the address cannot be bound. */
--- a/packages/daemon/src/settings/settingsSchema.ts
+++ b/packages/daemon/src/settings/settingsSchema.ts
@@ -6,6 +6,7 @@
 
 /** Accepts plain digits only, since `Number` would read "" as 0 and "1e9" as a count. */
 const wholeNumberSchema = z.string().regex(/^\d{1,15}$/, 'use a whole number in plain digits').transform(Number)
+const limitSchema = wholeNumberSchema.pipe(z.number().min(1, 'use a number of at least 1'))
 const portSchema = wholeNumberSchema.pipe(z.number().max(MAXIMUM_PORT, `use a port from 0 to ${MAXIMUM_PORT}`))
 const nameSchema = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, 'use 1 to 63 lower-case letters, digits, dots and hyphens')
 const urlSchema = z.url({ protocol: /^https?$/, error: 'use a URL such as http://10.0.0.7:8082' })
@@ -28,6 +29,10 @@
   workspaceSecret: z.string().min(MINIMUM_SECRET_CHARACTERS, `use at least ${MINIMUM_SECRET_CHARACTERS} characters`),
   logLevel: z.enum(['error', 'warn', 'info', 'debug'], { error: 'use error, warn, info or debug' }).default('info'),
   maximumRunning: wholeNumberSchema.pipe(z.number().min(1, 'use a number of at least 1')).prefault('512'),
+  callerMemoryBytes: limitSchema.prefault('33554432'),
+  callerAddressBytes: limitSchema.prefault('25165824'),
+  callerConnectionBytes: limitSchema.prefault('12582912'),
+  callerRequestsAhead: limitSchema.prefault('8'),
   seed: wholeNumberSchema.prefault('1')
 })
 
@@ -69,6 +74,13 @@
   },
   logLevel: { flag: 'log-level', description: 'error, warn, info or debug' },
   maximumRunning: { flag: 'maximum-running', description: 'Most requests that run at once on this instance' },
+  callerMemoryBytes: { flag: 'caller-memory-bytes', description: 'Bytes that all connections of callers and operators may hold together' },
+  callerAddressBytes: { flag: 'caller-address-bytes', description: 'Bytes that all connections from one IP address may hold' },
+  callerConnectionBytes: { flag: 'caller-connection-bytes', description: 'Bytes that one connection may hold' },
+  callerRequestsAhead: {
+    flag: 'caller-requests-ahead',
+    description: 'Requests of one connection that are read before the first of them is answered; further ones wait unread'
+  },
   seed: { flag: 'seed', description: 'Seed of the jitter generator' }
 }
 
--- a/packages/daemon/src/telemetry/counterTable.ts
+++ b/packages/daemon/src/telemetry/counterTable.ts
@@ -7,6 +7,7 @@
 /** What is counted. Each refusal is counted twice: as `refusals` and by its kind. */
 export type CountedMeasure =
   | 'requests' | 'refusals' | 'retries' | 'recomputed-tokens' | 'reused-tokens' | 'imported-bytes' | 'exported-bytes'
+  | 'dropped-callers'
   | `refused-${RefusalKind}`
 
 /** A count that never decreases. */
--- a/packages/http/src/callerAccounts.ts
+++ b/packages/http/src/callerAccounts.ts
@@ -12,6 +12,8 @@
 const OPEN_BYTE_COST = 4
 /** The head of a request that was read is held as it was sent and by name. */
 const HEAD_BYTE_COST = 2
+/** Bodies whose readers do not tell what they hold are held as they were sent and as text. */
+const BODY_BYTE_COST = 2
 /** Callers take what waits for them without an event for each part. */
 const MEASURING_INTERVAL_MILLISECONDS = 100
 
@@ -31,7 +33,8 @@
 export class CallerAccounts {
   private readonly _open = new Map<Socket, Measured>()
 
-  constructor (private readonly _guard: CallerGuard) {
+  /** @param _countsBodies whether bodies count as they arrive, until their answers are written out; otherwise `hold` says so */
+  constructor (private readonly _guard: CallerGuard, private readonly _countsBodies: boolean) {
     setInterval(() => {
       for (const [socket, { unanswered }] of this._open) if (unanswered.size > 0) this._measure(socket)
     }, MEASURING_INTERVAL_MILLISECONDS).unref()
@@ -48,7 +51,10 @@
     this._measure(socket)
   }
 
-  onBytes (socket: Socket): void {
+  /** @param bytes of the current request that were passed to the parser */
+  onBytes (socket: Socket, bytes: number): void {
+    const latest = this._countsBodies ? [...this._open.get(socket)?.requests ?? []].at(-1) : undefined
+    if (latest !== undefined && !latest[0].complete) latest[1].body += BODY_BYTE_COST * bytes
     this._measure(socket)
   }
 
--- a/packages/http/src/checkedConnections.ts
+++ b/packages/http/src/checkedConnections.ts
@@ -40,9 +40,12 @@
   private _stallTimeout: number | undefined
   private readonly _accounts: CallerAccounts | undefined
 
-  /** @param guard bounds what the connections hold; none if absent */
-  constructor (private readonly _server: http.Server, private readonly _guard?: CallerGuard) {
-    this._accounts = _guard === undefined ? undefined : new CallerAccounts(_guard)
+  /**
+   * @param _guard bounds what the connections hold; none if absent
+   * @param countsBodies whether bodies count as they arrive; otherwise `hold` says what is held of them
+   */
+  constructor (private readonly _server: http.Server, private readonly _guard?: CallerGuard, countsBodies = false) {
+    this._accounts = _guard === undefined ? undefined : new CallerAccounts(_guard, countsBodies)
     _server.on('connection', (socket: Socket) => { this._check(socket) })
     _server.prependListener('request', (request: http.IncomingMessage, response: http.ServerResponse) => {
       const connection = this._open.get(request.socket)
@@ -167,7 +170,7 @@
         if (pieces.length > 0) for (const parse of parsers) parse.call(socket, joined(pieces))
         offset = end
       }
-      this._accounts?.onBytes(socket)
+      this._accounts?.onBytes(socket, bytes.length)
       if (syntax.isInvalid && !this._refused.has(socket)) this._server.emit('clientError', new MalformedRequestError(), socket)
     })
   }
