--- a/utils/runSpecs.mjs
+++ b/utils/runSpecs.mjs
@@ -13,6 +13,8 @@
 ]
 const MAXIMUM_FILES_AT_ONCE = Math.max(1, Math.min(4, availableParallelism() - 1))
 const FILE_TIMEOUT_MILLISECONDS = 240_000
+/** Files that fill the memory of a process up to a bound; each runs alone, after the others. */
+const RUNS_ALONE = /[fF]loods\.spec\.js$/
 /** Length of the output of a failed file that is repeated at the end, where a long log is most likely kept. */
 const REPEATED_CHARACTERS = 2_000
 
@@ -86,9 +88,8 @@
 async function main () {
   const files = findSpecs(process.argv.slice(2))
   const knownRed = readKnownRed()
-  const queue = [...files]
   const verdicts = []
-  const worker = async () => {
+  const runAll = async queue => {
     for (let file = queue.shift(); file !== undefined; file = queue.shift()) {
       const result = await runFile(file)
       const verdict = judge(result, knownRed)
@@ -98,7 +99,9 @@
       if (isOutputPrinted) console.log(result.output)
     }
   }
-  await Promise.all(Array.from({ length: MAXIMUM_FILES_AT_ONCE }, worker))
+  const together = files.filter(file => !RUNS_ALONE.test(file))
+  await Promise.all(Array.from({ length: MAXIMUM_FILES_AT_ONCE }, async () => { await runAll(together) }))
+  await runAll(files.filter(file => RUNS_ALONE.test(file)))
   report(verdicts, knownRed)
 }
 
