--- a/packages/coordination/src/fronts/activeInstances.ts
+++ b/packages/coordination/src/fronts/activeInstances.ts
@@ -14,6 +14,8 @@
 const MINIMUM_ACTIVE = 4
 /** Callers choose one address at random, so that an instance much smaller than the others would get as much work as they. */
 const STRONG_SHARE = 0.25
+/** So many large instances are named alone: callers who lose both ask again, and are then told of smaller ones. */
+const MINIMUM_STRONG = 2
 /** The set grows if an active instance uses more than this share of its machine: the rest is for bursts and for losses. */
 const GROWTH_UTILIZATION = 0.6
 /** The set shrinks if all active instances together use less than this share of their machines. */
@@ -62,16 +64,16 @@
 }
 
 /**
- * The active instances of a data centre that one answer of the directory names: those with a capacity near the largest, and of
- * the others as many as are missing to the minimum, in turn.
+ * The active instances of a data centre that one answer of the directory names: those with a capacity near the largest and, where
+ * there are fewer than two of these, as many of the others as are missing to the minimum, in turn.
  * @param ranked the active instances, as `rankInstances` returns them
  * @param turn number of the answer
  */
 export function namedInstances<Instance extends RankedInstance> (ranked: readonly Instance[], turn: number): Instance[] {
-  const largest = ranked[0]?.capacity ?? 0
-  const strong = ranked.filter(({ capacity = 0 }) => capacity >= STRONG_SHARE * largest)
+  const strong = ranked.filter(({ capacity = 0 }) => capacity >= STRONG_SHARE * (ranked[0]?.capacity ?? 0))
+  if (strong.length >= MINIMUM_STRONG) return strong
   const weak = ranked.slice(strong.length)
-  const missing = Math.min(weak.length, Math.max(0, MINIMUM_NAMED - strong.length))
+  const missing = Math.min(weak.length, MINIMUM_NAMED - strong.length)
   const inTurn = Array.from({ length: missing }, (_, index) => weak[(turn * missing + index) % weak.length] as Instance)
   return [...strong, ...inTurn]
 }
@@ -190,11 +192,21 @@
 
 /**
  * The addresses that one answer of the directory names: active instances of the caller's data centre, and those of others where
- * too few are alive there.
+ * too few are alive there, or only such that are much smaller than others.
  */
 export function namedAddresses (byZone: readonly (readonly FrontRecord[])[], zone: string, turn: number): string[] {
-  const near = byZone.flatMap(active => active[0]?.zone === zone ? namedInstances(active, turn) : [])
-  const far = byZone.flatMap(active => active[0]?.zone === zone ? [] : namedInstances(active, turn))
-  const named = near.length < MINIMUM_NAMED ? [...near, ...far] : near
+  const near = byZone.filter(active => active[0]?.zone === zone)
+  const far = byZone.filter(active => active[0]?.zone !== zone)
+  const largest = Math.max(0, ...byZone.map(active => active[0]?.capacity ?? 0))
+  const isStrong = ({ capacity = 0 }: FrontRecord): boolean => capacity >= STRONG_SHARE * largest
+  const alive = near.flat()
+  const isEnough = alive.length >= MINIMUM_NAMED && alive.filter(isStrong).length >= MINIMUM_STRONG
+  const named = near.flatMap(active => namedInstances(active, turn))
+  if (!isEnough) {
+    const elsewhere = far.flatMap(active => namedInstances(active, turn))
+    const strong = [...named, ...elsewhere].filter(isStrong)
+    if (strong.length >= MINIMUM_NAMED) named.splice(0, Infinity, ...strong)
+    else named.push(...elsewhere)
+  }
   return named.slice(0, MAXIMUM_ADDRESSES).map(({ frontAddress }) => frontAddress)
 }
