fix(dispatch): let the return of links and a load of weights replace the trials of an unreachable replica

An instance that was cut off had taken all replicas for unreachable, so that after the return it kept to trials of two requests. A replica without a pace now costs one look-up by its id while others have one, and no concatenated key.

--- a/packages/coordination/src/dispatch/serverPace.spec.ts
+++ b/packages/coordination/src/dispatch/serverPace.spec.ts
@@ -3,6 +3,7 @@
 import * as assert from 'uvu/assert'
 import { rankByRendezvous, SeededRandom, type Milliseconds } from '../common/index.js'
 import type { Replica } from '../catalog/index.js'
+import { heartbeatSchema } from '../fronts/index.js'
 import { ReplicaHealth, SharedServerPace, type AnswerTime, type PaceCause, type PacedEnd, type PaceUpdate } from './index.js'
 
 const REPLICA: Replica = {
@@ -85,6 +86,30 @@
   })
 }
 
+const again: { title: string, causes: [PaceCause, at: number][], window: number | undefined }[] = [
+  { title: 'keep the pace of a start while other causes follow', causes: [['started', 0], ['links-returned', 9_000], ['unreachable', 9_000]], window: 4 },
+  { title: 'use half of the slots of a replica that was unreachable by own links', causes: [['unreachable', 0], ['links-returned', 9_000]], window: 24 },
+  { title: 'begin for all once weights are loaded', causes: [['unreachable', 0], ['weights-loaded', 900]], window: 4 },
+  { title: 'begin once where two instances tell of the same load', causes: [['weights-loaded', 0], ['weights-loaded', 900]], window: 4 }
+]
+for (const { title, causes, window } of again) {
+  test(`should ${title}`, () => {
+    const pace = makePace()
+    for (const [cause, at] of causes) pace.begin(REPLICA, cause, at)
+    assert.equal([pace.windowOf(REPLICA), pace.size], [window, 1])
+  })
+}
+
+// Guards against the limit of a former run that applies to the one after it, or is never removed.
+test('should limit each run of a replica by itself', () => {
+  const pace = begun()
+  const next = { ...REPLICA, startedAt: 2 }
+  assert.equal([pace.windowOf(next), pace.maySend(next, ['other'], 0)], [undefined, true])
+  pace.begin(next, 'started', 0)
+  pace.forget(REPLICA)
+  assert.equal([pace.windowOf(REPLICA), pace.windowOf(next), pace.size], [undefined, 4, 1])
+})
+
 const update = (change: Partial<PaceUpdate>): PaceUpdate => (
   { replicaId: 'r', startedAt: 1, epoch: 0, window: 8, age: 0, isForAll: true, ...change })
 const received: { title: string, cause?: PaceCause, change: Partial<PaceUpdate>, window: number | undefined }[] = [
@@ -121,6 +146,23 @@
   assert.ok(pace.isEmpty)
 })
 
+// Guards against heartbeats that are dropped as a whole since a build reads the field in another way, or does not send it.
+const fields: { title: string, paces: unknown, expected: unknown }[] = [
+  { title: 'of an older build', paces: undefined, expected: undefined },
+  { title: 'with a pace and an end', paces: [['r', 1, 0, 8, 20, true], ['q', 1, 2, null, 0, false]], expected: [['r', 1, 0, 8, 20, true], ['q', 1, 2, null, 0, false]] },
+  { title: 'with a negative window', paces: [['r', 1, 0, -8, 20, true]], expected: undefined },
+  { title: 'with text for paces', paces: 'none', expected: undefined }
+]
+for (const { title, paces, expected } of fields) {
+  test(`should read a heartbeat ${title}`, () => {
+    const from = { name: 'n', incarnation: 1, isLeaving: false }
+    const heartbeat = {
+      from, isReady: true, named: [], loads: {}, sent: [], stores: [], fetched: [], loading: [], loaded: [], crashes: [], paces
+    }
+    assert.equal(heartbeatSchema.parse(heartbeat).paces, expected)
+  })
+}
+
 interface Member {
   name: string
   names: string[]
--- a/packages/coordination/src/dispatch/serverPace.ts
+++ b/packages/coordination/src/dispatch/serverPace.ts
@@ -164,7 +164,8 @@
   private readonly _speeds = new AnswerSpeeds()
   /** For runs that were last unreachable: when the first request was sent since that was not answered. */
   private readonly _unansweredSince = new Map<string, Milliseconds>()
-  private _limited = 0
+  /** The runs with a window, by the id of the replica, so that others cost one look-up. */
+  private readonly _limited = new Map<string, PacedRun>()
 
   /** @param _self name of this instance */
   constructor (private readonly _self: string, private readonly _settings: SharedServerPaceSettings) {
@@ -172,18 +173,20 @@
   }
 
   override get isEmpty (): boolean {
-    return this._limited === 0
+    return this._limited.size === 0
   }
 
   override get size (): number {
-    return this._limited
+    return this._limited.size
   }
 
   override begin (replica: Replica, cause: PaceCause, now: Milliseconds): PaceChange | undefined {
     const known = this._runs.get(replicaRunOf(replica))
     if (known !== undefined) {
-      const isSameStart = cause === 'started' || (cause === 'weights-loaded' && now - known.begunAt < SAME_CAUSE_TIME)
-      if (known.window !== undefined || isSameStart) return undefined
+      const isSameLoad = cause === 'weights-loaded' && known.isForAll && now - known.begunAt < SAME_CAUSE_TIME
+      // Where all replicas were unreachable by this instance's links, the return of the links tells more than their trials.
+      const isLimited = known.window !== undefined && (known.isForAll || cause === 'unreachable')
+      if (isLimited || isSameLoad || cause === 'started') return undefined
     }
     const run = known ?? this._add(replica, now)
     if (known !== undefined) run.epoch += 1
@@ -196,7 +199,7 @@
   }
 
   override maySend (replica: Replica, instances: readonly string[] | undefined, now: Milliseconds): boolean {
-    const run = this._runs.get(replicaRunOf(replica))
+    const run = this._limitedRun(replica)
     if (run?.window === undefined) return true
     if (instances === undefined) return false
     this._updateRank(run, instances)
@@ -205,20 +208,18 @@
   }
 
   override onSent (replica: Replica, now: Milliseconds): PacedSend | undefined {
-    if (this.isEmpty) return undefined
-    const key = replicaRunOf(replica)
-    const run = this._runs.get(key)
-    if (run?.window === undefined) return undefined
+    const run = this._limitedRun(replica)
+    if (run === undefined) return undefined
     run.inFlight += 1
-    return { run: key, sentAt: now }
+    return { run: replicaRunOf(replica), sentAt: now }
   }
 
   override onFirstByte (
     replica: Replica, send: PacedSend | undefined, time: AnswerTime, now: Milliseconds
   ): PaceChange | undefined {
     if (this.isEmpty) return undefined
-    const run = this._runs.get(replicaRunOf(replica))
-    if (run?.window === undefined) {
+    const run = this._limitedRun(replica)
+    if (run === undefined) {
       this._speeds.onPeerAnswer(replica.service, time)
       return undefined
     }
@@ -245,7 +246,7 @@
   }
 
   override windowOf (replica: Replica): number | undefined {
-    return this._runs.get(replicaRunOf(replica))?.window
+    return this._limitedRun(replica)?.window
   }
 
   override receive (
@@ -281,7 +282,7 @@
   override tick (now: Milliseconds): { replica: Replica, change: PaceChange }[] {
     if (this.isEmpty) return []
     const changes: { replica: Replica, change: PaceChange }[] = []
-    for (const run of this._runs.values()) {
+    for (const run of [...this._limited.values()]) {
       if (run.window === undefined || now - run.changedAt < QUIET_TIME) continue
       const change = this._grow(run, run.window * FAST_GROWTH, now)
       if (change !== undefined) changes.push({ replica: run.replica, change })
@@ -291,11 +292,16 @@
 
   override forget (replica: Replica): void {
     const key = replicaRunOf(replica)
-    if (this._runs.get(key)?.window !== undefined) this._limited -= 1
+    if (this._limitedRun(replica) !== undefined) this._limited.delete(replica.id)
     this._runs.delete(key)
     this._unansweredSince.delete(key)
   }
 
+  private _limitedRun ({ id, startedAt }: Replica): PacedRun | undefined {
+    const run = this._limited.get(id)
+    return run?.replica.startedAt === startedAt ? run : undefined
+  }
+
   /** Returns whether the replica has answered nothing for longer than a healthy one is silent. */
   private _recordReachability (replica: Replica, end: PacedEnd, sentAt: Milliseconds, now: Milliseconds): boolean {
     if (end !== 'unreachable') {
@@ -351,8 +357,9 @@
     const peers = (run.instances?.length ?? 1) - 1
     const propagation = peers === 0 ? 0 : intervalsForRound(peers) * this._settings.heartbeatInterval + HEARTBEAT_DELAY
     if (run.window === undefined && window !== undefined) run.begunAt = now
-    this._limited += (window === undefined ? 0 : 1) - (run.window === undefined ? 0 : 1)
     run.window = window
+    if (window !== undefined) this._limited.set(run.replica.id, run)
+    else if (this._limitedRun(run.replica) !== undefined) this._limited.delete(run.replica.id)
     run.changedAt = now
     run.roundFrom = run.learnedAt === now ? now + propagation : now
   }
