perf(registration): renew the registrations of a large fleet at a constant rate

In fleets of more than 64 instances the lease grows with the fleet, so that all together renew ten times a second: 12.8 s between renewals at 128 instances, 34 s at 340. Smaller fleets renew as before.

A registration of an instance that has ended may therefore remain for a lease. The directory of a large fleet names an instance only once it has been heard.

The two tests of the lease and the one of the directory fail on the code before, which has neither.

--- a/packages/coordination/src/fronts/activeInstances.spec.ts
+++ b/packages/coordination/src/fronts/activeInstances.spec.ts
@@ -1,8 +1,8 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import {
-  ActiveInstances, capacityOf, concernsAll, FrontDirectory, heartbeatSchema, namedInstances, rankInstances, type FrontRecord,
-  type Heartbeat
+  ActiveInstances, capacityOf, concernsAll, FrontDirectory, heartbeatSchema, isLeaseOutdated, namedInstances, rankInstances,
+  registrationLease, type FrontRecord, type Heartbeat
 } from './index.js'
 
 const DIRECTORY = { heartbeatInterval: 250, minimumSilenceTimeout: 1_300, unconfirmedLifetime: 3_000, forgetAfter: 30_000 }
@@ -154,4 +154,33 @@
   assert.not(fronts.livePeers(6_100).some(({ name }) => name === 'i-1'), 'older word than its own that it is not ready')
 })
 
+// Registrations of instances that ended remain in the store for some time in a large fleet.
+test('should not name an instance that the store lists and nobody has heard', () => {
+  const fronts = directoryOf(Array.from({ length: 65 }, (_, index) => record(index)))
+  fronts.applyRecords([record(99, { capacity: 135 })], 100)
+  assert.not(fronts.addresses(true, 200, 'z-1').includes('a-99'))
+})
+
+const usual = { timeToLive: 4_500, renewEvery: 1_500 }
+const leases = [
+  { instances: undefined, timeToLive: 4_500, renewEvery: 1_500 },
+  { instances: 64, timeToLive: 4_500, renewEvery: 1_500 },
+  { instances: 128, timeToLive: 38_400, renewEvery: 12_800 },
+  { instances: 340, timeToLive: 102_000, renewEvery: 34_000 },
+  { instances: 10_000, timeToLive: 600_000, renewEvery: 200_000 }
+]
+for (const { instances, ...expected } of leases) {
+  test(`should renew the registrations of ${instances ?? 'unknown'} instances at a bounded rate`, () => {
+    assert.equal(registrationLease(usual, instances), expected)
+  })
+}
+
+// Guards against registering again with each instance that comes or goes.
+test('should keep a lease that is near the wanted one, and replace that of the start', () => {
+  const held = registrationLease(usual, 128)
+  const isOutdated = [100, 128, 200, 340].map(instances => isLeaseOutdated(held, registrationLease(usual, instances)))
+  assert.equal(isOutdated, [false, false, false, true])
+  assert.ok(isLeaseOutdated(usual, held))
+})
+
 test.run()
--- a/packages/coordination/src/fronts/frontDirectory.ts
+++ b/packages/coordination/src/fronts/frontDirectory.ts
@@ -234,7 +234,9 @@
     const fronts = this._ready(isSelfReady, now)
     if (!this.hasActiveSet) return fronts.map(({ frontAddress }) => frontAddress).slice(0, MAXIMUM_ADDRESSES)
     this._answers += 1
-    return namedAddresses(this._active.byZone(fronts), zone, this._answers)
+    // Registrations last long in a large fleet: one that nobody has heard yet may have ended long ago.
+    const heard = fronts.filter(({ name }) => name === this._self.name || !this._hasReceivedHeartbeat || this.isHeard(name, now))
+    return namedAddresses(this._active.byZone(heard), zone, this._answers)
   }
 
   /** The live and ready instances, this one last. */
--- a/packages/coordination/src/fronts/index.ts
+++ b/packages/coordination/src/fronts/index.ts
@@ -6,4 +6,5 @@
 export { FrontDirectory, type FrontDirectorySettings, type ReceivedHeartbeat } from './frontDirectory.js'
 export { intervalsForRound, isRoundDue, silenceTimeout } from './heartbeatRounds.js'
 export { PauseGuard, type PauseGuardSettings } from './pauseGuard.js'
+export { isLeaseOutdated, registrationLease, type RegistrationLease } from './registrationLease.js'
 export { frontRecordSchema, heartbeatSchema, type FrontRecord, type Heartbeat } from './messages.js'
--- a/packages/experiments/src/coordination/activeInstancesMeasurement.ts
+++ b/packages/experiments/src/coordination/activeInstancesMeasurement.ts
@@ -1,5 +1,5 @@
 /** What the instances of a fleet send each other, and how often they read the store, with and without active instances. */
-import type { Milliseconds } from '@wasabihead/coordination'
+import { registrationLease, type Milliseconds } from '@wasabihead/coordination'
 import { ActiveFleetReplay } from './activeFleetReplay.js'
 import { CoordinationMeasurement, type MeasurementRow } from './measurement.js'
 
@@ -11,6 +11,7 @@
 /** Settings in which an instance of this build has an active set, and one that sends as builds without it do. */
 const BUILDS = ['all to all', 'active'] as const
 const SETTLING_TIME: Milliseconds = 15_000
+const USUAL_LEASE = { timeToLive: 4_500, renewEvery: 1_500 }
 const OBSERVED_SECONDS = 10
 const MILLISECONDS_PER_SECOND = 1_000
 const BYTES_PER_KILOBYTE = 1_000
@@ -34,6 +35,7 @@
   fleet.reset()
   fleet.run(OBSERVED_SECONDS * MILLISECONDS_PER_SECOND)
   const { counts, instances, now } = fleet
+  const { renewEvery } = registrationLease(USUAL_LEASE, instances[0]?.fronts.knownSize)
   const placing = instances.filter(({ ends }) => ends.length > 0).length
   return {
     placing,
@@ -43,6 +45,7 @@
     kilobytesPerSecond: Math.round(counts.bytes / OBSERVED_SECONDS / BYTES_PER_KILOBYTE),
     kilobytesBetweenPerSecond: Math.round(counts.bytesBetween / OBSERVED_SECONDS / BYTES_PER_KILOBYTE),
     readsPerSecond: counts.reads / OBSERVED_SECONDS,
+    renewalsPerSecond: Math.round(instances.length * MILLISECONDS_PER_SECOND / renewEvery),
     loadAge: Math.round(counts.loadAges / Math.max(1, counts.loadSamples))
   }
 }
--- a/packages/gateway/src/catalog/registration.ts
+++ b/packages/gateway/src/catalog/registration.ts
@@ -1,5 +1,7 @@
 /** Registers this instance in the store under a lease, so that peers find it or know that it exists. */
-import { ABSENT_REVISION, type KeyValueService, type Milliseconds } from '@wasabihead/coordination'
+import {
+  ABSENT_REVISION, isLeaseOutdated, registrationLease, type KeyValueService, type Milliseconds, type RegistrationLease
+} from '@wasabihead/coordination'
 import type { GatewayState } from '../requests/index.js'
 
 /** Settings of a registration. */
@@ -7,6 +9,8 @@
   key: string
   timeToLive: Milliseconds
   renewEvery: Milliseconds
+  /** Whether the lease lasts longer in a large fleet. */
+  growsWithFleet?: boolean
   /** Delay after an attempt to register that failed, and after the lease has ended. */
   retryAfter: Milliseconds
 }
@@ -14,6 +18,7 @@
 /** Writes this instance's record under a lease, renews the lease and registers again after it has ended. */
 export class Registration {
   private _leaseId: string | undefined
+  private _lease: RegistrationLease
   private _timer: NodeJS.Timeout | undefined
   private _registeredIncarnation: number | undefined
   private _isCalling = false
@@ -25,7 +30,9 @@
     private readonly _state: GatewayState,
     private readonly _store: KeyValueService,
     private readonly _settings: RegistrationSettings
-  ) {}
+  ) {
+    this._lease = _settings
+  }
 
   /** Registers or renews at once, and then repeatedly until `withdraw` is called. */
   start (): void {
@@ -49,7 +56,8 @@
   }
 
   private async _registerOrRenew (): Promise<void> {
-    const isCurrent = this._registeredIncarnation === this._state.fronts.self.incarnation
+    const isCurrent = this._registeredIncarnation === this._state.fronts.self.incarnation &&
+      !isLeaseOutdated(this._lease, this._wantedLease)
     this._isCalling = true
     try {
       if (this._leaseId === undefined || !isCurrent) await this._register()
@@ -57,10 +65,15 @@
     } finally {
       this._isCalling = false
     }
-    const delay = this._leaseId === undefined ? this._settings.retryAfter : this._settings.renewEvery
+    const delay = this._leaseId === undefined ? this._settings.retryAfter : this._lease.renewEvery
     if (!this._isStopped) this._timer = setTimeout(() => { this.start() }, delay)
   }
 
+  private get _wantedLease (): RegistrationLease {
+    const { fronts } = this._state
+    return this._settings.growsWithFleet === true ? registrationLease(this._settings, fronts.knownSize) : this._settings
+  }
+
   private async _renew (leaseId: string): Promise<void> {
     const renewed = await this._store.keepLeaseAlive(leaseId)
     if (renewed.isErr && renewed.error.kind === 'platform-refused') {
@@ -70,9 +83,10 @@
   }
 
   private async _register (): Promise<void> {
-    const { key, timeToLive } = this._settings
+    const { key } = this._settings
     const returns = this._returns
-    const lease = await this._store.grantLease(timeToLive)
+    const wanted = this._wantedLease
+    const lease = await this._store.grantLease(wanted.timeToLive)
     if (lease.isErr) return
     const { self } = this._state.fronts
     let expectedRevision = ABSENT_REVISION
@@ -81,6 +95,7 @@
     const written = await this._store.compareAndSwap({ key, expectedRevision, value: JSON.stringify(self), leaseId: lease.value })
     if (written.isErr || written.value.kind === 'lost' || returns !== this._returns) return
     this._leaseId = lease.value
+    this._lease = wanted
     this._registeredIncarnation = self.incarnation
     this._state.log.change('registered', { key, revision: written.value.revision })
   }
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -131,7 +131,7 @@
       onStoreReturned: () => { this._onStoreReturned() }
     })
     const key = `${ownPrefix}${FRONT_KEY_PREFIX}${self.name}`
-    this._registration = new Registration(this.state, adapter.store, { key, ...settings.registration })
+    this._registration = new Registration(this.state, adapter.store, { key, growsWithFleet: true, ...settings.registration })
     const hostKey = `${ownPrefix}${HOST_KEY_PREFIX}${self.name}`
     this._hostRegistration = new Registration(this.state, adapter.store, { key: hostKey, ...settings.hostRegistration })
     this._crashRecords = new CrashRecords(this.state, adapter.store, ownPrefix)
