fix(catalog): count instances that others pass on when judging the own copy of the store

In a large fleet most peers are heard through active instances only, so that no instance heard half of the others and streams of unknown origin were refused.

An active instance that does not know of a change that it lacks vouches for the instances that it hears. The case of a report passed on fails without the longer time.

--- a/packages/coordination/src/catalog/catalogCurrency.spec.ts
+++ b/packages/coordination/src/catalog/catalogCurrency.spec.ts
@@ -22,6 +22,23 @@
   })
 }
 
+// Guards against streams that nobody takes up while the store is away, since most peers are heard through others only.
+type Reports = [peer: string, isAhead: boolean, age: number][]
+const passedOn: { title: string, reports: Reports, arePassedOn: boolean, isCurrent: boolean }[] = [
+  { title: 'agrees with what was passed on', reports: [['b', false, 3_900]], arePassedOn: true, isCurrent: true },
+  { title: 'agrees with what was passed on too long ago', reports: [['b', false, 4_001]], arePassedOn: true, isCurrent: false },
+  { title: 'agrees with as old reports where none are passed on', reports: [['b', false, 3_900]], arePassedOn: false, isCurrent: false },
+  { title: 'may lack what a peer has', reports: [['b', false, 200], ['c', true, 3_900]], arePassedOn: true, isCurrent: false },
+  { title: 'agrees with the peer itself, after older word of it', reports: [['b', false, 200], ['b', true, 900]], arePassedOn: true, isCurrent: true }
+]
+for (const { title, reports, arePassedOn, isCurrent } of passedOn) {
+  test(`should ${isCurrent ? '' : 'not '}rely on a copy that ${title}`, () => {
+    const currency = new CatalogCurrency({ ...SETTINGS, passedOnTimeout: 4_000 })
+    for (const [peer, isAhead, age] of reports) currency.onReport(peer, isAhead, NOW - age)
+    assert.is(currency.isCurrent(0, PEERS, NOW, arePassedOn), isCurrent)
+  })
+}
+
 test('should rely on no peers where there are none', () => {
   assert.not(new CatalogCurrency(SETTINGS).isCurrent(0, [], NOW))
 })
--- a/packages/coordination/src/catalog/catalogCurrency.ts
+++ b/packages/coordination/src/catalog/catalogCurrency.ts
@@ -10,6 +10,8 @@
   longestAge: Milliseconds
   /** Within this time a peer that is alive reports the state of its copy. */
   reportTimeout: Milliseconds
+  /** The same where reports of most peers are passed on by others. */
+  passedOnTimeout?: Milliseconds
 }
 
 /** What the peers last reported of their copies of the store, in comparison with the own one. */
@@ -21,9 +23,15 @@
   /**
    * A peer reported the state of its copy.
    * @param isAhead whether it may have changes that the own copy lacks
+   * @param at when it was sent if it was passed on, otherwise when it was received
    */
-  onReport (peer: string, isAhead: boolean, now: Milliseconds): void {
-    this._reports.set(peer, { isAhead, at: now })
+  onReport (peer: string, isAhead: boolean, at: Milliseconds): void {
+    if ((this._reports.get(peer)?.at ?? -Infinity) <= at) this._reports.set(peer, { isAhead, at })
+  }
+
+  /** Whether a peer's last report was ahead of the own copy; undefined without a report. */
+  isAhead (peer: string): boolean | undefined {
+    return this._reports.get(peer)?.isAhead
   }
 
   /** Whether the own copy was confirmed for the last time so long ago that changes may not be in force in time. */
@@ -40,11 +48,14 @@
    * Whether the own copy is as new as that of any other instance.
    * @param currentAsOf the latest time at which it is known to have been complete
    * @param peers names of all known peers, alive or not
+   * @param arePassedOn whether reports of most peers are passed on by others
    */
-  isCurrent (currentAsOf: Milliseconds, peers: readonly string[], now: Milliseconds): boolean {
+  isCurrent (currentAsOf: Milliseconds, peers: readonly string[], now: Milliseconds, arePassedOn = false): boolean {
     if (!this.isOutdated(currentAsOf, now)) return true
     for (const peer of this._reports.keys()) if (!peers.includes(peer)) this._reports.delete(peer)
-    const recent = [...this._reports.values()].filter(({ at }) => now - at <= this._settings.reportTimeout)
+    const { reportTimeout, passedOnTimeout = reportTimeout } = this._settings
+    const timeout = arePassedOn ? passedOnTimeout : reportTimeout
+    const recent = [...this._reports.values()].filter(({ at }) => now - at <= timeout)
     // While the store answers nobody, no instance learns of a change; a minority may be cut off from those that do.
     return recent.every(({ isAhead }) => !isAhead) && 2 * (recent.length + 1) >= peers.length + 1 && recent.length > 0
   }
--- a/packages/coordination/src/fronts/messages.ts
+++ b/packages/coordination/src/fronts/messages.ts
@@ -75,6 +75,8 @@
   cutOff: z.array(z.string()).default([]),
   /** Large fleets: number of active instances in the sender's data centre, and the share of its machine that the sender uses. */
   active: z.object({ size: z.number().int().nonnegative(), utilization: z.number().nonnegative() }).optional(),
+  /** Whether the sender knows of a change of the store that it lacks, so that instances that it hears may be ahead of it. */
+  isBehind: z.boolean().optional(),
   /**
    * Live and ready instances that the sender hears: name, incarnation, milliseconds since their heartbeat, and capacity (null
    * from older builds).
--- a/packages/gateway/src/peers/heartbeats.ts
+++ b/packages/gateway/src/peers/heartbeats.ts
@@ -2,8 +2,9 @@
 import dgram from 'node:dgram'
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import {
-  ActiveRounds, heartbeatSchema, isRoundDue, PauseGuard, streamOriginsMessageSchema, type CatalogChange, type CatalogStatus,
-  type FrontRecord, type Heartbeat, type MachineSize, type Milliseconds, type ReplicaLoad, type StreamOriginsMessage
+  ActiveRounds, heartbeatSchema, isRoundDue, MESSAGE_DELAY_MARGIN, PauseGuard, streamOriginsMessageSchema, type CatalogChange,
+  type CatalogStatus, type FrontRecord, type Heartbeat, type MachineSize, type Milliseconds, type ReplicaLoad,
+  type StreamOriginsMessage
 } from '@wasabihead/coordination'
 import { splitAddress } from '../channels/index.js'
 import { connectedInstances, type GatewayState } from '../requests/index.js'
@@ -203,7 +204,8 @@
       loads[id] = [load.requests, Math.round(load.prefillTokens), Math.round(load.memoryTokens)]
     }
     const {
-      fronts, sentPrompts, storedParts, loadingReplicas, crashes, notices, replicaLimits, links, now, suspensionAwareNow
+      fronts, mirror, readSchedule, sentPrompts, storedParts, loadingReplicas, crashes, notices, replicaLimits, links, now,
+      suspensionAwareNow
     } = this._state
     const orders = loadingReplicas.reportedBy(fronts.self.name, now())
     return {
@@ -227,6 +229,7 @@
       rolloutEpoch: this._callbacks.rolloutEpoch(),
       cutOff: links.cutOff,
       active: fronts.activeReport,
+      isBehind: fronts.hasActiveSet && readSchedule.isBehind(mirror.reach, mirror.era) ? true : undefined,
       limits: replicaLimits.updates(suspensionAwareNow()).map(({ run, rate, heardAge, sentAge }) => (
         [run, rate ?? null, Math.ceil(heardAge), Math.ceil(sentAge)])),
       ...crashes.update(suspensionAwareNow())
@@ -270,7 +273,6 @@
       this._state.log.decision('heartbeat-waited', { from: heartbeat.from.name })
       return
     }
-    if (heartbeat.heard !== undefined) this._state.fronts.receiveHeard(heartbeat.heard, now)
     for (
       const service of this._state.peerLinks.receive(heartbeat.from.name, heartbeat.cutOff, now)
     ) this._state.links.onReachedByPeer(service)
@@ -307,6 +309,18 @@
       const change of this._state.catalog.applyPeerAnnouncements(namings, suspensionAwareNow)
     ) this._callbacks.onCatalogChange(change)
     if (catalog !== undefined) this._callbacks.onPeerCatalogStatus(catalog, this._state.fronts.peer(from.name))
+    if (heartbeat.heard !== undefined) this._receiveHeard(heartbeat.heard, heartbeat)
+  }
+
+  /** What the sender of a list knows of the store, the instances in it know at most, unless the sender is behind. */
+  private _receiveHeard (heard: NonNullable<Heartbeat['heard']>, { from, isBehind = false }: Heartbeat): void {
+    const { fronts, catalogCurrency, now, suspensionAwareNow } = this._state
+    fronts.receiveHeard(heard, now())
+    const isAhead = catalogCurrency.isAhead(from.name)
+    if (isAhead === undefined) return
+    for (const [name, , age] of heard) {
+      catalogCurrency.onReport(name, isAhead || isBehind, suspensionAwareNow() - age - MESSAGE_DELAY_MARGIN)
+    }
   }
 
   private _receiveSentPrompts (replicaId: string, salt: string, parts: [string, number][]): void {
--- a/packages/gateway/src/requests/requestRun.ts
+++ b/packages/gateway/src/requests/requestRun.ts
@@ -173,7 +173,8 @@
   private _mayVersionsBeMixed (): boolean {
     const { softwareVersions, catalog, catalogCurrency, readSchedule, fronts, suspensionAwareNow } = this._state
     const now = suspensionAwareNow()
-    if (!catalogCurrency.isCurrent(readSchedule.currentAsOf, fronts.peers.map(({ name }) => name), now)) return true
+    const peers = fronts.peers.map(({ name }) => name)
+    if (!catalogCurrency.isCurrent(readSchedule.currentAsOf, peers, now, fronts.hasActiveSet)) return true
     return this._request.route.targets.some(({ service }) => softwareVersions.isMixed(service, catalog.replicas, now))
   }
 
