--- a/packages/coordination/src/fronts/activeInstances.spec.ts
+++ b/packages/coordination/src/fronts/activeInstances.spec.ts
@@ -57,6 +57,7 @@
   { title: 'large ones elsewhere rather than small ones', near: [135, 7, 7, 7], far: [135, 135, 7], expected: ['near-0', 'far-0', 'far-1'] },
   { title: 'large ones elsewhere where all are small', near: [7, 7, 7, 7], far: [135, 135, 135], expected: ['far-0', 'far-1', 'far-2'] },
   { title: 'small ones besides where too few are large', near: [135, 7], far: [7], expected: ['near-0', 'near-1', 'far-0'] },
+  { title: 'small ones of the data centre where none elsewhere is large', near: [135, 7, 7, 7], far: [7, 7], expected: ['near-0', 'near-1', 'near-2'] },
   { title: 'all of the same size', near: [7, 7, 7, 7], far: [7, 7, 7, 7], expected: ['near-0', 'near-1', 'near-2', 'near-3'] }
 ]
 for (const { title, near, far, expected } of answers) {
--- a/packages/coordination/src/fronts/activeInstances.ts
+++ b/packages/coordination/src/fronts/activeInstances.ts
@@ -200,13 +200,14 @@
   const largest = Math.max(0, ...byZone.map(active => active[0]?.capacity ?? 0))
   const isStrong = ({ capacity = 0 }: FrontRecord): boolean => capacity >= STRONG_SHARE * largest
   const alive = near.flat()
-  const isEnough = alive.length >= MINIMUM_NAMED && alive.filter(isStrong).length >= MINIMUM_STRONG
   const named = near.flatMap(active => namedInstances(active, turn))
-  if (!isEnough) {
-    const elsewhere = far.flatMap(active => namedInstances(active, turn))
-    const strong = [...named, ...elsewhere].filter(isStrong)
-    if (strong.length >= MINIMUM_NAMED) named.splice(0, Infinity, ...strong)
-    else named.push(...elsewhere)
-  }
-  return named.slice(0, MAXIMUM_ADDRESSES).map(({ frontAddress }) => frontAddress)
+  if (alive.length >= MINIMUM_NAMED && alive.filter(isStrong).length >= MINIMUM_STRONG) return addressesOf(named)
+  const elsewhere = far.flatMap(active => namedInstances(active, turn))
+  const strong = [...named, ...elsewhere].filter(isStrong)
+  if (strong.length >= MINIMUM_NAMED) return addressesOf(strong)
+  return addressesOf(alive.length < MINIMUM_NAMED ? [...named, ...elsewhere] : named)
+}
+
+function addressesOf (records: readonly FrontRecord[]): string[] {
+  return records.slice(0, MAXIMUM_ADDRESSES).map(({ frontAddress }) => frontAddress)
 }
--- a/packages/daemon/src/settings/settingsSchema.ts
+++ b/packages/daemon/src/settings/settingsSchema.ts
@@ -32,7 +32,7 @@
   callerMemoryBytes: limitSchema.prefault('33554432'),
   callerAddressBytes: limitSchema.prefault('25165824'),
   callerConnectionBytes: limitSchema.prefault('12582912'),
-  callerRequestsAhead: limitSchema.prefault('32'),
+  callerRequestsAhead: limitSchema.prefault('64'),
   seed: wholeNumberSchema.prefault('1')
 })
 
