--- a/tests/platform/coldReplicas.spec.ts
+++ b/tests/platform/coldReplicas.spec.ts
@@ -11,6 +11,8 @@
 const REQUEST_INTERVAL_MS = 8
 const MILLISECONDS = 1_000
 const ALLOWED = COLD_PER_SECOND * 1.5 + 5
+/** The other replica answers this late, so that it is busy and the one that returns is chosen whenever it accepts a request. */
+const OTHER_ANSWER_MS = 40
 /** The next run of a replica. */
 const LATER_START = 1_800_000_000_000
 
@@ -23,7 +25,10 @@
   const desk = { name: 'desk', health_path: '/health', max_conns: 20, cold_s: COLD_MS / MILLISECONDS, cold_per_s: COLD_PER_SECOND }
   fleet.store.put('op/config', configurationOf(1, { services: [desk] }))
   returning = await fleet.addReplica('replica-1', 'desk')
-  await fleet.addReplica('replica-2', 'desk')
+  const other = await fleet.addReplica('replica-2', 'desk')
+  other.respond = (request, response) => {
+    setTimeout(() => { response.writeHead(200, other.answerHeaders(request)).end('other') }, OTHER_ANSWER_MS)
+  }
   for (const gateway of fleet.gateways) await waitUntil(async () => (await safe(gateway)).status === 200)
 })
 test.after.each(async () => { await fleet.stop() })
