--- a/packages/http/src/callerAccounts.ts
+++ b/packages/http/src/callerAccounts.ts
@@ -88,7 +88,11 @@
   private _readOn (socket: Socket): void {
     const measured = this._open.get(socket)
     if (measured?.isHeldBack !== true || measured.unanswered.size >= this._guard.requestsAhead) return
-    // Node.js pauses a connection whose answers are not read; it is then to stay so.
+    // Node.js pauses a connection whose answers wait, and reads on by itself; bytes that it gets before fail an assertion.
+    if (isPausedByServer(socket)) {
+      measured.isHeldBack = false
+      return
+    }
     if (socket.writableNeedDrain) {
       socket.once('drain', () => { this._readOn(socket) })
       return
@@ -108,6 +112,11 @@
   }
 }
 
+/** Whether the HTTP server has paused the connection; Node.js tells it by this property of its own only. */
+function isPausedByServer (socket: Socket & { _paused?: boolean }): boolean {
+  return socket._paused === true
+}
+
 function holdingOf (socket: Socket, { syntax, unanswered, requests }: Measured): CallerHolding {
   let serving = 0
   let waiting = OPEN_BYTE_COST * syntax.openBytes + socket.readableLength + socket.writableLength
