--- a/packages/coordination/src/dispatch/fleetColdReplicas.spec.ts
+++ b/packages/coordination/src/dispatch/fleetColdReplicas.spec.ts
@@ -14,8 +14,8 @@
 const HEARTBEAT_INTERVAL: Milliseconds = 250
 const OVERSHOOT = 1.5
 const SLACK = 5
-/** Share of the rate that must be used, so that a bound that is kept by sending nothing is noticed. */
-const LEAST_USED_SHARE = 0.6
+/** With demand there, a replica that states a rate is to get this share of it; rateLimits.md has the same aim. */
+const LEAST_USED_SHARE = 0.8
 /** To run more: WASABIHEAD_PROPERTY_SEEDS=40 node packages/coordination/dist/dispatch/fleetColdReplicas.spec.js */
 const SEEDS = Number(process.env.WASABIHEAD_PROPERTY_SEEDS ?? 3)
 
@@ -217,12 +217,13 @@
   })
 }
 
-test('should use most of what a cold replica accepts', () => {
-  for (const [instances, rate] of sizes.filter(([, perSecond]) => perSecond >= 8)) {
+for (const [instances, rate] of sizes.filter(([, perSecond]) => perSecond >= 8)) {
+  // Guards against a bound that is kept by sending too little.
+  test(`should use most of the ${rate} a second that a cold replica accepts from ${instances} instances`, () => {
     const { usedShare } = new ColdReplay({ instances, rate, seed: 1, faults: { keepsId: true } }).play()
-    assert.ok(usedShare >= LEAST_USED_SHARE, `${instances} instances, ${rate} a second: only ${usedShare} was used`)
-  }
-})
+    assert.ok(usedShare >= LEAST_USED_SHARE, `only ${usedShare} was used`)
+  })
+}
 
 // Verifies the check itself.
 test('should notice that each instance takes the whole rate', () => {
--- a/packages/coordination/src/dispatch/promptQueue.spec.ts
+++ b/packages/coordination/src/dispatch/promptQueue.spec.ts
@@ -1,7 +1,7 @@
 /** Replays a burst of long prompts beside short ones on the decision whether an engine's queue is too long for one more. */
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { isQueueTooLong, urgencyOf } from './index.js'
+import { isQueueTooLong, ServiceRoom, urgencyOf, WaitQueue } from './index.js'
 
 const SHORT = { objective: 800, readTime: 23, interval: 40 }
 const LONG = { objective: 2_000, readTime: 250, interval: 250 / 1.3 }
@@ -37,6 +37,65 @@
   assert.ok(bounded.short >= 2 * unbounded.short && bounded.long >= 2 * unbounded.long, figures)
 })
 
+/** As `onTime`, with the wait queue in front of the engine: prompts wait there while the engine's queue is too long. */
+function onTimeBehindWaitQueue (): Record<'short' | 'long' | 'all', number> {
+  const room = new ServiceRoom()
+  const queue = new WaitQueue(room)
+  const kinds = { short: { ...SHORT, room: 830, priority: 0 }, long: { ...LONG, room: 9_200, priority: 2 } }
+  const counts = { short: { all: 0, onTime: 0 }, long: { all: 0, onTime: 0 } }
+  const waiting = new Map<number, { route: 'short' | 'long', at: number }>()
+  const ends: { at: number, room: number, run: number }[] = []
+  let freeAt = 0
+  let id = 0
+  const isTooLong = (route: 'short' | 'long', now: number): boolean => isQueueTooLong({
+    queueTime: Math.max(0, freeAt - now), readTime: kinds[route].readTime, shortestObjective: SHORT.objective
+  })
+  const send = (route: 'short' | 'long', at: number, now: number): void => {
+    freeAt = Math.max(now, freeAt) + kinds[route].readTime
+    room.onTaken(kinds[route].room)
+    ends.push({ at: freeAt, room: kinds[route].room, run: freeAt - now })
+    if (freeAt - at <= kinds[route].objective) counts[route].onTime += 1
+  }
+  for (let now = 0; now < DURATION; now++) {
+    for (let end = ends[0]; end !== undefined && end.at <= now; end = ends[0]) {
+      room.onFreed(end.room, end.run, now)
+      ends.shift()
+    }
+    for (const route of ['short', 'long'] as const) {
+      const { interval, objective, readTime, priority } = kinds[route]
+      if (Math.floor(now / interval) === Math.floor((now - 1) / interval)) continue
+      counts[route].all += 1
+      id += 1
+      const sendBy = now + objective - readTime
+      const request = {
+        id, workspace: '', route, priority, room: kinds[route].room, receivedAt: now, objective, sendBy, fingerprint: `${id}`
+      }
+      if (queue.admitAtOnce(request, isTooLong(route, now) ? Infinity : 0, now)) send(route, now, now)
+      else {
+        queue.enter(request, now)
+        waiting.set(id, { route, at: now })
+      }
+    }
+    const refusals = queue.advance(offered => {
+      const { route, at } = waiting.get(offered) ?? { route: 'short', at: now }
+      if (isTooLong(route, now)) return 'declined'
+      send(route, at, now)
+      return 'sent'
+    }, now)
+    for (const refusal of refusals) waiting.delete(refusal.id)
+  }
+  const { short, long } = counts
+  return {
+    short: short.onTime / short.all, long: long.onTime / long.all, all: (short.onTime + long.onTime) / (short.all + long.all)
+  }
+}
+
+// Guards against a bound on queues that leaves long prompts unserved, since there is always a short one that may go first.
+test('should answer each route on time at least half as often as all, with the wait queue before the bound', () => {
+  const shares = onTimeBehindWaitQueue()
+  assert.ok(Math.min(shares.short, shares.long) >= shares.all / 2, JSON.stringify(shares))
+})
+
 test('should let a prompt of any length follow a short queue', () => {
   assert.is(isQueueTooLong({ queueTime: 20, readTime: 5_000, shortestObjective: SHORT.objective }), false)
 })
