--- a/packages/coordination/src/fronts/activeInstances.spec.ts
+++ b/packages/coordination/src/fronts/activeInstances.spec.ts
@@ -158,7 +158,7 @@
   assert.is(fronts.activeReport, undefined)
 })
 
-// An instance that others have passed on word of counts as alive for 4 s after its own heartbeat, however often it is passed on.
+// An instance that others report counts as alive for 4 s after its own heartbeat, however often the report is passed on.
 test('should add up the ages of what is passed on, and believe it for 4 s', () => {
   const fronts = directoryOf(Array.from({ length: 65 }, (_, index) => record(index)))
   const live = (now: number): boolean => fronts.isHeard('i-1', now)
--- a/packages/coordination/src/fronts/frontDirectory.ts
+++ b/packages/coordination/src/fronts/frontDirectory.ts
@@ -26,11 +26,11 @@
   firstSeenAt: Milliseconds
   /** When its last heartbeat was received. */
   receivedAt: Milliseconds | undefined
-  /** When the latest of its heartbeats was sent that other instances have passed on word of. */
+  /** When the latest of its heartbeats was sent that other instances have reported. */
   passedOnAt: Milliseconds | undefined
 }
 
-/** An instance counts as alive for this long after the last heartbeat that others have passed on word of. */
+/** An instance counts as alive for this long after the last heartbeat that others have reported. */
 const PASSED_ON_LIFETIME: Milliseconds = 4_000
 /** Allowance for the time that a message from a peer was under way. */
 const MESSAGE_DELAY_MARGIN: Milliseconds = 150
@@ -183,7 +183,7 @@
     }
   }
 
-  /** The other instances of whose current run a heartbeat has been received, or passed on word of, alive or not. */
+  /** The other instances of whose current run a heartbeat has been received, or reported by others, alive or not. */
   get observedPeers (): FrontRecord[] {
     return [...this._fronts.values()].filter(front => lastHeardAt(front) !== undefined).map(({ record }) => record)
   }
@@ -309,7 +309,7 @@
   }
 }
 
-/** When the latest known heartbeat of an instance was received, or sent if others have passed on word of it. */
+/** When the latest known heartbeat of an instance was received, or sent if others have reported it. */
 function lastHeardAt ({ receivedAt, passedOnAt }: KnownFront): Milliseconds | undefined {
   if (receivedAt === undefined || passedOnAt === undefined) return receivedAt ?? passedOnAt
   return Math.max(receivedAt, passedOnAt)
--- a/packages/experiments/src/coordination/activeFleet.spec.ts
+++ b/packages/experiments/src/coordination/activeFleet.spec.ts
@@ -67,8 +67,8 @@
   { title: 'all instances of a data centre', isLost: () => instance => instance.fronts.self.zone === ZONE }
 ]
 for (const { title, isLost } of losses) {
-  // Guards against callers that are sent to ended instances, and against live ones that vanish with the active ones that passed
-  // on word of them.
+  // Guards against callers that are sent to ended instances, and against live ones that vanish with the active ones that
+  // reported them.
   test(`should name live instances only and know all live ones after the loss of ${title}`, () => {
     const fleet = fleetOf()
     const lost = fleet.instances.filter(isLost(fleet))
