--- a/review/standins-2/replica.mjs
+++ b/review/standins-2/replica.mjs
@@ -10,6 +10,7 @@
   constructor (recorder, store, { id, service, zone, slots = 6, models, work }) {
     Object.assign(this, { recorder, store, id, service, zone, slots, models, state: 'ready', seq: 0, orders: 0, born: Date.now() })
     this.work = work ?? (async (run, response) => { await this._answer(run, response) })
+    this.softwareVersion = 'v1'
     this.runs = []
     this.active = 0
     this.reportListeners = []
@@ -34,7 +35,7 @@
       service: this.service,
       address: this.registeredAddress ?? this.address,
       zone: this.zone,
-      version: 'v1',
+      version: this.softwareVersion,
       slots: this.slots,
       state: this.state,
       cold_left_ms: 0,
@@ -51,6 +52,16 @@
     this.store.put(`servers/${this.id}`, this.entry)
   }
 
+  /** Loses all connections and starts again under its id and address, with other software. */
+  async startAgain (softwareVersion, downFor) {
+    const [host, port] = this.address.split(':')
+    this.close()
+    await pause(downFor)
+    Object.assign(this, { softwareVersion, born: Date.now(), seq: 0, orders: 0 })
+    this.cache.clear()
+    await this.listen(host, Number(port))
+  }
+
   /** Resolves when the replica has written its entry for the next time. */
   async nextReport () {
     await new Promise(resolve => { this.reportListeners.push(resolve) })
