--- a/review/standins-2/runCase.mjs
+++ b/review/standins-2/runCase.mjs
@@ -1,8 +1,9 @@
-/** Runs a case: exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. */
+/** Runs a case: exits with 10 if the rule was broken, as no failure of Node.js does, 0 if it held, and 2 if it could not run. */
 import { fileURLToPath } from 'node:url'
 import { endAllProcesses, Recorder } from './harness.mjs'
 
 const LIMIT = 118_000
+const BROKEN = 10
 
 /**
  * @param url of the case's module, beside which `record.txt` is written
@@ -25,7 +26,7 @@
   recorder.write(hasTrouble ? 'with the disruption' : 'without the disruption')
   try {
     const broken = await run(recorder, hasTrouble)
-    finish(broken > 0 ? 1 : 0)
+    finish(broken > 0 ? BROKEN : 0)
   } catch (error) {
     giveUp(error.stack)
   }
