fix(cache): name the shared cache space after the isolated workspaces

Cause: the salt of the workspaces that share was the same under every config ("/model/version"), so that what a workspace had left there stayed in use. Change: SharingGroups names the shared group after the set of isolated workspaces. A group has only members that its own configs do not isolate, so that no order of configs, restart or instance that is behind can bring an isolated workspace and another one together. Without isolated workspaces the salt is as before. The group is looked up when a request is sent, not when it arrives: one that was sent once more after a change used the salt of before.

--- a/packages/coordination/src/catalog/index.ts
+++ b/packages/coordination/src/catalog/index.ts
@@ -7,6 +7,7 @@
 } from './messages.js'
 export { CatalogCurrency, type CatalogCurrencySettings } from './catalogCurrency.js'
 export { RouteTable, type RouteMatch, type RouteRefusal } from './routeTable.js'
+export { SharingGroups, type SharingWorkspace } from './sharingGroups.js'
 export { ChangeLog, peerChangesSchema, type PeerChanges } from './changeLog.js'
 export { Evacuations, type EvacuationChanges } from './evacuations.js'
 export { ServiceCatalog, type CatalogChange, type CatalogSettings } from './serviceCatalog.js'
--- a/packages/coordination/src/catalog/routeTable.ts
+++ b/packages/coordination/src/catalog/routeTable.ts
@@ -1,6 +1,7 @@
 /** Finds the route and the workspace of a request. */
 import type { Milliseconds } from '../common/index.js'
 import type { Route, RoutingConfiguration, ServiceDescription, WorkspaceAccess } from './messages.js'
+import { SharingGroups } from './sharingGroups.js'
 
 /** Why a request is rejected: no route matches, or its API key is missing or unknown. */
 export type RouteRefusal = 'no-route' | 'unknown-key'
@@ -14,6 +15,8 @@
 
 /** An index of one configuration. */
 export class RouteTable {
+  /** Which workspaces share cached parts. */
+  readonly sharing: SharingGroups
   private readonly _routesByHost = new Map<string, Route[]>()
   private readonly _workspaceByKey = new Map<string, WorkspaceAccess>()
   private readonly _services = new Map<string, ServiceDescription>()
@@ -21,6 +24,7 @@
 
   /** @param configuration the configuration in force */
   constructor (readonly configuration: RoutingConfiguration) {
+    this.sharing = new SharingGroups(configuration.workspaces)
     for (const route of configuration.routes) {
       const host = comparableHost(route.host)
       const routes = this._routesByHost.get(host) ?? []
--- a/packages/coordination/src/stores/storedParts.spec.ts
+++ b/packages/coordination/src/stores/storedParts.spec.ts
@@ -105,7 +105,7 @@
 })
 
 test('should give each cache space its own salt, and read the space back from it', () => {
-  const spaces = [{ workspace: '', model: 'a/1', weightVersion: 2 }, { workspace: 'a', model: '1', weightVersion: 2 }, { workspace: '', model: 'a', weightVersion: 12 }]
+  const spaces = [{ group: '', model: 'a/1', weightVersion: 2 }, { group: 'a', model: '1', weightVersion: 2 }, { group: '@', model: 'a', weightVersion: 12 }]
   assert.is(new Set(spaces.map(saltOf)).size, 3)
   assert.equal(spaces.map(saltOf).map(spaceOf), spaces)
   assert.is(spaceOf('not ours'), undefined)
--- a/packages/gateway/src/requests/requestPlacement.ts
+++ b/packages/gateway/src/requests/requestPlacement.ts
@@ -14,8 +14,6 @@
 export class RequestPlacement {
   /** Picked at random from the targets of the route, by weight, unless the request goes on with a stream. */
   private _service: string
-  /** Name of an isolated workspace; empty for the other workspaces, which share cached parts. */
-  private readonly _workspace: string
   /** The replica for which this request has reserved a send. */
   private _reserved: Replica | undefined
   /** The time of that send. */
@@ -25,7 +23,6 @@
 
   constructor (private readonly _state: GatewayState, private readonly _request: CallerRequest) {
     this._service = pickService(_request, _state.random.next())
-    this._workspace = _request.workspace?.isIsolated === true ? _request.workspace.name : ''
   }
 
   /** The service that handles the request. */
@@ -275,10 +272,13 @@
   private _demand (): PromptDemand | undefined {
     const { catalog, oldWeights } = this._state
     const { prompt } = this._request.head
-    const engine = catalog.routes?.service(this.service)?.engine
-    if (prompt === undefined || engine === undefined) return undefined
+    const { routes } = catalog
+    const engine = routes?.service(this.service)?.engine
+    if (prompt === undefined || routes === undefined || engine === undefined) return undefined
+    // The configuration may have changed since the request arrived.
+    const group = routes.sharing.groupOf(this._request.workspace?.name)
     const wantedVersion = this._versionAnnouncedFor(oldWeights.avoidAfter)
-    const saltFor = (weightVersion: number): string => saltOf({ workspace: this._workspace, model: prompt.model, weightVersion })
+    const saltFor = (weightVersion: number): string => saltOf({ group, model: prompt.model, weightVersion })
     return { prompt, engine, saltFor, wantedVersion }
   }
 
