fix(cache): free the parts of groups that share no more in managed stores

Seen: with groups that change with the isolated workspaces, parts of the group before stayed in stores that evict nothing, until they were full; the collector knew replaced weights only. Change: StaleSpaces decides for both. A later config may use the group again: a call that frees parts is valid for 1 s after the catalog was known to match the store, and after a change of the groups nothing is fetched from stores for 2 s, so that no part is freed during a fetch. configuration-in-force logs the shared group.

--- a/packages/coordination/src/catalog/serviceCatalog.ts
+++ b/packages/coordination/src/catalog/serviceCatalog.ts
@@ -17,7 +17,7 @@
 
 /** A change of the catalog, for the log and for dependent components. */
 export type CatalogChange =
-  | { kind: 'configuration', version: number, revision: number }
+  | { kind: 'configuration', version: number, revision: number, isSharingChanged: boolean }
   | { kind: 'replica-added', replica: Replica }
   | { kind: 'replica-draining', replica: Replica }
   | { kind: 'replica-removed', replica: Replica, reason: 'unlisted' }
@@ -72,6 +72,7 @@
   private _configuration: ConfigurationInForce | undefined
   /** The configuration of an older copy of the store that is not put in force again: its era and revision there. */
   private _passedOver: { era: number, revision: number } | undefined
+  private _sharingSince: Milliseconds = -Infinity
   private readonly _replicas = new Map<string, KnownReplica>()
   private readonly _removed: RemovedReplicas
   private readonly _evacuations = new Evacuations()
@@ -104,6 +105,11 @@
     return this._configuration?.era ?? NO_ERA
   }
 
+  /** Since when this instance has known a configuration with the sharing groups that are in use. */
+  get sharingSince (): Milliseconds {
+    return this._sharingSince
+  }
+
   /** Whether another instance's configuration is newer than the one in force here. */
   isConfigurationBehind (era: number | undefined, revision: number): boolean {
     if (era === undefined || era === this.configurationEra) return revision > this.configurationRevision
@@ -280,7 +286,7 @@
   /** @param announcedAfter time of the last listing, after which what is new here was written */
   private _applyNewer (listing: CatalogListing, announcedAfter: Milliseconds, now: Milliseconds): CatalogChange[] {
     const changes: CatalogChange[] = []
-    this._applyConfiguration(listing.configuration, changes)
+    this._applyConfiguration(listing.configuration, changes, now)
     for (const replica of listing.replicas) this._applyReplica(replica, changes, now)
     for (const { revision, value: { model, version } } of listing.weightVersions) {
       const known = this._weightVersions.get(model) ?? []
@@ -321,7 +327,9 @@
     return changes
   }
 
-  private _applyConfiguration (received: Revised<RoutingConfiguration> | undefined, changes: CatalogChange[]): void {
+  private _applyConfiguration (
+    received: Revised<RoutingConfiguration> | undefined, changes: CatalogChange[], now: Milliseconds
+  ): void {
     if (received === undefined) return
     const isLaterWrite = this._isLaterWrite(received)
     if (!isLaterWrite && !this._isLaterVersion(received)) {
@@ -329,8 +337,11 @@
       if (era > this.configurationEra) this._passedOver = { era, revision }
       return
     }
-    this._configuration = { era: received.era, revision: received.revision, value: new RouteTable(received.value), isLaterWrite }
-    changes.push({ kind: 'configuration', version: received.value.version, revision: received.revision })
+    const value = new RouteTable(received.value)
+    const isSharingChanged = value.sharing.shared !== this.routes?.sharing.shared
+    if (isSharingChanged) this._sharingSince = now
+    this._configuration = { era: received.era, revision: received.revision, value, isLaterWrite }
+    changes.push({ kind: 'configuration', version: received.value.version, revision: received.revision, isSharingChanged })
   }
 
   /** Whether the configuration was certainly written after the one in force, whatever its version is. */
--- a/packages/coordination/src/fronts/messages.ts
+++ b/packages/coordination/src/fronts/messages.ts
@@ -21,7 +21,9 @@
   heartbeatAddress: z.string(),
   isLeaving: z.boolean(),
   /** Traffic that its machine can serve, in Mbit/s. Only in large fleets; absent from older builds. */
-  capacity: z.number().nonnegative().optional()
+  capacity: z.number().nonnegative().optional(),
+  /** Whether its build caches parts of prompts by `SharingGroups`; absent from older builds. */
+  knowsSharingGroups: z.boolean().optional()
 })
 /** An instance as it registers itself in the store. */
 export type FrontRecord = z.infer<typeof frontRecordSchema>
--- a/packages/coordination/src/stores/storedParts.spec.ts
+++ b/packages/coordination/src/stores/storedParts.spec.ts
@@ -26,6 +26,14 @@
   assert.is(stores.sourceOf('s', 'p', 'z', 4_000 + STORE_STATE_LIFETIME), undefined)
 })
 
+test('should fetch nothing for a while after other workspaces share, since the parts of a group may just be freed', () => {
+  const stores = listedStore()
+  stores.onEvents('a', answer({ events: [added] }), 4_000, 4_100)
+  stores.onSharingChanged(4_100)
+  stores.onEvents('a', answer(), 6_000, 6_000)
+  assert.equal([6_000, 6_100].map(now => stores.sourceOf('s', 'p', 'z', now)?.address), [undefined, 'a'])
+})
+
 test('should save nothing to a restarted store while other instances may still use its old state', () => {
   const stores = listedStore()
   assert.is(stores.saveTargetOf('s', part, 3_600), 'a')
--- a/packages/coordination/src/stores/storedParts.ts
+++ b/packages/coordination/src/stores/storedParts.ts
@@ -14,6 +14,11 @@
 export const STORE_STATE_LIFETIME: Milliseconds = 1_800
 /** No part is saved to a store for this long after a restart of it was observed: the state lifetime plus clock differences. */
 const SAVE_PAUSE_AFTER_RESTART: Milliseconds = 3_000
+/**
+ * Nothing is fetched from the stores for this long after the sharing groups have changed: an instance that does not know of the
+ * change yet may be freeing the parts of a group that is in use again.
+ */
+const FETCH_PAUSE_AFTER_CHANGE: Milliseconds = 2_000
 /** Shortest time between two requests to save the same part. */
 const SAVE_INTERVAL: Milliseconds = 2_500
 /** No part is saved to a store whose fetches are delayed by this or more: it would hold up the replica's other transfers. */
@@ -88,6 +93,7 @@
   private readonly _baselineExcess = new DecayingAverage()
   private readonly _excesses = new Map<string, { sum: Milliseconds, count: number }>()
   private _clockOffset: Milliseconds | undefined
+  private _fetchesAllowedFrom: Milliseconds = -Infinity
 
   /** Sets the configured stores. The recorded state of stores that stay is retained, and that of others dropped. */
   configure (descriptions: readonly CacheStoreDescription[]): void {
@@ -179,6 +185,11 @@
     for (const store of this._stores.values()) store.answeredAt = -Infinity
   }
 
+  /** Records that other workspaces share parts from now on. */
+  onSharingChanged (now: Milliseconds): void {
+    this._fetchesAllowedFrom = now + FETCH_PAUSE_AFTER_CHANGE
+  }
+
   /** Converts a time of this instance's clock to the stores' clock; undefined until a store has reported it. */
   storeClockAt (time: Milliseconds): Milliseconds | undefined {
     return this._clockOffset === undefined ? undefined : Math.floor(time + this._clockOffset)
@@ -186,6 +197,7 @@
 
   /** A store from which a part can be fetched, preferably one in the zone. */
   sourceOf (salt: string, partId: string, zone: string, now: Milliseconds): PartSource | undefined {
+    if (now < this._fetchesAllowedFrom) return undefined
     const key = keyOf(salt, partId)
     let best: PartSource | undefined
     for (const [address, store] of this._stores) {
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -91,7 +91,7 @@
   ) {
     const settings = _settings
     const { now, suspensionAwareNow } = clocks
-    const self: FrontRecord = { ...settings.self, isLeaving: false }
+    const self: FrontRecord = { ...settings.self, isLeaving: false, knowsSharingGroups: true }
     const { ownPrefix } = adapter.catalogSource
     const roleKey = `${ownPrefix}rollout`
     const metrics = new GatewayMetrics()
@@ -389,7 +389,10 @@
       case 'configuration':
         this._front.applyLimits()
         this._configureStores()
-        log.change('configuration-in-force', { version: change.version, revision: change.revision })
+        if (change.isSharingChanged) this.state.storedParts.onSharingChanged(this.state.now())
+        log.change('configuration-in-force', {
+          sharing: this.state.catalog.routes?.sharing.shared, version: change.version, revision: change.revision
+        })
         break
       case 'weight-version':
       case 'weight-version-dated':
--- a/packages/gateway/src/protocol/replicaProtocol.ts
+++ b/packages/gateway/src/protocol/replicaProtocol.ts
@@ -94,8 +94,13 @@
   /** Decodes a store's list; undefined if the body is malformed. */
   abstract readStoreList (body: string): StoreAnswer | undefined
 
-  /** Requests a store to free parts, which it does only while it is in the given epoch. */
-  abstract freeCall (parts: readonly (readonly [salt: string, partId: string])[], epoch: number): ReplicaCall
+  /**
+   * Requests a store to free parts, which it does only while it is in the given epoch.
+   * @param until time on the clock of the stores, in milliseconds, after which it frees nothing; at any time by default
+   */
+  abstract freeCall (
+    parts: readonly (readonly [salt: string, partId: string])[], epoch: number, until?: Milliseconds
+  ): ReplicaCall
 
   /** Whether the status of the answer to an order says that the order is being executed or that its version is loaded. */
   abstract isOrderAccepted (status: number): boolean
--- a/packages/gateway/src/stores/storeCollector.ts
+++ b/packages/gateway/src/stores/storeCollector.ts
@@ -1,12 +1,10 @@
-/** Frees the parts of replaced weight versions in managed stores, which evict nothing by themselves. */
-import { spaceOf, type Milliseconds } from '@wasabihead/coordination'
+/** Frees parts that no request can use any more in managed stores, which evict nothing by themselves. */
+import { StaleSpaces, type Milliseconds, type StaleSpaceSettings } from '@wasabihead/coordination'
 import { callAddress } from '../channels/index.js'
 import type { GatewayState } from '../requests/index.js'
 
-export interface StoreCollectorSettings {
+export interface StoreCollectorSettings extends StaleSpaceSettings {
   interval: Milliseconds
-  /** How long after the latest possible announcement of a newer version parts are freed; no fetch is in flight by then. */
-  freeAfter: Milliseconds
   callTimeout: Milliseconds
 }
 
@@ -14,13 +12,16 @@
 
 /** Runs on every instance, but frees parts only while its instance holds the rollout role. */
 export class StoreCollector {
+  private readonly _spaces: StaleSpaces
   private _timer: NodeJS.Timeout | undefined
 
   constructor (
     private readonly _state: GatewayState,
     private readonly _settings: StoreCollectorSettings,
     private readonly _isHolder: () => boolean
-  ) {}
+  ) {
+    this._spaces = new StaleSpaces(_state.catalog, _settings)
+  }
 
   /** Starts a collection at each interval, until stopped. */
   start (): void {
@@ -33,27 +34,38 @@
   }
 
   private async _collect (): Promise<void> {
-    const { storedParts, log, replicaProtocol } = this._state
+    const { storedParts, fronts, suspensionAwareNow } = this._state
     for (const address of storedParts.addresses) {
-      if (!this._isHolder()) return
-      const stale = storedParts.partsOf(address, salt => this._isStale(salt))
-      if (stale === undefined || stale.parts.length === 0) continue
-      const parts = stale.parts.slice(0, MAXIMUM_PARTS_PER_CALL)
-      const outcome = await callAddress(
-        this._state, { id: address, address }, replicaProtocol.freeCall(parts, stale.epoch), this._settings.callTimeout
-      )
-      const result = outcome.isAnswered ? `status ${outcome.status}` : outcome.reason
-      log.change('parts-freed', { address, parts: parts.length, epoch: stale.epoch, result })
+      await this._free(address, salt => this._spaces.hasReplacedWeights(salt, suspensionAwareNow()))
+      const until = this._freeUntil
+      if (until === undefined) continue
+      const { peers } = fronts
+      await this._free(address, salt => this._spaces.hasUnusedGroup(salt, peers, suspensionAwareNow()), until)
     }
   }
 
-  /** Whether a newer version was announced long enough ago and every replica of the model has loaded it. */
-  private _isStale (salt: string): boolean {
-    const { catalog, suspensionAwareNow } = this._state
-    const space = spaceOf(salt)
-    if (space === undefined) return false
-    const required = catalog.versionCertainlyAnnouncedBy(space.model, suspensionAwareNow() - this._settings.freeAfter)
-    if (required === undefined || space.weightVersion >= required) return false
-    return catalog.replicas.every(({ weightVersions }) => (weightVersions[space.model] ?? required) >= required)
+  private async _free (address: string, isStale: (salt: string) => boolean, until?: Milliseconds): Promise<void> {
+    if (!this._isHolder()) return
+    const { storedParts, log, replicaProtocol } = this._state
+    // Many parts have the same salt.
+    const verdicts = new Map<string, boolean>()
+    const stale = storedParts.partsOf(address, salt => {
+      const verdict = verdicts.get(salt) ?? isStale(salt)
+      verdicts.set(salt, verdict)
+      return verdict
+    })
+    if (stale === undefined || stale.parts.length === 0) return
+    const parts = stale.parts.slice(0, MAXIMUM_PARTS_PER_CALL)
+    const outcome = await callAddress(
+      this._state, { id: address, address }, replicaProtocol.freeCall(parts, stale.epoch, until), this._settings.callTimeout
+    )
+    const result = outcome.isAnswered ? `status ${outcome.status}` : outcome.reason
+    log.change('parts-freed', { address, parts: parts.length, salt: parts[0]?.[0], epoch: stale.epoch, result })
+  }
+
+  /** On the clock of the stores; undefined until a store has reported it. */
+  private get _freeUntil (): Milliseconds | undefined {
+    const { storedParts, now, suspensionAwareNow } = this._state
+    return storedParts.storeClockAt(now() + this._spaces.freeUntil - suspensionAwareNow())
   }
 }
--- a/tests/platform/cacheIsolation.spec.ts
+++ b/tests/platform/cacheIsolation.spec.ts
@@ -1,5 +1,6 @@
 /** Which cached parts of prompts workspaces share while the configuration changes, observed at the replicas. */
-import type http from 'node:http'
+import http from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { waitUntil } from '@wasabihead/experiments'
@@ -8,6 +9,13 @@
 const MODEL = 'model-a'
 const ENGINE = { slots: 4, kv_capacity_tokens: 10_000, kv_token_bytes: 1_000, link_mbps: 1_000, models: [{ name: MODEL }] }
 
+const EPOCH = 7
+/** Parts are freed within this time of the last confirmation of the catalog, or not at all. */
+const FREE_WITHIN_MS = 1_000
+
+/** A call that frees parts, as a store received it, and when. */
+interface FreeCall { parts: [string, string][], epoch: number, until_ms?: number, at: number }
+
 /** The workspaces of one configuration and whether each is isolated. */
 type Workspaces = Record<string, boolean>
 
@@ -21,6 +29,7 @@
 let workspaces: Workspaces
 let version: number
 let asked: number
+let cacheStore: object | undefined
 
 test.before.each(() => {
   fleet = new PlatformFleet()
@@ -28,6 +37,7 @@
   breaches = []
   version = 0
   asked = 0
+  cacheStore = undefined
 })
 test.after.each(async () => { await fleet.stop() })
 
@@ -54,7 +64,7 @@
 async function apply (change: Workspaces): Promise<void> {
   version += 1
   fleet.store.put('op/config', configurationOf(version, {
-    services: [{ name: 'desk', max_conns: 20, engine: ENGINE }],
+    services: [{ name: 'desk', max_conns: 20, engine: ENGINE }, ...cacheStore === undefined ? [] : [cacheStore]],
     tenants: Object.entries(change).map(([name, isolated]) => ({ name, api_keys: [`key of ${name}`], isolated }))
   }))
   await waitUntil(async () => fleet.gateways.every(gateway => isInForce(gateway)))
@@ -81,6 +91,25 @@
   return await answer.then(({ status }) => status, () => 0)
 }
 
+/** A managed store that holds these parts, with the time of day as its clock. */
+async function startCacheStore (
+  parts: [salt: string, id: string][], freed: FreeCall[]
+): Promise<{ server: http.Server, address: string }> {
+  const server = http.createServer((request, response) => {
+    const [path] = (request.url ?? '').split('?')
+    const chunks: Buffer[] = []
+    request.on('data', (chunk: Buffer) => { chunks.push(chunk) })
+    request.on('end', () => {
+      if (path === '/v1/kv-free') freed.push({ ...JSON.parse(Buffer.concat(chunks).toString()) as FreeCall, at: Date.now() })
+      const held = parts.map(([salt, id]) => [salt, id, 10, MODEL])
+      const answer = { epoch: EPOCH, next: 1, lost: false, events: [], held, clock_ms: Date.now() }
+      setTimeout(() => { response.end(JSON.stringify(answer)) }, path === '/v1/kv-events' ? 100 : 0)
+    })
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  return { server, address: `127.0.0.1:${(server.address() as AddressInfo).port}` }
+}
+
 async function restart (gateway: GatewayProcess): Promise<void> {
   gateway.signal('SIGKILL')
   await gateway.exited
@@ -136,4 +165,25 @@
   assert.equal([await status, breaches, salts.get('b')?.size], [200, [], 1])
 })
 
+// Guards against a store that fills with parts that no request can reach.
+test('should free the parts of workspaces that do not share any more, and no others', async () => {
+  const freed: FreeCall[] = []
+  const store = await startCacheStore([['/model-a/1', 'a1'], ['a/model-a/1', 'a1'], ['of others', 'a1']], freed)
+  try {
+    await fleet.start(1)
+    cacheStore = { name: 'keep', kv_store_addr: store.address, zone: 'zone-a', kv_capacity_tokens: 1_000, link_mbps: 1_000, managed: true, first_ms: 1 }
+    await addReplica('replica-1')
+    await apply(SHARED)
+    await waitUntil(async () => await ask('b', fleet.gateways[0] as GatewayProcess) === 200)
+    await apply({ ...SHARED, a: true })
+    await waitUntil(async () => freed.length > 0)
+    assert.equal(freed.map(({ parts, epoch }) => [parts, epoch]), [[[['/model-a/1', 'a1']], EPOCH]])
+    const [{ until_ms: until = 0, at = 0 } = {}] = freed
+    assert.ok(until > at && until <= at + FREE_WITHIN_MS, `${until - at} ms`)
+  } finally {
+    store.server.closeAllConnections()
+    store.server.close()
+  }
+})
+
 test.run()
