fix(channels): take statuses below 100 or above 599 for no answer

Seen: an answer of status 000 was taken for an interim one, as every status below 200 was. With a body the caller of an unsafe route waited for its deadline (504); where the body held the bytes of an answer, or an answer followed, that one was delivered with 200. Cause: AnswerParser accepted any three digits, and skipped heads below 200 without their bodies. Change: statuses are those of RFC 9110, 15, decided where status lines are parsed, and with it for replicas, peers, reports, cache stores and the platform's store. An interim answer that states a body is no answer either (RFC 9110, 8.6). The daemon's calls, which passed 000 on as a status, fail with an ambiguous error.

--- a/packages/daemon/src/adapters/httpCalls.spec.ts
+++ b/packages/daemon/src/adapters/httpCalls.spec.ts
@@ -58,4 +58,19 @@
   }
 }
 
+// Guards against an invalid status that is passed on as that of an answer (RFC 9110, 15).
+for (const status of ['000', '099', '600', '999']) {
+  test(`should fail a call that is answered with status ${status}`, async () => {
+    const server = net.createServer(socket => {
+      socket.on('error', () => {})
+      socket.on('data', () => { socket.write(`HTTP/1.1 ${status} Status\r\nContent-Length: 2\r\n\r\nhi`) })
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}/`
+    const { isOk } = await callHttp({ method: 'GET', url, timeout: 1_000, isOnNewConnection: true })
+    server.close()
+    assert.is(isOk, false)
+  })
+}
+
 test.run()
--- a/packages/daemon/src/adapters/httpCalls.ts
+++ b/packages/daemon/src/adapters/httpCalls.ts
@@ -4,6 +4,9 @@
 import { PlatformAmbiguousError, PlatformRefusedError, type Milliseconds, type PlatformError } from '@wasabihead/coordination'
 import { httpConnections } from './httpConnections.js'
 
+/** RFC 9110, 15. */
+const LOWEST_STATUS = 100
+const HIGHEST_STATUS = 599
 const NEVER_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'EADDRNOTAVAIL'])
 
 /** An HTTP call. `json` is sent as the body. */
@@ -18,7 +21,7 @@
   isOnNewConnection?: boolean
 }
 
-/** The answer of an HTTP call, whatever its status. */
+/** The answer of an HTTP call, whatever its status from 100 to 599. */
 export interface HttpAnswer {
   status: number
   body: string
@@ -41,7 +44,9 @@
       followRedirect: false,
       throwHttpErrors: false
     })
-    return Result.ok({ status: response.statusCode, body: response.body, headers: response.headers })
+    const { statusCode: status, body, headers } = response
+    if (status < LOWEST_STATUS || status > HIGHEST_STATUS) return Result.err(statusError({ status, body, headers }, call.url))
+    return Result.ok({ status, body, headers })
   } catch (error) {
     // A timeout may be due to a silent pooled connection, so the whole pool is dropped and the next call opens a new connection.
     if (error instanceof TimeoutError) httpConnections.drop(call.url)
--- a/packages/gateway/src/channels/answerParser.spec.ts
+++ b/packages/gateway/src/channels/answerParser.spec.ts
@@ -98,6 +98,16 @@
   { title: 'a byte beyond ASCII in a name', bytes: WHOLE.replace('X-Seal', 'X-S\xe9al') },
   { title: 'no name', bytes: WHOLE.replace('X-Seal', '') },
   { title: 'a second status line', bytes: WHOLE.replace('X-Seal: a', 'HTTP/1.1 503 Busy') },
+  // Taken for interim answers, so that the bytes of their body were read as the replica's answer.
+  { title: 'status 000', bytes: WHOLE.replace('200', '000') },
+  { title: 'status 000 before it', bytes: `HTTP/1.1 000 OK\r\n\r\n${WHOLE}` },
+  { title: 'status 099 before it', bytes: `HTTP/1.1 099 OK\r\n\r\n${WHOLE}` },
+  { title: 'status 600', bytes: WHOLE.replace('200', '600') },
+  { title: 'status 999', bytes: WHOLE.replace('200', '999') },
+  { title: 'a status of two digits', bytes: WHOLE.replace('200', '20') },
+  { title: 'a status of four digits', bytes: WHOLE.replace('200', '2000') },
+  { title: 'an interim answer with a length before it', bytes: `HTTP/1.1 100 Continue\r\nContent-Length: 5\r\n\r\n${WHOLE}` },
+  { title: 'an interim answer in chunks before it', bytes: `HTTP/1.1 103 Hints\r\nTransfer-Encoding: chunked\r\n\r\n${WHOLE}` },
   { title: 'a continuation of no header', bytes: WHOLE.replace('X-Seal', ' X-Seal') },
   { title: 'a trailer without a name', bytes: WHOLE.replace('Content-Length: 2\r\n\r\nok', 'Transfer-Encoding: chunked\r\n\r\n0\r\nodd\r\n\r\n') }
 ]
--- a/packages/gateway/src/channels/answerParser.ts
+++ b/packages/gateway/src/channels/answerParser.ts
@@ -134,6 +134,7 @@
     if (!HEADER_TEXT.test(info.statusMessage)) throw new MalformedAnswerError('the reason phrase has an invalid character')
     if (info.statusCode === SWITCHING_PROTOCOLS) throw new MalformedAnswerError('switching protocols is not supported')
     if (info.statusCode < FIRST_FINAL_STATUS) {
+      checkInterim(info.headers)
       this._isInterim = true
       return SKIP_BODY
     }
@@ -220,13 +221,14 @@
   state: string
 }
 
-const STATUS_LINE = /^HTTP\/1\.\d \d{3}(?: .*)?$/
+/** RFC 9110, 15: no status is below 100 or above 599. */
+const STATUS_LINE = /^HTTP\/1\.\d [1-5]\d{2}(?: .*)?$/
 /** The beginning of a status line, wherever it is in a line. */
 const STATUS_LINE_START = /HTTP\/\d\.\d \d{3}(?!\S)/
 // A head that was cut within a line would otherwise take in the head and the body of the answer that follows.
 const CUT_HEAD = 'a status line within a head: the answer before it was cut'
 
-/** Rejects status lines of other versions, with no space after the code, or that hold another one. */
+/** Rejects status lines of other versions, with no valid code or no space after it, or that hold another one. */
 function checkStatusLines (parser: HTTPParserJS): void {
   const reader = parser as unknown as LineReader
   const consumeLine = reader.consumeLine.bind(parser)
@@ -282,6 +284,12 @@
   return fields
 }
 
+/** Rejects interim answers that state a body, whose bytes would be read as the final answer (RFC 9110, 8.6). */
+function checkInterim (rawHeaders: readonly string[]): void {
+  const { 'content-length': length = '0', 'transfer-encoding': encoding } = combineHeaders(rawHeaders)
+  if (encoding !== undefined || !/^0+$/.test(length)) throw new MalformedAnswerError('an interim answer states a body')
+}
+
 /** Rejects ambiguous framing, which the parser accepts and another HTTP implementation might read differently. */
 function checkFraming (headers: HeaderFields, minorVersion: number): void {
   const length = headers['content-length']
--- a/tests/platform/replicaBytes.spec.ts
+++ b/tests/platform/replicaBytes.spec.ts
@@ -117,6 +117,23 @@
   for (const [index, other] of others.entries()) assert.is((await other).body, bodyOf(`other-${index}`, 3_000))
 })
 
+// Guards against an answer with an invalid status that is taken for an interim one: the caller waited for its deadline, or got
+// bytes of its body as the replica's answer (issue 59).
+const statuses: { title: string, bytes: (id: string) => string }[] = [
+  { title: 'with a body', bytes: id => wholeAnswer(id, 'hello', 0).replace(' 0 ', ' 000 ') },
+  { title: 'whose body holds an answer', bytes: id => wholeAnswer(id, wholeAnswer(id, 'inner'), 0).replace(' 0 ', ' 000 ') },
+  { title: 'before another answer', bytes: id => `HTTP/1.1 000 Trouble\r\n\r\n${wholeAnswer(id, 'inner')}` }
+]
+for (const { title, bytes } of statuses) {
+  for (const { path, expected } of [{ path: '/safe/x', expected: [200, 'sound'] }, { path: '/unsafe/x', expected: [502, ''] }]) {
+    test(`should give up an answer of status 000 ${title} at once: ${path}`, async () => {
+      respond = ({ socket, id, arrivals }) => { socket.write(arrivals === 1 ? bytes(id) : wholeAnswer(id, 'sound')) }
+      const { status, body } = await call(gateway().addresses.front, path, { headers: { 'X-Wasabihead-Attempt-Id': 'odd' } })
+      assert.equal([status, body], expected)
+    })
+  }
+}
+
 // Guards against large answers that stall: beyond the size up to which answers are buffered, the connection was paused and
 // never read again (issue 23).
 for (const length of [200_000, 300_000, 1_000_000, 6_000_000]) {
