fix(channels): complete no answer while its request cannot be written any more

Seen: a replica answers a long upload at once with a 200 that has no length, ends its side and resets the connection, as the kernel does for a process that ends there: the caller got the part as a complete answer, also through a peer and of streams. A reset alone was found. Cause: the end was reported while most of the request was still to be written; the reset that follows was seen by the write, after the answer counted as complete. Change: an answer that ends with its connection is complete only once the request is written; a write that fails breaks it. An end and a reset that were read together are told apart as in the daemon. The daemon's connections wait for their writes, too. An answer whose replica goes on to read the upload is still delivered. Not told apart: a reset that comes after an orderly end of a request that the kernel has taken as a whole.

--- a/packages/daemon/src/adapters/httpCalls.spec.ts
+++ b/packages/daemon/src/adapters/httpCalls.spec.ts
@@ -4,6 +4,9 @@
 import * as assert from 'uvu/assert'
 import { callHttp } from './httpCalls.js'
 
+/** More than the kernel buffers of a connection whose receiver does not read. */
+const LONG_REQUEST = 12_000_000
+
 /** Answers only the first request of each connection. */
 function createSingleAnswerServer (): http.Server {
   return http.createServer((request, response) => {
@@ -58,6 +61,28 @@
   }
 }
 
+// Guards against a part of an answer without a length that is taken for the whole: its connection ends while the request is being
+// written, and is reset by what is still sent.
+for (const delay of [0, 20]) {
+  test(`should fail a call whose connection ends during a long request and is reset ${delay} ms later`, async () => {
+    const server = net.createServer({ allowHalfOpen: true }, socket => {
+      socket.on('error', () => {})
+      socket.once('data', () => {
+        socket.pause()
+        socket.end('HTTP/1.1 200 OK\r\nServer: x\r\n\r\n{"a":1}')
+        setTimeout(() => { socket.resetAndDestroy() }, delay)
+      })
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}/`
+    const call = async (): Promise<boolean> => (
+      await callHttp({ method: 'POST', url, json: 'x'.repeat(LONG_REQUEST), timeout: 10_000, isOnNewConnection: true })).isOk
+    const outcomes = [await call(), await call(), await call()]
+    server.close()
+    assert.equal(outcomes, [false, false, false])
+  })
+}
+
 // Guards against an invalid status that is passed on as that of an answer (RFC 9110, 15).
 for (const status of ['000', '099', '600', '999']) {
   test(`should fail a call that is answered with status ${status}`, async () => {
--- a/packages/gateway/src/channels/replicaChannel.ts
+++ b/packages/gateway/src/channels/replicaChannel.ts
@@ -105,10 +105,12 @@
       }
       this._onLink(true)
     })
-    this._socket.once('end', () => {
+    // Before the listener of the socket itself, which ends the writable side.
+    this._socket.prependOnceListener('end', () => {
       // Some answers end with their connection.
       this._wasEndedByTarget = !this._endsWithConnection
-      this._onSocketEnd()
+      if (this._endsWithConnection) this._awaitWrites()
+      else this._onSocketEnd()
     })
     // A close event follows, which ends the exchange.
     this._socket.on('error', error => {
@@ -246,6 +248,15 @@
     setImmediate(() => { if (!this._isPaused) this._socket.resume() })
   }
 
+  /** A replica that does not read the whole request resets the connection after its end: writes fail, and a close follows. */
+  private _awaitWrites (): void {
+    // Sends nothing, but the kernel refuses it on a connection that was reset.
+    this._socket.write('')
+    if (this._socket.errored !== null) return
+    if (this._socket.writableLength > 0) this._socket.once('finish', () => { this._onSocketEnd() })
+    else this._onSocketEnd()
+  }
+
   private _onSocketEnd (): void {
     if (this._listener === undefined || !this._parser.isInsideAnswer) return
     try {
--- a/packages/http/src/connectionResets.ts
+++ b/packages/http/src/connectionResets.ts
@@ -11,8 +11,10 @@
   }
 
   override push (chunk: unknown, encoding?: BufferEncoding): boolean {
-    // Sends nothing, but the kernel refuses it on a connection that was reset. The stream then ends with the error.
-    if (chunk === null && this.writable) this.write('')
-    return this.errored === null && super.push(chunk, encoding)
+    if (chunk !== null || !this.writable) return this.errored === null && super.push(chunk, encoding)
+    // Sends nothing, but the kernel refuses it on a connection that was reset, also by what is still being written before it.
+    // The stream then ends with the error.
+    this.write('', error => { if (error == null) super.push(null) })
+    return false
   }
 }
