test(platform): let the retry budget grow before streams are cut in softwareVersions.spec.ts

The test asks for four retries at once; a process allows 0.75 x (0.2 x 4 + 50 / 3 x its age / 10 s), which is four from 2.72 s on. The test waits 3 s longer now; what it checks stays.

--- a/tests/platform/softwareVersions.spec.ts
+++ b/tests/platform/softwareVersions.spec.ts
@@ -8,6 +8,7 @@
 
 const GATEWAYS = 3
 const PROPAGATION_MS = 600
+const BUDGET_GROWTH_MS = 3_000
 /** Longer than a gateway relies on what it knows without hearing from the store or the others. */
 const STALE_MS = 2_500
 
@@ -25,7 +26,8 @@
 // Guards against streams that are joined from the events of two software versions (issue 29).
 test('should go on with a broken stream at the software version that began it', async () => {
   await replicas.add({ v1: 2, v2: 4 })
-  // Few enough for the retry budget to let each go on.
+  // The retry budget grows with the age of a process; a little later it lets each go on.
+  await delay(BUDGET_GROWTH_MS)
   const paths = Array.from({ length: 4 }, (_, index) => `/events/cut${index}`)
   const first = fleet.gateways[0] as GatewayProcess
   const answers = await Promise.all(paths.map(async path => await send(first, path)))
