--- a/review/standins-3/harness.mjs
+++ b/review/standins-3/harness.mjs
@@ -72,7 +72,13 @@
     const child = spawn(command, parameters, {
       cwd: ROOT,
       stdio: ['ignore', 'pipe', 'pipe'],
-      env: { PATH: process.env.PATH, HOME: process.env.HOME, LANG: process.env.LANG, WASABIHEAD_NODE_FILE: gateway.file, WASABIHEAD_METRICS_PORT: String(gateway.metrics) }
+      env: {
+        PATH: process.env.PATH,
+        HOME: process.env.HOME,
+        LANG: process.env.LANG,
+        WASABIHEAD_NODE_FILE: gateway.file,
+        WASABIHEAD_METRICS_PORT: String(gateway.metrics)
+      }
     })
     gateway.child = child
     gateway.log = ''
@@ -105,9 +111,9 @@
   }
 
   /** Starts a replica process and registers it; the registration is renewed while the process lives. */
-  async startReplica ({ service, slots = 6, work = 60, crashes = false, onEvent = () => {}, onEnd = () => {}, port = 0, zone = 'ni-a' }) {
+  async startReplica ({ service, slots = 6, work = 60, crashes = false, crashAfter = 0, onEvent = () => {}, onEnd = () => {}, port = 0, zone = 'ni-a' }) {
     const id = `i-${(0x7f3a0000 + this.nextReplica++).toString(16)}`
-    const child = fork(join(HERE, 'replica.mjs'), ['127.0.0.1', String(port), id, service, String(work), crashes ? '1' : '0'], { execArgv: [] })
+    const child = fork(join(HERE, 'replica.mjs'), ['127.0.0.1', String(port), id, service, String(work), crashes ? '1' : '0', String(crashAfter)], { execArgv: [] })
     this.children.add(child)
     const key = `servers/${id}`
     const replica = { id, child, service, isAlive: true }
@@ -152,19 +158,53 @@
 function settingsOf (plan, seeds, store, bounds) {
   const { ip, name } = plan
   return {
-    node_name: name, role: 'gateway', machine_class: 'edge', serves: ['edge', 'control', 'directory'],
-    ip, zone: 'ni-a', region: 'north-isles', zones: { 'ni-a': 'north-isles', 'ni-b': 'north-isles', 'ni-c': 'north-isles' },
+    node_name: name,
+    role: 'gateway',
+    machine_class: 'edge',
+    serves: ['edge', 'control', 'directory'],
+    ip,
+    zone: 'ni-a',
+    region: 'north-isles',
+    zones: { 'ni-a': 'north-isles', 'ni-b': 'north-isles', 'ni-c': 'north-isles' },
     listen: { front: `${ip}:${plan.front}`, ready: `${ip}:${plan.ready}`, control: `${ip}:${plan.controlPort}`, directory: `${ip}:${plan.directory}` },
-    port_range: [plan.first, plan.first + 15], seeds, bootstrap: true, loss_counts: false,
+    port_range: [plan.first, plan.first + 15],
+    seeds,
+    bootstrap: true,
+    loss_counts: false,
     limits: { cpu_share: 0.513, cores: 2, memory_mb: 480, max_fds: 6150, link_mbps: 1500, disk_mb: 0 },
-    data_dir: null, discovery: 'platform', entry: 'directory', heartbeat_ms: HEARTBEAT_MS,
+    data_dir: null,
+    discovery: 'platform',
+    entry: 'directory',
+    heartbeat_ms: HEARTBEAT_MS,
     contracts: ['base', 'drain', 'config', 'cost', 'retry', 'recover', 'kvcache', 'stream', 'engine', 'tenants', 'platform'],
     fault_tolerance: { machines: 2, zones: 0, regions: 0 },
     bounds: {
-      seed_lag_s: 3, reuse_after_s: 2, contact_ms: 3000, ack_ms: 4000, catch_up_s: 4, drain_ms: 2000, grace_s: 8, loss_slack_ms: 200,
-      config_apply_ms: 2000, rollback_slack_ms: 250, outer_ms: 5000, revoke_fail_closed: false, revoke_ms: 5000,
-      retry_budget_ratio: 0.2, budget_window_s: 10, retry_budget_slack: 58, recover_s: 12, transit_ms: 120, reuse_window_s: 20,
-      fencing_enforced: false, lease_ms: 3000, thaw_slack_ms: 300, version_ms: 8000, version_all_ms: 11000, ttl_max_s: 5, ...bounds
+      seed_lag_s: 3,
+      reuse_after_s: 2,
+      contact_ms: 3000,
+      ack_ms: 4000,
+      catch_up_s: 4,
+      drain_ms: 2000,
+      grace_s: 8,
+      loss_slack_ms: 200,
+      config_apply_ms: 2000,
+      rollback_slack_ms: 250,
+      outer_ms: 5000,
+      revoke_fail_closed: false,
+      revoke_ms: 5000,
+      retry_budget_ratio: 0.2,
+      budget_window_s: 10,
+      retry_budget_slack: 58,
+      recover_s: 12,
+      transit_ms: 120,
+      reuse_window_s: 20,
+      fencing_enforced: false,
+      lease_ms: 3000,
+      thaw_slack_ms: 300,
+      version_ms: 8000,
+      version_all_ms: 11000,
+      ttl_max_s: 5,
+      ...bounds
     },
     provider: { address: store, form: 'kv', writes_per_s: 400, reads_per_s: 2000, history_s: 20, value_bytes: 1048576, ttl_min_ms: 1000 }
   }
--- a/review/standins-3/replica.mjs
+++ b/review/standins-3/replica.mjs
@@ -1,13 +1,14 @@
 /**
  * Stand-in of a replica of a plain service, as a process of its own. A request whose path holds "crash" ends the process as soon
  * as it begins to run, if the option says so.
- * Arguments: host, port, id, service, working time in ms, whether such requests crash it (1 or 0).
+ * Arguments: host, port, id, service, working time in ms, whether such requests crash it (1 or 0),
+ * after how many ms.
  */
 import http from 'node:http'
 import net from 'node:net'
 import { randomBytes } from 'node:crypto'
 
-const [host, port, id, , workText, crashes] = process.argv.slice(2)
+const [host, port, id, , workText, crashes, crashAfter = '0'] = process.argv.slice(2)
 const born = Date.now()
 const report = (event) => { process.send(event) }
 
@@ -29,7 +30,7 @@
     if (attempt === undefined) return send(400, { 'X-Wasabihead-Not-Executed': '1' })
     const isCrash = request.url.includes('crash')
     report({ kind: 'run', id, attempt, url: request.url })
-    if (isCrash && crashes === '1') return crash()
+    if (isCrash && crashes === '1') return Number(crashAfter) > 0 ? setTimeout(crash, Number(crashAfter)) : crash()
     const timer = setTimeout(() => {
       report({ kind: 'done', id, attempt })
       send(200, { 'X-Wasabihead-Server-Seal': randomBytes(8).toString('hex'), 'Content-Type': 'text/plain' }, `answer to ${attempt}\n`)
--- a/review/standins-3/store.mjs
+++ b/review/standins-3/store.mjs
@@ -50,7 +50,9 @@
   expire () {
     const now = performance.now()
     for (const [id, { until }] of this.leases) if (until <= now) this.endLease(id)
-    while (this.history.length > 0 && now - this.history[0].at > HISTORY_MS) this.forgottenUpTo = this.history.shift().event.revision
+    while (this.history.length > 0 && now - this.history[0].at > HISTORY_MS) {
+      this.forgottenUpTo = this.history.shift().event.revision
+    }
   }
 
   endLease (id) {
@@ -73,13 +75,16 @@
     }
     if (path === 'GET /v1/kv-range') {
       const after = url.searchParams.get('after') ?? ''
-      const found = [...this.items.values()].filter(({ key }) => key.startsWith(prefix) && key > after).sort((a, b) => a.key < b.key ? -1 : 1)
+      const found = [...this.items.values()]
+        .filter(({ key }) => key.startsWith(prefix) && key > after)
+        .sort((a, b) => a.key < b.key ? -1 : 1)
       return send(200, { items: found.slice(0, PAGE_ITEMS), has_more: found.length > PAGE_ITEMS, current_rev: this.revision })
     }
     if (path === 'GET /v1/kv-watch') {
       const after = Number(url.searchParams.get('after'))
       if (after < (this.forgottenUpTo ?? 0)) return send(410, {})
-      const events = this.history.map(({ event }) => event).filter(({ key, revision }) => revision > after && key.startsWith(prefix))
+      const events = this.history.map(({ event }) => event)
+        .filter(({ key, revision }) => revision > after && key.startsWith(prefix))
       // The gateway asks with wait_ms = 0; a longer wait is not needed here.
       return send(200, { events, current_rev: this.revision })
     }
