--- a/review/standins-3/harness.mjs
+++ b/review/standins-3/harness.mjs
@@ -33,6 +33,8 @@
   startedAt = performance.now()
   folder = mkdtempSync(join(tmpdir(), 'review-'))
   nextReplica = 1
+  /** Called when a gateway has ended, for whatever reason. */
+  onGatewayEnd = () => {}
 
   constructor (recordFile) {
     this.recordFile = recordFile
@@ -89,6 +91,7 @@
     child.once('exit', (code, signal) => {
       this.children.delete(child)
       this.record(`gateway ${gateway.name} ended: ${code ?? signal}`)
+      this.onGatewayEnd(gateway)
     })
     this.record(`gateway ${gateway.name} started`)
   }
@@ -111,9 +114,12 @@
   }
 
   /** Starts a replica process and registers it; the registration is renewed while the process lives. */
-  async startReplica ({ service, slots = 6, work = 60, crashes = false, crashAfter = 0, onEvent = () => {}, onEnd = () => {}, port = 0, zone = 'ni-a' }) {
+  async startReplica ({
+    service, slots = 6, work = 60, crashes = false, crashAfter = 0, onEvent = () => {}, onEnd = () => {}, port = 0, zone = 'ni-a',
+    file = 'replica.mjs', listed = {}
+  }) {
     const id = `i-${(0x7f3a0000 + this.nextReplica++).toString(16)}`
-    const child = fork(join(HERE, 'replica.mjs'), ['127.0.0.1', String(port), id, service, String(work), crashes ? '1' : '0', String(crashAfter)], { execArgv: [] })
+    const child = fork(join(HERE, file), ['127.0.0.1', String(port), id, service, String(work), crashes ? '1' : '0', String(crashAfter)], { execArgv: [] })
     this.children.add(child)
     const key = `servers/${id}`
     const replica = { id, child, service, isAlive: true }
@@ -123,7 +129,7 @@
         replica.port = event.port
         let seq = 0
         const beat = () => {
-          this.store.put(key, { service, address: `127.0.0.1:${event.port}`, zone, version: 'v1', slots, state: 'ready', cold_left_ms: 0, seq: ++seq, born: event.born })
+          this.store.put(key, { service, address: `127.0.0.1:${event.port}`, zone, version: 'v1', slots, state: 'ready', cold_left_ms: 0, seq: ++seq, born: event.born, ...listed })
         }
         beat()
         timer = setInterval(beat, HEARTBEAT_MS)
@@ -211,10 +217,10 @@
 }
 
 /** One request of a consumer over an agent; resolves with status, headers and body, or with status 0 where the channel closes. */
-export function send (gateway, { method = 'GET', path, host = 'pule25.example', attempt, deadline = 3_000, key, agent, body }) {
+export function send (gateway, { method = 'GET', path, host = 'pule25.example', attempt, deadline = 3_000, key, agent, body, more = {} }) {
   return new Promise(resolve => {
     const [address, port] = gateway.front.split(':')
-    const headers = { Host: host, 'X-Wasabihead-Attempt-Id': attempt, 'X-Wasabihead-Deadline-Ms': String(deadline), 'Api-Key': key }
+    const headers = { Host: host, 'X-Wasabihead-Attempt-Id': attempt, 'X-Wasabihead-Deadline-Ms': String(deadline), 'Api-Key': key, ...more }
     if (body !== undefined) headers['Content-Length'] = Buffer.byteLength(body)
     const request = http.request({ host: address, port, method, path, agent, headers }, response => {
       const chunks = []
